--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,7 +1,15 @@
 #include "common/log.hpp"
 
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
 #include <chrono>
 #include <cstdio>
+#include <memory>
+#include <mutex>
+
+#include "common/log_budget.hpp"
 
 namespace hatchfork {
 namespace {
@@ -10,6 +18,39 @@
 LogLevel lowest_level = LogLevel::kInfo;
 std::string node_name;
 
+/// Lines that wait for the writing thread; the oldest give way when a reader stalls.
+constexpr std::size_t kMostWaitingLines = 1024;
+
+/// The writer of a server process: lines go to standard output by a thread of their own, so that no other thread ever
+/// waits for a reader.
+class LogWriter {
+ public:
+  LogWriter() {
+    spdlog::init_thread_pool(kMostWaitingLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+    logger_ = std::make_shared<spdlog::async_logger>("hatchfork", std::move(sink), spdlog::thread_pool(),
+                                                     spdlog::async_overflow_policy::overrun_oldest);
+    logger_->set_pattern("%v");
+    logger_->flush_on(spdlog::level::info);
+  }
+  ~LogWriter() { spdlog::shutdown(); }
+
+  void write(const std::string& line) { logger_->info(spdlog::string_view_t(line.data(), line.size())); }
+  std::size_t overrun() const { return spdlog::thread_pool()->overrun_counter(); }
+
+ private:
+  std::shared_ptr<spdlog::async_logger> logger_;
+};
+
+/// Created by `setLogNode`; before that, lines are written at once.
+std::unique_ptr<LogWriter> writer;
+std::mutex budget_mutex;
+LogBudget budget{LogBudget::Limits{}};
+
+Instant steadyNow() {
+  return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 std::string_view levelName(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -51,10 +92,12 @@
 
 void setLogNode(std::string node) {
   node_name = std::move(node);
+  writer = std::make_unique<LogWriter>();
 }
 
-void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  if (level < lowest_level) return;
+namespace {
+
+std::string formatLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
   std::string line =
@@ -68,8 +111,34 @@
     line += '=';
     appendValue(line, field.value);
   }
-  line += '\n';
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  return line;
+}
+
+void writeLine(const std::string& line) {
+  if (writer) {
+    writer->write(line);
+    return;
+  }
+  // A tool: its standard output belongs to its results.
+  std::fwrite((line + '\n').data(), 1, line.size() + 1, stderr);
+}
+
+}  // namespace
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  if (level < lowest_level) return;
+  std::vector<DroppedLines> dropped;
+  bool allowed = false;
+  {
+    const std::lock_guard lock(budget_mutex);
+    const Instant now = steadyNow();
+    allowed = budget.allow(now, event, level > LogLevel::kInfo);
+    dropped = budget.takeDropped(now);
+  }
+  for (const DroppedLines& lines : dropped) {
+    writeLine(formatLine(LogLevel::kWarning, "log_lines_dropped", {{"dropped", lines.event}, {"count", lines.count}}));
+  }
+  if (allowed) writeLine(formatLine(level, event, fields));
 }
 
 }  // namespace hatchfork
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -18,7 +18,8 @@
 
 /// Sets the lowest level that is written; default kInfo. Call before threads start.
 void setLogLevel(LogLevel level);
-/// Sets the `node=` field that opens every line of this process. Call before threads start.
+/// Sets the `node=` field that opens every line of this process, and starts the thread that writes the lines. Call
+/// once, before other threads start.
 void setLogNode(std::string node);
 
 /// One field of a log line. Values with spaces, quotes or '=' are quoted on output.
@@ -30,7 +31,10 @@
   LogField(std::string_view name, const T& field_value) : key(name), value(fmt::format("{}", field_value)) {}
 };
 
-/// Writes one line of key=value pairs for one event to standard error. Thread safe: one write per line.
+/// Writes one line of key=value pairs for one event to standard output (in tools, which
+/// name no node, to standard error). Never waits for a reader: beyond the event's
+/// budget, or while the reader stalls, lines are dropped, and the event `log_lines_dropped` tells how many. Thread
+/// safe.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 }  // namespace hatchfork
--- a/src/process/consensus/progress.hpp
+++ b/src/process/consensus/progress.hpp
@@ -37,6 +37,8 @@
   /// Last time that `match` grew or sending began anew.
   Instant progressed_at{};
   std::uint64_t acknowledged_round = 0;
+  /// When the peer became a member, or this replica its leader.
+  Instant added_at{};
   /// When the newest acknowledged heartbeat round was sent.
   Instant confirmed_at = Instant::min();
   LogIndex snapshot_index = 0;
--- a/src/process/consensus/replica_membership.cpp
+++ b/src/process/consensus/replica_membership.cpp
@@ -70,7 +70,7 @@
   std::vector<PeerHealth> peers;
   const std::vector<Identity> learners = caughtUpLearners();
   for (const auto& [peer, progress] : progress_) {
-    const Instant confirmed = std::max(progress.confirmed_at, elected_at_);
+    const Instant confirmed = std::max(progress.confirmed_at, progress.added_at);
     const bool learner_ready = std::find(learners.begin(), learners.end(), peer) != learners.end();
     const bool voter_ready = isVoter(membership(), peer) && progress.match >= committed_;
     peers.push_back(PeerHealth{peer.id, peer.incarnation, now - confirmed, learner_ready || voter_ready});
@@ -204,6 +204,7 @@
     }
     Progress fresh;
     fresh.startProbe(now_);
+    fresh.added_at = now_;
     fresh.next = log_->lastIndex() + 1;
     progress[peer] = fresh;
   }
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -21,7 +21,8 @@
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
 /// Kept back from the time that a stop may take.
 constexpr Duration kStopMargin = fromMillis(150);
-constexpr Duration kComeBackAfter = fromMillis(400);
+/// A gateway that has just started knows the configuration by then.
+constexpr Duration kComeBackAfter = fromMillis(1200);
 
 std::uint64_t drawSeed() {
   std::random_device source;
@@ -149,8 +150,11 @@
     co_return;
   }
   if (request.header(dialect_->headers().request_id).empty()) {
-    Error error{ErrorKind::kInvalidArgument, "the request has no identifier",
-                "send the header " + dialect_->headers().request_id, Executed::kNo, {}};
+    Error error{ErrorKind::kInvalidArgument,
+                "the request has no identifier",
+                "send the header " + dialect_->headers().request_id,
+                Executed::kNo,
+                {}};
     co_await refuse(request, writer, std::move(error));
     co_return;
   }
@@ -171,8 +175,8 @@
   }
 }
 
-/// Planned stop: not ready at once; requests are still taken and answered while callers learn of it, each answer closing
-/// its connection; then idle connections are closed and running requests end.
+/// Planned stop: not ready at once; requests are still taken and answered while callers learn of it, each answer
+/// closing its connection; then idle connections are closed and running requests end.
 Awaitable<void> GatewayProgram::stopOnSignal() {
   co_await connection::awaitStopSignal();
   const Instant give_up = monotonicNow() + settings_.grace - kStopMargin;
--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -21,12 +21,14 @@
 constexpr Duration kWritePatience = fromMillis(2300);
 constexpr Duration kWriteTime = fromMillis(3000);
 constexpr std::uint32_t kLongestWaitMs = 1000;
-constexpr Duration kComeBackAfter = fromMillis(300);
+/// A submission that no store can have taken is refused after this long; a new leader is there by the time to return.
+constexpr Duration kRefuseAfter = fromMillis(90);
+constexpr Duration kComeBackAfter = fromMillis(1200);
 constexpr std::size_t kMostItems = 1000;
 
 HttpResponse refusal(ErrorKind kind, std::string message, std::string remedy, Executed executed) {
-  HttpResponse response = connection::errorResponse(
-      Error{kind, std::move(message), std::move(remedy), executed, std::nullopt});
+  HttpResponse response =
+      connection::errorResponse(Error{kind, std::move(message), std::move(remedy), executed, std::nullopt});
   const bool may_come_back = response.status == 503 || response.status == 429;
   if (may_come_back) setRetryAfter(response, kComeBackAfter);
   return response;
@@ -63,7 +65,7 @@
   job.submitted_at = connection::wallNow();
   const std::size_t items = job.items.size();
   const store::StoreRequest submission = store::SubmitJobRequest{std::move(job)};
-  const StoreReply reply = co_await stores_.call(submission, began + kWriteTime, kWritePatience);
+  const StoreReply reply = co_await stores_.call(submission, began + kWriteTime, kWritePatience, kRefuseAfter);
   const auto* unavailable = std::get_if<store::UnavailableReply>(&reply);
   logEvent(LogLevel::kInfo, "job_submission",
            {{"request", id},
@@ -103,7 +105,7 @@
 Awaitable<HttpResponse> JobApi::readResults(const ReadResultsCall& call, std::uint32_t wait_ms) {
   const Duration wait = fromMillis(wait_ms);
   const store::StoreRequest read = store::ReadResultsRequest{call.job, call.from, wait_ms};
-  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime + wait, kReadPatience + wait);
+  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime + wait, kReadPatience + wait, kReadTime);
   if (auto* results = std::get_if<store::ResultsReply>(&reply)) {
     ResultsPage page;
     page.total = results->total;
@@ -121,7 +123,7 @@
 
 Awaitable<HttpResponse> JobApi::readItem(const ReadItemCall& call) {
   const store::StoreRequest read = store::ReadItemRequest{call.job, call.item};
-  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime, kReadPatience);
+  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime, kReadPatience, kReadTime);
   if (auto* item = std::get_if<store::ItemReply>(&reply)) {
     HttpResponse response;
     response.headers.push_back({"Content-Type", "application/octet-stream"});
@@ -138,7 +140,7 @@
 
 Awaitable<HttpResponse> JobApi::endJob(const EndJobCall& call) {
   const store::StoreRequest end = store::EndJobRequest{call.job};
-  const StoreReply reply = co_await stores_.call(end, monotonicNow() + kWriteTime, kWritePatience);
+  const StoreReply reply = co_await stores_.call(end, monotonicNow() + kWriteTime, kWritePatience, kWriteTime);
   logEvent(LogLevel::kInfo, "job_end", {{"job", call.job.value}, {"outcome", nameOf(reply)}});
   if (std::holds_alternative<store::DoneReply>(reply)) co_return connection::jsonResponse(200, "{}");
   co_return refusal(ErrorKind::kDeadlineExceeded, "it is not known whether the job has ended", "send the end again",
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr Duration kPauseBetweenRounds = fromMillis(60);
+constexpr Duration kPauseBetweenRounds = fromMillis(40);
 
 }  // namespace
 
@@ -80,7 +80,9 @@
   return stores;
 }
 
-Awaitable<StoreReply> StoreClient::call(const store::StoreRequest& request, Instant deadline, Duration patience) {
+Awaitable<StoreReply> StoreClient::call(const store::StoreRequest& request, Instant deadline, Duration patience,
+                                        Duration refuse_after) {
+  const Instant refuse_at = monotonicNow() + refuse_after;
   const std::string encoded = encodeTagged(request);
   bool may_apply = false;
   std::string cause = "no store is known";
@@ -103,7 +105,8 @@
         late(UnavailableReply{true, "the store did not answer in time"});
       });
       const auto link = links_.find(store);
-      if (link != links_.end()) link->second.link->send(encodeTagged(fleet::FleetMessage(fleet::StoreRequestFrame{number, encoded})));
+      if (link != links_.end())
+        link->second.link->send(encodeTagged(fleet::FleetMessage(fleet::StoreRequestFrame{number, encoded})));
       StoreReply reply = co_await answer.wait();
       timeout.cancel();
       const auto* unavailable = std::get_if<UnavailableReply>(&reply);
@@ -114,6 +117,7 @@
       may_apply = may_apply || unavailable->may_apply;
       cause = unavailable->cause;
     }
+    if (!may_apply && monotonicNow() + kPauseBetweenRounds >= refuse_at) break;
     co_await connection::sleepFor(kPauseBetweenRounds);
   }
   co_return UnavailableReply{may_apply, cause};
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -13,17 +13,19 @@
 
 namespace hatchfork::exchange {
 
-/// Sends requests to stores and turns to another store where one can't answer. Any store answers any request. Belongs to
-/// one thread.
+/// Sends requests to stores and turns to another store where one can't answer. Any store answers any request. Belongs
+/// to one thread.
 class StoreClient {
  public:
   StoreClient(connection::asio::io_context& context, std::uint16_t store_port, std::uint64_t seed);
   ~StoreClient();
 
   void setStores(const std::vector<ReplicaId>& stores);
-  /// Asks store after store, `request` staying valid meanwhile, until one answers or `deadline` has come. An `UnavailableReply` says whether the request may
-  /// have an effect all the same.
-  connection::Awaitable<store::StoreReply> call(const store::StoreRequest& request, Instant deadline, Duration patience);
+  /// Asks store after store, `request` staying valid meanwhile, until one answers or `deadline` has come. An
+  /// `UnavailableReply` says whether the request may have an effect all the same. Gives up earlier, after
+  /// `refuse_after`, while no store can have taken the request.
+  connection::Awaitable<store::StoreReply> call(const store::StoreRequest& request, Instant deadline, Duration patience,
+                                                Duration refuse_after);
 
  private:
   struct Link {
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -39,6 +39,10 @@
 constexpr unsigned kUnprocessable = 422;
 constexpr unsigned kServerError = 500;
 constexpr unsigned kMisdirected = 421;
+/// How long a run takes, roughly; a backlog of less than the relaxed time needs no hurry.
+constexpr Duration kTypicalRun = fromMillis(4500);
+constexpr Duration kRelaxedBacklog = std::chrono::seconds(2);
+constexpr double kMostPressure = 4;
 /// Places in the queue that one pass looks at for an item that may start.
 constexpr std::size_t kMostLookedAt = 64;
 
@@ -146,10 +150,10 @@
   return open ? job : nullptr;
 }
 
-bool JobExecutor::hasRoom(const EngineChoice& choice) const {
-  const double slots = choice.engine.slots;
-  const double usable = std::max(1.0, slots * (1 - options_.reserved_share));
-  return choice.estimated_running + 1 <= usable;
+double JobExecutor::pressure() const {
+  const double per_second = std::max(1.0, static_cast<double>(running_) / toSeconds(kTypicalRun));
+  const double backlog = static_cast<double>(queue_.size()) / per_second;
+  return std::clamp(backlog / toSeconds(kRelaxedBacklog), 1.0, kMostPressure);
 }
 
 bool JobExecutor::startNext(Instant now) {
@@ -169,6 +173,8 @@
     query.service = split_.choose(*route);
     query.zone = options_.zone;
     query.prefix_affinity = route->prefix_affinity;
+    query.background = true;
+    query.pressure = pressure();
     const HeaderNames& names = dialect_.headers();
     std::string parts;
     std::string usage;
@@ -178,7 +184,7 @@
     }
     query.prompt = request::parsePromptShape(parts, usage);
     const std::optional<EngineChoice> choice = selector_.choose(now, query);
-    if (!choice || !hasRoom(*choice)) return false;
+    if (!choice) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     run->running = true;
     ++run->attempts;
@@ -252,9 +258,8 @@
   pump();
 }
 
-Awaitable<JobExecutor::RunEnd> JobExecutor::readAnswer(ItemRun& run, EngineExchange& exchange,
-                                                       request::TicketId ticket, EngineVerdict& verdict,
-                                                       std::string& cause) {
+Awaitable<JobExecutor::RunEnd> JobExecutor::readAnswer(ItemRun& run, EngineExchange& exchange, request::TicketId ticket,
+                                                       EngineVerdict& verdict, std::string& cause) {
   const std::shared_ptr<bool> alive = alive_;
   const unsigned status = exchange.status();
   cause = fmt::format("status_{}", status);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -24,8 +24,6 @@
 struct JobExecutorOptions {
   ZoneId zone;
   std::uint64_t seed = 1;
-  /// Slots of each engine that batch items leave to online requests, as a share.
-  double reserved_share = 0.25;
   /// Most items under way at once.
   std::size_t most_running = 400;
 };
@@ -41,9 +39,9 @@
 /// item's runs to its text, and proposes results. All that it knows of items under way is soft: after a change of
 /// leader the items start again. Belongs to one thread.
 ///
-/// Invariants: an item is under way at one engine at most; its text is each event's data exactly once, a later run being
-/// asked to go on after the last event that was taken; a result is proposed only for a whole text, or for an item that
-/// may be given up.
+/// Invariants: an item is under way at one engine at most; its text is each event's data exactly once, a later run
+/// being asked to go on after the last event that was taken; a result is proposed only for a whole text, or for an item
+/// that may be given up.
 class JobExecutor {
  public:
   /// Replicates a command; calls back with true once it is applied.
@@ -93,9 +91,8 @@
   bool startNext(Instant now);
   connection::Awaitable<void> runItem(ItemPtr run, OpaqueItem item, std::string host, request::EngineChoice choice,
                                       request::EngineQuery query);
-  connection::Awaitable<RunEnd> readAnswer(ItemRun& run, connection::EngineExchange& exchange,
-                                           request::TicketId ticket, request::EngineVerdict& verdict,
-                                           std::string& cause);
+  connection::Awaitable<RunEnd> readAnswer(ItemRun& run, connection::EngineExchange& exchange, request::TicketId ticket,
+                                           request::EngineVerdict& verdict, std::string& cause);
   connection::EngineRequest engineRequest(const ItemRun& run, const OpaqueItem& item, const std::string& host,
                                           const request::EngineChoice& choice) const;
   void finishRun(const ItemPtr& run, RunEnd end, const std::string& cause);
@@ -105,7 +102,8 @@
   void proposeResults();
   const StoredJob* openJob(const ItemRun& run) const;
   const Route* routeOf(const StoredJob& job) const;
-  bool hasRoom(const request::EngineChoice& choice) const;
+  /// Rises above one while items wait for longer than their due time allows.
+  double pressure() const;
 
   connection::asio::io_context& context_;
   JobExecutorOptions options_;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace hatchfork::request {
 namespace {
@@ -59,16 +61,45 @@
     next.emplace(engine.id, std::move(state));
   }
   engines_ = std::move(next);
+  assignLanes();
 }
 
-double EngineSelector::estimatedRunning(Instant now, const EngineState& state) const {
-  double others = 0;
-  if (state.load_at != Instant::min()) {
-    const double age = toSeconds(now - state.load_at) / toSeconds(limits_.load_half_life);
-    const double reported = static_cast<double>(state.load.running) + state.load.waiting;
-    others = reported * std::pow(0.5, age);
+/// The long lane of a service is the part of its engines that hashing ranks first, so all processes agree on it.
+void EngineSelector::assignLanes() {
+  std::map<ServiceId, std::vector<std::pair<std::uint64_t, EngineState*>>> services;
+  for (auto& [id, state] : engines_) {
+    state.in_long_lane = false;
+    if (!state.record.leaving) services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
+  }
+  for (auto& [service, ranked] : services) {
+    std::sort(ranked.begin(), ranked.end());
+    const double size = limits_.long_lane_share * static_cast<double>(ranked.size());
+    const auto lane = ranked.size() < 3 ? 0 : static_cast<std::size_t>(std::lround(size));
+    for (std::size_t i = 0; i < lane; ++i) ranked[i].second->in_long_lane = true;
   }
-  return std::max(static_cast<double>(state.in_flight), others + 0.5 * state.in_flight);
+}
+
+double EngineSelector::estimatedRunning(Instant now, const EngineState& state) const {
+  if (state.load_at == Instant::min()) return state.in_flight;
+  const double age = toSeconds(now - state.load_at) / toSeconds(limits_.load_half_life);
+  return state.in_flight + state.others * std::pow(0.5, age);
+}
+
+double EngineSelector::laneCost(const EngineState& state, const EngineQuery& query) const {
+  if (query.background) return state.in_long_lane ? 0 : limits_.background_beside_lane_ms;
+  const bool is_long = query.prompt.prompt_tokens >= limits_.long_prompt_tokens;
+  if (is_long) return state.in_long_lane ? 0 : limits_.long_beside_lane_ms;
+  // Services that run no model have no long prompts to keep apart.
+  if (query.prompt.prompt_tokens == 0) return 0;
+  return state.in_long_lane ? limits_.short_in_long_lane_ms : 0;
+}
+
+bool EngineSelector::hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const {
+  const double slots = state.record.slots;
+  const double share = state.in_long_lane ? limits_.background_lane_share : limits_.background_beside_share;
+  const double held = std::max(1.0, std::min(1.0, share * query.pressure) * slots);
+  if (state.in_flight + 1 > held || state.unread_tokens > limits_.background_most_unread) return false;
+  return estimatedRunning(now, state) + 1 <= std::max(1.0, slots * (1 - limits_.background_kept_free));
 }
 
 double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
@@ -81,7 +112,7 @@
   total += running * limits_.running_cost_ms;
   total += waiting * limits_.slot_hold_ms / slots;
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
-  return total;
+  return total + laneCost(state, query);
 }
 
 std::vector<EngineSelector::EngineState*> EngineSelector::candidates(Instant now, const EngineQuery& query) {
@@ -89,12 +120,14 @@
   std::vector<EngineState*> ejected;
   for (auto& [id, state] : engines_) {
     if (state.record.service != query.service || state.record.leaving || query.excluded.contains(id)) continue;
+    if (query.background && !hasBackgroundRoom(now, state, query)) continue;
     (now < state.ejected_until ? ejected : usable).push_back(&state);
   }
   const std::size_t all = usable.size() + ejected.size();
   const auto least = static_cast<std::size_t>(std::ceil(static_cast<double>(all) * (1 - limits_.most_ejected_share)));
-  std::sort(ejected.begin(), ejected.end(),
-            [](const EngineState* left, const EngineState* right) { return left->ejected_until < right->ejected_until; });
+  std::sort(ejected.begin(), ejected.end(), [](const EngineState* left, const EngineState* right) {
+    return left->ejected_until < right->ejected_until;
+  });
   for (std::size_t i = 0; usable.size() < least && i < ejected.size(); ++i) usable.push_back(ejected[i]);
   return usable;
 }
@@ -106,12 +139,13 @@
   const bool sticky = query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
   std::set<EngineId> home;
   if (sticky) {
-    std::vector<std::pair<std::uint64_t, EngineId>> ranked;
+    std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
     for (const EngineState* state : usable) {
-      ranked.emplace_back(mix(prefix ^ hashText(state->record.id.value)), state->record.id);
+      ranked.emplace_back(state->in_long_lane, mix(prefix ^ hashText(state->record.id.value)), state->record.id);
     }
     std::sort(ranked.rbegin(), ranked.rend());
-    for (std::size_t i = 0; i < ranked.size() && i < limits_.home_engines; ++i) home.insert(ranked[i].second);
+    for (std::size_t i = 0; i < ranked.size() && i < limits_.home_engines; ++i)
+      home.insert(std::get<EngineId>(ranked[i]));
   }
   EngineState* best = nullptr;
   double best_cost = 0;
@@ -139,6 +173,7 @@
   choice.estimated_running = estimatedRunning(now, state);
   choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
   choice.expects_cached_prefix = cached;
+  choice.in_long_lane = state.in_long_lane;
   choice.candidates = among;
   return choice;
 }
@@ -176,7 +211,8 @@
 void EngineSelector::noteLoad(Instant now, const EngineId& engine, const EngineLoad& load) {
   const auto found = engines_.find(engine);
   if (found == engines_.end()) return;
-  found->second.load = load;
+  const double reported = static_cast<double>(load.running) + load.waiting;
+  found->second.others = std::max(0.0, reported - found->second.in_flight);
   found->second.load_at = now;
 }
 
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -41,7 +41,23 @@
   /// Engines that are at home for one shared prefix.
   std::size_t home_engines = 2;
   /// A reported load counts half after this long.
-  Duration load_half_life = fromMillis(600);
+  Duration load_half_life = fromMillis(2000);
+  /// Prompts of so many tokens are long: reading one holds up every other request of its engine.
+  std::uint32_t long_prompt_tokens = 4000;
+  /// Share of a service's engines that long prompts and background work go to first, the same at all gateways.
+  double long_lane_share = 0.34;
+  /// What a request outside of its lane costs more: short ones in the long lane, long ones and background work beside
+  /// it.
+  double short_in_long_lane_ms = 25;
+  double long_beside_lane_ms = 120;
+  double background_beside_lane_ms = 30;
+  /// Slots that background work of this process may hold at one engine, as a share.
+  double background_lane_share = 0.7;
+  double background_beside_share = 0.3;
+  /// Background work starts only where the estimated running requests leave this share of the slots free.
+  double background_kept_free = 0.15;
+  /// And where no more than so many prompt tokens of this process wait to be read.
+  std::uint64_t background_most_unread = 3000;
   /// Time out of rotation after a failure; doubles with each further one.
   Duration first_ejection = fromMillis(400);
   Duration longest_ejection = fromMillis(5000);
@@ -55,6 +71,10 @@
   ZoneId zone;
   PromptShape prompt;
   bool prefix_affinity = false;
+  /// Batch work: it takes only what online requests leave.
+  bool background = false;
+  /// One, or more while background work is late: its shares of the slots grow with it.
+  double pressure = 1;
   /// Engines that were tried for this request.
   std::set<EngineId> excluded;
 };
@@ -68,6 +88,7 @@
   /// Age of the engine's reported load; negative where it reported none.
   std::int64_t load_age_ms = -1;
   bool expects_cached_prefix = false;
+  bool in_long_lane = false;
   std::size_t candidates = 0;
 };
 
@@ -117,8 +138,10 @@
     std::uint32_t in_flight = 0;
     /// Prompt tokens of own requests that have not begun to answer.
     std::uint64_t unread_tokens = 0;
-    EngineLoad load;
+    /// Requests of other processes at the time of the last report.
+    double others = 0;
     Instant load_at = Instant::min();
+    bool in_long_lane = false;
     std::uint32_t failures = 0;
     Instant ejected_until = Instant::min();
     /// When requests that share a prefix were last sent here, by the identity of the prefix.
@@ -130,6 +153,9 @@
     bool answering = false;
   };
 
+  void assignLanes();
+  bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
+  double laneCost(const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
--- /dev/null
+++ b/tests/connection/event_stream_test.cpp
@@ -0,0 +1,59 @@
+#include "connection/event_stream.hpp"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hatchfork::connection;
+
+namespace {
+
+std::vector<StreamEvent> eventsOf(EventSplitter& splitter) {
+  std::vector<StreamEvent> events;
+  while (auto event = splitter.next()) events.push_back(*event);
+  return events;
+}
+
+}  // namespace
+
+TEST_CASE("events come out whole however the bytes are cut", "[events]") {
+  const std::string stream = "id: 1\ndata: one\n\nid: 2\ndata: two\ndata: lines\n\n: comment\n\nid:3\ndata:\n\n";
+  for (std::size_t size = 1; size <= stream.size(); ++size) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    std::string joined;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      splitter.append(std::string_view(stream).substr(at, size));
+      for (const StreamEvent& event : eventsOf(splitter)) {
+        joined += event.bytes;
+        events.push_back(event);
+      }
+    }
+    REQUIRE(joined == stream);
+    REQUIRE(events.size() == 4);
+    REQUIRE(events[0].id == 1u);
+    REQUIRE(events[1].data == "two\nlines");
+    REQUIRE_FALSE(events[2].id);
+    REQUIRE(events[3].id == 3u);
+    REQUIRE(events[3].data.empty());
+    REQUIRE_FALSE(splitter.hasPartial());
+  }
+}
+
+TEST_CASE("an event that is cut off stays inside", "[events]") {
+  EventSplitter splitter;
+  splitter.append("id: 1\ndata: one\n\nid: 2\ndata: tw");
+  REQUIRE(eventsOf(splitter).size() == 1);
+  REQUIRE(splitter.hasPartial());
+  splitter.append("o\n");
+  REQUIRE(eventsOf(splitter).empty());
+}
+
+TEST_CASE("carriage returns end lines too", "[events]") {
+  EventSplitter splitter;
+  splitter.append("id: 7\r\ndata: x\r\n\r\nid: 8\r\n");
+  const auto events = eventsOf(splitter);
+  REQUIRE(events.size() == 1);
+  REQUIRE(events[0].id == 7u);
+  REQUIRE(events[0].data == "x");
+  REQUIRE(splitter.hasPartial());
+}
--- /dev/null
+++ b/tests/platform/platform_dialect_test.cpp
@@ -0,0 +1,114 @@
+#include "platform/platform_dialect.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/base64.hpp"
+#include "platform/route_document.hpp"
+
+using namespace hatchfork;
+
+namespace {
+
+const std::string kDocument = R"({"Version":7,"Routes":[
+  {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Type":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,
+   "Priority":0,"Service":"llm","MaxAttempts":2,"SessionAffinity":true,"AllowResume":true,"GapAimMs":500},
+  {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Type":"safe","TimeoutMs":8000,"TargetLatencyMs":300,
+   "TrafficSplit":[{"Service":"llm","Weight":90},{"Service":"app","Weight":10}],"MaxAttempts":1},
+  {"Name":"r3","Host":"a.example","PathPrefix":"/z/","Type":"batch","TimeoutMs":8000,"TargetLatencyMs":300,
+   "Service":"llm","CompletionTargetMs":20000,"RetentionS":60.5,"MaxAttempts":3}],
+  "Services":[{"Name":"llm","HealthPath":"/healthz","MaxConnections":200,"Engine":{"Slots":12,"KvCacheTokens":147261}},
+              {"Name":"app","HealthPath":"/healthz","MaxConnections":100}],
+  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+std::unique_ptr<const Dialect> dialect() {
+  return platform::makePlatformDialect();
+}
+
+}  // namespace
+
+TEST_CASE("a document of routes is read into the product's terms", "[platform]") {
+  const auto parsed = dialect()->parseRoutes(kDocument);
+  REQUIRE(isOk(parsed));
+  const RouteTable& table = *valueOf(parsed);
+  REQUIRE(table.version() == 7);
+  const Route* stream = table.find("a.example", "/x/1");
+  REQUIRE(stream->kind == RouteKind::kStream);
+  REQUIRE(stream->isRepeatable());
+  REQUIRE(stream->most_attempts == 2);
+  REQUIRE(stream->prefix_affinity);
+  REQUIRE(table.find("a.example", "/y/1")->split.size() == 2);
+  const Route* batch = table.find("a.example", "/z/1");
+  REQUIRE(batch->completion_target == std::chrono::seconds(20));
+  REQUIRE(batch->retention == fromMillis(60500));
+  REQUIRE(table.service(ServiceId("llm"))->slots == 12);
+  REQUIRE(table.limits().idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a document that is cut short or malformed is refused", "[platform]") {
+  for (std::size_t size = 0; size < kDocument.size(); size += 97) {
+    REQUIRE_FALSE(isOk(dialect()->parseRoutes(std::string_view(kDocument).substr(0, size))));
+  }
+  for (const char* bad : {"[]", "{}", R"({"Version":"x","Routes":[],"Services":[]})",
+                          R"({"Version":1,"Routes":[{"Host":1}],"Services":[]})", R"({"Version":1,"Routes":5})"}) {
+    const auto parsed = dialect()->parseRoutes(bad);
+    REQUIRE_FALSE(isOk(parsed));
+    REQUIRE(errorOf(parsed).kind == ErrorKind::kInvalidArgument);
+  }
+}
+
+TEST_CASE("control calls are told by method and path", "[platform]") {
+  const auto call = [](const char* method, const char* target) { return dialect()->controlCall(method, target); };
+  REQUIRE(std::holds_alternative<PutDocumentCall>(call("PUT", "/v1/config")));
+  REQUIRE(std::holds_alternative<GetDocumentCall>(call("GET", "/v1/config?x=1")));
+  REQUIRE(std::get<EngineBeatCall>(call("PUT", "/v1/instances/i-1")).engine == EngineId("i-1"));
+  REQUIRE(std::get<EngineGoneCall>(call("DELETE", "/v1/instances/i-1")).engine == EngineId("i-1"));
+  REQUIRE(std::get<StartRetirementCall>(call("POST", "/v1/retire/n")).node == "n");
+  REQUIRE(std::get<GetRetirementCall>(call("GET", "/v1/retire/n")).node == "n");
+  for (const auto& [method, target] : std::vector<std::pair<const char*, const char*>>{
+           {"POST", "/v1/config"}, {"PUT", "/v1/instances/"}, {"PUT", "/v1/instances/a/b"}, {"GET", "/"}}) {
+    REQUIRE(std::holds_alternative<UnknownCall>(call(method, target)));
+  }
+}
+
+TEST_CASE("beats are read whole or refused", "[platform]") {
+  const auto beat = dialect()->parseBeat(
+      EngineId("i-1"),
+      R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":12,"State":"draining","Sequence":4,"New":1})");
+  REQUIRE(isOk(beat));
+  REQUIRE(valueOf(beat).engine.leaving);
+  REQUIRE(valueOf(beat).engine.slots == 12);
+  REQUIRE(valueOf(beat).sequence == 4);
+  REQUIRE_FALSE(isOk(dialect()->parseBeat(EngineId("i-1"), R"({"Service":"s"})")));
+  REQUIRE_FALSE(isOk(dialect()->parseBeat(EngineId("i-1"), "{")));
+}
+
+TEST_CASE("job calls and documents are translated both ways", "[platform]") {
+  const auto read = dialect()->jobCall("GET", "/v1/lots/j1?SinceRev=12");
+  REQUIRE(std::get<ReadResultsCall>(read).from == 12);
+  REQUIRE(std::get<ReadItemCall>(dialect()->jobCall("GET", "/v1/items/j1?Id=i9")).item == "i9");
+  REQUIRE(std::get<EndJobCall>(dialect()->jobCall("DELETE", "/v1/lots/j1")).job == JobId("j1"));
+  REQUIRE(std::holds_alternative<UnknownCall>(dialect()->jobCall("POST", "/v1/lots/j1")));
+  const auto job = dialect()->parseJob(
+      R"({"Requests":[{"Id":"a","Path":"/z/1","Headers":{"X-Model":"m"},"Body":"q83vEjRWeJA=","TokenCount":940}]})");
+  REQUIRE(isOk(job));
+  REQUIRE(valueOf(job).items[0].body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+  REQUIRE(valueOf(job).items[0].headers[0].name == "X-Model");
+  REQUIRE_FALSE(isOk(dialect()->parseJob(R"({"Requests":[{"Id":"a","Path":"/z/1","Body":"*"}]})")));
+  REQUIRE_FALSE(isOk(dialect()->parseJob("{}")));
+  ResultsPage page{3, 1, {{"a", ItemOutcome::kErrored, "x\ny"}}};
+  const auto json = nlohmann::json::parse(dialect()->resultsAnswer(page));
+  REQUIRE(json["Total"] == 3);
+  REQUIRE(json["NextToken"] == 1);
+  REQUIRE(json["Results"][0]["State"] == "errored");
+  REQUIRE(json["Results"][0]["Text"] == "x\ny");
+}
+
+TEST_CASE("base64 is decoded exactly", "[platform]") {
+  REQUIRE(platform::decodeBase64("") == std::string());
+  REQUIRE(platform::decodeBase64("YQ==") == std::string("a"));
+  REQUIRE(platform::decodeBase64("YWI=") == std::string("ab"));
+  REQUIRE(platform::decodeBase64("YWJj") == std::string("abc"));
+  REQUIRE_FALSE(platform::decodeBase64("YWJ"));
+  REQUIRE_FALSE(platform::decodeBase64("Y?Jj"));
+}
--- /dev/null
+++ b/tests/process/consensus/membership_plan_test.cpp
@@ -0,0 +1,220 @@
+#include "process/consensus/membership_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "process/consensus/membership.hpp"
+#include "tests/process/consensus/test_cluster.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::consensus;
+
+namespace {
+
+Member voter(const std::string& id, Incarnation incarnation = 1) {
+  return Member{ReplicaId(id), incarnation, true};
+}
+Member learner(const std::string& id, Incarnation incarnation = 1) {
+  return Member{ReplicaId(id), incarnation, false};
+}
+PeerHealth healthy(const std::string& id) {
+  return PeerHealth{ReplicaId(id), 1, Duration::zero(), true};
+}
+PeerHealth silent(const std::string& id, std::int64_t milliseconds) {
+  return PeerHealth{ReplicaId(id), 1, fromMillis(milliseconds), false};
+}
+
+/// Three voters a, b, c, of which a leads.
+MembershipPlanInput threeVoters() {
+  MembershipPlanInput input;
+  input.current.members = {voter("a"), voter("b"), voter("c")};
+  input.self = ReplicaId("a");
+  input.peers = {healthy("b"), healthy("c")};
+  return input;
+}
+
+const Member* find(const std::optional<Membership>& target, const std::string& id) {
+  return target ? findMember(*target, ReplicaId(id)) : nullptr;
+}
+
+}  // namespace
+
+TEST_CASE("a whole group needs no change", "[plan]") {
+  REQUIRE_FALSE(planMembershipChange(threeVoters()));
+}
+
+TEST_CASE("a silent voter stays while nobody can take its place", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.peers = {healthy("b"), silent("c", 60000)};
+  REQUIRE_FALSE(planMembershipChange(input));
+}
+
+TEST_CASE("a newcomer becomes a learner, then a voter, then the lost voter goes", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.peers = {healthy("b"), silent("c", 3000)};
+  input.candidates = {Candidate{ReplicaId("d"), 7, false}};
+  auto target = planMembershipChange(input);
+  REQUIRE(find(target, "d"));
+  REQUIRE_FALSE(find(target, "d")->voter);
+  input.current = *target;
+  input.candidates.clear();
+  input.peers.push_back(PeerHealth{ReplicaId("d"), 7, Duration::zero(), false});
+  REQUIRE_FALSE(planMembershipChange(input));
+  input.peers.back().caught_up = true;
+  target = planMembershipChange(input);
+  REQUIRE(find(target, "d")->voter);
+  REQUIRE(find(target, "c"));
+  input.current = *target;
+  target = planMembershipChange(input);
+  REQUIRE_FALSE(find(target, "c"));
+  input.current = *target;
+  REQUIRE_FALSE(planMembershipChange(input));
+}
+
+TEST_CASE("an emptied voter becomes a learner of its new incarnation at once", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.peers = {healthy("b"), silent("c", 500)};
+  input.candidates = {Candidate{ReplicaId("c"), 9, false}};
+  const auto target = planMembershipChange(input);
+  REQUIRE(find(target, "c")->incarnation == 9);
+  REQUIRE_FALSE(find(target, "c")->voter);
+}
+
+TEST_CASE("a late announcement of a former self changes nothing while the present one answers", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.candidates = {Candidate{ReplicaId("c"), 9, false}};
+  REQUIRE_FALSE(planMembershipChange(input));
+}
+
+TEST_CASE("an emptied voter is not replaced where that would leave no quorum", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.peers = {silent("b", 2000), silent("c", 2000)};
+  input.candidates = {Candidate{ReplicaId("c"), 9, false}};
+  REQUIRE_FALSE(planMembershipChange(input));
+}
+
+TEST_CASE("a retiring voter goes only after its successor holds everything", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.retiring = {ReplicaId("b")};
+  REQUIRE_FALSE(planMembershipChange(input));
+  input.current.members.push_back(learner("d"));
+  input.peers.push_back(healthy("d"));
+  auto target = planMembershipChange(input);
+  REQUIRE(find(target, "d")->voter);
+  input.current = *target;
+  target = planMembershipChange(input);
+  REQUIRE_FALSE(find(target, "b"));
+  input.current = *target;
+  input.candidates = {Candidate{ReplicaId("b"), 1, true}};
+  REQUIRE_FALSE(planMembershipChange(input));
+}
+
+TEST_CASE("the leader itself is the last to be chosen when one voter is too many", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.current.members.push_back(voter("d"));
+  input.peers.push_back(healthy("d"));
+  const auto target = planMembershipChange(input);
+  REQUIRE(find(target, "a")->voter);
+  REQUIRE(std::count_if(target->members.begin(), target->members.end(), [](const Member& m) { return m.voter; }) == 3);
+}
+
+TEST_CASE("learners grow a group to its wanted size", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.target_voters = 5;
+  input.candidates = {Candidate{ReplicaId("d"), 1, false}, Candidate{ReplicaId("e"), 1, false}};
+  REQUIRE(planMembershipChange(input)->members.size() == 4);
+  REQUIRE(wantedVoters(5, 7) == 5);
+  REQUIRE(wantedVoters(6, 7) == 5);
+  REQUIRE(wantedVoters(9, 7) == 7);
+  REQUIRE(wantedVoters(1, 7) == 3);
+}
+
+namespace {
+
+/// A simulated cluster whose leader plans its own membership, as `GroupHost` does.
+class SelfManagedCluster {
+ public:
+  explicit SelfManagedCluster(std::uint64_t seed) : cluster(seed, 3) { cluster.startAll(); }
+
+  /// Runs for a time; every 100 ms the leader, if there is one, plans.
+  void run(std::int64_t milliseconds) {
+    for (std::int64_t passed = 0; passed < milliseconds; passed += 100) {
+      plan();
+      cluster.run(100);
+    }
+  }
+
+  Membership membership() { return cluster.leader()->group(0)->status().membership; }
+
+  TestCluster cluster;
+  std::set<ReplicaId> retiring;
+  /// Mutation: forgets to wait until a learner has caught up.
+  bool promotes_early = false;
+
+ private:
+  void plan() {
+    const Instant now = cluster.simulation.now();
+    for (const auto& [name, host] : cluster.hosts()) {
+      if (!host->isUp() || host->isFrozen() || !host->group(0)->isConfirmedLeader(now)) continue;
+      const GroupStatus status = host->group(0)->status();
+      if (!status.membership_committed) continue;
+      MembershipPlanInput input;
+      input.current = status.membership;
+      input.self = name;
+      input.peers = host->group(0)->peerHealth(now);
+      input.candidates = host->group(0)->candidates(now);
+      input.retiring = retiring;
+      input.target_voters = 3;
+      if (promotes_early) {
+        for (PeerHealth& peer : input.peers) peer.caught_up = true;
+      }
+      if (const auto target = planMembershipChange(input)) {
+        host->changeMembership(0, *target, [](const RequestOutcome&) {});
+      }
+    }
+  }
+};
+
+std::size_t votersOf(const Membership& membership) {
+  return static_cast<std::size_t>(std::count_if(membership.members.begin(), membership.members.end(),
+                                                [](const Member& member) { return member.voter; }));
+}
+
+}  // namespace
+
+TEST_CASE("a wiped voter comes back as a voter without an operator", "[plan][sim]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SelfManagedCluster managed(seed);
+    REQUIRE(managed.cluster.write("a=1"));
+    sim::ReplicaHost* lost = managed.cluster.follower();
+    const Incarnation before = lost->group(0)->status().incarnation;
+    lost->crash();
+    lost->loseDisk();
+    managed.run(300);
+    lost->start();
+    managed.run(4000);
+    const Membership membership = managed.membership();
+    REQUIRE(votersOf(membership) == 3);
+    for (const Member& member : membership.members) REQUIRE(member.incarnation != before);
+    REQUIRE(managed.cluster.write("b=2"));
+  }
+}
+
+TEST_CASE("a second loss right after the repair loses nothing", "[plan][sim]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SelfManagedCluster managed(seed);
+    for (int i = 0; i < 20; ++i) REQUIRE(managed.cluster.write("key" + std::to_string(i) + "=1"));
+    for (int round = 0; round < 3; ++round) {
+      sim::ReplicaHost* lost = managed.cluster.follower();
+      lost->crash();
+      lost->loseDisk();
+      managed.run(300);
+      lost->start();
+      managed.run(4500);
+      INFO("seed " << seed << " round " << round << " lost " << lost->name() << " membership "
+                   << nlohmann::json(managed.membership()).dump());
+      REQUIRE(votersOf(managed.membership()) == 3);
+    }
+    REQUIRE(managed.cluster.write("last=1"));
+    REQUIRE(managed.cluster.machine(*managed.cluster.leader()).values().size() == 21);
+  }
+}
--- /dev/null
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -0,0 +1,169 @@
+#include "process/fleet/fleet_state.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "process/fleet/engine_watch.hpp"
+#include "process/fleet/store_directory.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::fleet;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+std::string apply(FleetState& state, const FleetCommand& command) {
+  return state.apply(1, encodeTagged(command));
+}
+
+EngineRecord engine(const std::string& id, const std::string& address, bool leaving = false) {
+  EngineRecord made;
+  made.id = EngineId(id);
+  made.service = ServiceId("llm");
+  made.address = address;
+  made.zone = ZoneId("z1");
+  made.slots = 8;
+  made.leaving = leaving;
+  return made;
+}
+
+EngineBeat beat(const EngineRecord& record, std::uint64_t sequence) {
+  return EngineBeat{record, sequence};
+}
+
+}  // namespace
+
+TEST_CASE("the highest version of the document holds", "[fleet]") {
+  FleetState state;
+  REQUIRE(apply(state, PutDocument{5, "five"}) == "changed");
+  REQUIRE(apply(state, PutDocument{4, "four"}) == "unchanged");
+  REQUIRE(apply(state, PutDocument{5, "other five"}) == "unchanged");
+  REQUIRE(state.document() == "five");
+  REQUIRE(apply(state, PutDocument{9, "nine"}) == "changed");
+  REQUIRE(state.documentVersion() == 9);
+}
+
+TEST_CASE("leaving holds for ever and a departed engine never comes back", "[fleet]") {
+  FleetState state;
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80", true)});
+  // A late beat from before the engine began to leave.
+  REQUIRE(apply(state, RegisterEngine{engine("e1", "10.0.0.1:80", false)}) == "unchanged");
+  REQUIRE(state.engines().at(EngineId("e1")).leaving);
+  apply(state, DepartEngine{EngineId("e1")});
+  REQUIRE(apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")}) == "unchanged");
+  REQUIRE(state.engines().empty());
+  REQUIRE(state.hasDeparted(EngineId("e1")));
+}
+
+TEST_CASE("an engine at the address of another takes its place, and a forgotten one may return", "[fleet]") {
+  FleetState state;
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  apply(state, RegisterEngine{engine("e2", "10.0.0.1:80")});
+  REQUIRE(state.engines().size() == 1);
+  REQUIRE(state.engines().contains(EngineId("e2")));
+  apply(state, ForgetEngines{{EngineId("e2")}});
+  REQUIRE(state.engines().empty());
+  REQUIRE(apply(state, RegisterEngine{engine("e2", "10.0.0.1:80")}) == "changed");
+}
+
+TEST_CASE("the first members of the store group hold", "[fleet]") {
+  FleetState state;
+  apply(state, FormStoreGroup{{{{ReplicaId("a"), 1, true}}}});
+  REQUIRE(apply(state, FormStoreGroup{{{{ReplicaId("b"), 2, true}}}}) == "unchanged");
+  REQUIRE(state.storeGroup().members.front().id == ReplicaId("a"));
+}
+
+TEST_CASE("a snapshot restores everything", "[fleet]") {
+  FleetState state;
+  apply(state, PutDocument{5, "five"});
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  apply(state, DepartEngine{EngineId("e0")});
+  apply(state, FormStoreGroup{{{{ReplicaId("a"), 1, true}}}});
+  apply(state, RetireStore{"store-1", ReplicaId("a")});
+  FleetState other;
+  REQUIRE(isOk(other.restore(state.snapshot())));
+  REQUIRE(other.snapshot() == state.snapshot());
+  REQUIRE(other.hasDeparted(EngineId("e0")));
+  REQUIRE(other.retiring().at("store-1") == ReplicaId("a"));
+  REQUIRE_FALSE(isOk(other.restore("rubbish")));
+}
+
+TEST_CASE("a malformed command changes nothing", "[fleet]") {
+  FleetState state;
+  REQUIRE(state.apply(1, "rubbish") == "malformed");
+  REQUIRE(state.documentVersion() == 0);
+}
+
+TEST_CASE("only beats that tell something new need a command", "[fleet]") {
+  FleetState state;
+  EngineWatch watch(fromMillis(1000));
+  const EngineRecord e1 = engine("e1", "10.0.0.1:80");
+  REQUIRE(watch.take(kStart, beat(e1, 1), state));
+  apply(state, RegisterEngine{e1});
+  REQUIRE_FALSE(watch.take(kStart, beat(e1, 2), state));
+  REQUIRE(watch.take(kStart, beat(engine("e1", "10.0.0.1:80", true), 3), state));
+  // A late beat with an old address is no news.
+  REQUIRE_FALSE(watch.take(kStart, beat(engine("e1", "10.0.0.9:80"), 1), state));
+}
+
+TEST_CASE("the late first beat of an engine that is gone does not take the address of a live one", "[fleet]") {
+  FleetState state;
+  EngineWatch watch(fromMillis(1000));
+  const EngineRecord live = engine("live", "10.0.0.1:80");
+  watch.take(kStart, beat(live, 4), state);
+  apply(state, RegisterEngine{live});
+  REQUIRE_FALSE(watch.take(kStart + fromMillis(300), beat(engine("old", "10.0.0.1:80"), 1), state));
+  // Once the live one has fallen silent, a newcomer may have its address.
+  REQUIRE(watch.take(kStart + fromMillis(2500), beat(engine("new", "10.0.0.1:80"), 1), state));
+}
+
+TEST_CASE("a leader forgets engines only after it has led for long enough itself", "[fleet]") {
+  FleetState state;
+  EngineWatch watch(fromMillis(1000));
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  const Instant leading = kStart + std::chrono::seconds(60);
+  REQUIRE(watch.silent(leading + std::chrono::seconds(5), leading, state).empty());
+  REQUIRE(watch.silent(leading + std::chrono::seconds(20), leading, state).size() == 1);
+  watch.hearOf(leading + std::chrono::seconds(19), {EngineId("e1")});
+  REQUIRE(watch.silent(leading + std::chrono::seconds(20), leading, state).empty());
+}
+
+TEST_CASE("the store group is spread over the zones", "[fleet]") {
+  std::map<ReplicaId, StorePresence> stores;
+  const auto add = [&](const std::string& address, const std::string& zone) {
+    StorePresence presence;
+    presence.address = ReplicaId(address);
+    presence.zone = ZoneId(zone);
+    presence.incarnation = stores.size() + 1;
+    stores[presence.address] = presence;
+  };
+  add("10.0.0.1", "a");
+  add("10.0.0.2", "a");
+  add("10.0.0.3", "a");
+  add("10.0.1.1", "b");
+  add("10.0.2.1", "c");
+  std::set<ReplicaId> chosen;
+  for (const auto& member : chooseStoreGroup(stores, 3).members) chosen.insert(member.id);
+  REQUIRE(chosen == std::set<ReplicaId>{ReplicaId("10.0.0.1"), ReplicaId("10.0.1.1"), ReplicaId("10.0.2.1")});
+  REQUIRE(chooseStoreGroup(stores, 9).members.size() == 5);
+}
+
+TEST_CASE("the directory keeps the membership of the newest leader and forgets silent stores", "[fleet]") {
+  StoreDirectory directory;
+  StorePresence presence;
+  presence.node = "store-1";
+  presence.address = ReplicaId("10.0.0.1");
+  presence.term = 4;
+  presence.membership = consensus::Membership{{{ReplicaId("10.0.0.1"), 1, true}}};
+  directory.hear(kStart, presence);
+  presence.address = ReplicaId("10.0.0.2");
+  presence.term = 3;
+  presence.membership = consensus::Membership{};
+  directory.hearOf(kStart, {presence});
+  REQUIRE(directory.groupMembership()->members.size() == 1);
+  REQUIRE(directory.heardDirectly(kStart).size() == 1);
+  REQUIRE(directory.addresses().size() == 2);
+  directory.expire(kStart + std::chrono::seconds(60));
+  REQUIRE(directory.addresses().empty());
+}
--- /dev/null
+++ b/tests/process/store/job_state_test.cpp
@@ -0,0 +1,97 @@
+#include "process/store/job_state.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hatchfork;
+using namespace hatchfork::store;
+
+namespace {
+
+std::string apply(JobState& state, const JobCommand& command) {
+  return state.apply(1, encodeTagged(command));
+}
+
+JobSubmission job(const std::string& id, int items) {
+  JobSubmission made;
+  made.id = JobId(id);
+  made.host = "a.example";
+  made.path = "/x/";
+  for (int i = 0; i < items; ++i) {
+    made.items.push_back(OpaqueItem{"item-" + std::to_string(i), "/x/1", {{"X-A", "1"}}, std::string("b\0y", 3), 10});
+  }
+  return made;
+}
+
+ListResults result(const std::string& id, int item, const std::string& text) {
+  return ListResults{{JobResult{JobId(id), {"item-" + std::to_string(item), ItemOutcome::kCompleted, text}}}};
+}
+
+}  // namespace
+
+TEST_CASE("a job is kept once", "[store]") {
+  JobState state;
+  REQUIRE(apply(state, SubmitJob{job("j", 2)}) == "changed");
+  REQUIRE(apply(state, SubmitJob{job("j", 5)}) == "unchanged");
+  REQUIRE(state.find(JobId("j"))->submission.items.size() == 2);
+}
+
+TEST_CASE("an item is listed once, at a position that stays", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 3)});
+  apply(state, result("j", 2, "first"));
+  REQUIRE(apply(state, result("j", 2, "again")) == "unchanged");
+  apply(state, result("j", 0, "second"));
+  const ResultsReply page = resultsFrom(*state.find(JobId("j")), 0, 1000);
+  REQUIRE(page.total == 3);
+  REQUIRE(page.next == 2);
+  REQUIRE(page.results[0].text == "first");
+  REQUIRE(page.results[1].id == "item-0");
+  REQUIRE(resultsFrom(*state.find(JobId("j")), 1, 1000).results.front().text == "second");
+  REQUIRE(resultsFrom(*state.find(JobId("j")), 2, 1000).results.empty());
+  REQUIRE(apply(state, result("other", 1, "x")) == "unchanged");
+}
+
+TEST_CASE("a page of results has a bound but at least one result", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 3)});
+  for (int i = 0; i < 3; ++i) apply(state, result("j", i, std::string(400, 'x')));
+  REQUIRE(resultsFrom(*state.find(JobId("j")), 0, 900).results.size() == 2);
+  REQUIRE(resultsFrom(*state.find(JobId("j")), 0, 10).results.size() == 1);
+}
+
+TEST_CASE("an ended job is finished and keeps its results", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 2)});
+  apply(state, result("j", 1, "kept"));
+  REQUIRE_FALSE(state.find(JobId("j"))->isFinished());
+  REQUIRE(apply(state, EndJob{JobId("j")}) == "changed");
+  REQUIRE(apply(state, EndJob{JobId("j")}) == "unchanged");
+  REQUIRE(state.find(JobId("j"))->isFinished());
+  REQUIRE(resultsFrom(*state.find(JobId("j")), 0, 1000).results.size() == 1);
+}
+
+TEST_CASE("a snapshot restores jobs, results and what is open", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 3)});
+  apply(state, SubmitJob{job("k", 1)});
+  apply(state, result("j", 1, "done"));
+  apply(state, EndJob{JobId("k")});
+  JobState other;
+  REQUIRE(isOk(other.restore(state.snapshot())));
+  REQUIRE(other.snapshot() == state.snapshot());
+  REQUIRE(other.heldBytes() == state.heldBytes());
+  REQUIRE(other.find(JobId("j"))->open_items.size() == 2);
+  REQUIRE(other.find(JobId("j"))->submission.items[0].body == std::string("b\0y", 3));
+  REQUIRE(other.find(JobId("k"))->ended);
+  REQUIRE_FALSE(isOk(other.restore("rubbish")));
+}
+
+TEST_CASE("dropped jobs are forgotten with their bytes", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 3)});
+  apply(state, result("j", 1, "done"));
+  REQUIRE(state.heldBytes() == 2 * 3 + 4);
+  apply(state, DropJobs{{JobId("j")}});
+  REQUIRE(state.find(JobId("j")) == nullptr);
+  REQUIRE(state.heldBytes() == 0);
+}
--- /dev/null
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -0,0 +1,133 @@
+#include "request/exchange/engine_selector.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hatchfork;
+using namespace hatchfork::request;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+std::vector<EngineRecord> engines(int count, const std::string& zone = "z1") {
+  std::vector<EngineRecord> made;
+  for (int i = 0; i < count; ++i) {
+    EngineRecord engine;
+    engine.id = EngineId("engine-" + std::to_string(i));
+    engine.service = ServiceId("llm");
+    engine.address = "127.0.0.1:" + std::to_string(8000 + i);
+    engine.zone = ZoneId(zone);
+    engine.slots = 10;
+    made.push_back(engine);
+  }
+  return made;
+}
+
+EngineQuery query(std::uint64_t prefix = 0, std::uint32_t shared = 0) {
+  EngineQuery made;
+  made.service = ServiceId("llm");
+  made.zone = ZoneId("z1");
+  made.prompt.prompt_tokens = shared + 100;
+  if (shared > 0) made.prompt.parts = {{prefix, shared}, {prefix + 77, 100}};
+  made.prefix_affinity = true;
+  return made;
+}
+
+}  // namespace
+
+TEST_CASE("work spreads over the engines of the service", "[selector]") {
+  EngineSelector selector(1);
+  selector.setEngines(engines(4));
+  std::map<EngineId, int> chosen;
+  for (int i = 0; i < 40; ++i) {
+    const auto choice = selector.choose(kStart, query());
+    REQUIRE(choice);
+    selector.begin(kStart, choice->engine.id, query());
+    ++chosen[choice->engine.id];
+  }
+  for (const auto& [engine, count] : chosen) REQUIRE(count >= 7);
+  REQUIRE(chosen.size() == 4);
+}
+
+TEST_CASE("prompts with the same large prefix meet on the same engines at every gateway", "[selector]") {
+  std::map<std::uint64_t, std::set<EngineId>> homes;
+  for (std::uint64_t gateway = 1; gateway <= 8; ++gateway) {
+    EngineSelector selector(gateway);
+    selector.setEngines(engines(12));
+    for (std::uint64_t prefix = 1; prefix <= 20; ++prefix) {
+      const auto choice = selector.choose(kStart, query(prefix * 1000, 13000));
+      REQUIRE(choice->expects_cached_prefix);
+      homes[prefix].insert(choice->engine.id);
+    }
+  }
+  for (const auto& [prefix, at] : homes) REQUIRE(at.size() <= 2);
+}
+
+TEST_CASE("a loaded home loses a prompt to an engine where it starts sooner", "[selector]") {
+  EngineSelector selector(3);
+  selector.setEngines(engines(6));
+  const EngineQuery wanted = query(4242, 13000);
+  const auto home = selector.choose(kStart, wanted);
+  for (int i = 0; i < 40; ++i) {
+    for (const EngineRecord& engine : engines(6)) {
+      const bool is_home = selector.choose(kStart, wanted)->expects_cached_prefix;
+      if (is_home) selector.begin(kStart, selector.choose(kStart, wanted)->engine.id, wanted);
+      (void)engine;
+    }
+  }
+  REQUIRE_FALSE(selector.choose(kStart, wanted)->engine.id == home->engine.id);
+}
+
+TEST_CASE("a failing engine leaves the rotation and comes back", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(2));
+  const EngineId bad("engine-0");
+  selector.end(kStart, selector.begin(kStart, bad, query()), EngineVerdict::kFailed);
+  for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart + fromMillis(i), query())->engine.id != bad);
+  std::set<EngineId> later;
+  for (int i = 0; i < 50; ++i) later.insert(selector.choose(kStart + std::chrono::seconds(10), query())->engine.id);
+  REQUIRE(later.contains(bad));
+}
+
+TEST_CASE("at most half of a service is out of rotation", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(4));
+  for (const EngineRecord& engine : engines(4)) {
+    selector.end(kStart, selector.begin(kStart, engine.id, query()), EngineVerdict::kFailed);
+  }
+  REQUIRE(selector.choose(kStart, query()));
+}
+
+TEST_CASE("leaving, excluded and foreign engines are never chosen", "[selector]") {
+  EngineSelector selector(7);
+  std::vector<EngineRecord> list = engines(3);
+  list[0].leaving = true;
+  list[1].service = ServiceId("other");
+  selector.setEngines(list);
+  for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart, query())->engine.id == list[2].id);
+  EngineQuery excluding = query();
+  excluding.excluded.insert(list[2].id);
+  REQUIRE_FALSE(selector.choose(kStart, excluding));
+}
+
+TEST_CASE("reported load is weighed and grows old", "[selector]") {
+  EngineSelector selector(9);
+  selector.setEngines(engines(2));
+  selector.noteLoad(kStart, EngineId("engine-0"), EngineLoad{10, 30, 10});
+  for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart, query())->engine.id == EngineId("engine-1"));
+  std::set<EngineId> later;
+  for (int i = 0; i < 50; ++i) later.insert(selector.choose(kStart + std::chrono::seconds(8), query())->engine.id);
+  REQUIRE(later.size() == 2);
+}
+
+TEST_CASE("load headers are read whole or not at all", "[selector]") {
+  const auto load = parseEngineLoad("3, 1,8");
+  REQUIRE(load);
+  REQUIRE(load->running == 3);
+  REQUIRE(load->waiting == 1);
+  REQUIRE(load->slots == 8);
+  REQUIRE_FALSE(parseEngineLoad(""));
+  REQUIRE_FALSE(parseEngineLoad("3,x,8"));
+  REQUIRE_FALSE(parseEngineLoad("3"));
+}
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -8,7 +8,7 @@
 fleet_start() {  # NAME COMMAND...
   local name=$1
   shift
-  "$@" >>"$FLEET_LOGS/$name.out" 2>>"$FLEET_LOGS/$name.log" &
+  "$@" >>"$FLEET_LOGS/$name.log" 2>&1 &
   FLEET_PIDS[$name]=$!
 }
 
