--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -14,7 +14,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr Duration kConnectTimeout = fromMillis(350);
+constexpr Duration kConnectTimeout = fromMillis(160);
 constexpr Duration kSilentPeerTimeout = fromMillis(1500);
 constexpr Duration kDefaultIdleTime = std::chrono::seconds(6);
 /// A connection that the engine closes after some idle seconds is not used in the last of them.
--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -9,8 +9,11 @@
 
 constexpr std::size_t kMostQueuedBytes = 64u << 20;
 constexpr Duration kFirstPause = fromMillis(50);
-constexpr Duration kLongestPause = fromMillis(1000);
-constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr Duration kLongestPause = fromMillis(300);
+constexpr Duration kConnectTimeout = fromMillis(400);
+/// Frames that wait for a connection: how long, and how many bytes of them.
+constexpr Duration kLongestWait = fromMillis(500);
+constexpr std::size_t kMostWaitingBytes = 256u << 10;
 /// A peer that takes no bytes and answers no probe for this long is given up.
 constexpr Duration kSilentPeerTimeout = std::chrono::seconds(2);
 
@@ -130,6 +133,25 @@
   return true;
 }
 
+void ReconnectingLink::sendSoon(std::string body) {
+  if (send(body) || body.size() > kMostWaitingBytes) return;
+  waiting_bytes_ += body.size();
+  waiting_.push_back(WaitingFrame{std::move(body), monotonicNow()});
+  while (waiting_bytes_ > kMostWaitingBytes) {
+    waiting_bytes_ -= waiting_.front().body.size();
+    waiting_.pop_front();
+  }
+}
+
+void ReconnectingLink::flushWaiting() {
+  const Instant oldest = monotonicNow() - kLongestWait;
+  for (const WaitingFrame& frame : waiting_) {
+    if (frame.since >= oldest) connection_->send(frame.body);
+  }
+  waiting_.clear();
+  waiting_bytes_ = 0;
+}
+
 std::uint64_t ReconnectingLink::totalBytes() const {
   std::uint64_t total = bytes_of_closed_;
   if (connection_) total += connection_->bytesSent() + connection_->bytesReceived();
@@ -178,6 +200,7 @@
         std::move(*socket), [self](std::string body) { self->on_frame_(std::move(body)); },
         [self] { self->onClosed(); });
     connection_->start();
+    flushWaiting();
     if (on_state_) on_state_(true);
   }
 }
--- a/src/connection/frame_connection.hpp
+++ b/src/connection/frame_connection.hpp
@@ -61,6 +61,8 @@
   void stop();
   /// False if the link is down and the frame was dropped.
   bool send(const std::string& body);
+  /// Sends now, or when the connection comes up within a moment; for messages that are of use only while they are new.
+  void sendSoon(std::string body);
   bool isConnected() const { return connection_ && connection_->isOpen(); }
   const Endpoint& endpoint() const { return endpoint_; }
   /// Bytes both ways over all connections of this link.
@@ -69,6 +71,7 @@
  private:
   Awaitable<void> run();
   void onClosed();
+  void flushWaiting();
 
   asio::io_context& context_;
   Endpoint endpoint_;
@@ -78,6 +81,13 @@
   /// Cancelled to wake `run` when the connection has closed or the link is stopped.
   asio::steady_timer closed_;
   std::uint64_t bytes_of_closed_ = 0;
+  /// Frames of `sendSoon` that wait for the connection, oldest first.
+  struct WaitingFrame {
+    std::string body;
+    Instant since;
+  };
+  std::deque<WaitingFrame> waiting_;
+  std::size_t waiting_bytes_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -30,6 +30,8 @@
 /// When a caller should come back after a refusal.
 constexpr Duration kComeBackAfter = fromMillis(150);
 constexpr std::size_t kLargestWholeAnswer = 64u << 20;
+/// Only an engine other than the expected one gives this status.
+constexpr unsigned kMisdirected = 421;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 std::optional<Duration> readMilliseconds(std::string_view text) {
@@ -119,7 +121,6 @@
 }
 
 bool ExchangeRun::isDeclined(const EngineExchange& exchange) const {
-  constexpr unsigned kMisdirected = 421;
   return exchange.status() == kMisdirected || !exchange.header(tools_.dialect.headers().not_executed).empty();
 }
 
@@ -160,7 +161,7 @@
   }
   if (isDeclined(exchange)) {
     cause_ = fmt::format("declined_{}", exchange.status());
-    verdict_ = EngineVerdict::kDeclined;
+    verdict_ = exchange.status() == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
     // The answer is read to its end so that the connection can be kept.
     const AnswerPiece rest = co_await exchange.read(now + kComeBackAfter);
     if (std::holds_alternative<std::string>(rest)) co_await exchange.read(now + kComeBackAfter);
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = fromMillis(250);
-constexpr Duration kFreshnessInterval = fromMillis(250);
+constexpr Duration kFreshnessInterval = fromMillis(300);
 /// After this long a control process has heard of every store that runs.
 constexpr Duration kStoresKnownAfter = std::chrono::seconds(3);
 /// The store group forms once no new store has been heard of for this long.
--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -14,7 +14,7 @@
   if (state.hasDeparted(beat.engine.id)) return std::nullopt;
   Heard& heard = heard_[beat.engine.id];
   const bool late = heard.sequence > beat.sequence;
-  if (!late) heard = Heard{now, beat.sequence};
+  if (!late) heard = Heard{now, now, beat.sequence};
   const auto known = state.engines().find(beat.engine.id);
   if (known == state.engines().end()) {
     if (!beat.engine.leaving && isAddressTaken(now, beat.engine, state)) return std::nullopt;
@@ -46,7 +46,8 @@
 std::vector<EngineId> EngineWatch::heardLately(Instant now) const {
   std::vector<EngineId> engines;
   for (const auto& [id, heard] : heard_) {
-    if (now - heard.at < 2 * beat_interval_) engines.push_back(id);
+    const bool lately = heard.direct_at != Instant::min() && now - heard.direct_at < beat_interval_;
+    if (lately) engines.push_back(id);
   }
   return engines;
 }
--- a/src/process/fleet/engine_watch.hpp
+++ b/src/process/fleet/engine_watch.hpp
@@ -18,8 +18,9 @@
 
   /// Takes a beat; returns the command that must be committed before it is acknowledged, if any.
   std::optional<FleetCommand> take(Instant now, const EngineBeat& beat, const FleetState& state);
-  /// Other control processes heard these engines lately.
+  /// Another control process heard these engines lately itself.
   void hearOf(Instant now, const std::vector<EngineId>& engines);
+  /// Engines that this process heard lately itself.
   std::vector<EngineId> heardLately(Instant now) const;
   /// Engines of the state that nobody has heard for long, counted from `leading_since` at the earliest.
   std::vector<EngineId> silent(Instant now, Instant leading_since, const FleetState& state) const;
@@ -27,7 +28,10 @@
 
  private:
   struct Heard {
-    Instant at{};
+    /// Last sign of life that this process or another one had.
+    Instant at = Instant::min();
+    /// Last beat that this process had itself; only these are passed on, so that no sign of life goes round for ever.
+    Instant direct_at = Instant::min();
     std::uint64_t sequence = 0;
   };
   /// True if another engine at the same address was heard so lately that a first beat must be a late one.
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kConnectTimeout = fromMillis(300);
 /// Without a proof for this long the control process is given up.
 constexpr Duration kSilenceLimit = fromMillis(800);
-constexpr Duration kPollInterval = fromMillis(200);
+constexpr Duration kPollInterval = fromMillis(300);
 constexpr Duration kPauseBetweenRounds = fromMillis(100);
 constexpr Duration kPresenceInterval = fromMillis(400);
 
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr Duration kTickInterval = fromMillis(20);
+constexpr Duration kTickInterval = fromMillis(25);
 constexpr Duration kPlanInterval = fromMillis(100);
 constexpr Duration kReopenDelay = fromMillis(500);
 constexpr Duration kReadTimeout = fromMillis(1500);
--- a/src/process/fleet/peer_links.cpp
+++ b/src/process/fleet/peer_links.cpp
@@ -24,7 +24,11 @@
         context_, connection::Endpoint{to.value, port_}, [](const std::string&) {}, on_state);
     entry.link->start();
   }
-  return entry.link->isConnected() && entry.link->send(encodeTagged(message));
+  std::string bytes = encodeTagged(message);
+  if (!std::holds_alternative<GroupFrame>(message)) return entry.link->isConnected() && entry.link->send(bytes);
+  // A vote that is asked for while the processes start must not wait for the next election.
+  entry.link->sendSoon(std::move(bytes));
+  return true;
 }
 
 void PeerLinks::dropUnused(Instant now) {
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -42,7 +42,7 @@
 /// How long a run takes, roughly; a backlog of less than the relaxed time needs no hurry.
 constexpr Duration kTypicalRun = fromMillis(4500);
 constexpr Duration kRelaxedBacklog = std::chrono::seconds(2);
-constexpr double kMostPressure = 4;
+constexpr double kMostPressure = 3;
 /// Places in the queue that one pass looks at for an item that may start.
 constexpr std::size_t kMostLookedAt = 64;
 
@@ -265,7 +265,7 @@
   cause = fmt::format("status_{}", status);
   const bool declined = status == kMisdirected || !exchange.header(dialect_.headers().not_executed).empty();
   if (declined) {
-    verdict = EngineVerdict::kDeclined;
+    verdict = status == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
     co_return RunEnd::kDeclined;
   }
   if (status == kUnprocessable) co_return RunEnd::kImpossible;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -69,7 +69,7 @@
   std::map<ServiceId, std::vector<std::pair<std::uint64_t, EngineState*>>> services;
   for (auto& [id, state] : engines_) {
     state.in_long_lane = false;
-    if (!state.record.leaving) services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
+    if (!state.record.leaving && !state.gone) services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
   }
   for (auto& [service, ranked] : services) {
     std::sort(ranked.begin(), ranked.end());
@@ -85,6 +85,11 @@
   return state.in_flight + state.others * std::pow(0.5, age);
 }
 
+double EngineSelector::silenceCost(Instant now, const EngineState& state) const {
+  if (state.due.empty() || now <= *state.due.begin()) return 0;
+  return std::min(limits_.most_silence_ms, toSeconds(now - *state.due.begin()) * 1000);
+}
+
 double EngineSelector::laneCost(const EngineState& state, const EngineQuery& query) const {
   if (query.background) return state.in_long_lane ? 0 : limits_.background_beside_lane_ms;
   const bool is_long = query.prompt.prompt_tokens >= limits_.long_prompt_tokens;
@@ -111,15 +116,19 @@
   double total = tokens / limits_.prompt_tokens_per_ms;
   total += running * limits_.running_cost_ms;
   total += waiting * limits_.slot_hold_ms / slots;
+  const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
+  const bool at_home = cached && query.prompt.prompt_tokens >= limits_.long_prompt_tokens;
+  if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
-  return total + laneCost(state, query);
+  return total + laneCost(state, query) + silenceCost(now, state);
 }
 
 std::vector<EngineSelector::EngineState*> EngineSelector::candidates(Instant now, const EngineQuery& query) {
   std::vector<EngineState*> usable;
   std::vector<EngineState*> ejected;
   for (auto& [id, state] : engines_) {
-    if (state.record.service != query.service || state.record.leaving || query.excluded.contains(id)) continue;
+    if (state.record.service != query.service || state.record.leaving || state.gone) continue;
+    if (query.excluded.contains(id)) continue;
     if (query.background && !hasBackgroundRoom(now, state, query)) continue;
     (now < state.ejected_until ? ejected : usable).push_back(&state);
   }
@@ -181,6 +190,7 @@
 TicketId EngineSelector::begin(Instant now, const EngineId& engine, const EngineQuery& query) {
   const TicketId ticket = ++last_ticket_;
   const auto found = engines_.find(engine);
+  Instant due{};
   std::uint64_t unread = query.prompt.prompt_tokens;
   if (found != engines_.end()) {
     EngineState& state = found->second;
@@ -194,8 +204,11 @@
       state.prefixes[prefix] = now;
     }
     state.unread_tokens += unread;
+    const double reading_ms = static_cast<double>(state.unread_tokens) / limits_.prompt_tokens_per_ms;
+    due = now + limits_.silence_allowed + Duration(static_cast<Duration::rep>(reading_ms * 1000));
+    state.due.insert(due);
   }
-  tickets_[ticket] = Ticket{engine, unread, false};
+  tickets_[ticket] = Ticket{engine, unread, due, false};
   return ticket;
 }
 
@@ -205,7 +218,10 @@
   found->second.answering = true;
   const auto engine = engines_.find(found->second.engine);
   if (engine == engines_.end()) return;
-  engine->second.unread_tokens -= std::min(engine->second.unread_tokens, found->second.unread_tokens);
+  EngineState& state = engine->second;
+  state.unread_tokens -= std::min(state.unread_tokens, found->second.unread_tokens);
+  const auto due = state.due.find(found->second.due);
+  if (due != state.due.end()) state.due.erase(due);
 }
 
 void EngineSelector::noteLoad(Instant now, const EngineId& engine, const EngineLoad& load) {
@@ -227,6 +243,7 @@
   EngineState& state = engine->second;
   if (state.in_flight > 0) --state.in_flight;
   if (verdict == EngineVerdict::kGood) state.failures = 0;
+  if (verdict == EngineVerdict::kGone) state.gone = true;
   if (verdict == EngineVerdict::kDeclined) state.ejected_until = std::max(state.ejected_until, now + fromMillis(50));
   if (verdict != EngineVerdict::kFailed) return;
   const Duration pause = limits_.first_ejection * (1 << std::min<std::uint32_t>(state.failures, 4));
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -34,6 +34,14 @@
   double slot_hold_ms = 700;
   /// What each running request adds to the others' first token.
   double running_cost_ms = 0.6;
+  /// Loads are known late, so an engine that looks nearly full may be full: from this share of its slots on, the risk
+  /// costs more and more, up to this much.
+  double risky_share = 0.65;
+  double full_risk_ms = 80;
+  /// A request that has had no byte of its answer for longer than its prompt takes, and this much, speaks against its
+  /// engine: it costs as much as the engine is late, up to the most.
+  Duration silence_allowed = fromMillis(80);
+  double most_silence_ms = 3000;
   /// Reaching an engine in another zone.
   double other_zone_cost_ms = 4;
   /// Shared prompt parts below this are not worth a detour.
@@ -52,8 +60,8 @@
   double long_beside_lane_ms = 120;
   double background_beside_lane_ms = 30;
   /// Slots that background work of this process may hold at one engine, as a share.
-  double background_lane_share = 0.7;
-  double background_beside_share = 0.3;
+  double background_lane_share = 0.6;
+  double background_beside_share = 0.22;
   /// Background work starts only where the estimated running requests leave this share of the slots free.
   double background_kept_free = 0.15;
   /// And where no more than so many prompt tokens of this process wait to be read.
@@ -100,6 +108,8 @@
   kGood,
   /// The engine declined it: full or leaving, but alive.
   kDeclined,
+  /// Another engine has its address: it never comes back.
+  kGone,
   /// No connection could be made, or it broke, or nothing came for too long.
   kFailed,
   /// Says nothing of the engine: the caller left or the deadline passed.
@@ -138,10 +148,13 @@
     std::uint32_t in_flight = 0;
     /// Prompt tokens of own requests that have not begun to answer.
     std::uint64_t unread_tokens = 0;
+    /// When the first byte of each own request that has none is due.
+    std::multiset<Instant> due;
     /// Requests of other processes at the time of the last report.
     double others = 0;
     Instant load_at = Instant::min();
     bool in_long_lane = false;
+    bool gone = false;
     std::uint32_t failures = 0;
     Instant ejected_until = Instant::min();
     /// When requests that share a prefix were last sent here, by the identity of the prefix.
@@ -150,11 +163,13 @@
   struct Ticket {
     EngineId engine;
     std::uint64_t unread_tokens = 0;
+    Instant due{};
     bool answering = false;
   };
 
   void assignLanes();
   bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
+  double silenceCost(Instant now, const EngineState& state) const;
   double laneCost(const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -118,6 +118,20 @@
   REQUIRE(watch.take(kStart + fromMillis(2500), beat(engine("new", "10.0.0.1:80"), 1), state));
 }
 
+TEST_CASE("what was heard from others is not passed on", "[fleet]") {
+  FleetState state;
+  EngineWatch first(fromMillis(1000));
+  EngineWatch second(fromMillis(1000));
+  first.take(kStart, beat(engine("e1", "10.0.0.1:80"), 1), state);
+  second.hearOf(kStart, first.heardLately(kStart));
+  REQUIRE(second.heardLately(kStart).empty());
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  // Its successor at the address registers once the old one has fallen silent.
+  const Instant later = kStart + std::chrono::seconds(3);
+  first.hearOf(later, second.heardLately(later));
+  REQUIRE(first.take(later, beat(engine("e2", "10.0.0.1:80"), 1), state));
+}
+
 TEST_CASE("a leader forgets engines only after it has led for long enough itself", "[fleet]") {
   FleetState state;
   EngineWatch watch(fromMillis(1000));
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -90,6 +90,64 @@
   REQUIRE(later.contains(bad));
 }
 
+TEST_CASE("an engine whose address another one has is never chosen again", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(2));
+  const EngineId gone("engine-0");
+  selector.end(kStart, selector.begin(kStart, gone, query()), EngineVerdict::kGone);
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(selector.choose(kStart + std::chrono::seconds(i), query())->engine.id != gone);
+  }
+}
+
+TEST_CASE("background work takes no more than its share of the slots", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(6));
+  EngineQuery background = query();
+  background.background = true;
+  std::map<EngineId, int> held;
+  for (int i = 0; i < 60; ++i) {
+    const auto choice = selector.choose(kStart, background);
+    if (!choice) break;
+    selector.noteFirstByte(kStart, selector.begin(kStart, choice->engine.id, background));
+    ++held[choice->engine.id];
+  }
+  // Two engines of six are the long lane.
+  int in_lane = 0;
+  for (const auto& [engine, count] : held) {
+    REQUIRE(count <= 7);
+    in_lane += count == 7;
+  }
+  REQUIRE(in_lane == 2);
+  background.pressure = 3;
+  REQUIRE(selector.choose(kStart, background));
+}
+
+TEST_CASE("long and short prompts keep apart while there is room", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(9));
+  std::set<EngineId> with_long;
+  std::set<EngineId> with_short;
+  for (std::uint64_t i = 1; i <= 30; ++i) {
+    with_long.insert(selector.choose(kStart, query(i * 999, 13000))->engine.id);
+    with_short.insert(selector.choose(kStart, query())->engine.id);
+  }
+  for (const EngineId& engine : with_long) REQUIRE_FALSE(with_short.contains(engine));
+  REQUIRE(with_long.size() == 3);
+}
+
+TEST_CASE("an engine that is silent for longer than a prompt takes is avoided until it speaks", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(2));
+  const TicketId ticket = selector.begin(kStart, EngineId("engine-0"), query());
+  const Instant later = kStart + fromMillis(250);
+  for (int i = 0; i < 30; ++i) REQUIRE(selector.choose(later, query())->engine.id == EngineId("engine-1"));
+  selector.noteFirstByte(later, ticket);
+  std::set<EngineId> chosen;
+  for (int i = 0; i < 50; ++i) chosen.insert(selector.choose(later, query())->engine.id);
+  REQUIRE(chosen.size() == 2);
+}
+
 TEST_CASE("at most half of a service is out of rotation", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(4));
