Share what all processes have under way; batch yields at full engines

Change: gateways report what they have under way every 80 ms to the leader of the stores, which answers with the sum of all others; the executor breaks off runs at engines above their slots and goes on after their last event.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// How often a gateway tells what it has under way.
+constexpr Duration kLoadInterval = fromMillis(80);
 constexpr Duration kMaintenanceInterval = fromMillis(1000);
 /// A gateway that is being stopped takes new connections for this long, since callers learn of it with a delay.
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
@@ -71,6 +73,9 @@
   const Status telling = readiness_->start();
   if (!isOk(telling)) return telling;
 
+  stores_.setLoadHandler([this](const std::vector<request::EngineShare>& others) {
+    selector_.noteOthers(monotonicNow(), others);
+  });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
   feed_ = std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, nullptr);
@@ -84,6 +89,7 @@
   logEvent(LogLevel::kInfo, "gateway_started",
            {{"callers", toString(settings_.callers)}, {"zone", settings_.zone.value}});
   connection::asio::co_spawn(context_, maintenanceLoop(), connection::asio::detached);
+  connection::asio::co_spawn(context_, loadLoop(), connection::asio::detached);
   connection::asio::co_spawn(context_, stopOnSignal(), connection::asio::detached);
   connection::asio::co_spawn(context_, reloadOnSignal(), connection::asio::detached);
   context_.run();
@@ -175,6 +181,19 @@
   }
 }
 
+/// Reports what is under way here, and hears in return what all others have under way. Silent while nothing runs and
+/// nothing did at the last report.
+Awaitable<void> GatewayProgram::loadLoop() {
+  bool reported = false;
+  while (true) {
+    co_await connection::sleepFor(kLoadInterval);
+    std::vector<request::EngineShare> shares = selector_.ownShares();
+    const bool has_any = !shares.empty();
+    if (has_any || reported) stores_.reportLoad(monotonicNow(), settings_.name, std::move(shares));
+    reported = has_any;
+  }
+}
+
 /// Planned stop: not ready at once; requests are still taken and answered while callers learn of it, each answer
 /// closing its connection; then idle connections are closed and running requests end.
 Awaitable<void> GatewayProgram::stopOnSignal() {
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -37,6 +37,7 @@
                                      Error error);
   bool isReady() const;
   connection::Awaitable<void> maintenanceLoop();
+  connection::Awaitable<void> loadLoop();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
 
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -21,6 +21,12 @@
   ~StoreClient();
 
   void setStores(const std::vector<ReplicaId>& stores);
+  /// Called with what all other processes have under way at engines.
+  void setLoadHandler(std::function<void(const std::vector<request::EngineShare>&)> on_load) {
+    on_load_ = std::move(on_load);
+  }
+  /// Tells the leader of the stores, or all of them while it is not known, what this process has under way.
+  void reportLoad(Instant now, const std::string& node, std::vector<request::EngineShare> shares);
   /// Asks store after store, `request` staying valid meanwhile, until one answers or `deadline` has come. An
   /// `UnavailableReply` says whether the request may have an effect all the same. Gives up earlier, after
   /// `refuse_after`, while no store can have taken the request.
@@ -34,7 +40,7 @@
   };
   using ReplyHandler = std::function<void(store::StoreReply)>;
 
-  void onFrame(const std::string& body);
+  void onFrame(const ReplicaId& store, const std::string& body);
   void onLinkState(const ReplicaId& store, bool connected);
   /// Connected stores, the one that answered last first.
   std::vector<ReplicaId> order() const;
@@ -48,6 +54,10 @@
   };
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_number_ = 0;
+  std::function<void(const std::vector<request::EngineShare>&)> on_load_;
+  /// The store that answers load reports, and when it last did.
+  ReplicaId load_hub_;
+  Instant load_heard_at_ = Instant::min();
   ReplicaId preferred_;
   std::uint64_t seed_;
 };
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -10,6 +10,7 @@
 #include "common/codec.hpp"
 #include "common/ids.hpp"
 #include "process/consensus/replicated_group.hpp"
+#include "request/exchange/load_board.hpp"
 #include "version/engine_record.hpp"
 
 /// The frames between the processes of a fleet that forms itself: CBOR of `FleetMessage`, one for each frame. A process
@@ -151,7 +152,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreReplyFrame, number, reply)
 
+/// What a gateway has under way at engines, and, from the leader of the store group in return, what all others have.
+struct LoadFrame {
+  static constexpr std::string_view kKind = "l";
+  std::string node;
+  std::vector<request::EngineShare> shares;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadFrame, node, shares)
+
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
-                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame>;
+                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadFrame>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -29,6 +29,8 @@
 constexpr Duration kNextEventTimeout = std::chrono::seconds(3);
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 constexpr Duration kRetryAfterDecline = fromMillis(80);
+constexpr Duration kRetryAfterYield = fromMillis(400);
+constexpr Duration kYieldInterval = fromMillis(150);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
 /// Wall clocks may differ by this much; an item is given up only so much later than its retention.
 constexpr Duration kClockMargin = fromMillis(2500);
@@ -125,6 +127,7 @@
 
 void JobExecutor::tick(Instant now) {
   if (!leading_) return;
+  yieldSlots(now);
   pump();
   if (now < next_cleanup_) return;
   next_cleanup_ = now + kCleanupInterval;
@@ -187,6 +190,8 @@
     if (!choice) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     run->running = true;
+    run->yielding = false;
+    run->engine = choice->engine.id;
     ++run->attempts;
     ++running_;
     ++counters_.attempts;
@@ -249,6 +254,10 @@
     end = co_await readAnswer(*run, *exchange, ticket, verdict, cause);
     if (!*alive) co_return;
   }
+  if (run->yielding && end == RunEnd::kBroken) {
+    end = RunEnd::kYielded;
+    verdict = EngineVerdict::kNeutral;
+  }
   if (run->stopped) end = RunEnd::kStopped;
   selector_.end(monotonicNow(), ticket, verdict);
   run->control.reset();
@@ -299,7 +308,7 @@
 }
 
 void JobExecutor::finishRun(const ItemPtr& run, RunEnd end, const std::string& cause) {
-  constexpr std::string_view kNames[] = {"whole", "failed", "impossible", "declined", "broken", "stopped"};
+  constexpr std::string_view kNames[] = {"whole", "failed", "impossible", "declined", "broken", "yielded", "stopped"};
   logEvent(LogLevel::kInfo, "item_run_ended",
            {{"job", run->job.value},
             {"request", run->item},
@@ -331,6 +340,10 @@
     case RunEnd::kDeclined:
       run->not_before = now + kRetryAfterDecline;
       break;
+    case RunEnd::kYielded:
+      ++counters_.yielded;
+      run->not_before = now + kRetryAfterYield;
+      break;
     case RunEnd::kBroken:
     case RunEnd::kStopped:
       ++counters_.broken;
@@ -372,6 +385,28 @@
   });
 }
 
+void JobExecutor::yieldSlots(Instant now) {
+  if (now < next_yield_) return;
+  next_yield_ = now + kYieldInterval;
+  std::map<EngineId, double> excess;
+  for (const request::EngineShare& share : selector_.ownShares()) {
+    const double above = selector_.excess(now, share.engine);
+    if (above >= 1) excess[share.engine] = above;
+  }
+  if (excess.empty()) return;
+  for (const auto& [id, runs] : items_) {
+    for (const auto& [item, run] : runs) {
+      // Only a run that can go on after an event loses nothing but the reading of its prompt.
+      if (!run->running || run->yielding || !run->last_event || !run->control) continue;
+      const auto found = excess.find(run->engine);
+      if (found == excess.end() || found->second < 1) continue;
+      found->second -= 1;
+      run->yielding = true;
+      if (run->control->cancel) run->control->cancel();
+    }
+  }
+}
+
 void JobExecutor::giveUpExpired(Instant now) {
   proposeResults();
   const WallMillis wall = connection::wallNow();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -33,6 +33,7 @@
   std::uint64_t completed = 0;
   std::uint64_t errored = 0;
   std::uint64_t broken = 0;
+  std::uint64_t yielded = 0;
 };
 
 /// Runs the items of all open jobs while this process leads the store group: chooses engines, joins the events of an
@@ -60,6 +61,10 @@
   /// Drives retries and retention; call several times a second.
   void tick(Instant now);
 
+  bool isLeading() const { return leading_; }
+  /// What the runs here have under way, and what all gateways have.
+  std::vector<request::EngineShare> ownShares() const { return selector_.ownShares(); }
+  void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   const JobExecutorCounters& counters() const { return counters_; }
   std::size_t running() const { return running_; }
   std::size_t waiting() const { return queue_.size(); }
@@ -77,12 +82,15 @@
     std::uint32_t attempts = 0;
     Instant not_before{};
     bool running = false;
+    /// Broken off here to make room for online requests.
+    bool yielding = false;
+    EngineId engine;
     bool stopped = false;
     std::shared_ptr<connection::ExchangeControl> control;
   };
   using ItemPtr = std::shared_ptr<ItemRun>;
   /// How a run of an item ended.
-  enum class RunEnd { kWhole, kFailed, kImpossible, kDeclined, kBroken, kStopped };
+  enum class RunEnd { kWhole, kFailed, kImpossible, kDeclined, kBroken, kYielded, kStopped };
 
   void enqueueOpenItems(const StoredJob& job);
   void stopItems(const JobId& job);
@@ -97,6 +105,8 @@
                                           const request::EngineChoice& choice) const;
   void finishRun(const ItemPtr& run, RunEnd end, const std::string& cause);
   void finishItem(const ItemPtr& run, ItemOutcome outcome);
+  /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
+  void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
   void dropOldJobs();
   void proposeResults();
@@ -122,6 +132,7 @@
   bool proposing_ = false;
   std::map<JobId, Instant> route_missing_since_;
   Instant next_cleanup_{};
+  Instant next_yield_{};
   JobExecutorCounters counters_;
   /// Coroutines of runs outlive this object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -130,9 +130,20 @@
     group_->receive(*reply);
   } else if (const auto* request = std::get_if<fleet::StoreRequestFrame>(&decoded)) {
     onRequest(*request, from);
+  } else if (const auto* load = std::get_if<fleet::LoadFrame>(&decoded)) {
+    onLoad(*load, from);
   }
 }
 
+void StoreProgram::onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from) {
+  if (!executor_->isLeading()) return;
+  const Instant now = monotonicNow();
+  loads_.report(now, frame.node, frame.shares);
+  loads_.report(now, settings_.name, executor_->ownShares());
+  executor_->noteOthers(now, loads_.others(settings_.name));
+  from->send(encodeTagged(FleetMessage(fleet::LoadFrame{settings_.name, loads_.others(frame.node)})));
+}
+
 void StoreProgram::onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from) {
   auto reply = [from, number = frame.number](const StoreReply& body) {
     from->send(encodeTagged(FleetMessage(fleet::StoreReplyFrame{number, encodeTagged(body)})));
@@ -261,6 +272,7 @@
     executor_->setLeading(!stopping_ && group_->isConfirmedLeader());
     executor_->tick(now);
     answerHeldReads(now);
+    loads_.expire(now);
     links_.dropUnused(now);
   }
 }
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -42,6 +42,8 @@
 
   Status start();
   void onFrame(const std::string& body, const ConnectionPtr& from);
+  /// Takes a gateway's load report and answers with what all others have under way; only at the leader.
+  void onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from);
   void onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from);
   void serve(SubmitJobRequest request, ReplyFunction reply);
   void serve(ReadResultsRequest request, ReplyFunction reply);
@@ -69,6 +71,7 @@
   std::unique_ptr<JobExecutor> executor_;
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::FrameServer> frame_server_;
+  request::LoadBoard loads_;
   std::list<HeldRead> held_reads_;
   std::set<JobId> changed_jobs_;
   bool change_posted_ = false;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -79,7 +79,12 @@
   }
 }
 
+bool EngineSelector::knowsOthers(Instant now, const EngineState& state) const {
+  return state.known_at != Instant::min() && now <= state.known_at + limits_.others_known_for;
+}
+
 double EngineSelector::estimatedRunning(Instant now, const EngineState& state) const {
+  if (knowsOthers(now, state)) return state.in_flight + state.known_others.in_flight;
   if (state.load_at == Instant::min()) return state.in_flight;
   const double age = toSeconds(now - state.load_at) / toSeconds(limits_.load_half_life);
   return state.in_flight + state.others * std::pow(0.5, age);
@@ -113,6 +118,11 @@
   const double waiting = std::max(0.0, running + 1 - slots);
   double tokens = static_cast<double>(state.unread_tokens) + query.prompt.prompt_tokens;
   if (cached) tokens -= query.prompt.sharedTokens();
+  if (knowsOthers(now, state)) {
+    // What was to be read when it was told has been read in part since.
+    const double read = toSeconds(now - state.known_at) * 1000 * limits_.prompt_tokens_per_ms;
+    tokens += std::max(0.0, static_cast<double>(state.known_others.unread_tokens) - read);
+  }
   double total = tokens / limits_.prompt_tokens_per_ms;
   total += running * limits_.running_cost_ms;
   total += waiting * limits_.slot_hold_ms / slots;
@@ -232,6 +242,31 @@
   found->second.load_at = now;
 }
 
+void EngineSelector::noteOthers(Instant now, const std::vector<EngineShare>& others) {
+  for (auto& [id, state] : engines_) {
+    state.known_others = EngineShare{id, 0, 0};
+    state.known_at = now;
+  }
+  for (const EngineShare& share : others) {
+    const auto found = engines_.find(share.engine);
+    if (found != engines_.end()) found->second.known_others = share;
+  }
+}
+
+std::vector<EngineShare> EngineSelector::ownShares() const {
+  std::vector<EngineShare> shares;
+  for (const auto& [id, state] : engines_) {
+    if (state.in_flight > 0) shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens});
+  }
+  return shares;
+}
+
+double EngineSelector::excess(Instant now, const EngineId& engine) const {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end() || !knowsOthers(now, found->second)) return 0;
+  return std::max(0.0, estimatedRunning(now, found->second) - found->second.record.slots);
+}
+
 void EngineSelector::end(Instant now, TicketId ticket, EngineVerdict verdict) {
   noteFirstByte(now, ticket);
   const auto found = tickets_.find(ticket);
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -12,6 +12,7 @@
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "request/exchange/load_board.hpp"
 #include "request/exchange/prompt_shape.hpp"
 #include "version/engine_record.hpp"
 
@@ -60,12 +61,14 @@
   double long_beside_lane_ms = 120;
   double background_beside_lane_ms = 30;
   /// Slots that background work of this process may hold at one engine, as a share.
-  double background_lane_share = 0.6;
-  double background_beside_share = 0.22;
+  double background_lane_share = 0.35;
+  double background_beside_share = 0.35;
   /// Background work starts only where the estimated running requests leave this share of the slots free.
   double background_kept_free = 0.15;
   /// And where no more than so many prompt tokens of this process wait to be read.
   std::uint64_t background_most_unread = 3000;
+  /// What the other processes are known to have under way counts for this long.
+  Duration others_known_for = fromMillis(700);
   /// Time out of rotation after a failure; doubles with each further one.
   Duration first_ejection = fromMillis(400);
   Duration longest_ejection = fromMillis(5000);
@@ -133,6 +136,12 @@
   /// The engine has begun to answer: its prompt is read.
   void noteFirstByte(Instant now, TicketId ticket);
   void noteLoad(Instant now, const EngineId& engine, const EngineLoad& load);
+  /// What all other processes have under way; goes before loads that engines report, while it is new.
+  void noteOthers(Instant now, const std::vector<EngineShare>& others);
+  /// What this process has under way, for the others.
+  std::vector<EngineShare> ownShares() const;
+  /// Requests above the engine's slots, of all processes; zero where the others' are not known.
+  double excess(Instant now, const EngineId& engine) const;
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
 
   bool knows(const EngineId& engine) const { return engines_.contains(engine); }
@@ -153,6 +162,9 @@
     /// Requests of other processes at the time of the last report.
     double others = 0;
     Instant load_at = Instant::min();
+    /// Exact counts of the other processes, and when they were told.
+    EngineShare known_others;
+    Instant known_at = Instant::min();
     bool in_long_lane = false;
     bool gone = false;
     std::uint32_t failures = 0;
@@ -168,6 +180,7 @@
   };
 
   void assignLanes();
+  bool knowsOthers(Instant now, const EngineState& state) const;
   bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
   double silenceCost(Instant now, const EngineState& state) const;
   double laneCost(const EngineState& state, const EngineQuery& query) const;
