--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -33,7 +33,6 @@
     logger_->set_pattern("%v");
     logger_->flush_on(spdlog::level::info);
   }
-  ~LogWriter() { spdlog::shutdown(); }
 
   void write(const std::string& line) { logger_->info(spdlog::string_view_t(line.data(), line.size())); }
   std::size_t overrun() const { return spdlog::thread_pool()->overrun_counter(); }
@@ -42,9 +41,11 @@
   std::shared_ptr<spdlog::async_logger> logger_;
 };
 
-/// Created by `setLogNode`; before that, lines are written at once.
-std::unique_ptr<LogWriter> writer;
+/// Created by `setLogNode`; before that, lines are written at once. Ended only by `stopLogWriter`: at the end of the
+/// process the library's own objects are gone before this one.
+LogWriter* writer = nullptr;
 std::mutex budget_mutex;
+std::uint64_t dropped_lines = 0;
 LogBudget budget{LogBudget::Limits{}};
 
 Instant steadyNow() {
@@ -92,7 +93,14 @@
 
 void setLogNode(std::string node) {
   node_name = std::move(node);
-  writer = std::make_unique<LogWriter>();
+  if (writer == nullptr) writer = new LogWriter();
+}
+
+void stopLogWriter() {
+  if (writer == nullptr) return;
+  delete writer;
+  writer = nullptr;
+  spdlog::shutdown();
 }
 
 namespace {
@@ -115,7 +123,7 @@
 }
 
 void writeLine(const std::string& line) {
-  if (writer) {
+  if (writer != nullptr) {
     writer->write(line);
     return;
   }
@@ -125,6 +133,11 @@
 
 }  // namespace
 
+std::uint64_t droppedLogLines() {
+  const std::lock_guard lock(budget_mutex);
+  return dropped_lines + (writer != nullptr ? writer->overrun() : 0);
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   if (level < lowest_level) return;
   std::vector<DroppedLines> dropped;
@@ -133,6 +146,7 @@
     const std::lock_guard lock(budget_mutex);
     const Instant now = steadyNow();
     allowed = budget.allow(now, event, level > LogLevel::kInfo);
+    if (!allowed) ++dropped_lines;
     dropped = budget.takeDropped(now);
   }
   for (const DroppedLines& lines : dropped) {
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,13 @@
 /// once, before other threads start.
 void setLogNode(std::string node);
 
+/// Writes what waits and ends the writing thread; later lines go to standard error. Call after other threads have
+/// ended.
+void stopLogWriter();
+
+/// Lines that were dropped so far, by budgets or because the reader stalled. Thread safe.
+std::uint64_t droppedLogLines();
+
 /// One field of a log line. Values with spaces, quotes or '=' are quoted on output.
 struct LogField {
   std::string_view key;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -229,8 +229,20 @@
     parser.body_limit(shared_->options.largest_body);
     parser.header_limit(shared_->options.largest_header);
     beast::error_code error;
-    stream_.expires_after(shared_->options.request_timeout);
+    // The stream's own timer would close the socket, and with it the way for the answer that says so.
+    stream_.expires_never();
+    auto timed_out = std::make_shared<bool>(false);
+    asio::steady_timer timer(stream_.get_executor());
+    timer.expires_after(shared_->options.request_timeout);
+    timer.async_wait([self = shared_from_this(), timed_out](boost::system::error_code wait_error) {
+      if (wait_error) return;
+      *timed_out = true;
+      boost::system::error_code ignored;
+      self->stream_.socket().cancel(ignored);
+    });
     co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    timer.cancel();
+    if (error && *timed_out) error = beast::error::timeout;
     version_ = 11;
     responded_ = false;
     finished_ = false;
--- a/src/main/commands.cpp
+++ b/src/main/commands.cpp
@@ -25,8 +25,7 @@
 
 Result<std::unique_ptr<const Dialect>> makeDialect(const std::string& name) {
   if (name == "platform") return platform::makePlatformDialect();
-  return Error{
-      ErrorKind::kInvalidArgument, "unknown dialect " + name, "set dialect = \"platform\"", Executed::kNo, {}};
+  return Error{ErrorKind::kInvalidArgument, "unknown dialect " + name, "set dialect = \"platform\"", Executed::kNo, {}};
 }
 
 /// Parses the options that the serving commands share, then runs `serve` on the settings file.
@@ -53,6 +52,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     connection::holdStopSignals();
     const Status served = serve(parsed["settings"].as<std::string>());
+    stopLogWriter();
     if (isOk(served)) return kExitOk;
     fmt::print(stderr, "hatchfork {}: {}\n", command, describe(errorOf(served)));
     const ErrorKind kind = errorOf(served).kind;
@@ -81,10 +81,9 @@
 }  // namespace
 
 int runStoreCommand(int argc, char** argv) {
-  return runServer(argc, argv, "store", "Runs a store of batch jobs in a fleet that forms itself.",
-                   [](const std::string& file) {
-                     return runFleetProgram<store::StoreProgram>(file, fleet::ProcessRole::kStore);
-                   });
+  return runServer(
+      argc, argv, "store", "Runs a store of batch jobs in a fleet that forms itself.",
+      [](const std::string& file) { return runFleetProgram<store::StoreProgram>(file, fleet::ProcessRole::kStore); });
 }
 
 int runControlCommand(int argc, char** argv) {
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -14,6 +14,7 @@
     "  control   run a control replica\n"
     "  gateway   run a gateway\n"
     "  store     run a store of batch jobs\n"
+    "  explain   gather what logs say of one request\n"
     "  ctl       operate the fleet from the command line\n"
     "hatchfork COMMAND --help tells the options of a command.\n";
 
@@ -24,6 +25,7 @@
   if (command == "control") return hatchfork::runControlCommand(argc - 1, argv + 1);
   if (command == "gateway") return hatchfork::runGatewayCommand(argc - 1, argv + 1);
   if (command == "store") return hatchfork::runStoreCommand(argc - 1, argv + 1);
+  if (command == "explain") return hatchfork::runExplainCommand(argc - 1, argv + 1);
   if (command == "ctl") return hatchfork::ctl::runCtl(argc - 1, argv + 1);
   if (command == "--help" || command == "-h" || command == "help") {
     fmt::print("{}", kUsage);
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -44,8 +44,7 @@
 }  // namespace
 
 ExchangeRun::ExchangeRun(ExchangeTools tools, std::shared_ptr<const RouteTable> routes, const Route& route,
-                         ServiceId service, const connection::HttpRequest& request,
-                         connection::ResponseWriter& writer)
+                         ServiceId service, const connection::HttpRequest& request, connection::ResponseWriter& writer)
     : tools_(std::move(tools)),
       routes_(std::move(routes)),
       route_(route),
@@ -66,8 +65,7 @@
   }
   query_.zone = tools_.zone;
   query_.prefix_affinity = route_.prefix_affinity;
-  query_.prompt =
-      request::parsePromptShape(request_.header(names.prompt_parts), request_.header(names.token_usage));
+  query_.prompt = request::parsePromptShape(request_.header(names.prompt_parts), request_.header(names.token_usage));
 }
 
 Awaitable<void> ExchangeRun::run() {
@@ -328,6 +326,8 @@
 }
 
 void ExchangeRun::logEnd(std::string_view outcome, unsigned status) const {
+  if (first_byte_at_) tools_.counters.first_byte.observe(*first_byte_at_ - received_at_);
+  tools_.counters.whole.observe(monotonicNow() - received_at_);
   const std::int64_t first = first_byte_at_ ? toMillis(*first_byte_at_ - received_at_) : -1;
   logEvent(LogLevel::kInfo, "request_ended",
            {{"request", id_},
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -8,6 +8,7 @@
 
 #include "connection/engine_exchange.hpp"
 #include "connection/http_server.hpp"
+#include "process/metrics/metrics_page.hpp"
 #include "request/exchange/engine_selector.hpp"
 #include "version/dialect.hpp"
 #include "version/route_table.hpp"
@@ -24,6 +25,9 @@
   std::uint64_t attempts = 0;
   std::uint64_t declined = 0;
   std::uint64_t resumed = 0;
+  /// From the receipt of a request to the first byte of its answer, and to its end.
+  metrics::LatencyHistogram first_byte;
+  metrics::LatencyHistogram whole;
 };
 
 /// What the run of a request uses of the process.
@@ -38,9 +42,9 @@
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
 /// repeats or resumes where that is allowed. Lives in the frame of the request's coroutine.
 ///
-/// Invariants: a request that is not repeatable is sent again only after the engine declined it or could not be reached;
-/// a refusal that promises "not run" goes out only if that holds for every attempt; nothing of an answer is passed on
-/// before its identifier matched.
+/// Invariants: a request that is not repeatable is sent again only after the engine declined it or could not be
+/// reached; a refusal that promises "not run" goes out only if that holds for every attempt; nothing of an answer is
+/// passed on before its identifier matched.
 class ExchangeRun {
  public:
   /// `route` belongs to `routes`.
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -73,9 +73,13 @@
   const Status telling = readiness_->start();
   if (!isOk(telling)) return telling;
 
-  stores_.setLoadHandler([this](const std::vector<request::EngineShare>& others) {
-    selector_.noteOthers(monotonicNow(), others);
-  });
+  metrics_ = std::make_unique<fleet::MetricsServer>(context_, settings_,
+                                                    [this](metrics::MetricsPage& page) { fillMetrics(page); });
+  const Status measuring = metrics_->start();
+  if (!isOk(measuring)) return measuring;
+
+  stores_.setLoadHandler(
+      [this](const std::vector<request::EngineShare>& others) { selector_.noteOthers(monotonicNow(), others); });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
   feed_ = std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, nullptr);
@@ -174,6 +178,41 @@
   co_await run.run();
 }
 
+void GatewayProgram::fillMetrics(metrics::MetricsPage& page) const {
+  const auto requests = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_requests_total", "Online requests by their end.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  requests("answered", counters_.answered);
+  requests("refused", counters_.refused);
+  requests("failed", counters_.failed);
+  requests("caller_left", counters_.caller_left);
+  page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
+  page.counter("hatchfork_attempts_declined_total", "Of these, declined by the engine.",
+               static_cast<double>(counters_.declined));
+  page.counter("hatchfork_streams_resumed_total", "Streams that went on at another engine.",
+               static_cast<double>(counters_.resumed));
+  page.histogram("hatchfork_first_byte_ms", "From receipt to the first byte of the answer.", counters_.first_byte);
+  page.histogram("hatchfork_request_ms", "From receipt to the end of the request.", counters_.whole);
+  page.counter("hatchfork_engine_connections_total", "Connections made to engines.",
+               static_cast<double>(engines_.connectionsMade()));
+  page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
+               static_cast<double>(engines_.connectionsReused()));
+  const JobApiCounters& jobs = jobs_.counters();
+  page.counter("hatchfork_jobs_submitted_total", "Batch jobs submitted here.", static_cast<double>(jobs.submitted));
+  page.counter("hatchfork_jobs_accepted_total", "Of these, kept.", static_cast<double>(jobs.accepted));
+  page.counter("hatchfork_jobs_refused_total", "Of these, refused as not run.", static_cast<double>(jobs.refused));
+  page.counter("hatchfork_jobs_unclear_total", "Of these, without a clear outcome.", static_cast<double>(jobs.unclear));
+  page.gauge("hatchfork_route_version", "Version of the routes in force here.",
+             routes_ ? static_cast<double>(routes_->version()) : 0);
+  const bool proved = feed_->provedAt() != Instant::min();
+  page.gauge("hatchfork_configuration_age_ms", "Time since the configuration was proved the newest.",
+             proved ? static_cast<double>(toMillis(monotonicNow() - feed_->provedAt())) : -1);
+  page.gauge("hatchfork_engines_known", "Engines that are registered.",
+             static_cast<double>(feed_->view().engines->size()));
+  page.gauge("hatchfork_ready", "One while this gateway takes new callers.", isReady() ? 1 : 0);
+}
+
 Awaitable<void> GatewayProgram::maintenanceLoop() {
   while (true) {
     co_await connection::sleepFor(kMaintenanceInterval);
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -11,6 +11,7 @@
 #include "process/exchange/store_client.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
+#include "process/fleet/metrics_server.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
 
@@ -36,6 +37,7 @@
   connection::Awaitable<void> refuse(const connection::HttpRequest& request, connection::ResponseWriter& writer,
                                      Error error);
   bool isReady() const;
+  void fillMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> maintenanceLoop();
   connection::Awaitable<void> loadLoop();
   connection::Awaitable<void> stopOnSignal();
@@ -54,6 +56,7 @@
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::HttpServer> callers_;
   std::unique_ptr<connection::HttpServer> readiness_;
+  std::unique_ptr<fleet::MetricsServer> metrics_;
   std::shared_ptr<const RouteTable> routes_;
   bool stopping_ = false;
 };
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -73,6 +73,11 @@
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
 
+  metrics_ =
+      std::make_unique<MetricsServer>(context_, settings_, [this](metrics::MetricsPage& page) { fillMetrics(page); });
+  const Status measuring = metrics_->start();
+  if (!isOk(measuring)) return measuring;
+
   OperatorApiContext api{*dialect_,
                          *group_,
                          directory_,
@@ -229,6 +234,20 @@
   });
 }
 
+void ControlProgram::fillMetrics(metrics::MetricsPage& page) const {
+  fillGroupMetrics(page, group_->status());
+  page.gauge("hatchfork_document_version", "Version of the document held here.",
+             static_cast<double>(state_->documentVersion()));
+  page.gauge("hatchfork_engines_known", "Engines that are registered.", static_cast<double>(state_->engines().size()));
+  page.gauge("hatchfork_engines_revision", "Rises whenever the engines change.",
+             static_cast<double>(state_->enginesRevision()));
+  page.gauge("hatchfork_feed_subscribers", "Gateways and stores that are told by this process.",
+             static_cast<double>(feed_->subscribers()));
+  page.gauge("hatchfork_feed_fresh", "One while the state here is proved the newest.",
+             feed_->isFresh(monotonicNow()) ? 1 : 0);
+  page.gauge("hatchfork_stores_known", "Stores heard of lately.", static_cast<double>(directory_.stores().size()));
+}
+
 Awaitable<void> ControlProgram::freshnessLoop() {
   while (true) {
     if (feed_->subscribers() > 0) proveFreshness();
@@ -260,7 +279,8 @@
     }
     controls_.insert(valueOf(settings).seeds.begin(), valueOf(settings).seeds.end());
     updateContacts();
-    logEvent(LogLevel::kInfo, "settings_reloaded", {{"file", settings_file_}, {"seeds", valueOf(settings).seeds.size()}});
+    logEvent(LogLevel::kInfo, "settings_reloaded",
+             {{"file", settings_file_}, {"seeds", valueOf(settings).seeds.size()}});
   }
 }
 
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -12,6 +12,7 @@
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/fleet_state.hpp"
 #include "process/fleet/group_host.hpp"
+#include "process/fleet/metrics_server.hpp"
 #include "process/fleet/operator_api.hpp"
 #include "process/fleet/peer_links.hpp"
 #include "process/fleet/store_directory.hpp"
@@ -47,6 +48,7 @@
   void formStoreGroup(Instant now);
   void forgetSilentEngines(Instant now);
   void proveFreshness();
+  void fillMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> maintenanceLoop();
   connection::Awaitable<void> freshnessLoop();
   connection::Awaitable<void> stopOnSignal();
@@ -65,6 +67,7 @@
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<connection::FrameServer> frame_server_;
   std::unique_ptr<connection::HttpServer> http_server_;
+  std::unique_ptr<MetricsServer> metrics_;
   std::set<ReplicaId> controls_;
   Instant started_at_{};
   Instant leading_since_{};
--- /dev/null
+++ b/src/process/fleet/metrics_server.cpp
@@ -0,0 +1,53 @@
+#include "process/fleet/metrics_server.hpp"
+
+#include <utility>
+
+#include "common/log.hpp"
+
+namespace hatchfork::fleet {
+
+MetricsServer::MetricsServer(connection::asio::io_context& context, const FleetSettings& settings, Fill fill)
+    : fill_(std::move(fill)) {
+  if (!settings.metrics) return;
+  path_ = settings.metrics->path;
+  connection::HttpServerOptions options;
+  options.listen = connection::Endpoint{settings.address, settings.metrics->port};
+  auto serve = [this](const connection::HttpRequest& request, connection::ResponseWriter& writer) {
+    return handle(request, writer);
+  };
+  server_ = std::make_unique<connection::HttpServer>(context, std::vector<connection::asio::io_context*>{&context},
+                                                     options, serve);
+}
+
+Status MetricsServer::start() {
+  return server_ ? server_->start() : okStatus();
+}
+
+void fillGroupMetrics(metrics::MetricsPage& page, const consensus::GroupStatus& status) {
+  page.gauge("hatchfork_group_leads", "One at the leader of the group.", status.role == consensus::Role::kLeader);
+  page.gauge("hatchfork_group_term", "Term of the group.", static_cast<double>(status.term));
+  page.gauge("hatchfork_group_committed", "Highest committed entry known here.", static_cast<double>(status.committed));
+  page.gauge("hatchfork_group_members", "Members of the group, learners included.",
+             static_cast<double>(status.membership.members.size()));
+  page.gauge("hatchfork_group_log_bytes", "Bytes of the log on this disk.", static_cast<double>(status.log_bytes));
+  page.gauge("hatchfork_group_fault", "One while the replica has stopped taking part.", status.fault ? 1 : 0);
+}
+
+connection::Awaitable<void> MetricsServer::handle(const connection::HttpRequest& request,
+                                                  connection::ResponseWriter& writer) {
+  connection::HttpResponse response;
+  if (request.path == path_) {
+    metrics::MetricsPage page;
+    fill_(page);
+    page.counter("hatchfork_log_lines_dropped_total", "Log lines dropped by budgets or a stalled reader.",
+                 static_cast<double>(droppedLogLines()));
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = page.text();
+  } else {
+    response =
+        connection::errorResponse(Error{ErrorKind::kNotFound, "no such page", "ask for " + path_, Executed::kNo, {}});
+  }
+  co_await writer.send(std::move(response));
+}
+
+}  // namespace hatchfork::fleet
--- /dev/null
+++ b/src/process/fleet/metrics_server.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "connection/http_server.hpp"
+#include "process/consensus/replicated_group.hpp"
+#include "process/fleet/fleet_settings.hpp"
+#include "process/metrics/metrics_page.hpp"
+
+namespace hatchfork::fleet {
+
+/// Serves a process's metrics at the address of its settings; does nothing where they name none. Belongs to one thread.
+class MetricsServer {
+ public:
+  using Fill = std::function<void(metrics::MetricsPage& page)>;
+
+  MetricsServer(connection::asio::io_context& context, const FleetSettings& settings, Fill fill);
+  Status start();
+
+ private:
+  connection::Awaitable<void> handle(const connection::HttpRequest& request, connection::ResponseWriter& writer);
+
+  std::string path_;
+  Fill fill_;
+  std::unique_ptr<connection::HttpServer> server_;
+};
+
+/// What every replica tells of its group.
+void fillGroupMetrics(metrics::MetricsPage& page, const consensus::GroupStatus& status);
+
+}  // namespace hatchfork::fleet
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -42,10 +42,9 @@
   executor_options.zone = settings_.zone;
   executor_options.seed = std::random_device()();
   auto propose_command = [this](JobCommand command, std::function<void(bool)> done) {
-    group_->propose(encodeTagged(command), kProposalTimeout,
-                    [done = std::move(done)](const ProposalOutcome& outcome) {
-                      done(outcome.result == ProposalResult::kApplied);
-                    });
+    group_->propose(encodeTagged(command), kProposalTimeout, [done = std::move(done)](const ProposalOutcome& outcome) {
+      done(outcome.result == ProposalResult::kApplied);
+    });
   };
   executor_ = std::make_unique<JobExecutor>(context_, executor_options, *dialect_, propose_command);
 
@@ -54,9 +53,7 @@
   options.self = settings_.self();
   options.data_folder = settings_.data_folder;
   options.most_voters = std::max<std::size_t>(kFewestVoters, 2 * settings_.tolerated_losses + 1);
-  auto make_machine = [this] {
-    return std::make_unique<JobState>([this](const JobId& job) { noteChange(job); });
-  };
+  auto make_machine = [this] { return std::make_unique<JobState>([this](const JobId& job) { noteChange(job); }); };
   auto adopt_machine = [this](consensus::StateMachine& machine) {
     state_ = static_cast<JobState*>(&machine);
     executor_->setState(*state_);
@@ -73,9 +70,15 @@
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
 
+  metrics_ = std::make_unique<fleet::MetricsServer>(context_, settings_,
+                                                    [this](metrics::MetricsPage& page) { fillMetrics(page); });
+  const Status measuring = metrics_->start();
+  if (!isOk(measuring)) return measuring;
+
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
-  feed_ = std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, [this] { return presence(); });
+  feed_ =
+      std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, [this] { return presence(); });
   feed_->start();
   return okStatus();
 }
@@ -156,6 +159,23 @@
   std::visit([&](auto& body) { serve(std::move(body), reply); }, valueOf(request));
 }
 
+void StoreProgram::fillMetrics(metrics::MetricsPage& page) const {
+  fleet::fillGroupMetrics(page, group_->status());
+  const JobExecutorCounters& counters = executor_->counters();
+  const auto items = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_item_runs_total", "Runs of batch items by their end.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  items("completed", counters.completed);
+  items("errored", counters.errored);
+  items("broken", counters.broken);
+  items("yielded", counters.yielded);
+  page.gauge("hatchfork_items_running", "Batch items under way.", static_cast<double>(executor_->running()));
+  page.gauge("hatchfork_items_waiting", "Batch items that wait for a slot.", static_cast<double>(executor_->waiting()));
+  page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
+  page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
+}
+
 bool StoreProgram::mayStoreMore() const {
   return state_->heldBytes() < kMostHeldBytes;
 }
@@ -293,8 +313,7 @@
 Awaitable<void> StoreProgram::reloadOnSignal() {
   while (true) {
     co_await connection::awaitReloadSignal();
-    const Result<fleet::FleetSettings> settings =
-        fleet::readFleetSettings(settings_file_, fleet::ProcessRole::kStore);
+    const Result<fleet::FleetSettings> settings = fleet::readFleetSettings(settings_file_, fleet::ProcessRole::kStore);
     if (!isOk(settings)) {
       logEvent(LogLevel::kError, "reload_refused", {{"error", describe(errorOf(settings))}});
       continue;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -11,6 +11,7 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/group_host.hpp"
+#include "process/fleet/metrics_server.hpp"
 #include "process/fleet/peer_links.hpp"
 #include "process/store/job_executor.hpp"
 #include "process/store/job_state.hpp"
@@ -57,6 +58,7 @@
   void onView(const fleet::FleetView& view, bool changed);
   std::vector<fleet::StorePresence> presence() const;
   bool mayStoreMore() const;
+  void fillMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> tickLoop();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
@@ -71,6 +73,7 @@
   std::unique_ptr<JobExecutor> executor_;
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::FrameServer> frame_server_;
+  std::unique_ptr<fleet::MetricsServer> metrics_;
   request::LoadBoard loads_;
   std::list<HeldRead> held_reads_;
   std::set<JobId> changed_jobs_;
--- /dev/null
+++ b/tests/platform/stand_in.py
@@ -0,0 +1,199 @@
+#!/usr/bin/env python3
+"""Stand-ins for the users' platform on loopback: engines, callers and an operator, in the platform's dialect.
+
+Used by tests/system/platform_*.sh. Every check that fails prints a line that begins with FAILED and gives exit code 1.
+Engines count what they ran, so that a refusal that promised "not run" and a second run can be seen.
+"""
+import asyncio
+import base64
+import json
+import random
+import sys
+import time
+
+HOST = "shift.example"
+
+
+class Engine:
+    """A model engine: serves requests one by one on each connection, streams numbered events, and sends beats."""
+
+    def __init__(self, number, port, controls, service="llm", slots=8, event_delay=0.01):
+        self.id = f"i-{number:04x}"
+        self.port = port
+        self.controls = controls
+        self.service = service
+        self.slots = slots
+        self.event_delay = event_delay
+        self.runs = {}  # request -> how often it began to run
+        self.resumed_after = {}  # request -> the events after which it went on
+        self.finished = {}
+        self.running = 0
+        self.state = "ready"
+        self.sequence = 0
+        self.break_after = None  # events after which streams are cut
+        self.mute = False
+        self.refuse = False
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.beats = asyncio.create_task(self.beat_loop())
+
+    async def beat(self):
+        self.sequence += 1
+        body = json.dumps({"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": "v1",
+                           "Slots": self.slots, "State": self.state, "ColdRemainingMs": 0, "Sequence": self.sequence,
+                           "UnknownField": [1]})
+        for control in random.sample(self.controls, len(self.controls)):
+            try:
+                status, _, _ = await call(control, "PUT", f"/v1/instances/{self.id}", body, timeout=2)
+                if status == 200:
+                    return True
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                continue
+        return False
+
+    async def beat_loop(self):
+        while True:
+            await self.beat()
+            await asyncio.sleep(0.4)
+
+    async def serve(self, reader, writer):
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        writer.close()
+
+    async def serve_one(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:] if line)}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        request = headers.get("x-attempt-id", "")
+        if self.mute:
+            await asyncio.sleep(60)
+        extra = f"X-Attempt-Id: {request}\r\nX-Server-Load: {self.running},0,{self.slots}\r\n"
+        if headers.get("x-expect-instance") != self.id:
+            return await self.answer(writer, "421 Misdirected Request", extra, b"")
+        if self.refuse or self.running >= self.slots + 4:
+            return await self.answer(writer, "503 Service Unavailable", extra + "X-Not-Executed: 1\r\n", b"")
+        self.runs[request] = self.runs.get(request, 0) + 1
+        if "X-Time-Remaining-Ms".lower() not in headers:
+            print(f"FAILED: request {request} came without its remaining time")
+        extra += f"X-Response-Seal: seal-{request}\r\n"
+        if b"impossible" in body:
+            return await self.answer(writer, "422 Unprocessable", extra, b"")
+        if b"failing" in body:
+            return await self.answer(writer, "500 Internal", extra, b"")
+        if b"stream" not in body:
+            return await self.answer(writer, "200 OK", extra, b"echo:" + body)
+        first = int(headers.get("last-event-id", 0)) + 1
+        self.resumed_after.setdefault(request, []).append(first - 1)
+        self.running += 1
+        try:
+            writer.write(f"HTTP/1.1 200 OK\r\n{extra}Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n".encode())
+            for number in range(first, 11):
+                await asyncio.sleep(self.event_delay)
+                event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
+                if self.break_after is not None and number > self.break_after:
+                    writer.write(b"%x\r\n" % len(event) + event[:9])
+                    await writer.drain()
+                    writer.transport.abort()
+                    return False
+                writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.finished[request] = self.finished.get(request, 0) + 1
+        finally:
+            self.running -= 1
+        return True
+
+    async def answer(self, writer, status, extra, body):
+        writer.write(f"HTTP/1.1 {status}\r\n{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        await writer.drain()
+        return True
+
+
+async def call(address, method, target, body=b"", headers=None, timeout=8):
+    """One request on a connection of its own. Gives status, headers and the whole body."""
+    if isinstance(body, str):
+        body = body.encode()
+    return await asyncio.wait_for(_call(address, method, target, body, headers or {}), timeout)
+
+
+async def _call(address, method, target, body, headers):
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        lines = [f"{method} {target} HTTP/1.1", "Connection: close", f"Content-Length: {len(body)}"]
+        if "Host" not in headers:
+            lines.append(f"Host: {HOST}")
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        status = int(head[0].split(" ")[1])
+        fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        if fields.get("transfer-encoding") == "chunked":
+            content = b""
+            while True:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                piece = await reader.readexactly(size + 2)
+                if size == 0:
+                    return status, fields, content
+                content += piece[:-2]
+        content = await reader.readexactly(int(fields.get("content-length", 0)))
+        return status, fields, content
+    finally:
+        writer.close()
+
+
+def document(version, extra_routes=()):
+    def route(prefix, kind, **more):
+        return {"Name": f"r-{prefix}", "Host": HOST, "PathPrefix": f"/{prefix}/", "Type": kind, "TimeoutMs": 4000,
+                "TargetLatencyMs": 400, "Priority": 0, "Service": "llm", "MaxAttempts": 2, **more}
+    routes = [route("safe", "safe"), route("once", "unsafe"), route("talk", "streaming", AllowResume=True),
+              route("speech", "streaming", AllowResume=False, MaxAttempts=1),
+              route("batch", "batch", CompletionTargetMs=20000, RetentionS=60, MaxAttempts=3), *extra_routes]
+    return json.dumps({"Version": version, "Routes": routes,
+                       "Services": [{"Name": "llm", "HealthPath": "/healthz", "MaxConnections": 200}],
+                       "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutMs": 1500,
+                                  "IdleTimeoutMs": 5000}})
+
+
+class Check:
+    """Counts what failed."""
+
+    def __init__(self):
+        self.failed = 0
+
+    def that(self, holds, text):
+        if not holds:
+            self.failed += 1
+            print(f"FAILED: {text}", flush=True)
+
+
+async def eventually(check, text, probe, seconds=15):
+    """Asks again until the probe holds."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if await probe():
+                return True
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.1)
+    check.that(False, text)
+    return False
+
+
+def new_id():
+    return f"{random.getrandbits(64):016x}"
+
+
+def request_headers(request=None, remaining=4000):
+    return {"X-Attempt-Id": request or new_id(), "X-Time-Remaining-Ms": str(remaining)}
