--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -226,9 +226,10 @@
   bool reported = false;
   while (true) {
     co_await connection::sleepFor(kLoadInterval);
-    std::vector<request::EngineShare> shares = selector_.ownShares();
+    const Instant now = monotonicNow();
+    std::vector<request::EngineShare> shares = selector_.ownShares(now);
     const bool has_any = !shares.empty();
-    if (has_any || reported) stores_.reportLoad(monotonicNow(), settings_.name, std::move(shares));
+    if (has_any || reported) stores_.reportLoad(now, settings_.name, std::move(shares));
     reported = has_any;
   }
 }
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -389,7 +389,7 @@
   if (now < next_yield_) return;
   next_yield_ = now + kYieldInterval;
   std::map<EngineId, double> excess;
-  for (const request::EngineShare& share : selector_.ownShares()) {
+  for (const request::EngineShare& share : selector_.ownShares(now)) {
     const double above = selector_.excess(now, share.engine);
     if (above >= 1) excess[share.engine] = above;
   }
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -63,7 +63,7 @@
 
   bool isLeading() const { return leading_; }
   /// What the runs here have under way, and what all gateways have.
-  std::vector<request::EngineShare> ownShares() const { return selector_.ownShares(); }
+  std::vector<request::EngineShare> ownShares(Instant now) const { return selector_.ownShares(now); }
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   const JobExecutorCounters& counters() const { return counters_; }
   std::size_t running() const { return running_; }
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -142,7 +142,7 @@
   if (!executor_->isLeading()) return;
   const Instant now = monotonicNow();
   loads_.report(now, frame.node, frame.shares);
-  loads_.report(now, settings_.name, executor_->ownShares());
+  loads_.report(now, settings_.name, executor_->ownShares(now));
   executor_->noteOthers(now, loads_.others(settings_.name));
   from->send(encodeTagged(FleetMessage(fleet::LoadFrame{settings_.name, loads_.others(frame.node)})));
 }
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -90,9 +90,15 @@
   return state.in_flight + state.others * std::pow(0.5, age);
 }
 
-double EngineSelector::silenceCost(Instant now, const EngineState& state) const {
+double EngineSelector::overdueMs(Instant now, const EngineState& state) const {
   if (state.due.empty() || now <= *state.due.begin()) return 0;
-  return std::min(limits_.most_silence_ms, toSeconds(now - *state.due.begin()) * 1000);
+  return toSeconds(now - *state.due.begin()) * 1000;
+}
+
+double EngineSelector::silenceCost(Instant now, const EngineState& state) const {
+  const double own = std::min(limits_.most_silence_ms, overdueMs(now, state));
+  if (!knowsOthers(now, state)) return own;
+  return std::max(own, std::min(limits_.most_hearsay_ms, static_cast<double>(state.known_others.avoid_ms)));
 }
 
 double EngineSelector::laneCost(const EngineState& state, const EngineQuery& query) const {
@@ -244,7 +250,7 @@
 
 void EngineSelector::noteOthers(Instant now, const std::vector<EngineShare>& others) {
   for (auto& [id, state] : engines_) {
-    state.known_others = EngineShare{id, 0, 0};
+    state.known_others = EngineShare{id, 0, 0, 0};
     state.known_at = now;
   }
   for (const EngineShare& share : others) {
@@ -253,10 +259,13 @@
   }
 }
 
-std::vector<EngineShare> EngineSelector::ownShares() const {
+std::vector<EngineShare> EngineSelector::ownShares(Instant now) const {
   std::vector<EngineShare> shares;
   for (const auto& [id, state] : engines_) {
-    if (state.in_flight > 0) shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens});
+    double avoid = overdueMs(now, state);
+    if (now < state.ejected_until) avoid = std::max(avoid, toSeconds(state.ejected_until - now) * 1000);
+    const bool is_news = state.in_flight > 0 || avoid >= 1;
+    if (is_news) shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens, static_cast<std::uint32_t>(avoid)});
   }
   return shares;
 }
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -43,6 +43,8 @@
   /// engine: it costs as much as the engine is late, up to the most.
   Duration silence_allowed = fromMillis(80);
   double most_silence_ms = 3000;
+  /// What the word of another process against an engine costs at most.
+  double most_hearsay_ms = 600;
   /// Reaching an engine in another zone.
   double other_zone_cost_ms = 4;
   /// Shared prompt parts below this are not worth a detour.
@@ -139,7 +141,7 @@
   /// What all other processes have under way; goes before loads that engines report, while it is new.
   void noteOthers(Instant now, const std::vector<EngineShare>& others);
   /// What this process has under way, for the others.
-  std::vector<EngineShare> ownShares() const;
+  std::vector<EngineShare> ownShares(Instant now) const;
   /// Requests above the engine's slots, of all processes; zero where the others' are not known.
   double excess(Instant now, const EngineId& engine) const;
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
@@ -182,6 +184,8 @@
   void assignLanes();
   bool knowsOthers(Instant now, const EngineState& state) const;
   bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
+  /// By how much an answer of the engine is overdue here.
+  double overdueMs(Instant now, const EngineState& state) const;
   double silenceCost(Instant now, const EngineState& state) const;
   double laneCost(const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
--- a/src/request/exchange/load_board.cpp
+++ b/src/request/exchange/load_board.cpp
@@ -1,5 +1,6 @@
 #include "request/exchange/load_board.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hatchfork::request {
@@ -26,6 +27,7 @@
       sum.engine = share.engine;
       sum.in_flight += share.in_flight;
       sum.unread_tokens += share.unread_tokens;
+      sum.avoid_ms = std::max(sum.avoid_ms, share.avoid_ms);
     }
   }
   std::vector<EngineShare> list;
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -143,6 +143,17 @@
   REQUIRE(chosen.size() == 2);
 }
 
+TEST_CASE("an engine that another process finds silent is avoided too", "[selector]") {
+  EngineSelector first(5);
+  EngineSelector second(6);
+  first.setEngines(engines(2));
+  second.setEngines(engines(2));
+  first.begin(kStart, EngineId("engine-0"), query());
+  const Instant later = kStart + fromMillis(300);
+  second.noteOthers(later, first.ownShares(later));
+  for (int i = 0; i < 30; ++i) REQUIRE(second.choose(later, query())->engine.id == EngineId("engine-1"));
+}
+
 TEST_CASE("at most half of a service is out of rotation", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(4));
--- a/tests/request/exchange/load_board_test.cpp
+++ b/tests/request/exchange/load_board_test.cpp
@@ -21,6 +21,16 @@
   REQUIRE(board.others("g1") == std::vector<EngineShare>{share("a", 2, 50)});
 }
 
+TEST_CASE("the word of one process against an engine reaches the others", "[board]") {
+  LoadBoard board;
+  EngineShare against = share("a", 1, 0);
+  against.avoid_ms = 250;
+  board.report(kStart, "g1", {against});
+  board.report(kStart, "g2", {share("a", 2, 50)});
+  REQUIRE(board.others("g3").front().avoid_ms == 250);
+  REQUIRE(board.others("g1").front().avoid_ms == 0);
+}
+
 TEST_CASE("a process that reports no more counts no more", "[board]") {
   LoadBoard board;
   board.report(kStart, "g1", {share("a", 3, 100)});
