--- a/src/connection/stop_signal.hpp
+++ b/src/connection/stop_signal.hpp
@@ -4,9 +4,9 @@
 
 namespace hatchfork::connection {
 
-/// Keeps SIGTERM, SIGINT and SIGHUP from ending the process by their default action, from now until it exits. Call it in
-/// `main` before any thread is started: threads inherit it. Only `awaitStopSignal` and `awaitReloadSignal` learn of the
-/// signals, and a second stop signal during a planned stop changes nothing.
+/// Keeps SIGTERM, SIGINT and SIGHUP from ending the process by their default action, from now until it exits. Call it
+/// in `main` before any thread is started: threads inherit it. Only `awaitStopSignal` and `awaitReloadSignal` learn of
+/// the signals, and a second stop signal during a planned stop changes nothing.
 void holdStopSignals();
 
 /// Waits for SIGTERM or SIGINT, which `holdStopSignals` holds back.
--- a/src/process/consensus/membership_plan.cpp
+++ b/src/process/consensus/membership_plan.cpp
@@ -27,8 +27,8 @@
 
  private:
   const PeerHealth* health(const ReplicaId& id) const {
-    const auto found = std::find_if(input_.peers.begin(), input_.peers.end(),
-                                    [&](const PeerHealth& peer) { return peer.id == id; });
+    const auto found =
+        std::find_if(input_.peers.begin(), input_.peers.end(), [&](const PeerHealth& peer) { return peer.id == id; });
     return found == input_.peers.end() ? nullptr : &*found;
   }
   Duration silence(const ReplicaId& id) const {
@@ -36,9 +36,7 @@
     return peer == nullptr ? Duration::zero() : peer->silent_for;
   }
   bool answers(const ReplicaId& id) const { return id == input_.self || silence(id) < kAnswersWithin; }
-  bool isLostVoter(const ReplicaId& id) const {
-    return id != input_.self && silence(id) >= limits_.voter_lost_after;
-  }
+  bool isLostVoter(const ReplicaId& id) const { return id != input_.self && silence(id) >= limits_.voter_lost_after; }
   bool isRetiring(const ReplicaId& id) const { return input_.retiring.contains(id); }
 
   std::size_t voters() const {
--- a/src/process/exchange/header_rules.cpp
+++ b/src/process/exchange/header_rules.cpp
@@ -10,9 +10,9 @@
 namespace hatchfork::exchange {
 namespace {
 
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
-    "expect"};
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {"connection", "keep-alive",     "proxy-connection",
+                                                                "te",         "trailer",        "transfer-encoding",
+                                                                "upgrade",    "content-length", "expect"};
 
 /// True if the list of a `Connection` field names the header.
 bool isListed(std::string_view list, std::string_view name) {
@@ -39,9 +39,8 @@
   const std::string_view listed = connection::findHeader(headers, "Connection");
   std::vector<connection::HttpHeader> passed;
   for (const connection::HttpHeader& header : headers) {
-    const bool of_connection =
-        std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
-                    [&](std::string_view name) { return isSameHeader(name, header.name); });
+    const bool of_connection = std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                                           [&](std::string_view name) { return isSameHeader(name, header.name); });
     if (!of_connection && !isListed(listed, header.name)) passed.push_back(header);
   }
   return passed;
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -32,7 +32,8 @@
   for (const ReplicaId& store : stores) {
     if (links_.contains(store)) continue;
     auto link = std::make_shared<connection::ReconnectingLink>(
-        context_, connection::Endpoint{store.value, store_port_}, [this, store](const std::string& body) { onFrame(store, body); },
+        context_, connection::Endpoint{store.value, store_port_},
+        [this, store](const std::string& body) { onFrame(store, body); },
         [this, store](bool connected) { onLinkState(store, connected); });
     links_[store].link = link;
     link->start();
--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -64,9 +64,8 @@
 }
 
 void EngineWatch::expire(Instant now) {
-  std::erase_if(heard_, [&](const auto& entry) {
-    return now - entry.second.at > 4 * kForgottenAfterBeats * beat_interval_;
-  });
+  std::erase_if(heard_,
+                [&](const auto& entry) { return now - entry.second.at > 4 * kForgottenAfterBeats * beat_interval_; });
 }
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -63,8 +63,7 @@
   const connection::tcp::endpoint target(connection::asio::ip::make_address(control.value, error),
                                          options_.control_port);
   if (!error) {
-    co_await socket->async_connect(target,
-                                   connection::asio::redirect_error(connection::asio::use_awaitable, error));
+    co_await socket->async_connect(target, connection::asio::redirect_error(connection::asio::use_awaitable, error));
   }
   timeout.cancel();
   if (error || !socket->is_open()) co_return nullptr;
@@ -86,7 +85,8 @@
     const Instant last = std::max(proved_at_, began);
     if (!proved && proved_at_ >= began) {
       proved = true;
-      logEvent(LogLevel::kInfo, "feed_joined", {{"control", control.value}, {"after_ms", toMillis(proved_at_ - began)}});
+      logEvent(LogLevel::kInfo, "feed_joined",
+               {{"control", control.value}, {"after_ms", toMillis(proved_at_ - began)}});
     }
     if (now > last + kSilenceLimit) break;
     if (presence_ && now >= presence_due) {
@@ -98,7 +98,8 @@
   link->close();
   if (proved) {
     logEvent(LogLevel::kWarning, "feed_lost",
-             {{"control", control.value}, {"cause", was_open ? "silent" : "closed"},
+             {{"control", control.value},
+              {"cause", was_open ? "silent" : "closed"},
               {"proof_age_ms", toMillis(monotonicNow() - proved_at_)}});
   }
 }
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -74,12 +74,9 @@
   std::uint64_t term = 0;
 };
 inline void to_json(nlohmann::json& json, const StorePresence& presence) {
-  json = nlohmann::json{{"node", presence.node},
-                        {"address", presence.address},
-                        {"zone", presence.zone},
-                        {"incarnation", presence.incarnation},
-                        {"formed", presence.formed},
-                        {"term", presence.term}};
+  json = nlohmann::json{{"node", presence.node},     {"address", presence.address},
+                        {"zone", presence.zone},     {"incarnation", presence.incarnation},
+                        {"formed", presence.formed}, {"term", presence.term}};
   if (presence.membership) json["membership"] = *presence.membership;
 }
 inline void from_json(const nlohmann::json& json, StorePresence& presence) {
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -59,8 +59,7 @@
     values.data_folder = reader.text("data_folder");
   }
   values.first_start = reader.boolean("first_start", false);
-  values.tolerated_losses =
-      static_cast<std::uint32_t>(reader.integer("tolerated_losses", 0, kMostToleratedLosses, 1));
+  values.tolerated_losses = static_cast<std::uint32_t>(reader.integer("tolerated_losses", 0, kMostToleratedLosses, 1));
   values.engine_beat = reader.milliseconds("engine_beat_ms", 100, 60000, fromMillis(1200));
   values.grace = reader.seconds("grace_s", 0.5, 600, std::chrono::seconds(8));
   values.metrics = readMetrics(reader);
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -46,9 +46,8 @@
     next.leaving = next.leaving || known->second.leaving;
     if (known->second == next) return false;
   }
-  std::erase_if(engines_, [&](const auto& entry) {
-    return entry.first != engine.id && entry.second.address == engine.address;
-  });
+  std::erase_if(engines_,
+                [&](const auto& entry) { return entry.first != engine.id && entry.second.address == engine.address; });
   engines_[engine.id] = next;
   ++engines_revision_;
   return true;
--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -150,8 +150,8 @@
     if (!context_.knows_stores()) co_return notCertain("this control process has not heard of all stores yet");
     logEvent(LogLevel::kInfo, "retirement_refused",
              {{"node", call.node}, {"cause", "too_few"}, {"remaining", remaining}, {"needed", needed}});
-    co_return connection::errorResponse(Error{ErrorKind::kConflict, "too few stores would be left",
-                                              "add a store first", Executed::kNo, {}});
+    co_return connection::errorResponse(
+        Error{ErrorKind::kConflict, "too few stores would be left", "add a store first", Executed::kNo, {}});
   }
   const FleetCommand command = RetireStore{call.node, address};
   const ProposalOutcome outcome = co_await propose(command);
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -69,7 +69,8 @@
   std::map<ServiceId, std::vector<std::pair<std::uint64_t, EngineState*>>> services;
   for (auto& [id, state] : engines_) {
     state.in_long_lane = false;
-    if (!state.record.leaving && !state.gone) services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
+    if (!state.record.leaving && !state.gone)
+      services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
   }
   for (auto& [service, ranked] : services) {
     std::sort(ranked.begin(), ranked.end());
@@ -265,7 +266,8 @@
     double avoid = overdueMs(now, state);
     if (now < state.ejected_until) avoid = std::max(avoid, toSeconds(state.ejected_until - now) * 1000);
     const bool is_news = state.in_flight > 0 || avoid >= 1;
-    if (is_news) shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens, static_cast<std::uint32_t>(avoid)});
+    if (is_news)
+      shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens, static_cast<std::uint32_t>(avoid)});
   }
   return shares;
 }
--- a/src/request/exchange/load_board.hpp
+++ b/src/request/exchange/load_board.hpp
@@ -17,8 +17,8 @@
   std::uint32_t in_flight = 0;
   /// Prompt tokens that the engine has still to read for them.
   std::uint64_t unread_tokens = 0;
-  /// How strongly the process wants to avoid the engine: by how many milliseconds an answer is overdue, or how long it is
-  /// still out of rotation. Over several processes, the greatest.
+  /// How strongly the process wants to avoid the engine: by how many milliseconds an answer is overdue, or how long it
+  /// is still out of rotation. Over several processes, the greatest.
   std::uint32_t avoid_ms = 0;
   bool operator==(const EngineShare&) const = default;
 };
--- a/src/request/exchange/prompt_shape.hpp
+++ b/src/request/exchange/prompt_shape.hpp
@@ -24,7 +24,8 @@
   std::uint32_t sharedTokens() const;
 };
 
-/// Reads "identifier:tokens,..." (identifiers in hex) and "prompt tokens,most tokens out". What is malformed is left out.
+/// Reads "identifier:tokens,..." (identifiers in hex) and "prompt tokens,most tokens out". What is malformed is left
+/// out.
 PromptShape parsePromptShape(std::string_view parts, std::string_view usage);
 
 }  // namespace hatchfork::request
