Keep the progress of running batch items in the store group

Change: the leader lets the group keep the text of running items every second, as what follows on what is kept; a new leader goes on after the last kept event; a result sends only what is missing, and its whole text again if that no longer fits.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kRetryAfterDecline = fromMillis(80);
 constexpr Duration kRetryAfterYield = fromMillis(400);
 constexpr Duration kYieldInterval = fromMillis(150);
+/// How often the progress of running items is kept.
+constexpr Duration kSaveInterval = fromMillis(1000);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
 /// Wall clocks may differ by this much; an item is given up only so much later than its retention.
 constexpr Duration kClockMargin = fromMillis(2500);
@@ -109,11 +111,48 @@
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
+    takeSavedProgress(*run);
     runs.emplace(item.id, run);
     queue_.push_back(run);
   }
 }
 
+/// Goes on from what the group keeps; what this process holds beyond it is not lost.
+void JobExecutor::takeSavedProgress(ItemRun& run) const {
+  const StoredJob* job = state_->find(run.job);
+  if (job == nullptr) return;
+  const auto kept = job->progress.find(run.item);
+  if (kept == job->progress.end()) return;
+  run.saved_event = kept->second.last_event;
+  run.saved_bytes = kept->second.text.size();
+  if (run.last_event && *run.last_event >= run.saved_event) return;
+  run.last_event = run.saved_event;
+  run.text = kept->second.text;
+  run.has_text = true;
+}
+
+void JobExecutor::saveProgress(Instant now) {
+  if (saving_ || now < next_save_) return;
+  next_save_ = now + kSaveInterval;
+  SaveProgress save;
+  std::vector<ItemPtr> saved;
+  for (const auto& [id, runs] : items_) {
+    for (const auto& [item, run] : runs) {
+      const bool has_news = run->running && run->last_event && *run->last_event > run->saved_event;
+      if (!has_news) continue;
+      save.items.push_back({id, item, run->saved_event, *run->last_event, run->text.substr(run->saved_bytes)});
+      saved.push_back(run);
+    }
+  }
+  if (save.items.empty()) return;
+  saving_ = true;
+  propose_(std::move(save), [this, alive = alive_, saved = std::move(saved)](bool) {
+    if (!*alive) return;
+    saving_ = false;
+    for (const ItemPtr& run : saved) takeSavedProgress(*run);
+  });
+}
+
 void JobExecutor::stopItems(const JobId& job) {
   const auto found = items_.find(job);
   if (found == items_.end()) return;
@@ -128,6 +167,7 @@
 void JobExecutor::tick(Instant now) {
   if (!leading_) return;
   yieldSlots(now);
+  saveProgress(now);
   pump();
   if (now < next_cleanup_) return;
   next_cleanup_ = now + kCleanupInterval;
@@ -350,6 +390,7 @@
       run->not_before = now + kRetryAfterFailure;
       // Without event identifiers a later run can't go on where this one broke off.
       if (!run->last_event) {
+        run->saved_bytes = 0;
         run->text.clear();
         run->has_text = false;
       }
@@ -361,13 +402,29 @@
 
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
   outcome == ItemOutcome::kCompleted ? ++counters_.completed : ++counters_.errored;
+  results_.push_back(resultOf(*run, outcome, /*whole_text=*/false));
+  proposeResults();
+}
+
+JobResult JobExecutor::resultOf(const ItemRun& run, ItemOutcome outcome, bool whole_text) const {
   JobResult result;
-  result.job = run->job;
-  result.result.id = run->item;
+  result.job = run.job;
+  result.result.id = run.item;
   result.result.outcome = outcome;
-  if (outcome == ItemOutcome::kCompleted) result.result.text = std::move(run->text);
-  results_.push_back(std::move(result));
-  proposeResults();
+  if (outcome == ItemOutcome::kErrored) return result;
+  result.after_event = whole_text ? 0 : run.saved_event;
+  result.result.text = whole_text ? run.text : run.text.substr(run.saved_bytes);
+  return result;
+}
+
+void JobExecutor::listAgain(const std::vector<JobResult>& proposed) {
+  for (const JobResult& entry : proposed) {
+    const auto runs = items_.find(entry.job);
+    if (runs == items_.end()) continue;
+    const auto run = runs->second.find(entry.result.id);
+    const bool passed_over = run != runs->second.end() && openJob(*run->second) != nullptr;
+    if (passed_over) results_.push_back(resultOf(*run->second, entry.result.outcome, /*whole_text=*/true));
+  }
 }
 
 /// One proposal at a time: what ends meanwhile shares the next one.
@@ -381,6 +438,7 @@
     // A result that was not taken is proposed again; one that was taken after all is passed over.
     if (!applied && leading_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
     if (!applied) return;
+    listAgain(*proposed);
     proposeResults();
   });
 }
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -77,6 +77,9 @@
     std::string text;
     bool has_text = false;
     std::optional<std::uint64_t> last_event;
+    /// How much of the text is kept by the group: up to which event, and how many bytes.
+    std::uint64_t saved_event = 0;
+    std::size_t saved_bytes = 0;
     /// Answers of 500.
     std::uint32_t failures = 0;
     std::uint32_t attempts = 0;
@@ -105,6 +108,12 @@
                                           const request::EngineChoice& choice) const;
   void finishRun(const ItemPtr& run, RunEnd end, const std::string& cause);
   void finishItem(const ItemPtr& run, ItemOutcome outcome);
+  JobResult resultOf(const ItemRun& run, ItemOutcome outcome, bool whole_text) const;
+  /// Proposes results again that were passed over, with their whole text.
+  void listAgain(const std::vector<JobResult>& proposed);
+  /// Lets the group keep how far the running items have got.
+  void saveProgress(Instant now);
+  void takeSavedProgress(ItemRun& run) const;
   /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
@@ -130,6 +139,8 @@
   std::size_t running_ = 0;
   std::vector<JobResult> results_;
   bool proposing_ = false;
+  bool saving_ = false;
+  Instant next_save_{};
   std::map<JobId, Instant> route_missing_since_;
   Instant next_cleanup_{};
   Instant next_yield_{};
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -11,9 +11,10 @@
 struct JobSnapshot {
   JobSubmission submission;
   std::vector<ItemResult> results;
+  std::vector<ItemProgress> progress;
   bool ended = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSnapshot, submission, results, ended)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSnapshot, submission, results, progress, ended)
 
 struct StateSnapshot {
   std::vector<JobSnapshot> jobs;
@@ -51,21 +52,47 @@
   for (const JobResult& entry : command.results) {
     const auto job = jobs_.find(entry.job);
     if (job == jobs_.end()) continue;
-    const auto open = job->second.open_items.find(entry.result.id);
-    if (open == job->second.open_items.end()) continue;
-    OpaqueItem& item = job->second.submission.items[open->second];
-    held_bytes_ -= item.body.size();
-    held_bytes_ += entry.result.text.size();
-    item.body = std::string();
-    item.headers.clear();
-    job->second.open_items.erase(open);
-    job->second.results.push_back(entry.result);
-    touched.insert(entry.job);
+    if (listResult(job->second, entry)) touched.insert(entry.job);
   }
   for (const JobId& job : touched) changed(job);
   return !touched.empty();
 }
 
+bool JobState::listResult(StoredJob& job, const JobResult& entry) {
+  const auto open = job.open_items.find(entry.result.id);
+  if (open == job.open_items.end()) return false;
+  const auto progress = job.progress.find(entry.result.id);
+  const std::uint64_t kept = progress == job.progress.end() ? 0 : progress->second.last_event;
+  if (entry.after_event != 0 && entry.after_event != kept) return false;
+  ItemResult result = entry.result;
+  if (entry.after_event != 0) result.text = progress->second.text + entry.result.text;
+  OpaqueItem& item = job.submission.items[open->second];
+  held_bytes_ -= item.body.size();
+  if (progress != job.progress.end()) held_bytes_ -= progress->second.text.size();
+  held_bytes_ += result.text.size();
+  item.body = std::string();
+  item.headers.clear();
+  job.open_items.erase(open);
+  job.progress.erase(result.id);
+  job.results.push_back(std::move(result));
+  return true;
+}
+
+bool JobState::applyOne(const SaveProgress& command) {
+  bool saved = false;
+  for (const ItemProgress& entry : command.items) {
+    const auto job = jobs_.find(entry.job);
+    if (job == jobs_.end() || !job->second.open_items.contains(entry.item)) continue;
+    StoredJob::Progress& progress = job->second.progress[entry.item];
+    if (progress.last_event != entry.after_event || entry.last_event <= entry.after_event) continue;
+    progress.last_event = entry.last_event;
+    progress.text += entry.text;
+    held_bytes_ += entry.text.size();
+    saved = true;
+  }
+  return saved;
+}
+
 bool JobState::applyOne(const EndJob& command) {
   const auto job = jobs_.find(command.job);
   if (job == jobs_.end() || job->second.ended) return false;
@@ -81,6 +108,7 @@
     if (job == jobs_.end()) continue;
     for (const OpaqueItem& item : job->second.submission.items) held_bytes_ -= item.body.size();
     for (const ItemResult& result : job->second.results) held_bytes_ -= result.text.size();
+    for (const auto& [item, progress] : job->second.progress) held_bytes_ -= progress.text.size();
     jobs_.erase(job);
     changed(id);
     dropped = true;
@@ -99,7 +127,15 @@
 
 std::string JobState::snapshot() const {
   StateSnapshot snapshot;
-  for (const auto& [id, job] : jobs_) snapshot.jobs.push_back({job.submission, job.results, job.ended});
+  for (const auto& [id, job] : jobs_) {
+    // In the order of the submission, since equal states must give equal bytes.
+    std::vector<ItemProgress> progress;
+    for (const OpaqueItem& item : job.submission.items) {
+      const auto kept = job.progress.find(item.id);
+      if (kept != job.progress.end()) progress.push_back({id, item.id, 0, kept->second.last_event, kept->second.text});
+    }
+    snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
+  }
   return encodeStruct(snapshot);
 }
 
@@ -118,6 +154,10 @@
       job.open_items.erase(result.id);
       held_bytes_ += result.text.size();
     }
+    for (ItemProgress& progress : entry.progress) {
+      held_bytes_ += progress.text.size();
+      job.progress[progress.item] = StoredJob::Progress{progress.last_event, std::move(progress.text)};
+    }
     changed(id);
   }
   return okStatus();
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -25,11 +25,33 @@
 
 struct JobResult {
   JobId job;
+  /// The text, or what follows on the progress that is kept up to `after_event`.
   ItemResult result;
+  /// Zero: the text is whole.
+  std::uint64_t after_event = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobResult, job, result)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobResult, job, result, after_event)
 
-/// Adds results to the lists of their jobs. An item that is listed already, or whose job is unknown, is passed over.
+/// How far an open item has got: the text that follows on what is kept up to `after_event`.
+struct ItemProgress {
+  JobId job;
+  std::string item;
+  std::uint64_t after_event = 0;
+  std::uint64_t last_event = 0;
+  std::string text;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, last_event, text)
+
+/// Keeps progress, so that a new leader goes on where the last one was. What does not follow on what is kept is passed
+/// over.
+struct SaveProgress {
+  static constexpr std::string_view kKind = "progress";
+  std::vector<ItemProgress> items;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SaveProgress, items)
+
+/// Adds results to the lists of their jobs. An item that is listed already, or whose job is unknown, is passed over,
+/// and so is a text that does not follow on the progress that is kept.
 struct ListResults {
   static constexpr std::string_view kKind = "list";
   std::vector<JobResult> results;
@@ -50,7 +72,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DropJobs, jobs)
 
-using JobCommand = std::variant<SubmitJob, ListResults, EndJob, DropJobs>;
+using JobCommand = std::variant<SubmitJob, ListResults, SaveProgress, EndJob, DropJobs>;
 
 /// A job and its list of results.
 struct StoredJob {
@@ -59,6 +81,12 @@
   std::vector<ItemResult> results;
   /// Position in `submission.items` of each item that is not listed, by its identifier.
   std::unordered_map<std::string, std::size_t> open_items;
+  /// Kept progress of open items; an item without any has no entry.
+  struct Progress {
+    std::uint64_t last_event = 0;
+    std::string text;
+  };
+  std::unordered_map<std::string, Progress> progress;
   bool ended = false;
 
   bool isFinished() const { return ended || open_items.empty(); }
@@ -86,6 +114,8 @@
  private:
   bool applyOne(const SubmitJob& command);
   bool applyOne(const ListResults& command);
+  bool listResult(StoredJob& job, const JobResult& entry);
+  bool applyOne(const SaveProgress& command);
   bool applyOne(const EndJob& command);
   bool applyOne(const DropJobs& command);
   void addJob(JobSubmission submission);
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -23,7 +23,12 @@
 }
 
 ListResults result(const std::string& id, int item, const std::string& text) {
-  return ListResults{{JobResult{JobId(id), {"item-" + std::to_string(item), ItemOutcome::kCompleted, text}}}};
+  return ListResults{{JobResult{JobId(id), {"item-" + std::to_string(item), ItemOutcome::kCompleted, text}, 0}}};
+}
+
+SaveProgress progress(const std::string& id, int item, std::uint64_t after, std::uint64_t last,
+                      const std::string& text) {
+  return SaveProgress{{ItemProgress{JobId(id), "item-" + std::to_string(item), after, last, text}}};
 }
 
 }  // namespace
@@ -51,6 +56,36 @@
   REQUIRE(apply(state, result("other", 1, "x")) == "unchanged");
 }
 
+TEST_CASE("progress is kept in order and joined to the text of the result", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 2)});
+  REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "changed");
+  // The same again, a gap and a step back change nothing.
+  REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "unchanged");
+  REQUIRE(apply(state, progress("j", 0, 5, 9, "x")) == "unchanged");
+  REQUIRE(apply(state, progress("j", 0, 3, 2, "x")) == "unchanged");
+  REQUIRE(apply(state, progress("j", 0, 3, 6, "\ntwo")) == "changed");
+  ListResults rest = result("j", 0, "\nthree");
+  rest.results[0].after_event = 3;
+  REQUIRE(apply(state, rest) == "unchanged");
+  rest.results[0].after_event = 6;
+  REQUIRE(apply(state, rest) == "changed");
+  REQUIRE(state.find(JobId("j"))->results[0].text == "one\ntwo\nthree");
+  REQUIRE(state.find(JobId("j"))->progress.empty());
+  REQUIRE(state.heldBytes() == 3 + 13);
+  // A listed item has no progress any more.
+  REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "unchanged");
+}
+
+TEST_CASE("a whole text goes before kept progress", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 1)});
+  apply(state, progress("j", 0, 0, 3, "one"));
+  apply(state, result("j", 0, "whole"));
+  REQUIRE(state.find(JobId("j"))->results[0].text == "whole");
+  REQUIRE(state.heldBytes() == 5);
+}
+
 TEST_CASE("a page of results has a bound but at least one result", "[store]") {
   JobState state;
   apply(state, SubmitJob{job("j", 3)});
@@ -76,12 +111,14 @@
   apply(state, SubmitJob{job("k", 1)});
   apply(state, result("j", 1, "done"));
   apply(state, EndJob{JobId("k")});
+  apply(state, progress("j", 2, 0, 4, "so far"));
   JobState other;
   REQUIRE(isOk(other.restore(state.snapshot())));
   REQUIRE(other.snapshot() == state.snapshot());
   REQUIRE(other.heldBytes() == state.heldBytes());
   REQUIRE(other.find(JobId("j"))->open_items.size() == 2);
   REQUIRE(other.find(JobId("j"))->submission.items[0].body == std::string("b\0y", 3));
+  REQUIRE(other.find(JobId("j"))->progress.at("item-2").text == "so far");
   REQUIRE(other.find(JobId("k"))->ended);
   REQUIRE_FALSE(isOk(other.restore("rubbish")));
 }
