Free the payloads of applied log entries; count failures of items over all leaders

Change: payloads above 1 KB of entries that are applied, durable and 32 behind are released and read from the file when a member that is far behind needs them; failures are kept with the progress. Tests: log_test 'a released entry', job_state_test 'failures of an item'.

--- a/src/process/consensus/log.cpp
+++ b/src/process/consensus/log.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view kSegmentPrefix = "log-";
 /// A segment is closed once it has grown beyond this.
 constexpr std::uint64_t kSegmentBytes = 1 << 20;
+/// Payloads from this size on are worth releasing.
+constexpr std::size_t kReleasedBytes = 1024;
 
 std::string segmentName(std::uint64_t number) {
   return fmt::format("{}{:020}", kSegmentPrefix, number);
@@ -81,11 +83,17 @@
     if (!isOk(cut)) return cut;
   }
   Segment segment{path, 0, records.whole_bytes};
+  const auto file = std::make_shared<const std::string>(path);
   for (const std::string_view body : records.bodies) {
     Result<LogEntry> entry = decodeStruct<LogEntry>(body);
     if (!isOk(entry)) return storageCorruptError(path, "a record is not a log entry: " + errorOf(entry).message);
     segment.highest_index = std::max(segment.highest_index, valueOf(entry).index);
-    const Status placed = place(valueOf(std::move(entry)), path);
+    Held held;
+    held.entry = valueOf(std::move(entry));
+    held.file = file;
+    held.offset = static_cast<std::uint64_t>(body.data() - bytes.data());
+    held.bytes = body.size();
+    const Status placed = place(std::move(held), path);
     if (!isOk(placed)) return placed;
   }
   segments_.push_back(segment);
@@ -93,7 +101,8 @@
   return okStatus();
 }
 
-Status Log::place(LogEntry entry, const std::string& file) {
+Status Log::place(Held held, const std::string& file) {
+  const LogEntry& entry = held.entry;
   if (entries_.empty() && entry.index != first_index_) {
     first_index_ = entry.index;
     base_term_.reset();
@@ -105,10 +114,41 @@
     base_term_.reset();
   }
   entries_.resize(entry.index - first_index_);
-  entries_.push_back(std::move(entry));
+  entries_.push_back(std::move(held));
   return okStatus();
 }
 
+Result<LogEntry> Log::read(LogIndex index) const {
+  const Held& held = entries_[index - first_index_];
+  if (!held.released) return held.entry;
+  const Result<std::string> body = disk_.readRange(*held.file, held.offset, held.bytes);
+  if (!isOk(body)) return errorOf(body);
+  Result<LogEntry> entry = decodeStruct<LogEntry>(valueOf(body));
+  const bool same = isOk(entry) && valueOf(entry).index == index && valueOf(entry).term == held.entry.term;
+  if (!same) return storageCorruptError(*held.file, "a record that was whole before cannot be read again");
+  return entry;
+}
+
+void Log::release(LogIndex index) {
+  const LogIndex last = std::min({index, synced_index_, lastIndex()});
+  for (LogIndex at = std::max(released_to_ + 1, first_index_); at <= last; ++at) {
+    Held& held = entries_[at - first_index_];
+    const bool large = held.entry.kind == EntryKind::kCommand && held.entry.payload.size() >= kReleasedBytes;
+    if (!large || !held.file || held.released) continue;
+    held.entry.payload = std::string();
+    held.released = true;
+  }
+  released_to_ = std::max(released_to_, last);
+}
+
+void Log::locatePending(const Segment& segment) {
+  const auto file = std::make_shared<const std::string>(segment.name);
+  for (auto held = entries_.rbegin(); held != entries_.rend() && !held->file; ++held) {
+    held->file = file;
+    held->offset += segment.bytes;
+  }
+}
+
 Term Log::lastTerm() const {
   return termAt(lastIndex()).value_or(0);
 }
@@ -130,9 +170,15 @@
   const LogIndex before = entry.index - 1;
   synced_index_ = std::min(synced_index_, before);
   batch_end_ = std::min(batch_end_, before);
+  released_to_ = std::min(released_to_, before);
   entries_.resize(entry.index - first_index_);
-  appendRecord(pending_, encodeStruct(entry));
-  entries_.push_back(std::move(entry));
+  const std::string body = encodeStruct(entry);
+  appendRecord(pending_, body);
+  Held held;
+  held.entry = std::move(entry);
+  held.offset = pending_.size() - body.size();
+  held.bytes = body.size();
+  entries_.push_back(std::move(held));
   startBatch();
 }
 
@@ -152,6 +198,7 @@
     fail(errorOf(written));
     return;
   }
+  locatePending(segment);
   segment.bytes += pending_.size();
   segment.highest_index = std::max(segment.highest_index, lastIndex());
   pending_.clear();
@@ -181,6 +228,7 @@
 
 Status Log::resetTo(LogIndex base, Term base_term) {
   entries_.clear();
+  released_to_ = 0;
   pending_.clear();
   first_index_ = base + 1;
   base_term_ = base_term;
--- a/src/process/consensus/log.hpp
+++ b/src/process/consensus/log.hpp
@@ -15,6 +15,7 @@
 namespace hatchfork::consensus {
 
 /// The replicated log: entries in memory, and the same entries in append-only segment files `<folder>/log-<number>`.
+/// Large payloads of entries that are hardly asked for any more may be released; they are read from the file then.
 ///
 /// A record whose index is not above the last one replaces it and all that follow, so conflicting entries are
 /// overwritten by appending and no file is ever cut while in use. Entries appended while a sync runs are written
@@ -42,8 +43,12 @@
   LogIndex syncedIndex() const { return synced_index_; }
   /// Known for held entries and for the entry right before the first one.
   std::optional<Term> termAt(LogIndex index) const;
-  /// `index` must be held.
-  const LogEntry& at(LogIndex index) const { return entries_[index - first_index_]; }
+  /// `index` must be held, and not released.
+  const LogEntry& at(LogIndex index) const { return entries_[index - first_index_].entry; }
+  /// The entry, also where its payload was released. `index` must be held.
+  Result<LogEntry> read(LogIndex index) const;
+  /// Frees large payloads of commands that are durable, up to this index.
+  void release(LogIndex index);
   std::uint64_t diskBytes() const;
 
   /// Adds an entry at its index; entries from there on are replaced. Durable after a later `synced` callback.
@@ -54,6 +59,14 @@
   Status compactBefore(LogIndex index);
 
  private:
+  /// An entry, and where its record's body stands once it has been written.
+  struct Held {
+    LogEntry entry;
+    std::shared_ptr<const std::string> file;
+    std::uint64_t offset = 0;
+    std::size_t bytes = 0;
+    bool released = false;
+  };
   struct Segment {
     std::string name;
     LogIndex highest_index = 0;
@@ -63,7 +76,9 @@
   Log(Disk& disk, std::string folder, Callbacks callbacks);
   Status load(LogIndex base, Term base_term);
   Status loadSegment(const std::string& name, bool last);
-  Status place(LogEntry entry, const std::string& file);
+  Status place(Held held, const std::string& file);
+  /// Tells the entries of the batch that is written now where they stand.
+  void locatePending(const Segment& segment);
   void startBatch();
   void finishBatch(const Status& status);
   void fail(const Error& error);
@@ -72,7 +87,8 @@
   Disk& disk_;
   std::string folder_;
   Callbacks callbacks_;
-  std::deque<LogEntry> entries_;
+  std::deque<Held> entries_;
+  LogIndex released_to_ = 0;
   LogIndex first_index_ = 1;
   /// Term of the entry before `first_index_`; absent when it is not known.
   std::optional<Term> base_term_ = 0;
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -14,6 +14,8 @@
 /// Unacknowledged requests to one peer: limits of count and of payload bytes.
 constexpr std::size_t kMostRequestsInFlight = 16;
 constexpr std::uint64_t kMostBytesInFlight = 2 * 1024 * 1024;
+/// Applied entries whose payloads stay in memory for members that are a little behind.
+constexpr LogIndex kEntriesKeptInMemory = 32;
 /// Heartbeat intervals without progress after which a peer is probed anew.
 constexpr int kResendIntervals = 3;
 
@@ -86,7 +88,12 @@
   LogIndex index = progress.next;
   while (index <= log_->lastIndex() && request.entries.size() < kMostEntriesPerRequest &&
          bytes < kMostBytesPerRequest) {
-    request.entries.push_back(log_->at(index));
+    Result<LogEntry> entry = log_->read(index);
+    if (!isOk(entry)) {
+      setFault(errorOf(entry));
+      return;
+    }
+    request.entries.push_back(valueOf(std::move(entry)));
     bytes += request.entries.back().payload.size();
     ++index;
   }
@@ -217,6 +224,8 @@
     applyEntry(log_->at(applied_));
   }
   if (fault_) return;
+  // Members that are far behind are served from the file.
+  if (applied_ > kEntriesKeptInMemory) log_->release(applied_ - kEntriesKeptInMemory);
   completeFollowerReads();
   if (role_ == Role::kLeader) {
     tryTransfer();
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -125,6 +125,8 @@
   if (kept == job->progress.end()) return;
   run.saved_event = kept->second.last_event;
   run.saved_bytes = kept->second.text.size();
+  run.failures = std::max(run.failures, kept->second.failures);
+  if (run.saved_event == 0) return;
   if (run.last_event && *run.last_event >= run.saved_event) return;
   run.last_event = run.saved_event;
   run.text = kept->second.text;
@@ -140,7 +142,8 @@
     for (const auto& [item, run] : runs) {
       const bool has_news = run->running && run->last_event && *run->last_event > run->saved_event;
       if (!has_news) continue;
-      save.items.push_back({id, item, run->saved_event, *run->last_event, run->text.substr(run->saved_bytes)});
+      save.items.push_back(
+          {id, item, run->saved_event, *run->last_event, run->text.substr(run->saved_bytes), run->failures});
       saved.push_back(run);
     }
   }
@@ -376,6 +379,7 @@
         return;
       }
       run->not_before = now + kRetryAfterFailure;
+      saveFailure(*run);
       break;
     }
     case RunEnd::kDeclined:
@@ -401,6 +405,13 @@
   queue_.push_front(run);
 }
 
+/// A new leader must not give the item as many runs again.
+void JobExecutor::saveFailure(const ItemRun& run) {
+  SaveProgress save;
+  save.items.push_back({run.job, run.item, run.saved_event, run.saved_event, "", run.failures});
+  propose_(std::move(save), [](bool) {});
+}
+
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
   outcome == ItemOutcome::kCompleted ? ++counters_.completed : ++counters_.errored;
   results_.push_back(resultOf(*run, outcome, /*whole_text=*/false));
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -113,6 +113,7 @@
   void listAgain(const std::vector<JobResult>& proposed);
   /// Lets the group keep how far the running items have got.
   void saveProgress(Instant now);
+  void saveFailure(const ItemRun& run);
   void takeSavedProgress(ItemRun& run) const;
   /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
   void yieldSlots(Instant now);
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -1,5 +1,6 @@
 #include "process/store/job_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/codec.hpp"
@@ -84,6 +85,8 @@
     const auto job = jobs_.find(entry.job);
     if (job == jobs_.end() || !job->second.open_items.contains(entry.item)) continue;
     StoredJob::Progress& progress = job->second.progress[entry.item];
+    saved = saved || entry.failures > progress.failures;
+    progress.failures = std::max(progress.failures, entry.failures);
     if (progress.last_event != entry.after_event || entry.last_event <= entry.after_event) continue;
     progress.last_event = entry.last_event;
     progress.text += entry.text;
@@ -132,7 +135,9 @@
     std::vector<ItemProgress> progress;
     for (const OpaqueItem& item : job.submission.items) {
       const auto kept = job.progress.find(item.id);
-      if (kept != job.progress.end()) progress.push_back({id, item.id, 0, kept->second.last_event, kept->second.text});
+      if (kept != job.progress.end()) {
+        progress.push_back({id, item.id, 0, kept->second.last_event, kept->second.text, kept->second.failures});
+      }
     }
     snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
   }
@@ -156,7 +161,8 @@
     }
     for (ItemProgress& progress : entry.progress) {
       held_bytes_ += progress.text.size();
-      job.progress[progress.item] = StoredJob::Progress{progress.last_event, std::move(progress.text)};
+      job.progress[progress.item] =
+          StoredJob::Progress{progress.last_event, std::move(progress.text), progress.failures};
     }
     changed(id);
   }
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -39,8 +39,10 @@
   std::uint64_t after_event = 0;
   std::uint64_t last_event = 0;
   std::string text;
+  /// Runs that ended with a failure of the item itself, over all leaders.
+  std::uint32_t failures = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, last_event, text)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, last_event, text, failures)
 
 /// Keeps progress, so that a new leader goes on where the last one was. What does not follow on what is kept is passed
 /// over.
@@ -85,6 +87,7 @@
   struct Progress {
     std::uint64_t last_event = 0;
     std::string text;
+    std::uint32_t failures = 0;
   };
   std::unordered_map<std::string, Progress> progress;
   bool ended = false;
--- a/tests/process/consensus/log_test.cpp
+++ b/tests/process/consensus/log_test.cpp
@@ -81,6 +81,38 @@
   CHECK(log->syncedIndex() == 3);
 }
 
+TEST_CASE("a released entry is read from the file, also after more were appended, replaced or read again",
+          "[consensus]") {
+  LogOnDisk files;
+  auto log = files.open();
+  const std::string large(5000, 'x');
+  for (LogIndex index = 1; index <= 40; ++index) {
+    log->append(LogEntry{index, 1, EntryKind::kCommand, large + std::to_string(index)});
+    if (index % 7 == 0) files.sync();
+  }
+  log->release(30);
+  files.sync();
+  log->release(30);
+  CHECK(log->at(30).payload.empty());
+  CHECK(log->at(31).payload == large + "31");
+  for (LogIndex index = 1; index <= 40; ++index)
+    CHECK(valueOf(log->read(index)).payload == large + std::to_string(index));
+  // Entries from 20 on are replaced, released ones among them.
+  for (LogIndex index = 20; index <= 25; ++index) {
+    log->append(LogEntry{index, 2, EntryKind::kCommand, large + "new" + std::to_string(index)});
+  }
+  files.sync();
+  log->release(25);
+  CHECK(valueOf(log->read(19)).payload == large + "19");
+  CHECK(valueOf(log->read(23)).payload == large + "new23");
+  log = files.open();
+  files.sync();
+  log->release(25);
+  CHECK(log->at(23).payload.empty());
+  CHECK(valueOf(log->read(23)).payload == large + "new23");
+  CHECK(valueOf(log->read(2)).term == 1);
+}
+
 TEST_CASE("a crash loses only what was not synced", "[consensus]") {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     LogOnDisk files(seed);
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -28,7 +28,7 @@
 
 SaveProgress progress(const std::string& id, int item, std::uint64_t after, std::uint64_t last,
                       const std::string& text) {
-  return SaveProgress{{ItemProgress{JobId(id), "item-" + std::to_string(item), after, last, text}}};
+  return SaveProgress{{ItemProgress{JobId(id), "item-" + std::to_string(item), after, last, text, 0}}};
 }
 
 }  // namespace
@@ -77,6 +77,18 @@
   REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "unchanged");
 }
 
+TEST_CASE("failures of an item are counted over all leaders", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 1)});
+  SaveProgress failed = progress("j", 0, 0, 0, "");
+  failed.items[0].failures = 2;
+  REQUIRE(apply(state, failed) == "changed");
+  failed.items[0].failures = 1;
+  REQUIRE(apply(state, failed) == "unchanged");
+  REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "changed");
+  REQUIRE(state.find(JobId("j"))->progress.at("item-0").failures == 2);
+}
+
 TEST_CASE("a whole text goes before kept progress", "[store]") {
   JobState state;
   apply(state, SubmitJob{job("j", 1)});
