Keep a connection until its cancelled read has ended; join texts of one chain of runs only

Test: engine_exchange_test, the two that cancel (the damage itself shows under the address sanitizer). Change: progress names its chain; only the chain that kept it may go on from it, others list their whole text. Test: job_state_test, 'texts of different chains of runs are never joined'.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -149,7 +149,10 @@
   void cancel() override {
     cancelled_ = true;
     timer_.cancel();
-    close();
+    // A read that is under way ends with an error later, and still uses the buffer then: the connection itself must stay
+    // until its coroutine has gone on.
+    boost::system::error_code ignored;
+    if (connection_) connection_->socket.close(ignored);
   }
 
   bool reused() const override { return reused_; }
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -60,7 +60,8 @@
       propose_(std::move(propose)),
       engines_(context),
       selector_(options_.seed),
-      split_(options_.seed) {}
+      split_(options_.seed),
+      chains_(options_.seed) {}
 
 JobExecutor::~JobExecutor() {
   *alive_ = false;
@@ -111,28 +112,43 @@
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
-    takeSavedProgress(*run);
+    run->chain = chains_() >> 11;
+    loadSavedProgress(*run);
     runs.emplace(item.id, run);
     queue_.push_back(run);
   }
 }
 
-/// Goes on from what the group keeps; what this process holds beyond it is not lost.
-void JobExecutor::takeSavedProgress(ItemRun& run) const {
+/// A new chain goes on from what the group keeps.
+void JobExecutor::loadSavedProgress(ItemRun& run) const {
   const StoredJob* job = state_->find(run.job);
-  if (job == nullptr) return;
   const auto kept = job->progress.find(run.item);
   if (kept == job->progress.end()) return;
+  run.failures = kept->second.failures;
+  if (kept->second.last_event == 0) return;
   run.saved_event = kept->second.last_event;
   run.saved_bytes = kept->second.text.size();
-  run.failures = std::max(run.failures, kept->second.failures);
-  if (run.saved_event == 0) return;
-  if (run.last_event && *run.last_event >= run.saved_event) return;
+  run.saved_chain = kept->second.chain;
   run.last_event = run.saved_event;
   run.text = kept->second.text;
   run.has_text = true;
 }
 
+/// After a save: what an earlier leadership kept late makes this chain one of its own.
+void JobExecutor::noteSavedProgress(ItemRun& run) const {
+  const StoredJob* job = state_->find(run.job);
+  if (job == nullptr) return;
+  const auto kept = job->progress.find(run.item);
+  if (kept == job->progress.end()) return;
+  if (kept->second.chain == run.chain) {
+    run.saved_event = kept->second.last_event;
+    run.saved_bytes = kept->second.text.size();
+    run.saved_chain = run.chain;
+    return;
+  }
+  run.diverged = run.diverged || kept->second.chain != run.saved_chain || kept->second.last_event != run.saved_event;
+}
+
 void JobExecutor::saveProgress(Instant now) {
   if (saving_ || now < next_save_) return;
   next_save_ = now + kSaveInterval;
@@ -140,10 +156,10 @@
   std::vector<ItemPtr> saved;
   for (const auto& [id, runs] : items_) {
     for (const auto& [item, run] : runs) {
-      const bool has_news = run->running && run->last_event && *run->last_event > run->saved_event;
+      const bool has_news = run->running && !run->diverged && run->last_event && *run->last_event > run->saved_event;
       if (!has_news) continue;
-      save.items.push_back(
-          {id, item, run->saved_event, *run->last_event, run->text.substr(run->saved_bytes), run->failures});
+      save.items.push_back({id, item, run->saved_event, run->saved_chain, *run->last_event, run->chain,
+                            run->text.substr(run->saved_bytes), run->failures});
       saved.push_back(run);
     }
   }
@@ -152,7 +168,7 @@
   propose_(std::move(save), [this, alive = alive_, saved = std::move(saved)](bool) {
     if (!*alive) return;
     saving_ = false;
-    for (const ItemPtr& run : saved) takeSavedProgress(*run);
+    for (const ItemPtr& run : saved) noteSavedProgress(*run);
   });
 }
 
@@ -408,7 +424,8 @@
 /// A new leader must not give the item as many runs again.
 void JobExecutor::saveFailure(const ItemRun& run) {
   SaveProgress save;
-  save.items.push_back({run.job, run.item, run.saved_event, run.saved_event, "", run.failures});
+  save.items.push_back(
+      {run.job, run.item, run.saved_event, run.saved_chain, run.saved_event, run.chain, "", run.failures});
   propose_(std::move(save), [](bool) {});
 }
 
@@ -424,8 +441,10 @@
   result.result.id = run.item;
   result.result.outcome = outcome;
   if (outcome == ItemOutcome::kErrored) return result;
-  result.after_event = whole_text ? 0 : run.saved_event;
-  result.result.text = whole_text ? run.text : run.text.substr(run.saved_bytes);
+  const bool whole = whole_text || run.diverged || run.saved_event == 0;
+  result.after_event = whole ? 0 : run.saved_event;
+  result.after_chain = whole ? 0 : run.saved_chain;
+  result.result.text = whole ? run.text : run.text.substr(run.saved_bytes);
   return result;
 }
 
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,6 +81,11 @@
     /// How much of the text is kept by the group: up to which event, and how many bytes.
     std::uint64_t saved_event = 0;
     std::size_t saved_bytes = 0;
+    /// Who kept that, and the name of this chain of runs.
+    std::uint64_t saved_chain = 0;
+    std::uint64_t chain = 0;
+    /// The group keeps progress of another chain: this one is listed with its whole text.
+    bool diverged = false;
     /// Answers of 500.
     std::uint32_t failures = 0;
     std::uint32_t attempts = 0;
@@ -114,7 +120,8 @@
   /// Lets the group keep how far the running items have got.
   void saveProgress(Instant now);
   void saveFailure(const ItemRun& run);
-  void takeSavedProgress(ItemRun& run) const;
+  void loadSavedProgress(ItemRun& run) const;
+  void noteSavedProgress(ItemRun& run) const;
   /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
@@ -142,6 +149,7 @@
   bool proposing_ = false;
   bool saving_ = false;
   Instant next_save_{};
+  std::mt19937_64 chains_;
   std::map<JobId, Instant> route_missing_since_;
   Instant next_cleanup_{};
   Instant next_yield_{};
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -63,8 +63,11 @@
   const auto open = job.open_items.find(entry.result.id);
   if (open == job.open_items.end()) return false;
   const auto progress = job.progress.find(entry.result.id);
-  const std::uint64_t kept = progress == job.progress.end() ? 0 : progress->second.last_event;
-  if (entry.after_event != 0 && entry.after_event != kept) return false;
+  if (entry.after_event != 0) {
+    const bool follows = progress != job.progress.end() && progress->second.last_event == entry.after_event &&
+                         progress->second.chain == entry.after_chain;
+    if (!follows) return false;
+  }
   ItemResult result = entry.result;
   if (entry.after_event != 0) result.text = progress->second.text + entry.result.text;
   OpaqueItem& item = job.submission.items[open->second];
@@ -87,8 +90,10 @@
     StoredJob::Progress& progress = job->second.progress[entry.item];
     saved = saved || entry.failures > progress.failures;
     progress.failures = std::max(progress.failures, entry.failures);
-    if (progress.last_event != entry.after_event || entry.last_event <= entry.after_event) continue;
+    const bool follows = progress.last_event == entry.after_event && progress.chain == entry.after_chain;
+    if (!follows || entry.last_event <= entry.after_event) continue;
     progress.last_event = entry.last_event;
+    progress.chain = entry.chain;
     progress.text += entry.text;
     held_bytes_ += entry.text.size();
     saved = true;
@@ -136,7 +141,8 @@
     for (const OpaqueItem& item : job.submission.items) {
       const auto kept = job.progress.find(item.id);
       if (kept != job.progress.end()) {
-        progress.push_back({id, item.id, 0, kept->second.last_event, kept->second.text, kept->second.failures});
+        progress.push_back(
+            {id, item.id, 0, 0, kept->second.last_event, kept->second.chain, kept->second.text, kept->second.failures});
       }
     }
     snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
@@ -162,7 +168,7 @@
     for (ItemProgress& progress : entry.progress) {
       held_bytes_ += progress.text.size();
       job.progress[progress.item] =
-          StoredJob::Progress{progress.last_event, std::move(progress.text), progress.failures};
+          StoredJob::Progress{progress.last_event, progress.chain, std::move(progress.text), progress.failures};
     }
     changed(id);
   }
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -29,20 +29,26 @@
   ItemResult result;
   /// Zero: the text is whole.
   std::uint64_t after_event = 0;
+  /// The chain of runs whose progress is kept up to there.
+  std::uint64_t after_chain = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobResult, job, result, after_event)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobResult, job, result, after_event, after_chain)
 
-/// How far an open item has got: the text that follows on what is kept up to `after_event`.
+/// How far an open item has got: the text that follows on what is kept up to `after_event` by the chain `after_chain`.
+/// A chain is a series of runs each of which was asked to go on after the last event of the one before; texts of
+/// different chains are never joined in the middle.
 struct ItemProgress {
   JobId job;
   std::string item;
   std::uint64_t after_event = 0;
+  std::uint64_t after_chain = 0;
   std::uint64_t last_event = 0;
+  std::uint64_t chain = 0;
   std::string text;
   /// Runs that ended with a failure of the item itself, over all leaders.
   std::uint32_t failures = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, last_event, text, failures)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, after_chain, last_event, chain, text, failures)
 
 /// Keeps progress, so that a new leader goes on where the last one was. What does not follow on what is kept is passed
 /// over.
@@ -86,6 +92,8 @@
   /// Kept progress of open items; an item without any has no entry.
   struct Progress {
     std::uint64_t last_event = 0;
+    /// Who kept it last.
+    std::uint64_t chain = 0;
     std::string text;
     std::uint32_t failures = 0;
   };
--- /dev/null
+++ b/tests/connection/engine_exchange_test.cpp
@@ -0,0 +1,161 @@
+#include "connection/engine_exchange.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hatchfork;
+using namespace hatchfork::connection;
+
+namespace {
+
+/// An engine on loopback that answers each connection with given bytes, and then stays silent.
+class ScriptedEngine {
+ public:
+  ScriptedEngine(asio::io_context& context, std::string answer)
+      : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), answer_(std::move(answer)) {
+    accept();
+  }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::size_t accepted() const { return sockets_.size(); }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      auto held = std::make_shared<tcp::socket>(std::move(socket));
+      sockets_.push_back(held);
+      auto request = std::make_shared<std::string>();
+      asio::async_read_until(*held, asio::dynamic_buffer(*request), "\r\n\r\n",
+                             [this, held, request](boost::system::error_code, std::size_t) {
+                               asio::async_write(*held, asio::buffer(answer_),
+                                                 [held](boost::system::error_code, std::size_t) {});
+                             });
+      accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::string answer_;
+  std::vector<std::shared_ptr<tcp::socket>> sockets_;
+};
+
+EngineRequest requestTo(const ScriptedEngine& engine) {
+  EngineRequest request;
+  request.engine = EngineId("e");
+  request.endpoint = Endpoint{"127.0.0.1", engine.port()};
+  request.method = "GET";
+  request.target = "/";
+  request.echo_name = "X-Id";
+  request.echo_value = "r1";
+  return request;
+}
+
+/// What became of one request, its body included.
+struct Outcome {
+  bool answered = false;
+  bool whole = false;
+  bool framed = false;
+  std::string body;
+  ExchangeFailure failure;
+};
+
+Awaitable<void> exchange(EngineClient& client, EngineRequest request, std::shared_ptr<ExchangeControl> control,
+                         Duration time, Outcome& outcome) {
+  const Instant deadline = monotonicNow() + time;
+  ExchangeStart started = co_await client.open(std::move(request), deadline, control);
+  if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
+    outcome.failure = *failure;
+    co_return;
+  }
+  auto running = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
+  outcome.answered = true;
+  while (true) {
+    AnswerPiece piece = co_await running->read(deadline);
+    if (auto* failure = std::get_if<ExchangeFailure>(&piece)) {
+      outcome.failure = *failure;
+      co_return;
+    }
+    if (auto* end = std::get_if<EndOfAnswer>(&piece)) {
+      outcome.whole = true;
+      outcome.framed = end->framed;
+      co_return;
+    }
+    outcome.body += std::get<std::string>(piece);
+  }
+}
+
+Outcome play(const std::string& answer, Duration cancel_after, int times = 1) {
+  asio::io_context context;
+  ScriptedEngine engine(context, answer);
+  EngineClient client(context);
+  Outcome outcome;
+  for (int i = 0; i < times; ++i) {
+    outcome = Outcome();
+    auto control = std::make_shared<ExchangeControl>();
+    asio::co_spawn(context, exchange(client, requestTo(engine), control, std::chrono::seconds(5), outcome),
+                   [&context](const std::exception_ptr&) { context.stop(); });
+    asio::steady_timer timer(context);
+    if (cancel_after > Duration::zero()) {
+      timer.expires_after(cancel_after);
+      timer.async_wait([control](boost::system::error_code error) {
+        if (!error && control->cancel) control->cancel();
+      });
+    }
+    context.restart();
+    context.run();
+  }
+  return outcome;
+}
+
+}  // namespace
+
+TEST_CASE("an answer is taken whole if it echoes the request's identifier", "[exchange]") {
+  const Outcome outcome = play("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", Duration::zero());
+  REQUIRE(outcome.whole);
+  REQUIRE(outcome.framed);
+  REQUIRE(outcome.body == "body");
+}
+
+TEST_CASE("a surplus answer in front is read and dropped", "[exchange]") {
+  const Outcome outcome = play(
+      "HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: "
+      "4\r\n\r\n"
+      "body",
+      Duration::zero());
+  REQUIRE(outcome.whole);
+  REQUIRE(outcome.body == "body");
+}
+
+TEST_CASE("bytes that are no answer may have run", "[exchange]") {
+  const Outcome outcome = play("rubbish\r\n\r\n", Duration::zero());
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+}
+
+TEST_CASE("an exchange can be cancelled while it waits for its answer", "[exchange]") {
+  const Outcome outcome = play("", fromMillis(20), 20);
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.cause == "cancelled");
+  REQUIRE(outcome.failure.may_have_run);
+}
+
+TEST_CASE("an exchange can be cancelled in the middle of its answer", "[exchange]") {
+  const Outcome outcome =
+      play("HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", fromMillis(20), 20);
+  REQUIRE(outcome.answered);
+  REQUIRE_FALSE(outcome.whole);
+  REQUIRE(outcome.body == "body");
+  REQUIRE(outcome.failure.cause == "cancelled");
+}
+
+TEST_CASE("a request that reaches nobody has surely not run", "[exchange]") {
+  asio::io_context context;
+  EngineClient client(context);
+  EngineRequest request;
+  request.engine = EngineId("e");
+  request.endpoint = Endpoint{"127.0.0.1", 1};
+  Outcome outcome;
+  asio::co_spawn(context, exchange(client, std::move(request), nullptr, std::chrono::seconds(2), outcome),
+                 asio::detached);
+  context.run();
+  REQUIRE_FALSE(outcome.failure.may_have_run);
+}
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::uint64_t kChain = 77;
+
 std::string apply(JobState& state, const JobCommand& command) {
   return state.apply(1, encodeTagged(command));
 }
@@ -23,12 +25,13 @@
 }
 
 ListResults result(const std::string& id, int item, const std::string& text) {
-  return ListResults{{JobResult{JobId(id), {"item-" + std::to_string(item), ItemOutcome::kCompleted, text}, 0}}};
+  return ListResults{{JobResult{JobId(id), {"item-" + std::to_string(item), ItemOutcome::kCompleted, text}, 0, 0}}};
 }
 
 SaveProgress progress(const std::string& id, int item, std::uint64_t after, std::uint64_t last,
                       const std::string& text) {
-  return SaveProgress{{ItemProgress{JobId(id), "item-" + std::to_string(item), after, last, text, 0}}};
+  return SaveProgress{{ItemProgress{JobId(id), "item-" + std::to_string(item), after, after == 0 ? 0u : kChain, last,
+                                    kChain, text, 0}}};
 }
 
 }  // namespace
@@ -67,6 +70,7 @@
   REQUIRE(apply(state, progress("j", 0, 3, 6, "\ntwo")) == "changed");
   ListResults rest = result("j", 0, "\nthree");
   rest.results[0].after_event = 3;
+  rest.results[0].after_chain = kChain;
   REQUIRE(apply(state, rest) == "unchanged");
   rest.results[0].after_event = 6;
   REQUIRE(apply(state, rest) == "changed");
@@ -77,6 +81,24 @@
   REQUIRE(apply(state, progress("j", 0, 0, 3, "one")) == "unchanged");
 }
 
+TEST_CASE("texts of different chains of runs are never joined", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 1)});
+  apply(state, progress("j", 0, 0, 3, "one"));
+  // A new chain began after event 3; then a late save of the old chain is applied.
+  apply(state, progress("j", 0, 3, 9, "old"));
+  SaveProgress late = progress("j", 0, 3, 9, "new");
+  late.items[0].chain = 88;
+  REQUIRE(apply(state, late) == "unchanged");
+  ListResults rest = result("j", 0, "end");
+  rest.results[0].after_event = 9;
+  rest.results[0].after_chain = 88;
+  REQUIRE(apply(state, rest) == "unchanged");
+  rest.results[0].after_event = 0;
+  REQUIRE(apply(state, rest) == "changed");
+  REQUIRE(state.find(JobId("j"))->results[0].text == "end");
+}
+
 TEST_CASE("failures of an item are counted over all leaders", "[store]") {
   JobState state;
   apply(state, SubmitJob{job("j", 1)});
