--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -20,7 +20,7 @@
 /// A connection that the engine closes after some idle seconds is not used in the last of them.
 constexpr Duration kIdleMargin = fromMillis(700);
 constexpr std::size_t kMostIdlePerEngine = 64;
-constexpr std::size_t kPieceBytes = 16384;
+constexpr std::size_t kPieceBytes = 4096;
 constexpr std::uint32_t kLargestHead = 64u << 10;
 
 /// A connection with the bytes read ahead of the parser. Shared with the write that may be under way.
@@ -149,8 +149,8 @@
   void cancel() override {
     cancelled_ = true;
     timer_.cancel();
-    // A read that is under way ends with an error later, and still uses the buffer then: the connection itself must stay
-    // until its coroutine has gone on.
+    // A read that is under way ends with an error later, and still uses the buffer then: the connection itself must
+    // stay until its coroutine has gone on.
     boost::system::error_code ignored;
     if (connection_) connection_->socket.close(ignored);
   }
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMostBytesPerRequest = 256 * 1024;
 /// Unacknowledged requests to one peer: limits of count and of payload bytes.
 constexpr std::size_t kMostRequestsInFlight = 16;
-constexpr std::uint64_t kMostBytesInFlight = 2 * 1024 * 1024;
+constexpr std::uint64_t kMostBytesInFlight = 768 * 1024;
 /// Applied entries whose payloads stay in memory for members that are a little behind.
 constexpr LogIndex kEntriesKeptInMemory = 32;
 /// Heartbeat intervals without progress after which a peer is probed anew.
--- a/src/process/fleet/fleet_settings.hpp
+++ b/src/process/fleet/fleet_settings.hpp
@@ -49,6 +49,8 @@
   std::uint32_t tolerated_losses = 1;
   /// Longest time between the beats of an engine.
   Duration engine_beat{};
+  /// Memory that the process may use, in megabytes.
+  std::uint32_t memory_mb = 256;
   /// Time a planned stop may take.
   Duration grace{};
   std::optional<MetricsAddress> metrics;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -1,5 +1,7 @@
 #include "process/store/store_program.hpp"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -23,7 +25,13 @@
 constexpr Duration kProposalTimeout = fromMillis(2000);
 constexpr Duration kLeadershipHandOverTime = fromMillis(1500);
 constexpr std::size_t kMostResultBytes = 700u << 10;
-constexpr std::uint64_t kMostHeldBytes = 64u << 20;
+/// Share of the process's memory that bodies and texts may take; the log's tail, messages under way and their copies
+/// need the rest.
+constexpr double kHeldShare = 0.38;
+constexpr double kBytesPerMegabyte = 1 << 20;
+/// Each run holds its request, its text and buffers.
+constexpr std::size_t kRunsPerMegabyte = 2;
+constexpr Duration kTrimInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewestVoters = 3;
 
 }  // namespace
@@ -41,6 +49,8 @@
   JobExecutorOptions executor_options;
   executor_options.zone = settings_.zone;
   executor_options.seed = std::random_device()();
+  executor_options.most_running =
+      std::min<std::size_t>(executor_options.most_running, settings_.memory_mb * kRunsPerMegabyte);
   auto propose_command = [this](JobCommand command, std::function<void(bool)> done) {
     group_->propose(encodeTagged(command), kProposalTimeout, [done = std::move(done)](const ProposalOutcome& outcome) {
       done(outcome.result == ProposalResult::kApplied);
@@ -177,7 +187,7 @@
 }
 
 bool StoreProgram::mayStoreMore() const {
-  return state_->heldBytes() < kMostHeldBytes;
+  return static_cast<double>(state_->heldBytes()) < kHeldShare * settings_.memory_mb * kBytesPerMegabyte;
 }
 
 void StoreProgram::serve(SubmitJobRequest request, ReplyFunction reply) {
@@ -293,6 +303,11 @@
     executor_->tick(now);
     answerHeldReads(now);
     loads_.expire(now);
+    if (now >= next_trim_) {
+      next_trim_ = now + kTrimInterval;
+      // Large messages leave free memory behind that the allocator would keep.
+      ::malloc_trim(0);
+    }
     links_.dropUnused(now);
   }
 }
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -77,6 +77,7 @@
   request::LoadBoard loads_;
   std::list<HeldRead> held_reads_;
   std::set<JobId> changed_jobs_;
+  Instant next_trim_{};
   bool change_posted_ = false;
   bool stopping_ = false;
 };
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache mold pkg-config clang clang-format cppcheck curl python3
   libboost1.81-dev libfmt-dev nlohmann-json3-dev libcxxopts-dev libtomlplusplus-dev libxxhash-dev liblua5.4-dev
-  libssl-dev libspdlog-dev prometheus-cpp-dev catch2 librapidcheck-dev)
+  libssl-dev libspdlog-dev prometheus-cpp-dev catch2 librapidcheck-dev valgrind)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
