--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -10,6 +10,7 @@
 #include "common/codec.hpp"
 #include "common/ids.hpp"
 #include "process/consensus/replicated_group.hpp"
+#include "process/fleet/run_messages.hpp"
 #include "request/exchange/load_board.hpp"
 #include "version/engine_record.hpp"
 
@@ -158,6 +159,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadFrame, node, shares)
 
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
-                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadFrame>;
+                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadFrame, RunOrder, RunLease, RunReport>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -74,6 +74,7 @@
   bool isConfirmedLeader() const;
   consensus::GroupStatus status() const;
   std::optional<ReplicaId> leader() const;
+  consensus::Term term() const { return replica_ ? replica_->term() : 0; }
   /// Runs after each change of role, outcome or applied entry that this host has processed.
   void setProgressHandler(std::function<void()> on_progress) { on_progress_ = std::move(on_progress); }
 
--- /dev/null
+++ b/src/process/fleet/run_messages.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "request/exchange/engine_selector.hpp"
+#include "version/batch_submission.hpp"
+
+/// Frames between the leader of the store group, which decides where batch items run, and the stores that run them.
+///
+/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen, and breaks off
+/// what it runs once the leader has been silent for the time of the lease.
+namespace hatchfork::fleet {
+
+/// How a run of an item ended.
+enum class RunEnd : std::uint8_t {
+  /// The answer is whole.
+  kWhole,
+  /// The engine ran it and failed.
+  kFailed,
+  /// The engine says that it can never be done.
+  kImpossible,
+  /// The engine did not run it.
+  kDeclined,
+  /// Cut off; what has come is kept.
+  kBroken,
+  /// Broken off to make room for online requests.
+  kYielded,
+  /// Broken off since nobody wants it any more.
+  kStopped,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(RunEnd, {{RunEnd::kBroken, 4},
+                                      {RunEnd::kWhole, 0},
+                                      {RunEnd::kFailed, 1},
+                                      {RunEnd::kImpossible, 2},
+                                      {RunEnd::kDeclined, 3},
+                                      {RunEnd::kYielded, 5},
+                                      {RunEnd::kStopped, 6}})
+
+/// Run this item at this engine.
+struct RunOrder {
+  static constexpr std::string_view kKind = "ro";
+  ReplicaId from;
+  std::uint64_t term = 0;
+  /// Unique among the orders of one term.
+  std::uint64_t number = 0;
+  JobId job;
+  OpaqueItem item;
+  /// Host of the job's route.
+  std::string host;
+  EngineId engine;
+  std::string engine_address;
+  /// The engine is asked to go on after this event; zero for a run from the start.
+  std::uint64_t last_event = 0;
+  /// There is text already, so that what comes next follows on a line feed.
+  bool has_text = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunOrder, from, term, number, job, item, host, engine, engine_address, last_event,
+                                   has_text)
+
+/// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
+struct RunLease {
+  static constexpr std::string_view kKind = "rl";
+  ReplicaId from;
+  std::uint64_t term = 0;
+  std::vector<std::uint64_t> stopped;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunLease, from, term, stopped)
+
+/// What has come of one run since the last report.
+struct RunNews {
+  std::uint64_t number = 0;
+  /// Counts the news of this run from one, so that a lost report is noticed.
+  std::uint64_t sequence = 0;
+  /// Text to be added, and the event that it reaches up to; zero where events have no identifiers.
+  std::string text;
+  std::uint64_t last_event = 0;
+  bool ended = false;
+  RunEnd end = RunEnd::kBroken;
+  request::EngineVerdict verdict = request::EngineVerdict::kNeutral;
+  std::string cause;
+  /// Requests running and waiting and slots, as the engine told them with its answer; no slots where it did not.
+  std::uint32_t engine_running = 0;
+  std::uint32_t engine_waiting = 0;
+  std::uint32_t engine_slots = 0;
+};
+inline void to_json(nlohmann::json& json, const RunNews& news) {
+  json = nlohmann::json::array({news.number, news.sequence, news.text, news.last_event, news.ended, news.end,
+                                static_cast<unsigned>(news.verdict), news.cause, news.engine_running,
+                                news.engine_waiting, news.engine_slots});
+}
+inline void from_json(const nlohmann::json& json, RunNews& news) {
+  json.at(0).get_to(news.number);
+  json.at(1).get_to(news.sequence);
+  json.at(2).get_to(news.text);
+  json.at(3).get_to(news.last_event);
+  json.at(4).get_to(news.ended);
+  json.at(5).get_to(news.end);
+  news.verdict = static_cast<request::EngineVerdict>(json.at(6).get<unsigned>());
+  json.at(7).get_to(news.cause);
+  json.at(8).get_to(news.engine_running);
+  json.at(9).get_to(news.engine_waiting);
+  json.at(10).get_to(news.engine_slots);
+}
+
+/// What a store has to tell of the runs that it was ordered.
+struct RunReport {
+  static constexpr std::string_view kKind = "rr";
+  ReplicaId from;
+  /// Term of the orders.
+  std::uint64_t term = 0;
+  std::vector<RunNews> news;
+  /// All runs under way; an order that is neither here nor ended was lost.
+  std::vector<std::uint64_t> running;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, from, term, news, running)
+
+}  // namespace hatchfork::fleet
--- /dev/null
+++ b/src/process/store/item_runner.cpp
@@ -0,0 +1,252 @@
+#include "process/store/item_runner.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "common/log.hpp"
+#include "connection/event_stream.hpp"
+
+namespace hatchfork::store {
+
+using connection::AnswerPiece;
+using connection::Awaitable;
+using connection::EndOfAnswer;
+using connection::EngineExchange;
+using connection::ExchangeFailure;
+using connection::ExchangeStart;
+using connection::monotonicNow;
+using fleet::RunEnd;
+using request::EngineVerdict;
+
+namespace {
+
+/// Time that an engine is given for one run.
+constexpr Duration kRunTime = std::chrono::seconds(30);
+/// A run without its first event for this long is broken off.
+constexpr Duration kFirstEventTimeout = std::chrono::seconds(6);
+/// A run without a further event for this long is broken off.
+constexpr Duration kNextEventTimeout = std::chrono::seconds(3);
+/// Without a sign of life of the leader for this long, nobody is known to want what runs here.
+constexpr Duration kLease = fromMillis(1200);
+constexpr Duration kReportInterval = fromMillis(200);
+/// First events and ends are reported at once, together with others of the same moment.
+constexpr Duration kReportSoon = fromMillis(15);
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kMisdirected = 421;
+
+}  // namespace
+
+ItemRunner::ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self,
+                       ReportFunction report)
+    : context_(context),
+      dialect_(dialect),
+      self_(std::move(self)),
+      report_(std::move(report)),
+      engines_(context),
+      soon_(context) {}
+
+ItemRunner::~ItemRunner() {
+  *alive_ = false;
+}
+
+void ItemRunner::setLeader(const ReplicaId& leader, std::uint64_t term) {
+  leader_heard_at_ = monotonicNow();
+  if (term == term_ && leader == leader_) return;
+  stopAll();
+  leader_ = leader;
+  term_ = term;
+}
+
+void ItemRunner::take(fleet::RunOrder order) {
+  if (order.term < term_) return;
+  setLeader(order.from, order.term);
+  if (runs_.contains(order.number)) return;
+  auto run = std::make_shared<Run>();
+  run->news.number = order.number;
+  run->has_text = order.has_text;
+  run->last_event = order.last_event;
+  run->news.last_event = order.last_event;
+  run->order = std::move(order);
+  runs_.emplace(run->order.number, run);
+  connection::asio::co_spawn(context_, this->run(run), connection::asio::detached);
+}
+
+void ItemRunner::take(const fleet::RunLease& lease) {
+  if (lease.term < term_) return;
+  setLeader(lease.from, lease.term);
+  for (const std::uint64_t number : lease.stopped) stop(number);
+}
+
+void ItemRunner::stop(std::uint64_t number) {
+  const auto found = runs_.find(number);
+  if (found == runs_.end()) return;
+  const RunPtr run = found->second;
+  run->stopped = true;
+  runs_.erase(found);
+  if (run->control && run->control->cancel) run->control->cancel();
+}
+
+void ItemRunner::stopAll() {
+  for (const auto& [number, run] : std::exchange(runs_, {})) {
+    run->stopped = true;
+    if (run->control && run->control->cancel) run->control->cancel();
+  }
+  ended_.clear();
+}
+
+void ItemRunner::handBack() {
+  for (const auto& [number, run] : runs_) {
+    fleet::RunNews news = run->news;
+    ++news.sequence;
+    news.ended = true;
+    news.end = RunEnd::kBroken;
+    news.cause = "the store stops";
+    ended_.push_back(std::move(news));
+    run->stopped = true;
+    if (run->control && run->control->cancel) run->control->cancel();
+  }
+  runs_.clear();
+  report();
+}
+
+void ItemRunner::tick(Instant now) {
+  if (runs_.empty() && ended_.empty()) return;
+  if (now > leader_heard_at_ + kLease && leader_ != self_) {
+    logEvent(LogLevel::kWarning, "run_lease_ended", {{"leader", leader_.value}, {"running", runs_.size()}});
+    stopAll();
+    return;
+  }
+  if (now >= next_report_) report();
+}
+
+void ItemRunner::reportSoon() {
+  if (std::exchange(soon_armed_, true)) return;
+  soon_.expires_after(kReportSoon);
+  soon_.async_wait([this, alive = alive_](boost::system::error_code error) {
+    if (error || !*alive) return;
+    soon_armed_ = false;
+    report();
+  });
+}
+
+void ItemRunner::report() {
+  if (runs_.empty() && ended_.empty()) return;
+  next_report_ = monotonicNow() + kReportInterval;
+  fleet::RunReport report{self_, term_, std::exchange(ended_, {}), {}};
+  for (const auto& [number, run] : runs_) {
+    report.running.push_back(number);
+    if (!std::exchange(run->has_news, false)) continue;
+    ++run->news.sequence;
+    report.news.push_back(run->news);
+    run->news.text.clear();
+    run->news.engine_slots = 0;
+  }
+  report_(leader_, std::move(report));
+}
+
+connection::EngineRequest ItemRunner::engineRequest(Run& run) const {
+  const HeaderNames& names = dialect_.headers();
+  fleet::RunOrder& order = run.order;
+  connection::EngineRequest out;
+  out.engine = order.engine;
+  out.endpoint = connection::parseEndpoint(order.engine_address).value_or(connection::Endpoint{});
+  out.method = "POST";
+  out.target = order.item.target;
+  out.headers.push_back({"Host", order.host});
+  for (const ItemHeader& header : order.item.headers) out.headers.push_back({header.name, header.value});
+  out.headers.push_back({names.request_id, order.item.id});
+  out.headers.push_back({names.expected_engine, order.engine.value});
+  out.headers.push_back({names.remaining_ms, std::to_string(toMillis(kRunTime))});
+  if (order.last_event > 0) out.headers.push_back({names.last_event_id, std::to_string(order.last_event)});
+  // The leader keeps the body for a later run.
+  out.body = std::exchange(order.item.body, {});
+  out.echo_name = names.request_id;
+  out.echo_value = order.item.id;
+  return out;
+}
+
+Awaitable<void> ItemRunner::run(RunPtr run) {
+  const std::shared_ptr<bool> alive = alive_;
+  run->control = std::make_shared<connection::ExchangeControl>();
+  connection::EngineRequest sent = engineRequest(*run);
+  ExchangeStart started = co_await engines_.open(std::move(sent), monotonicNow() + kFirstEventTimeout, run->control);
+  if (!*alive) co_return;
+  run->news.end = RunEnd::kBroken;
+  if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
+    run->news.cause = failure->cause;
+    run->news.verdict = EngineVerdict::kFailed;
+  } else {
+    auto exchange = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
+    noteLoad(*run, *exchange);
+    co_await readAnswer(*run, *exchange);
+    // The wait before may have outlived this object, which the linter does not see.
+    if (!*alive) co_return;  // cppcheck-suppress identicalConditionAfterEarlyExit
+  }
+  finish(run);
+}
+
+void ItemRunner::noteLoad(Run& run, EngineExchange& exchange) const {
+  const auto load = request::parseEngineLoad(exchange.header(dialect_.headers().engine_load));
+  if (!load) return;
+  run.news.engine_running = load->running;
+  run.news.engine_waiting = load->waiting;
+  run.news.engine_slots = load->slots;
+}
+
+Awaitable<void> ItemRunner::readAnswer(Run& run, EngineExchange& exchange) {
+  const std::shared_ptr<bool> alive = alive_;
+  fleet::RunNews& news = run.news;
+  const unsigned status = exchange.status();
+  news.cause = fmt::format("status_{}", status);
+  const bool declined = status == kMisdirected || !exchange.header(dialect_.headers().not_executed).empty();
+  if (declined) {
+    news.verdict = status == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
+    news.end = RunEnd::kDeclined;
+  }
+  if (!declined && status == kUnprocessable) news.end = RunEnd::kImpossible;
+  if (!declined && status == kServerError) news.end = RunEnd::kFailed;
+  if (declined || status / 100 != 2) co_return;
+  connection::EventSplitter splitter;
+  while (true) {
+    AnswerPiece piece = co_await exchange.read(monotonicNow() + kNextEventTimeout);
+    if (!*alive || run.stopped) co_return;
+    if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
+      news.cause = "stream: " + failure->cause;
+      news.verdict = EngineVerdict::kFailed;
+      co_return;
+    }
+    if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
+      const bool whole = end->framed && !splitter.hasPartial();
+      news.cause = whole ? "whole" : "stream: ended without its frame";
+      news.verdict = whole ? EngineVerdict::kGood : EngineVerdict::kFailed;
+      news.end = whole ? RunEnd::kWhole : RunEnd::kBroken;
+      co_return;
+    }
+    const bool first = news.sequence == 0 && !run.has_news;
+    splitter.append(std::get<std::string>(piece));
+    while (std::optional<connection::StreamEvent> event = splitter.next()) {
+      if (event->id && *event->id <= run.last_event) continue;
+      if (run.has_text) news.text += '\n';
+      news.text += event->data;
+      run.has_text = true;
+      run.has_news = true;
+      if (event->id) run.last_event = *event->id;
+      news.last_event = run.last_event;
+    }
+    if (first && run.has_news) reportSoon();
+  }
+}
+
+void ItemRunner::finish(const RunPtr& run) {
+  run->control.reset();
+  if (run->stopped) return;
+  runs_.erase(run->order.number);
+  run->news.ended = true;
+  ++run->news.sequence;
+  ended_.push_back(std::move(run->news));
+  reportSoon();
+}
+
+}  // namespace hatchfork::store
--- /dev/null
+++ b/src/process/store/item_runner.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection/asio.hpp"
+#include "connection/engine_exchange.hpp"
+#include "process/fleet/run_messages.hpp"
+#include "version/dialect.hpp"
+
+namespace hatchfork::store {
+
+/// Runs batch items at engines as the leader of the store group orders, and reports what comes of them. It decides
+/// nothing: a run that breaks is reported and forgotten. Belongs to one thread.
+///
+/// Invariant: only orders of the newest term that was heard of are run, and none of them longer than the lease after the
+/// leader's last sign of life.
+class ItemRunner {
+ public:
+  /// Sends a report to the leader of that term.
+  using ReportFunction = std::function<void(const ReplicaId& leader, fleet::RunReport report)>;
+
+  ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report);
+  ~ItemRunner();
+
+  void take(fleet::RunOrder order);
+  void take(const fleet::RunLease& lease);
+  /// Sends reports that are due, and breaks off runs whose leader has fallen silent; call several times a second.
+  void tick(Instant now);
+  /// Breaks off everything and tells the leader so, for a planned stop.
+  void handBack();
+  void closeIdle(const std::function<bool(const EngineId&)>& in_use) { engines_.closeIdle(in_use); }
+
+  std::size_t running() const { return runs_.size(); }
+
+ private:
+  struct Run {
+    fleet::RunOrder order;
+    std::shared_ptr<connection::ExchangeControl> control;
+    /// What is to be reported next.
+    fleet::RunNews news;
+    bool has_news = false;
+    bool has_text = false;
+    bool stopped = false;
+    std::uint64_t last_event = 0;
+  };
+  using RunPtr = std::shared_ptr<Run>;
+
+  void setLeader(const ReplicaId& leader, std::uint64_t term);
+  void stop(std::uint64_t number);
+  void stopAll();
+  connection::Awaitable<void> run(RunPtr run);
+  connection::Awaitable<void> readAnswer(Run& run, connection::EngineExchange& exchange);
+  connection::EngineRequest engineRequest(Run& run) const;
+  void noteLoad(Run& run, connection::EngineExchange& exchange) const;
+  void finish(const RunPtr& run);
+  void reportSoon();
+  void report();
+
+  connection::asio::io_context& context_;
+  const Dialect& dialect_;
+  ReplicaId self_;
+  ReportFunction report_;
+  connection::EngineClient engines_;
+  std::map<std::uint64_t, RunPtr> runs_;
+  /// Ended runs that have not been reported.
+  std::vector<fleet::RunNews> ended_;
+  ReplicaId leader_;
+  std::uint64_t term_ = 0;
+  Instant leader_heard_at_{};
+  Instant next_report_{};
+  connection::asio::steady_timer soon_;
+  bool soon_armed_ = false;
+  /// Coroutines of runs outlive this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hatchfork::store
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -27,15 +27,20 @@
 /// Places in the queue that one pass looks at for an item that may start.
 constexpr std::size_t kMostLookedAt = 64;
 
+RunBoardLimits boardLimits(std::size_t most_runs) {
+  RunBoardLimits limits;
+  limits.most_runs = most_runs;
+  return limits;
+}
+
 }  // namespace
 
-JobExecutor::JobExecutor(connection::asio::io_context& context, JobExecutorOptions options, const Dialect& dialect,
-                         ProposeFunction propose)
-    : context_(context),
-      options_(std::move(options)),
+JobExecutor::JobExecutor(JobExecutorOptions options, const Dialect& dialect, ProposeFunction propose, SendFunction send)
+    : options_(std::move(options)),
       dialect_(dialect),
       propose_(std::move(propose)),
-      engines_(context),
+      send_(std::move(send)),
+      board_(options_.self, boardLimits(options_.most_running)),
       selector_(options_.seed),
       split_(options_.seed),
       chains_(options_.seed) {}
@@ -46,30 +51,40 @@
 
 void JobExecutor::setView(const fleet::FleetView& view, bool engines_changed) {
   routes_ = view.routes;
+  std::set<ReplicaId> runners(view.stores.begin(), view.stores.end());
+  for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
+  board_.setRunners(std::move(runners));
   if (engines_changed) selector_.setEngines(*view.engines);
   if (leading_) pump();
 }
 
-void JobExecutor::setLeading(bool leading) {
-  if (leading == leading_) return;
+void JobExecutor::setLeading(bool leading, std::uint64_t term) {
+  if (leading == leading_ && term == term_) return;
+  if (leading_) stopLeading();
   leading_ = leading;
-  if (!leading) {
-    logEvent(LogLevel::kInfo, "executor_stopped", {{"running", running_}, {"waiting", queue_.size()}});
-    for (const auto& [job, runs] : std::exchange(items_, {})) {
-      for (const auto& [item, run] : runs) {
-        run->stopped = true;
-        if (run->control && run->control->cancel) run->control->cancel();
-      }
-    }
-    queue_.clear();
-    results_.clear();
-    return;
-  }
+  term_ = term;
+  if (!leading) return;
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
-  logEvent(LogLevel::kInfo, "executor_started", {{"jobs", items_.size()}, {"waiting", queue_.size()}});
+  logEvent(LogLevel::kInfo, "executor_started",
+           {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
   pump();
 }
 
+void JobExecutor::stopLeading() {
+  logEvent(LogLevel::kInfo, "executor_stopped",
+           {{"term", term_}, {"running", runs_.size()}, {"waiting", queue_.size()}});
+  const Instant now = connection::monotonicNow();
+  for (const auto& [number, run] : std::exchange(runs_, {})) {
+    run->stopped = true;
+    selector_.end(now, run->ticket, request::EngineVerdict::kNeutral);
+  }
+  items_.clear();
+  queue_.clear();
+  results_.clear();
+  board_.stopAll();
+  sendLeases(now);
+}
+
 void JobExecutor::noteChange(const JobId& id) {
   if (!leading_) return;
   const StoredJob* job = state_->find(id);
@@ -101,28 +116,30 @@
   if (found == items_.end()) return;
   for (const auto& [item, run] : found->second) {
     run->stopped = true;
-    if (run->control && run->control->cancel) run->control->cancel();
+    if (run->running) stopRun(*run);
   }
   items_.erase(found);
   std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
+  sendLeases(connection::monotonicNow());
 }
 
 void JobExecutor::tick(Instant now) {
   if (!leading_) return;
+  breakRuns(board_.takeLost(now));
   yieldSlots(now);
   saveProgress(now);
   pump();
+  sendLeases(now);
   if (now < next_cleanup_) return;
   next_cleanup_ = now + kCleanupInterval;
   giveUpExpired(now);
   dropOldJobs();
-  engines_.closeIdle([this](const EngineId& engine) { return selector_.knows(engine); });
 }
 
 void JobExecutor::pump() {
   if (!leading_ || !routes_) return;
   const Instant now = monotonicNow();
-  while (running_ < options_.most_running && startNext(now)) {
+  while (startNext(now)) {
   }
 }
 
@@ -137,7 +154,7 @@
 }
 
 double JobExecutor::pressure() const {
-  const double per_second = std::max(1.0, static_cast<double>(running_) / toSeconds(kTypicalRun));
+  const double per_second = std::max(1.0, static_cast<double>(runs_.size()) / toSeconds(kTypicalRun));
   const double backlog = static_cast<double>(queue_.size()) / per_second;
   return std::clamp(backlog / toSeconds(kRelaxedBacklog), 1.0, kMostPressure);
 }
@@ -154,37 +171,34 @@
       return true;
     }
     if (route == nullptr) continue;
-    const OpaqueItem& item = job->submission.items[job->open_items.at(run->item)];
-    request::EngineQuery query;
-    query.service = split_.choose(*route);
-    query.zone = options_.zone;
-    query.prefix_affinity = route->prefix_affinity;
-    query.background = true;
-    query.pressure = pressure();
-    const HeaderNames& names = dialect_.headers();
-    std::string parts;
-    std::string usage;
-    for (const ItemHeader& header : item.headers) {
-      if (header.name == names.prompt_parts) parts = header.value;
-      if (header.name == names.token_usage) usage = header.value;
-    }
-    query.prompt = request::parsePromptShape(parts, usage);
+    const request::EngineQuery query = queryOf(job->submission.items[job->open_items.at(run->item)], *route);
     const std::optional<EngineChoice> choice = selector_.choose(now, query);
-    if (!choice) return false;
+    if (!choice || !board_.chooseRunner(now)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
-    run->running = true;
-    run->yielding = false;
-    run->engine = choice->engine.id;
-    ++run->attempts;
-    ++running_;
-    ++counters_.attempts;
-    connection::asio::co_spawn(context_, runItem(run, item, job->submission.host, *choice, std::move(query)),
-                               connection::asio::detached);
+    startRun(now, run, *job, *choice, query);
     return true;
   }
   return false;
 }
 
+request::EngineQuery JobExecutor::queryOf(const OpaqueItem& item, const Route& route) {
+  request::EngineQuery query;
+  query.service = split_.choose(route);
+  query.zone = options_.zone;
+  query.prefix_affinity = route.prefix_affinity;
+  query.background = true;
+  query.pressure = pressure();
+  const HeaderNames& names = dialect_.headers();
+  std::string parts;
+  std::string usage;
+  for (const ItemHeader& header : item.headers) {
+    if (header.name == names.prompt_parts) parts = header.value;
+    if (header.name == names.token_usage) usage = header.value;
+  }
+  query.prompt = request::parsePromptShape(parts, usage);
+  return query;
+}
+
 void JobExecutor::yieldSlots(Instant now) {
   if (now < next_yield_) return;
   next_yield_ = now + kYieldInterval;
@@ -197,14 +211,21 @@
   for (const auto& [id, runs] : items_) {
     for (const auto& [item, run] : runs) {
       // Only a run that can go on after an event loses nothing but the reading of its prompt.
-      if (!run->running || run->yielding || !run->last_event || !run->control) continue;
+      if (!run->running || run->yielding || !run->last_event) continue;
       const auto found = excess.find(run->engine);
       if (found == excess.end() || found->second < 1) continue;
       found->second -= 1;
       run->yielding = true;
-      if (run->control->cancel) run->control->cancel();
     }
   }
+  std::vector<ItemPtr> yielding;
+  for (const auto& [number, run] : runs_) {
+    if (run->yielding) yielding.push_back(run);
+  }
+  for (const ItemPtr& run : yielding) {
+    stopRun(*run);
+    endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, "engine above its slots");
+  }
 }
 
 void JobExecutor::giveUpExpired(Instant now) {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -11,11 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "connection/asio.hpp"
-#include "connection/engine_exchange.hpp"
-#include "connection/event_stream.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/store/job_state.hpp"
+#include "process/store/run_board.hpp"
 #include "request/exchange/engine_selector.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
@@ -23,9 +21,10 @@
 namespace hatchfork::store {
 
 struct JobExecutorOptions {
+  ReplicaId self;
   ZoneId zone;
   std::uint64_t seed = 1;
-  /// Most items under way at once.
+  /// Most items under way at once at one store.
   std::size_t most_running = 400;
 };
 
@@ -37,29 +36,33 @@
   std::uint64_t yielded = 0;
 };
 
-/// Runs the items of all open jobs while this process leads the store group: chooses engines, joins the events of an
-/// item's runs to its text, and proposes results. All that it knows of items under way is soft: after a change of
-/// leader the items start again. Belongs to one thread.
+/// Decides, while this process leads the store group, which items of the open jobs run, at which engine, and which store
+/// runs them; joins the events of an item's runs to its text, and proposes results. All that it knows of items under way
+/// is soft: a new leader goes on from the progress that the group keeps. Belongs to one thread.
 ///
-/// Invariants: an item is under way at one engine at most; its text is each event's data exactly once, a later run
-/// being asked to go on after the last event that was taken; a result is proposed only for a whole text, or for an item
-/// that may be given up.
+/// Invariants: an item is under way at one engine at most, as far as reports tell; its text is each event's data exactly
+/// once, a later run being asked to go on after the last event that was taken; a result is proposed only for a whole
+/// text, or for an item that may be given up.
 class JobExecutor {
  public:
   /// Replicates a command; calls back with true once it is applied.
   using ProposeFunction = std::function<void(JobCommand command, std::function<void(bool applied)> done)>;
 
-  JobExecutor(connection::asio::io_context& context, JobExecutorOptions options, const Dialect& dialect,
-              ProposeFunction propose);
+  /// Sends an order or a lease to a store, this one included; false if it surely did not go out.
+  using SendFunction = std::function<bool(const ReplicaId& to, const fleet::FleetMessage& message)>;
+
+  JobExecutor(JobExecutorOptions options, const Dialect& dialect, ProposeFunction propose, SendFunction send);
   ~JobExecutor();
 
   void setState(const JobState& state) { state_ = &state; }
   void setView(const fleet::FleetView& view, bool engines_changed);
-  /// Starts or stops to run items.
-  void setLeading(bool leading);
+  /// Starts or stops to run items, with the term of the leadership.
+  void setLeading(bool leading, std::uint64_t term);
   /// A job has come, changed or ended.
   void noteChange(const JobId& job);
-  /// Drives retries and retention; call several times a second.
+  /// What a store has to tell of the runs that it was ordered.
+  void take(const fleet::RunReport& report);
+  /// Drives retries, leases and retention; call several times a second.
   void tick(Instant now);
 
   bool isLeading() const { return leading_; }
@@ -67,7 +70,8 @@
   std::vector<request::EngineShare> ownShares(Instant now) const { return selector_.ownShares(now); }
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   const JobExecutorCounters& counters() const { return counters_; }
-  std::size_t running() const { return running_; }
+  bool knowsEngine(const EngineId& engine) const { return selector_.knows(engine); }
+  std::size_t running() const { return runs_.size(); }
   std::size_t waiting() const { return queue_.size(); }
 
  private:
@@ -95,28 +99,39 @@
     bool yielding = false;
     EngineId engine;
     bool stopped = false;
-    std::shared_ptr<connection::ExchangeControl> control;
+    /// Names the run under way in reports.
+    std::uint64_t number = 0;
+    request::TicketId ticket = 0;
   };
   using ItemPtr = std::shared_ptr<ItemRun>;
-  /// How a run of an item ended.
-  enum class RunEnd { kWhole, kFailed, kImpossible, kDeclined, kBroken, kYielded, kStopped };
+  using RunEnd = fleet::RunEnd;
+  /// A result that is being proposed, and the item it came from.
+  struct ProposedResult {
+    JobResult result;
+    ItemPtr run;
+  };
 
+  void stopLeading();
   void enqueueOpenItems(const StoredJob& job);
   void stopItems(const JobId& job);
   void pump();
   /// False if nothing can be started now.
   bool startNext(Instant now);
-  connection::Awaitable<void> runItem(ItemPtr run, OpaqueItem item, std::string host, request::EngineChoice choice,
-                                      request::EngineQuery query);
-  connection::Awaitable<RunEnd> readAnswer(ItemRun& run, connection::EngineExchange& exchange, request::TicketId ticket,
-                                           request::EngineVerdict& verdict, std::string& cause);
-  connection::EngineRequest engineRequest(const ItemRun& run, const OpaqueItem& item, const std::string& host,
-                                          const request::EngineChoice& choice) const;
+  request::EngineQuery queryOf(const OpaqueItem& item, const Route& route);
+  void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
+                const request::EngineQuery& query);
+  void takeNews(const ItemPtr& run, const fleet::RunNews& news);
+  /// The run is over, as far as this process knows.
+  void endRun(const ItemPtr& run, RunEnd end, request::EngineVerdict verdict, const std::string& cause);
+  /// Runs whose store has fallen silent or lost the order.
+  void breakRuns(const std::vector<std::uint64_t>& numbers);
+  void stopRun(ItemRun& run);
+  void sendLeases(Instant now);
   void finishRun(const ItemPtr& run, RunEnd end, const std::string& cause);
   void finishItem(const ItemPtr& run, ItemOutcome outcome);
   JobResult resultOf(const ItemRun& run, ItemOutcome outcome, bool whole_text) const;
   /// Proposes results again that were passed over, with their whole text.
-  void listAgain(const std::vector<JobResult>& proposed);
+  void listAgain(const std::vector<ProposedResult>& proposed);
   /// Lets the group keep how far the running items have got.
   void saveProgress(Instant now);
   void saveFailure(const ItemRun& run);
@@ -132,20 +147,22 @@
   /// Rises above one while items wait for longer than their due time allows.
   double pressure() const;
 
-  connection::asio::io_context& context_;
   JobExecutorOptions options_;
   const Dialect& dialect_;
   ProposeFunction propose_;
-  connection::EngineClient engines_;
+  SendFunction send_;
+  RunBoard board_;
   request::EngineSelector selector_;
   request::WeightedSplit split_;
   const JobState* state_ = nullptr;
   std::shared_ptr<const RouteTable> routes_;
   bool leading_ = false;
+  std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
   std::deque<ItemPtr> queue_;
-  std::size_t running_ = 0;
-  std::vector<JobResult> results_;
+  /// Items under way, by the number of their run.
+  std::map<std::uint64_t, ItemPtr> runs_;
+  std::vector<ProposedResult> results_;
   bool proposing_ = false;
   bool saving_ = false;
   Instant next_save_{};
@@ -154,7 +171,7 @@
   Instant next_cleanup_{};
   Instant next_yield_{};
   JobExecutorCounters counters_;
-  /// Coroutines of runs outlive this object.
+  /// Callbacks of proposals outlive this object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -76,7 +76,7 @@
 
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
   outcome == ItemOutcome::kCompleted ? ++counters_.completed : ++counters_.errored;
-  results_.push_back(resultOf(*run, outcome, /*whole_text=*/false));
+  results_.push_back({resultOf(*run, outcome, /*whole_text=*/false), run});
   proposeResults();
 }
 
@@ -93,13 +93,15 @@
   return result;
 }
 
-void JobExecutor::listAgain(const std::vector<JobResult>& proposed) {
-  for (const JobResult& entry : proposed) {
-    const auto runs = items_.find(entry.job);
+void JobExecutor::listAgain(const std::vector<ProposedResult>& proposed) {
+  for (const ProposedResult& entry : proposed) {
+    const auto runs = items_.find(entry.run->job);
     if (runs == items_.end()) continue;
-    const auto run = runs->second.find(entry.result.id);
-    const bool passed_over = run != runs->second.end() && openJob(*run->second) != nullptr;
-    if (passed_over) results_.push_back(resultOf(*run->second, entry.result.outcome, /*whole_text=*/true));
+    const auto found = runs->second.find(entry.run->item);
+    // After a change of leader and back, another run stands in its place, whose text is not whole yet.
+    const bool same_run = found != runs->second.end() && found->second == entry.run;
+    if (!same_run || openJob(*entry.run) == nullptr) continue;
+    results_.push_back({resultOf(*entry.run, entry.result.result.outcome, /*whole_text=*/true), entry.run});
   }
 }
 
@@ -107,14 +109,17 @@
 void JobExecutor::proposeResults() {
   if (proposing_ || results_.empty() || !leading_) return;
   proposing_ = true;
-  auto proposed = std::make_shared<std::vector<JobResult>>(std::exchange(results_, {}));
-  propose_(ListResults{*proposed}, [this, alive = alive_, proposed](bool applied) {
+  auto proposed = std::make_shared<std::vector<ProposedResult>>(std::exchange(results_, {}));
+  ListResults command;
+  for (const ProposedResult& entry : *proposed) command.results.push_back(entry.result);
+  propose_(std::move(command), [this, alive = alive_, proposed, term = term_](bool applied) {
     if (!*alive) return;
     proposing_ = false;
-    // A result that was not taken is proposed again; one that was taken after all is passed over.
-    if (!applied && leading_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
-    if (!applied) return;
-    listAgain(*proposed);
+    if (!leading_) return;
+    // A result that was not taken is proposed again; one that was taken after all is passed over. What was proposed in
+    // an earlier leadership is left to the runs of this one.
+    if (!applied && term == term_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
+    if (applied) listAgain(*proposed);
     proposeResults();
   });
 }
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -4,142 +4,117 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "connection/asio.hpp"
 #include "process/store/job_executor.hpp"
 
-// One run of an item at an engine, and what follows from its end.
+// The runs that are ordered from stores, and what follows from their ends.
 namespace hatchfork::store {
 
-using connection::AnswerPiece;
-using connection::Awaitable;
-using connection::EndOfAnswer;
-using connection::EngineExchange;
-using connection::ExchangeFailure;
-using connection::ExchangeStart;
 using connection::monotonicNow;
 using request::EngineChoice;
 using request::EngineVerdict;
 
 namespace {
 
-/// Time that an engine is given for one run.
-constexpr Duration kRunTime = std::chrono::seconds(30);
-/// A run without its first event for this long is broken off.
-constexpr Duration kFirstEventTimeout = std::chrono::seconds(6);
-/// A run without a further event for this long is broken off.
-constexpr Duration kNextEventTimeout = std::chrono::seconds(3);
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 constexpr Duration kRetryAfterDecline = fromMillis(80);
 constexpr Duration kRetryAfterYield = fromMillis(400);
-constexpr unsigned kUnprocessable = 422;
-constexpr unsigned kServerError = 500;
-constexpr unsigned kMisdirected = 421;
+/// A run whose store has fallen silent may still be under way there for the rest of its lease.
+constexpr Duration kRetryAfterLoss = fromMillis(300);
 
 }  // namespace
 
-connection::EngineRequest JobExecutor::engineRequest(const ItemRun& run, const OpaqueItem& item,
-                                                     const std::string& host, const EngineChoice& choice) const {
-  const HeaderNames& names = dialect_.headers();
-  connection::EngineRequest out;
-  out.engine = choice.engine.id;
-  out.endpoint = connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
-  out.method = "POST";
-  out.target = item.target;
-  out.headers.push_back({"Host", host});
-  for (const ItemHeader& header : item.headers) out.headers.push_back({header.name, header.value});
-  out.headers.push_back({names.request_id, item.id});
-  out.headers.push_back({names.expected_engine, choice.engine.id.value});
-  out.headers.push_back({names.remaining_ms, std::to_string(toMillis(kRunTime))});
-  if (run.last_event) out.headers.push_back({names.last_event_id, std::to_string(*run.last_event)});
-  out.body = item.body;
-  out.echo_name = names.request_id;
-  out.echo_value = item.id;
-  return out;
-}
-
-Awaitable<void> JobExecutor::runItem(ItemPtr run, OpaqueItem item, std::string host, EngineChoice choice,
-                                     request::EngineQuery query) {
-  const std::shared_ptr<bool> alive = alive_;
-  const Instant began = monotonicNow();
-  run->control = std::make_shared<connection::ExchangeControl>();
-  const request::TicketId ticket = selector_.begin(began, choice.engine.id, query);
+void JobExecutor::startRun(Instant now, const ItemPtr& run, const StoredJob& job, const EngineChoice& choice,
+                           const request::EngineQuery& query) {
+  const ReplicaId runner = board_.chooseRunner(now).value_or(options_.self);
+  run->running = true;
+  run->yielding = false;
+  run->engine = choice.engine.id;
+  run->number = board_.begin(now, runner);
+  run->ticket = selector_.begin(now, choice.engine.id, query);
+  ++run->attempts;
+  ++counters_.attempts;
+  runs_[run->number] = run;
+  fleet::RunOrder order;
+  order.from = options_.self;
+  order.term = term_;
+  order.number = run->number;
+  order.job = run->job;
+  order.item = job.submission.items[job.open_items.at(run->item)];
+  order.host = job.submission.host;
+  order.engine = choice.engine.id;
+  order.engine_address = choice.engine.address;
+  order.last_event = run->last_event.value_or(0);
+  order.has_text = run->has_text;
   logEvent(LogLevel::kInfo, "item_sent",
            {{"job", run->job.value},
             {"request", run->item},
             {"engine", choice.engine.id.value},
+            {"runner", runner.value},
             {"attempt", run->attempts},
             {"resume_after", run->last_event.value_or(0)},
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
             {"load_age_ms", choice.load_age_ms},
             {"version", routes_->version()}});
-  connection::EngineRequest sent = engineRequest(*run, item, host, choice);
-  ExchangeStart started = co_await engines_.open(std::move(sent), began + kFirstEventTimeout, run->control);
-  if (!*alive) co_return;
-  RunEnd end = RunEnd::kBroken;
-  EngineVerdict verdict = EngineVerdict::kNeutral;
-  std::string cause;
-  if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
-    cause = failure->cause;
-    if (!run->stopped) verdict = EngineVerdict::kFailed;
-  } else {
-    auto exchange = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
-    if (const auto load = request::parseEngineLoad(exchange->header(dialect_.headers().engine_load))) {
-      selector_.noteLoad(monotonicNow(), choice.engine.id, *load);
-    }
-    end = co_await readAnswer(*run, *exchange, ticket, verdict, cause);
-    // The wait before may have outlived this object, which the linter does not see.
-    if (!*alive) co_return;  // cppcheck-suppress identicalConditionAfterEarlyExit
+  if (send_(runner, fleet::FleetMessage(std::move(order)))) return;
+  board_.avoid(now, runner);
+  board_.stop(run->number);
+  endRun(run, RunEnd::kDeclined, EngineVerdict::kNeutral, "runner out of reach");
+}
+
+void JobExecutor::stopRun(ItemRun& run) {
+  board_.stop(run.number);
+}
+
+void JobExecutor::sendLeases(Instant now) {
+  for (auto& [runner, stopped] : board_.takeLeases(now)) {
+    send_(runner, fleet::FleetMessage(fleet::RunLease{options_.self, term_, std::move(stopped)}));
   }
-  if (run->yielding && end == RunEnd::kBroken) {
-    end = RunEnd::kYielded;
-    verdict = EngineVerdict::kNeutral;
+}
+
+void JobExecutor::take(const fleet::RunReport& report) {
+  if (!leading_ || report.term != term_) return;
+  const CheckedReport checked = board_.check(monotonicNow(), report);
+  for (const fleet::RunNews& news : checked.news) {
+    const auto found = runs_.find(news.number);
+    if (found == runs_.end()) continue;
+    const ItemPtr run = found->second;
+    takeNews(run, news);
   }
-  if (run->stopped) end = RunEnd::kStopped;
-  selector_.end(monotonicNow(), ticket, verdict);
-  run->control.reset();
-  run->running = false;
-  --running_;
-  finishRun(run, end, cause);
+  breakRuns(checked.lost);
   pump();
 }
 
-Awaitable<JobExecutor::RunEnd> JobExecutor::readAnswer(ItemRun& run, EngineExchange& exchange, request::TicketId ticket,
-                                                       EngineVerdict& verdict, std::string& cause) {
-  const std::shared_ptr<bool> alive = alive_;
-  const unsigned status = exchange.status();
-  cause = fmt::format("status_{}", status);
-  const bool declined = status == kMisdirected || !exchange.header(dialect_.headers().not_executed).empty();
-  if (declined) {
-    verdict = status == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
-    co_return RunEnd::kDeclined;
+void JobExecutor::takeNews(const ItemPtr& run, const fleet::RunNews& news) {
+  const Instant now = monotonicNow();
+  if (news.engine_slots > 0) {
+    selector_.noteLoad(now, run->engine,
+                       request::EngineLoad{news.engine_running, news.engine_waiting, news.engine_slots});
   }
-  if (status == kUnprocessable) co_return RunEnd::kImpossible;
-  if (status == kServerError) co_return RunEnd::kFailed;
-  if (status / 100 != 2) co_return RunEnd::kBroken;
-  connection::EventSplitter splitter;
-  while (true) {
-    AnswerPiece piece = co_await exchange.read(monotonicNow() + kNextEventTimeout);
-    if (!*alive || run.stopped) co_return RunEnd::kStopped;
-    if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
-      cause = "stream: " + failure->cause;
-      verdict = EngineVerdict::kFailed;
-      co_return RunEnd::kBroken;
-    }
-    if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
-      const bool whole = end->framed && !splitter.hasPartial();
-      cause = whole ? "whole" : "stream: ended without its frame";
-      verdict = whole ? EngineVerdict::kGood : EngineVerdict::kFailed;
-      co_return whole ? RunEnd::kWhole : RunEnd::kBroken;
-    }
-    selector_.noteFirstByte(monotonicNow(), ticket);
-    splitter.append(std::get<std::string>(piece));
-    while (std::optional<connection::StreamEvent> event = splitter.next()) {
-      if (event->id && run.last_event && *event->id <= *run.last_event) continue;
-      if (run.has_text) run.text += '\n';
-      run.text += event->data;
-      run.has_text = true;
-      if (event->id) run.last_event = event->id;
-    }
+  if (!news.text.empty()) {
+    selector_.noteFirstByte(now, run->ticket);
+    run->text += news.text;
+    run->has_text = true;
   }
+  if (news.last_event > 0) run->last_event = news.last_event;
+  if (news.ended) endRun(run, news.end, news.verdict, news.cause);
+}
+
+void JobExecutor::breakRuns(const std::vector<std::uint64_t>& numbers) {
+  for (const std::uint64_t number : numbers) {
+    const auto found = runs_.find(number);
+    if (found == runs_.end()) continue;
+    const ItemPtr run = found->second;
+    endRun(run, RunEnd::kBroken, EngineVerdict::kNeutral, "runner silent");
+    run->not_before = monotonicNow() + kRetryAfterLoss;
+  }
+}
+
+void JobExecutor::endRun(const ItemPtr& run, RunEnd end, EngineVerdict verdict, const std::string& cause) {
+  selector_.end(monotonicNow(), run->ticket, verdict);
+  runs_.erase(run->number);
+  run->running = false;
+  finishRun(run, end, cause);
 }
 
 void JobExecutor::finishRun(const ItemPtr& run, RunEnd end, const std::string& cause) {
@@ -152,7 +127,7 @@
             {"failures", run->failures},
             {"last_event", run->last_event.value_or(0)}});
   const StoredJob* job = openJob(*run);
-  if (end == RunEnd::kStopped || job == nullptr || !leading_) return;
+  if (end == RunEnd::kStopped || run->stopped || job == nullptr || !leading_) return;
   const Instant now = monotonicNow();
   switch (end) {
     case RunEnd::kWhole:
--- /dev/null
+++ b/src/process/store/run_board.cpp
@@ -0,0 +1,119 @@
+#include "process/store/run_board.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hatchfork::store {
+
+void RunBoard::setRunners(std::set<ReplicaId> runners) {
+  runners_ = std::move(runners);
+}
+
+std::size_t RunBoard::runningAt(const ReplicaId& runner) const {
+  const auto found = at_.find(runner);
+  return found == at_.end() ? 0 : found->second.runs.size();
+}
+
+std::optional<ReplicaId> RunBoard::chooseRunner(Instant now) const {
+  const std::size_t here = runningAt(self_);
+  if (here < std::min(limits_.local_runs, limits_.most_runs)) return self_;
+  std::optional<ReplicaId> best;
+  std::size_t fewest = limits_.most_runs;
+  if (here < fewest) {
+    best = self_;
+    fewest = here;
+  }
+  for (const ReplicaId& runner : runners_) {
+    const auto avoided = avoided_until_.find(runner);
+    if (avoided != avoided_until_.end() && now < avoided->second) continue;
+    const std::size_t runs = runningAt(runner);
+    if (runs >= fewest) continue;
+    best = runner;
+    fewest = runs;
+  }
+  return best;
+}
+
+std::uint64_t RunBoard::begin(Instant now, const ReplicaId& runner) {
+  const std::uint64_t number = ++last_number_;
+  runs_[number] = Run{runner, now, 0};
+  Runner& entry = at_[runner];
+  if (entry.runs.empty()) entry.heard_at = now;
+  entry.runs.insert(number);
+  return number;
+}
+
+void RunBoard::avoid(Instant now, const ReplicaId& runner) {
+  avoided_until_[runner] = now + limits_.avoided_for;
+}
+
+CheckedReport RunBoard::check(Instant now, const fleet::RunReport& report) {
+  CheckedReport checked;
+  const auto runner = at_.find(report.from);
+  if (runner == at_.end()) return checked;
+  runner->second.heard_at = now;
+  std::set<std::uint64_t> known(report.running.begin(), report.running.end());
+  for (const fleet::RunNews& news : report.news) {
+    const auto run = runs_.find(news.number);
+    if (run == runs_.end() || run->second.runner != report.from) continue;
+    if (news.sequence != run->second.sequence + 1) {
+      known.erase(news.number);
+      continue;
+    }
+    run->second.sequence = news.sequence;
+    checked.news.push_back(news);
+    if (news.ended) forget(news.number);
+  }
+  const auto still = at_.find(report.from);
+  if (still == at_.end()) return checked;
+  for (const std::uint64_t number : std::set<std::uint64_t>(still->second.runs)) {
+    const bool young = now < runs_.at(number).ordered_at + limits_.order_lost_after;
+    if (known.contains(number) || (young && runs_.at(number).sequence == 0)) continue;
+    checked.lost.push_back(number);
+    stop(number);
+  }
+  return checked;
+}
+
+std::vector<std::uint64_t> RunBoard::takeLost(Instant now) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, runner] : at_) {
+    if (id == self_ || now <= runner.heard_at + limits_.silence) continue;
+    lost.insert(lost.end(), runner.runs.begin(), runner.runs.end());
+    avoid(now, id);
+  }
+  for (const std::uint64_t number : lost) stop(number);
+  return lost;
+}
+
+void RunBoard::stop(std::uint64_t number) {
+  const auto run = runs_.find(number);
+  if (run == runs_.end()) return;
+  stopped_[run->second.runner].push_back(number);
+  forget(number);
+}
+
+void RunBoard::forget(std::uint64_t number) {
+  const auto run = runs_.find(number);
+  if (run == runs_.end()) return;
+  const auto runner = at_.find(run->second.runner);
+  if (runner != at_.end()) {
+    runner->second.runs.erase(number);
+    if (runner->second.runs.empty()) at_.erase(runner);
+  }
+  runs_.erase(run);
+}
+
+std::map<ReplicaId, std::vector<std::uint64_t>> RunBoard::takeLeases(Instant now) {
+  std::map<ReplicaId, std::vector<std::uint64_t>> leases = std::exchange(stopped_, {});
+  if (now < next_lease_) return leases;
+  next_lease_ = now + limits_.lease_interval;
+  for (const auto& [id, runner] : at_) leases.try_emplace(id);
+  return leases;
+}
+
+void RunBoard::stopAll() {
+  while (!runs_.empty()) stop(runs_.begin()->first);
+}
+
+}  // namespace hatchfork::store
--- /dev/null
+++ b/src/process/store/run_board.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+#include "process/fleet/run_messages.hpp"
+
+namespace hatchfork::store {
+
+struct RunBoardLimits {
+  /// Runs that the leader keeps to itself before it spreads them over all stores.
+  std::size_t local_runs = 40;
+  /// Most runs of one store.
+  std::size_t most_runs = 400;
+  /// Reports come several times in this time; a store that is silent for longer has lost its runs.
+  Duration silence = fromMillis(1000);
+  /// An order that the store does not report as running after this long was lost.
+  Duration order_lost_after = fromMillis(700);
+  /// A store that fell silent gets no orders for this long.
+  Duration avoided_for = fromMillis(3000);
+  /// Interval of the signs of life to stores that run items.
+  Duration lease_interval = fromMillis(250);
+};
+
+/// What a report says, checked against what was ordered.
+struct CheckedReport {
+  std::vector<fleet::RunNews> news;
+  /// Orders that the store does not know, and runs of which a report was lost.
+  std::vector<std::uint64_t> lost;
+};
+
+/// The leader's table of the runs that it has ordered: at which store each is under way, and which are lost. No I/O, no
+/// clock. Belongs to one thread.
+///
+/// Invariant: news of a run are passed on in their order without a gap, or the run counts as lost.
+class RunBoard {
+ public:
+  RunBoard(ReplicaId self, RunBoardLimits limits) : self_(std::move(self)), limits_(limits) {}
+
+  /// Stores that may run items, this one included or not.
+  void setRunners(std::set<ReplicaId> runners);
+  /// Where the next run goes: here while few are under way here, else where the fewest are. Nothing if all are full.
+  std::optional<ReplicaId> chooseRunner(Instant now) const;
+  /// Notes an order; returns its number.
+  std::uint64_t begin(Instant now, const ReplicaId& runner);
+  /// The store can't be reached.
+  void avoid(Instant now, const ReplicaId& runner);
+  CheckedReport check(Instant now, const fleet::RunReport& report);
+  /// Runs at stores that have fallen silent; they are forgotten here.
+  std::vector<std::uint64_t> takeLost(Instant now);
+  /// Nobody waits for this run any more; its store is told with the next lease.
+  void stop(std::uint64_t number);
+  /// A sign of life for each store that runs items or is to break some off; empty before the interval is over, unless
+  /// runs are to be broken off.
+  std::map<ReplicaId, std::vector<std::uint64_t>> takeLeases(Instant now);
+  /// Nobody waits for any run any more; numbers go on rising.
+  void stopAll();
+
+  std::size_t running() const { return runs_.size(); }
+  std::size_t runningAt(const ReplicaId& runner) const;
+
+ private:
+  struct Run {
+    ReplicaId runner;
+    Instant ordered_at{};
+    std::uint64_t sequence = 0;
+  };
+  struct Runner {
+    std::set<std::uint64_t> runs;
+    /// When it last reported, or got its first order after it had none.
+    Instant heard_at{};
+  };
+
+  void forget(std::uint64_t number);
+
+  ReplicaId self_;
+  RunBoardLimits limits_;
+  std::set<ReplicaId> runners_;
+  std::map<std::uint64_t, Run> runs_;
+  std::map<ReplicaId, Runner> at_;
+  std::map<ReplicaId, Instant> avoided_until_;
+  std::map<ReplicaId, std::vector<std::uint64_t>> stopped_;
+  std::uint64_t last_number_ = 0;
+  Instant next_lease_{};
+};
+
+}  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -47,6 +47,7 @@
 
 Status StoreProgram::start() {
   JobExecutorOptions executor_options;
+  executor_options.self = settings_.self();
   executor_options.zone = settings_.zone;
   executor_options.seed = std::random_device()();
   executor_options.most_running =
@@ -56,7 +57,12 @@
       done(outcome.result == ProposalResult::kApplied);
     });
   };
-  executor_ = std::make_unique<JobExecutor>(context_, executor_options, *dialect_, propose_command);
+  auto send_run = [this](const ReplicaId& to, const FleetMessage& message) { return sendToStore(to, message); };
+  executor_ = std::make_unique<JobExecutor>(executor_options, *dialect_, propose_command, send_run);
+  auto report = [this](const ReplicaId& leader, fleet::RunReport news) {
+    sendToStore(leader, FleetMessage(std::move(news)));
+  };
+  runner_ = std::make_unique<ItemRunner>(context_, *dialect_, settings_.self(), report);
 
   fleet::GroupHostOptions options;
   options.group = kStoreGroup;
@@ -72,7 +78,7 @@
   group_ = std::make_unique<fleet::GroupHost>(context_, options, make_machine, adopt_machine, send);
   const Status group_started = group_->start();
   if (!isOk(group_started)) return group_started;
-  group_->setProgressHandler([this] { executor_->setLeading(!stopping_ && group_->isConfirmedLeader()); });
+  group_->setProgressHandler([this] { updateLeading(); });
 
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
   frame_server_ =
@@ -145,9 +151,30 @@
     onRequest(*request, from);
   } else if (const auto* load = std::get_if<fleet::LoadFrame>(&decoded)) {
     onLoad(*load, from);
+  } else if (const auto* order = std::get_if<fleet::RunOrder>(&decoded)) {
+    if (!stopping_) runner_->take(*order);
+  } else if (const auto* lease = std::get_if<fleet::RunLease>(&decoded)) {
+    runner_->take(*lease);
+  } else if (const auto* report = std::get_if<fleet::RunReport>(&decoded)) {
+    executor_->take(*report);
   }
 }
 
+bool StoreProgram::sendToStore(const ReplicaId& to, const FleetMessage& message) {
+  if (to != settings_.self()) return links_.send(to, message);
+  // Posted, so that neither side is called back from within its own call.
+  connection::asio::post(context_, [this, message] {
+    if (const auto* order = std::get_if<fleet::RunOrder>(&message)) runner_->take(*order);
+    if (const auto* lease = std::get_if<fleet::RunLease>(&message)) runner_->take(*lease);
+    if (const auto* report = std::get_if<fleet::RunReport>(&message)) executor_->take(*report);
+  });
+  return true;
+}
+
+void StoreProgram::updateLeading() {
+  executor_->setLeading(!stopping_ && group_->isConfirmedLeader(), group_->term());
+}
+
 void StoreProgram::onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from) {
   if (!executor_->isLeading()) return;
   const Instant now = monotonicNow();
@@ -180,7 +207,9 @@
   items("errored", counters.errored);
   items("broken", counters.broken);
   items("yielded", counters.yielded);
-  page.gauge("hatchfork_items_running", "Batch items under way.", static_cast<double>(executor_->running()));
+  page.gauge("hatchfork_items_running", "Batch items under way, at the leader.",
+             static_cast<double>(executor_->running()));
+  page.gauge("hatchfork_items_run_here", "Batch items that this store runs.", static_cast<double>(runner_->running()));
   page.gauge("hatchfork_items_waiting", "Batch items that wait for a slot.", static_cast<double>(executor_->waiting()));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
@@ -299,12 +328,14 @@
   while (true) {
     co_await connection::sleepFor(kTickInterval);
     const Instant now = monotonicNow();
-    executor_->setLeading(!stopping_ && group_->isConfirmedLeader());
+    updateLeading();
     executor_->tick(now);
+    runner_->tick(now);
     answerHeldReads(now);
     loads_.expire(now);
     if (now >= next_trim_) {
       next_trim_ = now + kTrimInterval;
+      runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
       // Large messages leave free memory behind that the allocator would keep.
       ::malloc_trim(0);
     }
@@ -316,7 +347,8 @@
   co_await connection::awaitStopSignal();
   logEvent(LogLevel::kInfo, "planned_stop_started", {{"running", executor_->running()}});
   stopping_ = true;
-  executor_->setLeading(false);
+  updateLeading();
+  runner_->handBack();
   group_->transferLeadership();
   const Instant give_up = monotonicNow() + kLeadershipHandOverTime;
   while (group_->isConfirmedLeader() && monotonicNow() < give_up) co_await connection::sleepFor(fromMillis(20));
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -13,6 +13,7 @@
 #include "process/fleet/group_host.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "process/fleet/peer_links.hpp"
+#include "process/store/item_runner.hpp"
 #include "process/store/job_executor.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/store_messages.hpp"
@@ -53,6 +54,9 @@
   void propose(JobCommand command, ReplyFunction reply);
   /// Answers from the state once that is as fresh as this call.
   void answerFresh(std::function<StoreReply()> answer, ReplyFunction reply);
+  /// Carries frames of orders and reports, to this process itself too.
+  bool sendToStore(const ReplicaId& to, const fleet::FleetMessage& message);
+  void updateLeading();
   void noteChange(const JobId& job);
   void answerHeldReads(Instant now);
   void onView(const fleet::FleetView& view, bool changed);
@@ -71,6 +75,7 @@
   JobState* state_ = nullptr;
   std::unique_ptr<fleet::GroupHost> group_;
   std::unique_ptr<JobExecutor> executor_;
+  std::unique_ptr<ItemRunner> runner_;
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::FrameServer> frame_server_;
   std::unique_ptr<fleet::MetricsServer> metrics_;
