Give the memory of released log payloads and listed bodies back

Cause: assigning an empty std::string keeps the buffer of a large one, so neither payloads that the log had released nor bodies of listed items were ever freed; text joined by operator+ held twice its size. Ruled out: runs under way, queues to peers, fragmentation (arena close to use). Change: buffers are swapped away, texts that are kept are joined to size; 12 applied entries stay in memory in place of 32. Tests: log_test, job_state_test (failed before).

--- a/src/process/consensus/log.cpp
+++ b/src/process/consensus/log.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/codec.hpp"
+#include "common/text_memory.hpp"
 #include "process/storage/record.hpp"
 
 namespace hatchfork::consensus {
@@ -16,6 +17,8 @@
 constexpr std::uint64_t kSegmentBytes = 1 << 20;
 /// Payloads from this size on are worth releasing.
 constexpr std::size_t kReleasedBytes = 1024;
+/// A batch's buffer is kept for the next one up to this size.
+constexpr std::size_t kMostSpareBytes = 64 * 1024;
 
 std::string segmentName(std::uint64_t number) {
   return fmt::format("{}{:020}", kSegmentPrefix, number);
@@ -135,7 +138,7 @@
     Held& held = entries_[at - first_index_];
     const bool large = held.entry.kind == EntryKind::kCommand && held.entry.payload.size() >= kReleasedBytes;
     if (!large || !held.file || held.released) continue;
-    held.entry.payload = std::string();
+    releaseMemory(held.entry.payload);
     held.released = true;
   }
   released_to_ = std::max(released_to_, last);
@@ -201,7 +204,7 @@
   locatePending(segment);
   segment.bytes += pending_.size();
   segment.highest_index = std::max(segment.highest_index, lastIndex());
-  pending_.clear();
+  pending_.capacity() > kMostSpareBytes ? releaseMemory(pending_) : pending_.clear();
   batch_running_ = true;
   batch_end_ = lastIndex();
   disk_.sync(segment.name, [self = std::weak_ptr<Log*>(self_)](const Status& status) {
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kMostRequestsInFlight = 16;
 constexpr std::uint64_t kMostBytesInFlight = 768 * 1024;
 /// Applied entries whose payloads stay in memory for members that are a little behind.
-constexpr LogIndex kEntriesKeptInMemory = 32;
+constexpr LogIndex kEntriesKeptInMemory = 12;
 /// Heartbeat intervals without progress after which a peer is probed anew.
 constexpr int kResendIntervals = 3;
 
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/codec.hpp"
+#include "common/text_memory.hpp"
 
 namespace hatchfork::store {
 namespace {
@@ -69,13 +70,16 @@
     if (!follows) return false;
   }
   ItemResult result = entry.result;
-  if (entry.after_event != 0) result.text = progress->second.text + entry.result.text;
+  if (entry.after_event != 0) {
+    result.text = progress->second.text;
+    appendExactly(result.text, entry.result.text);
+  }
   OpaqueItem& item = job.submission.items[open->second];
   held_bytes_ -= item.body.size();
   if (progress != job.progress.end()) held_bytes_ -= progress->second.text.size();
   held_bytes_ += result.text.size();
-  item.body = std::string();
-  item.headers.clear();
+  releaseMemory(item.body);
+  item.headers = std::vector<ItemHeader>();
   job.open_items.erase(open);
   job.progress.erase(result.id);
   job.results.push_back(std::move(result));
@@ -94,7 +98,7 @@
     if (!follows || entry.last_event <= entry.after_event) continue;
     progress.last_event = entry.last_event;
     progress.chain = entry.chain;
-    progress.text += entry.text;
+    appendExactly(progress.text, entry.text);
     held_bytes_ += entry.text.size();
     saved = true;
   }
--- a/tests/process/consensus/log_test.cpp
+++ b/tests/process/consensus/log_test.cpp
@@ -113,6 +113,18 @@
   CHECK(valueOf(log->read(2)).term == 1);
 }
 
+TEST_CASE("a released payload gives its memory back", "[consensus]") {
+  LogOnDisk files;
+  auto log = files.open();
+  for (LogIndex index = 1; index <= 10; ++index) {
+    log->append(LogEntry{index, 1, EntryKind::kCommand, std::string(5000, 'x')});
+  }
+  files.sync();
+  log->release(8);
+  for (LogIndex index = 1; index <= 8; ++index) CHECK(log->at(index).payload.capacity() < 100);
+  CHECK(log->at(9).payload.size() == 5000);
+}
+
 TEST_CASE("a crash loses only what was not synced", "[consensus]") {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     LogOnDisk files(seed);
--- /dev/null
+++ b/tests/process/store/job_executor_test.cpp
@@ -0,0 +1,147 @@
+#include "process/store/job_executor.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "connection/asio.hpp"
+#include "platform/platform_dialect.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::store;
+using hatchfork::fleet::RunNews;
+using hatchfork::fleet::RunOrder;
+using hatchfork::fleet::RunReport;
+
+namespace {
+
+const ReplicaId kSelf("10.0.0.1");
+constexpr std::string_view kDocument = R"({"Version":1,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/x/",
+  "Type":"batch","TimeoutMs":1000,"TargetLatencyMs":100,"CompletionTargetMs":10000,"RetentionS":60,"Priority":1,
+  "Service":"s","MaxAttempts":3}],
+  "Services":[{"Name":"s","HealthPath":"/h","MaxConnections":10,"Protocol":"h1","Tls":false}],
+  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+/// An executor whose group and stores are played by the test.
+class ExecutorStage {
+ public:
+  ExecutorStage() : dialect_(platform::makePlatformDialect()) {
+    JobExecutorOptions options;
+    options.self = kSelf;
+    auto propose = [this](JobCommand command, std::function<void(bool)> done) {
+      proposals_.push_back({std::move(command), std::move(done)});
+    };
+    auto send = [this](const ReplicaId&, const fleet::FleetMessage& message) {
+      if (const auto* order = std::get_if<RunOrder>(&message)) orders_.push_back(*order);
+      return true;
+    };
+    executor_ = std::make_unique<JobExecutor>(options, *dialect_, propose, send);
+    executor_->setState(state_);
+    fleet::FleetView view;
+    view.routes = valueOf(dialect_->parseRoutes(kDocument));
+    EngineRecord engine;
+    engine.id = EngineId("e");
+    engine.service = ServiceId("s");
+    engine.address = "10.0.1.1:80";
+    engine.slots = 8;
+    view.engines = std::make_shared<const std::vector<EngineRecord>>(std::vector<EngineRecord>{engine});
+    executor_->setView(view, /*engines_changed=*/true);
+    JobSubmission job;
+    job.id = JobId("j");
+    job.host = "a.example";
+    job.path = "/x/";
+    job.submitted_at = connection::wallNow();
+    job.items.push_back(OpaqueItem{"i", "/x/1", {}, "body", 10});
+    apply(SubmitJob{job});
+  }
+
+  void apply(const JobCommand& command) { state_.apply(1, encodeTagged(command)); }
+  JobExecutor& executor() { return *executor_; }
+  const RunOrder& lastOrder() const { return orders_.back(); }
+  std::size_t orders() const { return orders_.size(); }
+  const StoredJob& job() const { return *state_.find(JobId("j")); }
+
+  void report(std::uint64_t term, std::uint64_t sequence, const std::string& text, std::uint64_t last_event,
+              bool whole) {
+    RunNews news;
+    news.number = lastOrder().number;
+    news.sequence = sequence;
+    news.text = text;
+    news.last_event = last_event;
+    news.ended = whole;
+    if (whole) news.end = fleet::RunEnd::kWhole;
+    executor_->take(RunReport{kSelf, term, {news}, {lastOrder().number}});
+  }
+
+  /// Ends the oldest proposal; applies it to the state first where that is wanted.
+  void endProposal(bool applied) {
+    Proposal proposal = std::move(proposals_.front());
+    proposals_.erase(proposals_.begin());
+    if (applied) apply(proposal.command);
+    proposal.done(applied);
+  }
+  std::size_t proposals() const { return proposals_.size(); }
+
+ private:
+  struct Proposal {
+    JobCommand command;
+    std::function<void(bool)> done;
+  };
+  std::unique_ptr<const Dialect> dialect_;
+  JobState state_;
+  std::vector<RunOrder> orders_;
+  std::vector<Proposal> proposals_;
+  std::unique_ptr<JobExecutor> executor_;
+};
+
+}  // namespace
+
+TEST_CASE("an item's text is listed once its run is whole", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  REQUIRE(stage.orders() == 1);
+  REQUIRE(stage.lastOrder().last_event == 0);
+  stage.report(1, 1, "one", 1, false);
+  stage.report(1, 2, "\ntwo", 2, true);
+  stage.endProposal(true);
+  REQUIRE(stage.job().results.front().text == "one\ntwo");
+}
+
+TEST_CASE("a result that is passed over is not listed with the half text of a later run", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  stage.report(1, 1, "one", 1, false);
+  stage.executor().tick(connection::monotonicNow());
+  stage.endProposal(true);  // The progress up to event 1 is kept.
+  stage.report(1, 2, "\ntwo", 2, true);
+  REQUIRE(stage.proposals() == 1);  // "\ntwo" after event 1.
+  // Another leader keeps progress of its own meanwhile, and this one leads again.
+  stage.executor().setLeading(false, 2);
+  stage.apply(SaveProgress{{ItemProgress{JobId("j"), "i", 1, stage.job().progress.at("i").chain, 2, 99, "\nTWO", 0}}});
+  stage.executor().setLeading(true, 3);
+  REQUIRE(stage.lastOrder().last_event == 2);
+  stage.endProposal(true);  // Does not follow on what is kept: passed over.
+  while (stage.proposals() > 0) stage.endProposal(true);
+  REQUIRE(stage.job().results.empty());
+  stage.report(3, 1, "\nthree", 3, true);
+  stage.endProposal(true);
+  REQUIRE(stage.job().results.front().text == "one\nTWO\nthree");
+}
+
+TEST_CASE("a report of an older term is not taken", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  stage.executor().setLeading(false, 2);
+  stage.executor().setLeading(true, 3);
+  stage.report(1, 1, "one", 1, true);
+  REQUIRE(stage.proposals() == 0);
+}
+
+TEST_CASE("a run whose store has lost it goes on after the last event that was reported", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  stage.report(1, 1, "one", 1, false);
+  // Neither running nor ended at its store.
+  stage.executor().take(RunReport{kSelf, 1, {}, {}});
+  const Instant later = connection::monotonicNow() + fromMillis(1000);
+  stage.executor().tick(later);
+  REQUIRE(stage.executor().waiting() + stage.executor().running() == 1);
+}
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -166,3 +166,20 @@
   REQUIRE(state.find(JobId("j")) == nullptr);
   REQUIRE(state.heldBytes() == 0);
 }
+
+TEST_CASE("a listed item holds the memory of its text and no more", "[store]") {
+  JobState state;
+  JobSubmission large = job("j", 1);
+  large.items.front().body = std::string(20000, 'b');
+  apply(state, SubmitJob{large});
+  const std::string part(3000, 't');
+  apply(state, progress("j", 0, 0, 10, part));
+  apply(state, progress("j", 0, 10, 20, part));
+  apply(state, ListResults{{JobResult{JobId("j"), {"item-0", ItemOutcome::kCompleted, part}, 20, kChain}}});
+  const StoredJob& stored = *state.find(JobId("j"));
+  REQUIRE(stored.results.front().text.size() == 9000);
+  REQUIRE(stored.results.front().text.capacity() < 9100);
+  REQUIRE(stored.submission.items.front().body.capacity() < 100);
+  REQUIRE(stored.submission.items.front().headers.capacity() == 0);
+  REQUIRE(state.heldBytes() == 9000);
+}
--- /dev/null
+++ b/tests/process/store/run_board_test.cpp
@@ -0,0 +1,112 @@
+#include "process/store/run_board.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hatchfork;
+using namespace hatchfork::store;
+using hatchfork::fleet::RunNews;
+using hatchfork::fleet::RunReport;
+
+namespace {
+
+const ReplicaId kHere("10.0.0.1");
+const ReplicaId kThere("10.0.0.2");
+const ReplicaId kElsewhere("10.0.0.3");
+
+RunBoardLimits limits(std::size_t local, std::size_t most) {
+  RunBoardLimits made;
+  made.local_runs = local;
+  made.most_runs = most;
+  return made;
+}
+
+RunBoard board(std::size_t local, std::size_t most) {
+  RunBoard made(kHere, limits(local, most));
+  made.setRunners({kHere, kThere, kElsewhere});
+  return made;
+}
+
+RunNews news(std::uint64_t number, std::uint64_t sequence, bool ended = false) {
+  RunNews made;
+  made.number = number;
+  made.sequence = sequence;
+  made.ended = ended;
+  return made;
+}
+
+Instant at(std::int64_t milliseconds) {
+  return Instant(fromMillis(milliseconds));
+}
+
+}  // namespace
+
+TEST_CASE("the leader keeps the first runs and spreads the rest evenly", "[store][runs]") {
+  RunBoard runs = board(2, 4);
+  for (int i = 0; i < 12; ++i) {
+    const auto runner = runs.chooseRunner(at(0));
+    REQUIRE(runner);
+    if (i < 2) REQUIRE(*runner == kHere);
+    runs.begin(at(0), *runner);
+  }
+  REQUIRE(runs.runningAt(kHere) == 4);
+  REQUIRE(runs.runningAt(kThere) == 4);
+  REQUIRE(runs.runningAt(kElsewhere) == 4);
+  REQUIRE_FALSE(runs.chooseRunner(at(0)));
+}
+
+TEST_CASE("a store that is out of reach gets no orders for a while", "[store][runs]") {
+  RunBoard runs = board(0, 4);
+  runs.avoid(at(0), kThere);
+  for (int i = 0; i < 8; ++i) {
+    const auto runner = runs.chooseRunner(at(10));
+    REQUIRE(runner);
+    REQUIRE(*runner != kThere);
+    runs.begin(at(10), *runner);
+  }
+  REQUIRE_FALSE(runs.chooseRunner(at(10)));
+  REQUIRE(runs.chooseRunner(at(5000)) == kThere);
+}
+
+TEST_CASE("news are taken in their order, and a run with a gap in them is lost", "[store][runs]") {
+  RunBoard runs = board(0, 4);
+  const std::uint64_t first = runs.begin(at(0), kThere);
+  const std::uint64_t second = runs.begin(at(0), kThere);
+  REQUIRE(runs.check(at(100), RunReport{kThere, 1, {news(first, 1), news(second, 1)}, {first, second}}).news.size() == 2);
+  const CheckedReport gap = runs.check(at(300), RunReport{kThere, 1, {news(first, 3), news(second, 2, true)}, {first}});
+  REQUIRE(gap.news.size() == 1);
+  REQUIRE(gap.news.front().number == second);
+  REQUIRE(gap.lost == std::vector<std::uint64_t>{first});
+  // The store is told to break it off, and what it says of it later is not taken.
+  REQUIRE(runs.takeLeases(at(300)).at(kThere) == std::vector<std::uint64_t>{first});
+  REQUIRE(runs.check(at(400), RunReport{kThere, 1, {news(first, 4, true)}, {}}).news.empty());
+  REQUIRE(runs.running() == 0);
+}
+
+TEST_CASE("an order that the store does not know is lost, unless it is too new", "[store][runs]") {
+  RunBoard runs = board(0, 4);
+  const std::uint64_t number = runs.begin(at(0), kThere);
+  REQUIRE(runs.check(at(100), RunReport{kThere, 1, {}, {}}).lost.empty());
+  REQUIRE(runs.check(at(900), RunReport{kThere, 1, {}, {}}).lost == std::vector<std::uint64_t>{number});
+}
+
+TEST_CASE("the runs of a store that falls silent are lost", "[store][runs]") {
+  RunBoard runs = board(1, 4);
+  runs.begin(at(0), kHere);
+  const std::uint64_t there = runs.begin(at(0), kThere);
+  const std::uint64_t elsewhere = runs.begin(at(0), kElsewhere);
+  runs.check(at(900), RunReport{kElsewhere, 1, {news(elsewhere, 1)}, {elsewhere}});
+  REQUIRE(runs.takeLost(at(900)).empty());
+  REQUIRE(runs.takeLost(at(1500)) == std::vector<std::uint64_t>{there});
+  REQUIRE(runs.takeLost(at(1500)).empty());
+  REQUIRE(runs.running() == 2);
+}
+
+TEST_CASE("stores with runs get a lease in each interval, and orders to stop at once", "[store][runs]") {
+  RunBoard runs = board(0, 4);
+  const std::uint64_t number = runs.begin(at(0), kThere);
+  REQUIRE(runs.takeLeases(at(300)).size() == 1);
+  REQUIRE(runs.takeLeases(at(400)).empty());
+  runs.stop(number);
+  REQUIRE(runs.takeLeases(at(410)).at(kThere) == std::vector<std::uint64_t>{number});
+  REQUIRE(runs.takeLeases(at(900)).empty());
+}
