Propose a refused result again from the next tick, not from within the refusal

Ruled out: freed objects (the stack of the test shows the recursion). Test: job_executor_test (crashed before).

--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -116,10 +116,13 @@
     if (!*alive) return;
     proposing_ = false;
     if (!leading_) return;
-    // A result that was not taken is proposed again; one that was taken after all is passed over. What was proposed in
-    // an earlier leadership is left to the runs of this one.
-    if (!applied && term == term_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
-    if (applied) listAgain(*proposed);
+    // A result that was not taken is proposed again later, since this may be called from within the proposal; one that
+    // was taken after all is passed over. What was proposed in an earlier leadership is left to the runs of this one.
+    if (!applied) {
+      if (term == term_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
+      return;
+    }
+    listAgain(*proposed);
     proposeResults();
   });
 }
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -27,6 +27,10 @@
     JobExecutorOptions options;
     options.self = kSelf;
     auto propose = [this](JobCommand command, std::function<void(bool)> done) {
+      if (refuses_proposals) {
+        done(false);
+        return;
+      }
       proposals_.push_back({std::move(command), std::move(done)});
     };
     auto send = [this](const ReplicaId&, const fleet::FleetMessage& message) {
@@ -80,6 +84,9 @@
   }
   std::size_t proposals() const { return proposals_.size(); }
 
+  /// The group has no leader and says so at once.
+  bool refuses_proposals = false;
+
  private:
   struct Proposal {
     JobCommand command;
@@ -145,3 +152,17 @@
   stage.executor().tick(later);
   REQUIRE(stage.executor().waiting() + stage.executor().running() == 1);
 }
+
+TEST_CASE("a result that is refused at once is proposed again later, not from within the refusal",
+          "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  stage.refuses_proposals = true;
+  stage.report(1, 1, "one", 1, true);
+  REQUIRE(stage.proposals() == 0);
+  stage.refuses_proposals = false;
+  stage.executor().tick(connection::monotonicNow());
+  REQUIRE(stage.proposals() == 1);
+  stage.endProposal(true);
+  REQUIRE(stage.job().results.front().text == "one");
+}
