--- a/src/process/consensus/log.cpp
+++ b/src/process/consensus/log.cpp
@@ -24,6 +24,10 @@
   return fmt::format("{}{:020}", kSegmentPrefix, number);
 }
 
+bool isWorthReleasing(const LogEntry& entry) {
+  return entry.kind == EntryKind::kCommand && entry.payload.size() >= kReleasedBytes;
+}
+
 std::string baseName(const std::string& path) {
   return path.substr(path.find_last_of('/') + 1);
 }
@@ -96,6 +100,7 @@
     held.file = file;
     held.offset = static_cast<std::uint64_t>(body.data() - bytes.data());
     held.bytes = body.size();
+    if (isWorthReleasing(held.entry)) releasePayload(held);
     const Status placed = place(std::move(held), path);
     if (!isOk(placed)) return placed;
   }
@@ -104,6 +109,11 @@
   return okStatus();
 }
 
+void Log::releasePayload(Held& held) {
+  releaseMemory(held.entry.payload);
+  held.released = true;
+}
+
 Status Log::place(Held held, const std::string& file) {
   const LogEntry& entry = held.entry;
   if (entries_.empty() && entry.index != first_index_) {
@@ -136,10 +146,7 @@
   const LogIndex last = std::min({index, synced_index_, lastIndex()});
   for (LogIndex at = std::max(released_to_ + 1, first_index_); at <= last; ++at) {
     Held& held = entries_[at - first_index_];
-    const bool large = held.entry.kind == EntryKind::kCommand && held.entry.payload.size() >= kReleasedBytes;
-    if (!large || !held.file || held.released) continue;
-    releaseMemory(held.entry.payload);
-    held.released = true;
+    if (isWorthReleasing(held.entry) && held.file && !held.released) releasePayload(held);
   }
   released_to_ = std::max(released_to_, last);
 }
--- a/src/process/consensus/log.hpp
+++ b/src/process/consensus/log.hpp
@@ -15,7 +15,8 @@
 namespace hatchfork::consensus {
 
 /// The replicated log: entries in memory, and the same entries in append-only segment files `<folder>/log-<number>`.
-/// Large payloads of entries that are hardly asked for any more may be released; they are read from the file then.
+/// Large payloads of entries that are hardly asked for any more may be released, and those of a log that is opened are
+/// from the start; they are read from the file then.
 ///
 /// A record whose index is not above the last one replaces it and all that follow, so conflicting entries are
 /// overwritten by appending and no file is ever cut while in use. Entries appended while a sync runs are written
@@ -45,6 +46,7 @@
   std::optional<Term> termAt(LogIndex index) const;
   /// `index` must be held, and not released.
   const LogEntry& at(LogIndex index) const { return entries_[index - first_index_].entry; }
+  bool isReleased(LogIndex index) const { return entries_[index - first_index_].released; }
   /// The entry, also where its payload was released. `index` must be held.
   Result<LogEntry> read(LogIndex index) const;
   /// Frees large payloads of commands that are durable, up to this index.
@@ -77,6 +79,7 @@
   Status load(LogIndex base, Term base_term);
   Status loadSegment(const std::string& name, bool last);
   Status place(Held held, const std::string& file);
+  static void releasePayload(Held& held);
   /// Tells the entries of the batch that is written now where they stand.
   void locatePending(const Segment& segment);
   void startBatch();
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -221,7 +221,17 @@
 void Replica::applyCommitted() {
   while (applied_ < committed_ && !fault_) {
     ++applied_;
-    applyEntry(log_->at(applied_));
+    if (!log_->isReleased(applied_)) {
+      applyEntry(log_->at(applied_));
+      continue;
+    }
+    const Result<LogEntry> entry = log_->read(applied_);
+    if (!isOk(entry)) {
+      --applied_;
+      setFault(errorOf(entry));
+      return;
+    }
+    applyEntry(valueOf(entry));
   }
   if (fault_) return;
   // Members that are far behind are served from the file.
