Send load shares without field names, and keep their sums

Change: arrays in place of objects (under 24 bytes for a share, 60 before), running totals in place of sums over all reports.

--- a/src/request/exchange/load_board.cpp
+++ b/src/request/exchange/load_board.cpp
@@ -11,27 +11,64 @@
 }  // namespace
 
 void LoadBoard::report(Instant now, const std::string& process, std::vector<EngineShare> shares) {
-  reports_[process] = Report{now, std::move(shares)};
+  Report& report = reports_[process];
+  subtract(process, report.shares);
+  report = Report{now, std::move(shares)};
+  add(process, report.shares);
+}
+
+void LoadBoard::add(const std::string& process, const std::vector<EngineShare>& shares) {
+  for (const EngineShare& share : shares) {
+    Total& total = totals_[share.engine];
+    total.in_flight += share.in_flight;
+    total.unread_tokens += share.unread_tokens;
+    if (share.avoid_ms > 0) total.avoid_ms[process] = share.avoid_ms;
+    ++total.reports;
+  }
+}
+
+void LoadBoard::subtract(const std::string& process, const std::vector<EngineShare>& shares) {
+  for (const EngineShare& share : shares) {
+    const auto found = totals_.find(share.engine);
+    Total& total = found->second;
+    total.in_flight -= share.in_flight;
+    total.unread_tokens -= share.unread_tokens;
+    total.avoid_ms.erase(process);
+    if (--total.reports == 0) totals_.erase(found);
+  }
 }
 
 void LoadBoard::expire(Instant now) {
-  std::erase_if(reports_, [now](const auto& entry) { return now > entry.second.at + kReportLifetime; });
+  std::erase_if(reports_, [&](const auto& entry) {
+    const bool late = now > entry.second.at + kReportLifetime;
+    if (late) subtract(entry.first, entry.second.shares);
+    return late;
+  });
 }
 
 std::vector<EngineShare> LoadBoard::others(const std::string& process) const {
-  std::map<EngineId, EngineShare> sums;
-  for (const auto& [reporter, report] : reports_) {
-    if (reporter == process) continue;
-    for (const EngineShare& share : report.shares) {
-      EngineShare& sum = sums[share.engine];
-      sum.engine = share.engine;
+  std::map<EngineId, EngineShare> own;
+  const auto report = reports_.find(process);
+  if (report != reports_.end()) {
+    for (const EngineShare& share : report->second.shares) {
+      EngineShare& sum = own[share.engine];
       sum.in_flight += share.in_flight;
       sum.unread_tokens += share.unread_tokens;
-      sum.avoid_ms = std::max(sum.avoid_ms, share.avoid_ms);
     }
   }
   std::vector<EngineShare> list;
-  for (auto& [engine, sum] : sums) list.push_back(std::move(sum));
+  for (const auto& [engine, total] : totals_) {
+    EngineShare share{engine, total.in_flight, total.unread_tokens, 0};
+    const auto mine = own.find(engine);
+    if (mine != own.end()) {
+      share.in_flight -= mine->second.in_flight;
+      share.unread_tokens -= mine->second.unread_tokens;
+    }
+    for (const auto& [who, avoid_ms] : total.avoid_ms) {
+      if (who != process) share.avoid_ms = std::max(share.avoid_ms, avoid_ms);
+    }
+    if (share.in_flight > 0 || share.unread_tokens > 0 || share.avoid_ms > 0) list.push_back(std::move(share));
+  }
   return list;
 }
 
--- a/src/request/exchange/load_board.hpp
+++ b/src/request/exchange/load_board.hpp
@@ -22,7 +22,16 @@
   std::uint32_t avoid_ms = 0;
   bool operator==(const EngineShare&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EngineShare, engine, in_flight, unread_tokens, avoid_ms)
+/// An array without field names: every process sends its shares and gets those of all others several times a second.
+inline void to_json(nlohmann::json& json, const EngineShare& share) {
+  json = nlohmann::json::array({share.engine, share.in_flight, share.unread_tokens, share.avoid_ms});
+}
+inline void from_json(const nlohmann::json& json, EngineShare& share) {
+  json.at(0).get_to(share.engine);
+  json.at(1).get_to(share.in_flight);
+  json.at(2).get_to(share.unread_tokens);
+  json.at(3).get_to(share.avoid_ms);
+}
 
 /// Adds up what all processes have under way at each engine, from their reports. A report counts until the next one of
 /// the same process, or for a second. No I/O, no clock.
@@ -39,7 +48,21 @@
     Instant at{};
     std::vector<EngineShare> shares;
   };
+  /// What all processes together have under way at one engine.
+  struct Total {
+    std::uint32_t in_flight = 0;
+    std::uint64_t unread_tokens = 0;
+    /// Only of processes that want to avoid the engine.
+    std::map<std::string, std::uint32_t> avoid_ms;
+    /// Reports that name the engine.
+    std::size_t reports = 0;
+  };
+
+  void add(const std::string& process, const std::vector<EngineShare>& shares);
+  void subtract(const std::string& process, const std::vector<EngineShare>& shares);
+
   std::map<std::string, Report> reports_;
+  std::map<EngineId, Total> totals_;
 };
 
 }  // namespace hatchfork::request
