Ask the next store beside one that is silent, and end proposals whose leader is gone

Change: StoreClient asks the next store after 160 ms, all requests being repeatable; a follower ends a forwarded proposal as unknown once it sees another leader; a store answers a resend of a job that it holds at once.

--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kReadTime = fromMillis(1500);
 constexpr Duration kWritePatience = fromMillis(2300);
 constexpr Duration kWriteTime = fromMillis(3000);
+/// A store that answers no later than this is well: it needs one commit, or no more than a proof of freshness.
+constexpr Duration kHedgeAfter = fromMillis(160);
 constexpr std::uint32_t kLongestWaitMs = 1000;
 /// A submission that no store can have taken is refused after this long; a new leader is there by the time to return.
 constexpr Duration kRefuseAfter = fromMillis(90);
@@ -65,7 +67,8 @@
   job.submitted_at = connection::wallNow();
   const std::size_t items = job.items.size();
   const store::StoreRequest submission = store::SubmitJobRequest{std::move(job)};
-  const StoreReply reply = co_await stores_.call(submission, began + kWriteTime, kWritePatience, kRefuseAfter);
+  const StoreCallLimits limits{began + kWriteTime, kWritePatience, kHedgeAfter, began + kRefuseAfter};
+  const StoreReply reply = co_await stores_.call(submission, limits);
   const auto* unavailable = std::get_if<store::UnavailableReply>(&reply);
   logEvent(LogLevel::kInfo, "job_submission",
            {{"request", id},
@@ -105,7 +108,9 @@
 Awaitable<HttpResponse> JobApi::readResults(const ReadResultsCall& call, std::uint32_t wait_ms) {
   const Duration wait = fromMillis(wait_ms);
   const store::StoreRequest read = store::ReadResultsRequest{call.job, call.from, wait_ms};
-  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime + wait, kReadPatience + wait, kReadTime);
+  const Instant began = monotonicNow();
+  const StoreCallLimits limits{began + kReadTime + wait, kReadPatience + wait, kHedgeAfter + wait, began + kReadTime};
+  StoreReply reply = co_await stores_.call(read, limits);
   if (auto* results = std::get_if<store::ResultsReply>(&reply)) {
     ResultsPage page;
     page.total = results->total;
@@ -123,7 +128,9 @@
 
 Awaitable<HttpResponse> JobApi::readItem(const ReadItemCall& call) {
   const store::StoreRequest read = store::ReadItemRequest{call.job, call.item};
-  StoreReply reply = co_await stores_.call(read, monotonicNow() + kReadTime, kReadPatience, kReadTime);
+  const Instant began = monotonicNow();
+  const StoreCallLimits limits{began + kReadTime, kReadPatience, kHedgeAfter, began + kReadTime};
+  StoreReply reply = co_await stores_.call(read, limits);
   if (auto* item = std::get_if<store::ItemReply>(&reply)) {
     HttpResponse response;
     response.headers.push_back({"Content-Type", "application/octet-stream"});
@@ -140,7 +147,9 @@
 
 Awaitable<HttpResponse> JobApi::endJob(const EndJobCall& call) {
   const store::StoreRequest end = store::EndJobRequest{call.job};
-  const StoreReply reply = co_await stores_.call(end, monotonicNow() + kWriteTime, kWritePatience, kWriteTime);
+  const Instant began = monotonicNow();
+  const StoreCallLimits limits{began + kWriteTime, kWritePatience, kHedgeAfter, began + kWriteTime};
+  const StoreReply reply = co_await stores_.call(end, limits);
   logEvent(LogLevel::kInfo, "job_end", {{"job", call.job.value}, {"outcome", nameOf(reply)}});
   if (std::holds_alternative<store::DoneReply>(reply)) co_return connection::jsonResponse(200, "{}");
   co_return refusal(ErrorKind::kDeadlineExceeded, "it is not known whether the job has ended", "send the end again",
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "common/log.hpp"
-#include "connection/awaited.hpp"
 
 namespace hatchfork::exchange {
 
@@ -97,47 +96,80 @@
   return stores;
 }
 
-Awaitable<StoreReply> StoreClient::call(const store::StoreRequest& request, Instant deadline, Duration patience,
-                                        Duration refuse_after) {
-  const Instant refuse_at = monotonicNow() + refuse_after;
-  const std::string encoded = encodeTagged(request);
+struct StoreClient::CallState {
+  explicit CallState(connection::asio::io_context& context) : changed(context) {}
+  /// Cancelled whenever an attempt has ended.
+  connection::asio::steady_timer changed;
+  std::optional<StoreReply> answer;
+  ReplicaId answered_by;
+  /// Stores that are being asked, and those that were asked in this round.
+  std::set<ReplicaId> under_way;
+  std::set<ReplicaId> asked;
   bool may_apply = false;
   std::string cause = "no store is known";
-  while (monotonicNow() < deadline) {
-    const std::vector<ReplicaId> stores = order();
-    for (const ReplicaId& store : stores) {
-      const Instant now = monotonicNow();
-      if (now >= deadline) break;
-      connection::Awaited<StoreReply> answer(co_await connection::asio::this_coro::executor);
-      const std::uint64_t number = ++last_number_;
-      const ReplyHandler done = answer.handler();
-      pending_[number] = Pending{store, done};
-      connection::asio::steady_timer timeout(context_);
-      timeout.expires_after(std::min(patience, deadline - now));
-      timeout.async_wait([this, number](boost::system::error_code error) {
-        const auto found = pending_.find(number);
-        if (error || found == pending_.end()) return;
-        const ReplyHandler late = std::move(found->second.done);
-        pending_.erase(found);
-        late(UnavailableReply{true, "the store did not answer in time"});
-      });
-      const auto link = links_.find(store);
-      if (link != links_.end())
-        link->second.link->send(encodeTagged(fleet::FleetMessage(fleet::StoreRequestFrame{number, encoded})));
-      StoreReply reply = co_await answer.wait();
-      timeout.cancel();
-      const auto* unavailable = std::get_if<UnavailableReply>(&reply);
-      if (unavailable == nullptr) {
-        preferred_ = store;
-        co_return reply;
-      }
+
+  void end(const ReplicaId& store, StoreReply reply) {
+    under_way.erase(store);
+    changed.cancel();
+    if (const auto* unavailable = std::get_if<UnavailableReply>(&reply)) {
       may_apply = may_apply || unavailable->may_apply;
       cause = unavailable->cause;
+      return;
     }
-    if (!may_apply && monotonicNow() + kPauseBetweenRounds >= refuse_at) break;
-    co_await connection::sleepFor(kPauseBetweenRounds);
+    if (answer) return;
+    answer = std::move(reply);
+    answered_by = store;
+  }
+};
+
+void StoreClient::ask(const ReplicaId& store, const std::string& encoded, Duration patience,
+                      const std::shared_ptr<CallState>& state) {
+  const auto link = links_.find(store);
+  if (link == links_.end()) return;
+  state->asked.insert(store);
+  state->under_way.insert(store);
+  const std::uint64_t number = ++last_number_;
+  auto timeout = std::make_shared<connection::asio::steady_timer>(context_);
+  pending_[number] = Pending{store, [state, store, timeout](StoreReply reply) {
+                               timeout->cancel();
+                               state->end(store, std::move(reply));
+                             }};
+  timeout->expires_after(patience);
+  timeout->async_wait([this, number](boost::system::error_code error) {
+    const auto found = error ? pending_.end() : pending_.find(number);
+    if (found == pending_.end()) return;
+    const ReplyHandler late = std::move(found->second.done);
+    pending_.erase(found);
+    late(UnavailableReply{true, "the store did not answer in time"});
+  });
+  link->second.link->send(encodeTagged(fleet::FleetMessage(fleet::StoreRequestFrame{number, encoded})));
+}
+
+std::optional<ReplicaId> StoreClient::nextStore(const CallState& state) const {
+  for (const ReplicaId& store : order()) {
+    if (!state.asked.contains(store) && !state.under_way.contains(store)) return store;
+  }
+  return std::nullopt;
+}
+
+Awaitable<StoreReply> StoreClient::call(const store::StoreRequest& request, StoreCallLimits limits) {
+  const std::string encoded = encodeTagged(request);
+  auto state = std::make_shared<CallState>(context_);
+  while (monotonicNow() < limits.deadline) {
+    const std::optional<ReplicaId> store = nextStore(*state);
+    if (store) ask(*store, encoded, std::min(limits.patience, limits.deadline - monotonicNow()), state);
+    const bool uncertain = state->may_apply || !state->under_way.empty();
+    if (!store && !uncertain && monotonicNow() + kPauseBetweenRounds >= limits.refuse_at) break;
+    // A new round begins after a pause; within one, an answer or the hedge ends the wait.
+    state->changed.expires_after(store ? limits.hedge : kPauseBetweenRounds);
+    if (!store) state->asked.clear();
+    boost::system::error_code ignored;
+    co_await state->changed.async_wait(connection::asio::redirect_error(connection::asio::use_awaitable, ignored));
+    if (!state->answer) continue;
+    preferred_ = state->answered_by;
+    co_return std::move(*state->answer);
   }
-  co_return UnavailableReply{may_apply, cause};
+  co_return UnavailableReply{state->may_apply || !state->under_way.empty(), state->cause};
 }
 
 }  // namespace hatchfork::exchange
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -4,6 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "connection/asio.hpp"
@@ -13,6 +16,17 @@
 
 namespace hatchfork::exchange {
 
+/// Times of one call, all absolute or counted from the moment a store is asked.
+struct StoreCallLimits {
+  Instant deadline{};
+  /// How long one store is waited for.
+  Duration patience{};
+  /// After this long the next store is asked too.
+  Duration hedge{};
+  /// The call is given up at this time already if no store can have taken the request.
+  Instant refuse_at{};
+};
+
 /// Sends requests to stores and turns to another store where one can't answer. Any store answers any request. Belongs
 /// to one thread.
 class StoreClient {
@@ -27,11 +41,10 @@
   }
   /// Tells the leader of the stores, or all of them while it is not known, what this process has under way.
   void reportLoad(Instant now, const std::string& node, std::vector<request::EngineShare> shares);
-  /// Asks store after store, `request` staying valid meanwhile, until one answers or `deadline` has come. An
-  /// `UnavailableReply` says whether the request may have an effect all the same. Gives up earlier, after
-  /// `refuse_after`, while no store can have taken the request.
-  connection::Awaitable<store::StoreReply> call(const store::StoreRequest& request, Instant deadline, Duration patience,
-                                                Duration refuse_after);
+  /// Asks store after store until one answers or `deadline` has come; a store that has not answered after `hedge` is
+  /// waited for on, but the next one is asked beside it, since all requests may be repeated. An `UnavailableReply` says
+  /// whether the request may have an effect all the same.
+  connection::Awaitable<store::StoreReply> call(const store::StoreRequest& request, StoreCallLimits limits);
 
  private:
   struct Link {
@@ -40,6 +53,13 @@
   };
   using ReplyHandler = std::function<void(store::StoreReply)>;
 
+  /// What the attempts of one call have brought so far; shared with their callbacks.
+  struct CallState;
+
+  void ask(const ReplicaId& store, const std::string& encoded, Duration patience,
+           const std::shared_ptr<CallState>& state);
+  /// The first connected store of the round that was not asked in it and is not being asked.
+  std::optional<ReplicaId> nextStore(const CallState& state) const;
   void onFrame(const ReplicaId& store, const std::string& body);
   void onLinkState(const ReplicaId& store, bool connected);
   /// Connected stores, the one that answered last first.
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -229,7 +229,7 @@
     done(ProposalOutcome{ProposalResult::kNotRun, ""});
     return;
   }
-  forwarded_.emplace(number, Forwarded{std::move(done), deadline});
+  forwarded_.emplace(number, Forwarded{std::move(done), deadline, *leading});
 }
 
 void GroupHost::proposeHere(std::string command, Instant deadline, ProposalHandler done) {
@@ -304,8 +304,9 @@
     return true;
   });
   std::vector<ProposalHandler> late_forwards;
+  const std::optional<ReplicaId> leading = leader();
   std::erase_if(forwarded_, [&](auto& entry) {
-    if (entry.second.deadline > now) return false;
+    if (entry.second.deadline > now && leading == entry.second.leader) return false;
     late_forwards.push_back(std::move(entry.second.done));
     return true;
   });
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -87,6 +87,8 @@
   struct Forwarded {
     ProposalHandler done;
     Instant deadline;
+    /// Whom it was passed on to; another leader knows nothing of it.
+    ReplicaId leader;
   };
 
   Status openReplica();
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -222,7 +222,12 @@
 void StoreProgram::serve(SubmitJobRequest request, ReplyFunction reply) {
   const JobId id = request.job.id;
   const std::size_t items = request.job.items.size();
-  if (!mayStoreMore() && state_->find(id) == nullptr) {
+  if (state_->find(id) != nullptr) {
+    // Applied here, so committed: a resend needs no second entry.
+    reply(DoneReply{});
+    return;
+  }
+  if (!mayStoreMore()) {
     logEvent(LogLevel::kWarning, "job_refused", {{"job", id.value}, {"cause", "full"}, {"held", state_->heldBytes()}});
     reply(UnavailableReply{false, "full"});
     return;
