End the tickets of runs whose job has ended

Ruled out: the new sums of the load board (checked against a recount), the change of leader (none in those seconds). Test: job_executor_test (failed before).

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -116,7 +116,7 @@
   if (found == items_.end()) return;
   for (const auto& [item, run] : found->second) {
     run->stopped = true;
-    if (run->running) stopRun(*run);
+    if (run->running) abandonRun(*run);
   }
   items_.erase(found);
   std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
@@ -223,7 +223,7 @@
     if (run->yielding) yielding.push_back(run);
   }
   for (const ItemPtr& run : yielding) {
-    stopRun(*run);
+    board_.stop(run->number);
     endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, "engine above its slots");
   }
 }
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -125,7 +125,8 @@
   void endRun(const ItemPtr& run, RunEnd end, request::EngineVerdict verdict, const std::string& cause);
   /// Runs whose store has fallen silent or lost the order.
   void breakRuns(const std::vector<std::uint64_t>& numbers);
-  void stopRun(ItemRun& run);
+  /// Nobody wants the run any more.
+  void abandonRun(ItemRun& run);
   void sendLeases(Instant now);
   void finishRun(const ItemPtr& run, RunEnd end, const std::string& cause);
   void finishItem(const ItemPtr& run, ItemOutcome outcome);
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -62,8 +62,11 @@
   endRun(run, RunEnd::kDeclined, EngineVerdict::kNeutral, "runner out of reach");
 }
 
-void JobExecutor::stopRun(ItemRun& run) {
+void JobExecutor::abandonRun(ItemRun& run) {
   board_.stop(run.number);
+  selector_.end(monotonicNow(), run.ticket, EngineVerdict::kNeutral);
+  runs_.erase(run.number);
+  run.running = false;
 }
 
 void JobExecutor::sendLeases(Instant now) {
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -166,3 +166,14 @@
   stage.endProposal(true);
   REQUIRE(stage.job().results.front().text == "one");
 }
+
+TEST_CASE("the runs of a job that has ended count for its engines no more", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  stage.report(1, 1, "one", 1, false);
+  REQUIRE(stage.executor().ownShares(connection::monotonicNow()).size() == 1);
+  stage.apply(EndJob{JobId("j")});
+  stage.executor().noteChange(JobId("j"));
+  REQUIRE(stage.executor().running() == 0);
+  REQUIRE(stage.executor().ownShares(connection::monotonicNow()).empty());
+}
