Heartbeats of 50 ms, elections after 200 to 400 ms of silence

Cause: batch jobs and starts wait for the next leader; the objective of a submission is 400 ms. Ruled out as causes of late jobs: silent stores (hedged calls), proofs of freshness (asked at once).

--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -26,7 +26,7 @@
   bool may_form = false;
   /// Upper bound of the wanted voters; odd.
   std::size_t most_voters = 3;
-  consensus::Timing timing{fromMillis(75), fromMillis(300)};
+  consensus::Timing timing{fromMillis(50), fromMillis(200)};
 };
 
 /// Outcome of a proposal; `reply` is the state machine's.
