--- a/bench/load/hollow/hollow_gateway.hpp
+++ b/bench/load/hollow/hollow_gateway.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "connection/control_client.hpp"
-#include "version/configuration_watch.hpp"
+#include "process/control/configuration_watch.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::load {
 
--- a/bench/sim/simulated_gateway.hpp
+++ b/bench/sim/simulated_gateway.hpp
@@ -12,7 +12,7 @@
 #include "bench/sim/process.hpp"
 #include "bench/sim/simulated_engine.hpp"
 #include "bench/sim/simulation.hpp"
-#include "version/configuration_watch.hpp"
+#include "process/control/configuration_watch.hpp"
 
 namespace hatchfork::sim {
 
--- a/src/version/configuration_watch.cpp
+++ b/src/process/control/configuration_watch.cpp
@@ -1,4 +1,4 @@
-#include "version/configuration_watch.hpp"
+#include "process/control/configuration_watch.hpp"
 
 #include <algorithm>
 
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -158,7 +158,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadFrame, node, shares)
 
-using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
-                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadFrame, RunOrder, RunLease, RunReport>;
+using FleetMessage =
+    std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame, UpdateFrame,
+                 StoreRequestFrame, StoreReplyFrame, LoadFrame, RunOrder, RunLease, RunReport>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -12,8 +12,8 @@
 
 /// Frames between the leader of the store group, which decides where batch items run, and the stores that run them.
 ///
-/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen, and breaks off
-/// what it runs once the leader has been silent for the time of the lease.
+/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen, and breaks
+/// off what it runs once the leader has been silent for the time of the lease.
 namespace hatchfork::fleet {
 
 /// How a run of an item ended.
--- a/src/process/gateway/batch_api.hpp
+++ b/src/process/gateway/batch_api.hpp
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "connection/control_client.hpp"
 #include "connection/http_server.hpp"
 #include "process/batch/batch_types.hpp"
 #include "process/gateway/service_traffic.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::gateway {
 
--- a/src/process/gateway/batch_runner.hpp
+++ b/src/process/gateway/batch_runner.hpp
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "connection/control_client.hpp"
 #include "connection/engine_attempt.hpp"
 #include "connection/http_client.hpp"
 #include "process/gateway/batch_item_run.hpp"
 #include "process/gateway/service_traffic.hpp"
+#include "process/subscription/control_client.hpp"
 #include "request/batch/lease_demand.hpp"
 #include "request/batch/lease_pacer.hpp"
 
--- a/src/process/gateway/gateway_node.hpp
+++ b/src/process/gateway/gateway_node.hpp
@@ -6,16 +6,16 @@
 #include <thread>
 
 #include "connection/asio.hpp"
-#include "connection/control_client.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
+#include "process/control/configuration_watch.hpp"
 #include "process/gateway/batch_api.hpp"
 #include "process/gateway/batch_runner.hpp"
 #include "process/gateway/gateway_settings.hpp"
 #include "process/gateway/load_poller.hpp"
 #include "process/gateway/online_handler.hpp"
 #include "process/gateway/service_traffic.hpp"
-#include "version/configuration_watch.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::gateway {
 
--- a/src/process/gateway/gateway_settings.hpp
+++ b/src/process/gateway/gateway_settings.hpp
@@ -6,8 +6,8 @@
 #include "common/ids.hpp"
 #include "common/result.hpp"
 #include "common/time.hpp"
-#include "connection/control_client.hpp"
 #include "connection/http_types.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::gateway {
 
--- a/src/process/gateway/online_handler.hpp
+++ b/src/process/gateway/online_handler.hpp
@@ -5,12 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "connection/control_client.hpp"
 #include "connection/engine_attempt.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
 #include "process/gateway/caller_request.hpp"
 #include "process/gateway/service_traffic.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::gateway {
 
--- a/src/process/node/control_node.hpp
+++ b/src/process/node/control_node.hpp
@@ -10,12 +10,12 @@
 #include "connection/frame_server.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
-#include "connection/wire_messages.hpp"
 #include "process/control/control_service.hpp"
 #include "process/node/admin_api.hpp"
 #include "process/node/control_settings.hpp"
 #include "process/node/platform_poller.hpp"
 #include "process/storage/posix_disk.hpp"
+#include "process/subscription/wire_messages.hpp"
 
 namespace hatchfork::node {
 
--- a/src/process/node/control_settings.hpp
+++ b/src/process/node/control_settings.hpp
@@ -5,8 +5,8 @@
 
 #include "common/ids.hpp"
 #include "common/result.hpp"
-#include "connection/control_client.hpp"
 #include "connection/http_types.hpp"
+#include "process/subscription/control_client.hpp"
 
 namespace hatchfork::node {
 
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -18,8 +18,8 @@
 /// Runs batch items at engines as the leader of the store group orders, and reports what comes of them. It decides
 /// nothing: a run that breaks is reported and forgotten. Belongs to one thread.
 ///
-/// Invariant: only orders of the newest term that was heard of are run, and none of them longer than the lease after the
-/// leader's last sign of life.
+/// Invariant: only orders of the newest term that was heard of are run, and none of them longer than the lease after
+/// the leader's last sign of life.
 class ItemRunner {
  public:
   /// Sends a report to the leader of that term.
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -65,8 +65,7 @@
   term_ = term;
   if (!leading) return;
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
-  logEvent(LogLevel::kInfo, "executor_started",
-           {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
+  logEvent(LogLevel::kInfo, "executor_started", {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
   pump();
 }
 
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -36,13 +36,13 @@
   std::uint64_t yielded = 0;
 };
 
-/// Decides, while this process leads the store group, which items of the open jobs run, at which engine, and which store
-/// runs them; joins the events of an item's runs to its text, and proposes results. All that it knows of items under way
-/// is soft: a new leader goes on from the progress that the group keeps. Belongs to one thread.
+/// Decides, while this process leads the store group, which items of the open jobs run, at which engine, and which
+/// store runs them; joins the events of an item's runs to its text, and proposes results. All that it knows of items
+/// under way is soft: a new leader goes on from the progress that the group keeps. Belongs to one thread.
 ///
-/// Invariants: an item is under way at one engine at most, as far as reports tell; its text is each event's data exactly
-/// once, a later run being asked to go on after the last event that was taken; a result is proposed only for a whole
-/// text, or for an item that may be given up.
+/// Invariants: an item is under way at one engine at most, as far as reports tell; its text is each event's data
+/// exactly once, a later run being asked to go on after the last event that was taken; a result is proposed only for a
+/// whole text, or for an item that may be given up.
 class JobExecutor {
  public:
   /// Replicates a command; calls back with true once it is applied.
--- a/src/connection/control_client.cpp
+++ b/src/process/subscription/control_client.cpp
@@ -1,11 +1,11 @@
-#include "connection/control_client.hpp"
+#include "process/subscription/control_client.hpp"
 
 #include <algorithm>
 #include <optional>
 
 #include "common/log.hpp"
 #include "connection/awaited.hpp"
-#include "connection/wire_messages.hpp"
+#include "process/subscription/wire_messages.hpp"
 
 namespace hatchfork::connection {
 namespace {
--- a/tests/process/store/run_board_test.cpp
+++ b/tests/process/store/run_board_test.cpp
@@ -71,7 +71,8 @@
   RunBoard runs = board(0, 4);
   const std::uint64_t first = runs.begin(at(0), kThere);
   const std::uint64_t second = runs.begin(at(0), kThere);
-  REQUIRE(runs.check(at(100), RunReport{kThere, 1, {news(first, 1), news(second, 1)}, {first, second}}).news.size() == 2);
+  REQUIRE(runs.check(at(100), RunReport{kThere, 1, {news(first, 1), news(second, 1)}, {first, second}}).news.size() ==
+          2);
   const CheckedReport gap = runs.check(at(300), RunReport{kThere, 1, {news(first, 3), news(second, 2, true)}, {first}});
   REQUIRE(gap.news.size() == 1);
   REQUIRE(gap.news.front().number == second);
