--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -2,42 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/connection/scripted_engine.hpp"
+
 using namespace hatchfork;
 using namespace hatchfork::connection;
 
 namespace {
 
-/// An engine on loopback that answers each connection with given bytes, and then stays silent.
-class ScriptedEngine {
- public:
-  ScriptedEngine(asio::io_context& context, std::string answer)
-      : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), answer_(std::move(answer)) {
-    accept();
-  }
-  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  std::size_t accepted() const { return sockets_.size(); }
-
- private:
-  void accept() {
-    acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-      if (error) return;
-      auto held = std::make_shared<tcp::socket>(std::move(socket));
-      sockets_.push_back(held);
-      auto request = std::make_shared<std::string>();
-      asio::async_read_until(*held, asio::dynamic_buffer(*request), "\r\n\r\n",
-                             [this, held, request](boost::system::error_code, std::size_t) {
-                               asio::async_write(*held, asio::buffer(answer_),
-                                                 [held](boost::system::error_code, std::size_t) {});
-                             });
-      accept();
-    });
-  }
-
-  tcp::acceptor acceptor_;
-  std::string answer_;
-  std::vector<std::shared_ptr<tcp::socket>> sockets_;
-};
-
 EngineRequest requestTo(const ScriptedEngine& engine) {
   EngineRequest request;
   request.engine = EngineId("e");
