--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -72,6 +72,8 @@
 
   bool isOpen() const { return replica_ != nullptr; }
   bool isConfirmedLeader() const;
+  /// Leads as far as this replica knows, confirmed by a quorum or not.
+  bool isLeader() const { return replica_ && replica_->role() == consensus::Role::kLeader; }
   consensus::GroupStatus status() const;
   std::optional<ReplicaId> leader() const;
   consensus::Term term() const { return replica_ ? replica_->term() : 0; }
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -66,6 +66,8 @@
   void tick(Instant now);
 
   bool isLeading() const { return leading_; }
+  /// Term of the last leadership that was announced here.
+  std::uint64_t term() const { return term_; }
   /// What the runs here have under way, and what all gateways have.
   std::vector<request::EngineShare> ownShares(Instant now) const { return selector_.ownShares(now); }
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -33,6 +33,11 @@
 constexpr std::size_t kRunsPerMegabyte = 2;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewestVoters = 3;
+/// A leader that no quorum has confirmed for this long lets its runs go on: breaking all of them off for a moment of load
+/// costs more than a few that another leader begins meanwhile.
+constexpr Duration kUnconfirmedRuns = fromMillis(800);
+/// A store under load may be late by a fifth of a second; elections in series cost more than a slow one.
+constexpr consensus::Timing kStoreTiming{fromMillis(75), fromMillis(300)};
 
 }  // namespace
 
@@ -66,6 +71,7 @@
 
   fleet::GroupHostOptions options;
   options.group = kStoreGroup;
+  options.timing = kStoreTiming;
   options.self = settings_.self();
   options.data_folder = settings_.data_folder;
   options.most_voters = std::max<std::size_t>(kFewestVoters, 2 * settings_.tolerated_losses + 1);
@@ -172,7 +178,11 @@
 }
 
 void StoreProgram::updateLeading() {
-  executor_->setLeading(!stopping_ && group_->isConfirmedLeader(), group_->term());
+  const Instant now = monotonicNow();
+  if (group_->isConfirmedLeader()) confirmed_at_ = now;
+  const bool same_leadership = executor_->isLeading() && group_->isLeader() && group_->term() == executor_->term();
+  const bool unconfirmed_lately = same_leadership && now < confirmed_at_ + kUnconfirmedRuns;
+  executor_->setLeading(!stopping_ && (confirmed_at_ == now || unconfirmed_lately), group_->term());
 }
 
 void StoreProgram::onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from) {
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -83,6 +83,8 @@
   std::list<HeldRead> held_reads_;
   std::set<JobId> changed_jobs_;
   Instant next_trim_{};
+  /// When a quorum last confirmed the leadership of this store.
+  Instant confirmed_at_ = Instant::min();
   bool change_posted_ = false;
   bool stopping_ = false;
 };
