--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -33,8 +33,8 @@
 constexpr std::size_t kRunsPerMegabyte = 2;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewestVoters = 3;
-/// A leader that no quorum has confirmed for this long lets its runs go on: breaking all of them off for a moment of load
-/// costs more than a few that another leader begins meanwhile.
+/// A leader that no quorum has confirmed for this long lets its runs go on: breaking all of them off for a moment of
+/// load costs more than a few that another leader begins meanwhile.
 constexpr Duration kUnconfirmedRuns = fromMillis(800);
 /// A store under load may be late by a fifth of a second; elections in series cost more than a slow one.
 constexpr consensus::Timing kStoreTiming{fromMillis(75), fromMillis(300)};
