Let batch work wait for room rather than try an engine that has just failed

Ruled out: the verdict (it was told each time), the time out of rotation (0.4 s and more). Change: batch work uses engines out of rotation only where none is in rotation. Test: engine_selector_test (failed before).

--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -143,12 +143,16 @@
 std::vector<EngineSelector::EngineState*> EngineSelector::candidates(Instant now, const EngineQuery& query) {
   std::vector<EngineState*> usable;
   std::vector<EngineState*> ejected;
+  bool any_in_rotation = false;
   for (auto& [id, state] : engines_) {
     if (state.record.service != query.service || state.record.leaving || state.gone) continue;
     if (query.excluded.contains(id)) continue;
+    any_in_rotation = any_in_rotation || now >= state.ejected_until;
     if (query.background && !hasBackgroundRoom(now, state, query)) continue;
     (now < state.ejected_until ? ejected : usable).push_back(&state);
   }
+  // Batch work waits for room at an engine in rotation.
+  if (query.background && any_in_rotation) return usable;
   const std::size_t all = usable.size() + ejected.size();
   const auto least = static_cast<std::size_t>(std::ceil(static_cast<double>(all) * (1 - limits_.most_ejected_share)));
   std::sort(ejected.begin(), ejected.end(), [](const EngineState* left, const EngineState* right) {
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -163,6 +163,22 @@
   REQUIRE(selector.choose(kStart, query()));
 }
 
+TEST_CASE("batch work waits for room rather than going to an engine that has just failed", "[selector]") {
+  EngineSelector selector(1);
+  selector.setEngines(engines(2));
+  const EngineId full("engine-0");
+  const EngineId failed("engine-1");
+  for (int i = 0; i < 10; ++i) selector.begin(kStart, full, query());
+  selector.end(kStart, selector.begin(kStart, failed, query()), EngineVerdict::kFailed);
+  EngineQuery batch = query();
+  batch.background = true;
+  REQUIRE_FALSE(selector.choose(kStart, batch));
+  REQUIRE(selector.choose(kStart + std::chrono::seconds(1), batch)->engine.id == failed);
+  // Where no engine is in rotation, half of them are tried all the same.
+  selector.end(kStart, selector.begin(kStart, full, query()), EngineVerdict::kFailed);
+  REQUIRE(selector.choose(kStart, batch));
+}
+
 TEST_CASE("leaving, excluded and foreign engines are never chosen", "[selector]") {
   EngineSelector selector(7);
   std::vector<EngineRecord> list = engines(3);
