Limit the tokens that wait on a batch route, over all nodes and submitters

Cause: the route's limit of waiting tokens and an item's tokens were read, but nothing counted them. Ruled out: a count at the leader alone (a follower passes proposals on, and proposals under way would have to be added); a share for each gateway (refuses what fits). Change: the limit travels with the submission and is judged where the command is applied, so every replica and every later leader judges alike; tokens come back as items are listed or their job is ended. A refusal holds for all copies of one try, which hedged calls to stores may send twice. It goes out as 429 with the time in which the route's progress of late makes room.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -47,7 +47,7 @@
       selector_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
-      jobs_(*dialect_, stores_) {}
+      jobs_(*dialect_, stores_, drawSeed()) {}
 
 GatewayProgram::~GatewayProgram() = default;
 
@@ -202,6 +202,8 @@
   page.counter("hatchfork_jobs_submitted_total", "Batch jobs submitted here.", static_cast<double>(jobs.submitted));
   page.counter("hatchfork_jobs_accepted_total", "Of these, kept.", static_cast<double>(jobs.accepted));
   page.counter("hatchfork_jobs_refused_total", "Of these, refused as not run.", static_cast<double>(jobs.refused));
+  page.counter("hatchfork_jobs_over_limit_total", "Of these, refused since too many tokens wait on their route.",
+               static_cast<double>(jobs.over_limit));
   page.counter("hatchfork_jobs_unclear_total", "Of these, without a clear outcome.", static_cast<double>(jobs.unclear));
   page.gauge("hatchfork_route_version", "Version of the routes in force here.",
              routes_ ? static_cast<double>(routes_->version()) : 0);
--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -1,5 +1,7 @@
 #include "process/exchange/job_api.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -43,6 +45,17 @@
                  "ask again", Executed::kNo);
 }
 
+HttpResponse overLimit(const Route& route, const store::OverLimitReply& reply) {
+  const Duration come_back = fromMillis(reply.come_back_ms);
+  const std::string message = fmt::format("{} tokens wait on route {}, {} more would exceed its limit of {}",
+                                          reply.waiting_tokens, route.name, reply.job_tokens, route.most_waiting_tokens);
+  HttpResponse response = connection::errorResponse(
+      Error{ErrorKind::kRateLimited, message, "send the job again at the given time, or a smaller one", Executed::kNo,
+            come_back});
+  setRetryAfter(response, come_back);
+  return response;
+}
+
 std::string_view nameOf(const StoreReply& reply) {
   return std::visit([](const auto& body) { return std::decay_t<decltype(body)>::kKind; }, reply);
 }
@@ -66,7 +79,8 @@
   job.path = request.path;
   job.submitted_at = connection::wallNow();
   const std::size_t items = job.items.size();
-  const store::StoreRequest submission = store::SubmitJobRequest{std::move(job)};
+  WaitingLimit limit{route.host, route.prefix, route.most_waiting_tokens};
+  const store::StoreRequest submission = store::SubmitJobRequest{std::move(job), std::move(limit), attempts_()};
   const StoreCallLimits limits{began + kWriteTime, kWritePatience, kHedgeAfter, began + kRefuseAfter};
   const StoreReply reply = co_await stores_.call(submission, limits);
   const auto* unavailable = std::get_if<store::UnavailableReply>(&reply);
@@ -81,6 +95,10 @@
     ++counters_.accepted;
     co_return connection::jsonResponse(202, "{}");
   }
+  if (const auto* over = std::get_if<store::OverLimitReply>(&reply)) {
+    ++counters_.over_limit;
+    co_return overLimit(route, *over);
+  }
   const bool may_apply = unavailable == nullptr || unavailable->may_apply;
   if (may_apply) {
     ++counters_.unclear;
--- a/src/process/exchange/job_api.hpp
+++ b/src/process/exchange/job_api.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "connection/http_server.hpp"
@@ -15,6 +17,8 @@
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
   std::uint64_t unclear = 0;
+  /// Refused since too many tokens wait on their route.
+  std::uint64_t over_limit = 0;
   std::uint64_t reads = 0;
 };
 
@@ -22,7 +26,8 @@
 /// the job. Belongs to one thread.
 class JobApi {
  public:
-  JobApi(const Dialect& dialect, StoreClient& stores) : dialect_(dialect), stores_(stores) {}
+  JobApi(const Dialect& dialect, StoreClient& stores, std::uint64_t seed)
+      : dialect_(dialect), stores_(stores), attempts_(seed) {}
 
   connection::Awaitable<connection::HttpResponse> submit(const Route& route, const connection::HttpRequest& request);
   connection::Awaitable<connection::HttpResponse> respond(const JobCall& call, const connection::HttpRequest& request);
@@ -35,6 +40,8 @@
 
   const Dialect& dialect_;
   StoreClient& stores_;
+  /// Draws the names of submissions.
+  std::mt19937_64 attempts_;
   JobApiCounters counters_;
 };
 
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -20,23 +20,73 @@
 
 struct StateSnapshot {
   std::vector<JobSnapshot> jobs;
+  std::deque<std::uint64_t> refused_attempts;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StateSnapshot, jobs)
+/// Snapshots of older programs have no refusals.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts)
+
+/// Copies of a refused try come within seconds of it.
+constexpr std::size_t kMostRefusalsRemembered = 2000;
+
+std::string_view nameOf(bool changed) {
+  return changed ? kApplyChanged : kApplyUnchanged;
+}
+std::string_view nameOf(std::string_view outcome) {
+  return outcome;
+}
 
 }  // namespace
 
 std::string JobState::apply(consensus::LogIndex, std::string_view command) {
   Result<JobCommand> decoded = decodeTagged<JobCommand>(command);
   if (!isOk(decoded)) return "malformed";
-  const bool changed = std::visit([this](const auto& body) { return applyOne(body); }, valueOf(decoded));
-  return changed ? "changed" : "unchanged";
+  return std::string(std::visit([this](const auto& body) { return nameOf(applyOne(body)); }, valueOf(decoded)));
 }
 
-bool JobState::applyOne(const SubmitJob& command) {
-  if (jobs_.contains(command.job.id)) return false;
+std::string_view JobState::applyOne(const SubmitJob& command) {
+  if (jobs_.contains(command.job.id)) return kApplyUnchanged;
+  if (exceedsLimit(command)) {
+    rememberRefusal(command.attempt);
+    return kApplyOverLimit;
+  }
   addJob(command.job);
   changed(command.job.id);
-  return true;
+  return kApplyChanged;
+}
+
+bool JobState::exceedsLimit(const SubmitJob& command) const {
+  const auto refused = std::find(refused_attempts_.begin(), refused_attempts_.end(), command.attempt);
+  if (command.attempt != 0 && refused != refused_attempts_.end()) return true;
+  if (command.limit.most_tokens == 0) return false;
+  const std::uint64_t waiting = waitingTokens(command.limit.host, command.limit.prefix);
+  return waiting + tokensOf(command.job) > command.limit.most_tokens;
+}
+
+void JobState::rememberRefusal(std::uint64_t attempt) {
+  if (attempt == 0) return;
+  refused_attempts_.push_back(attempt);
+  if (refused_attempts_.size() > kMostRefusalsRemembered) refused_attempts_.pop_front();
+}
+
+std::uint64_t JobState::waitingTokens(std::string_view host, std::string_view prefix) const {
+  std::uint64_t waiting = 0;
+  for (const auto& [id, job] : jobs_) {
+    const bool on_route = job.submission.host == host && job.submission.path.starts_with(prefix);
+    if (on_route && !job.ended) waiting += job.open_tokens;
+  }
+  return waiting;
+}
+
+std::uint64_t JobState::waitingTokens() const {
+  std::uint64_t waiting = 0;
+  for (const auto& [id, job] : jobs_) waiting += job.ended ? 0 : job.open_tokens;
+  return waiting;
+}
+
+std::uint64_t tokensOf(const JobSubmission& job) {
+  std::uint64_t tokens = 0;
+  for (const OpaqueItem& item : job.items) tokens += item.tokens;
+  return tokens;
 }
 
 void JobState::addJob(JobSubmission submission) {
@@ -44,7 +94,7 @@
   job.submission = std::move(submission);
   for (std::size_t position = 0; position < job.submission.items.size(); ++position) {
     const OpaqueItem& item = job.submission.items[position];
-    job.open_items.emplace(item.id, position);
+    if (job.open_items.emplace(item.id, position).second) job.open_tokens += item.tokens;
     held_bytes_ += item.body.size();
   }
 }
@@ -80,6 +130,8 @@
   held_bytes_ += result.text.size();
   releaseMemory(item.body);
   item.headers = std::vector<ItemHeader>();
+  job.open_tokens -= item.tokens;
+  listed_tokens_ += item.tokens;
   job.open_items.erase(open);
   job.progress.erase(result.id);
   job.results.push_back(std::move(result));
@@ -151,6 +203,7 @@
     }
     snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
   }
+  snapshot.refused_attempts = refused_attempts_;
   return encodeStruct(snapshot);
 }
 
@@ -159,6 +212,7 @@
   if (!isOk(decoded)) return errorOf(decoded);
   jobs_.clear();
   held_bytes_ = 0;
+  refused_attempts_ = std::move(valueOf(decoded).refused_attempts);
   for (JobSnapshot& entry : valueOf(decoded).jobs) {
     const JobId id = entry.submission.id;
     addJob(std::move(entry.submission));
@@ -166,7 +220,11 @@
     job.results = std::move(entry.results);
     job.ended = entry.ended;
     for (const ItemResult& result : job.results) {
-      job.open_items.erase(result.id);
+      const auto open = job.open_items.find(result.id);
+      if (open != job.open_items.end()) {
+        job.open_tokens -= job.submission.items[open->second].tokens;
+        job.open_items.erase(open);
+      }
       held_bytes_ += result.text.size();
     }
     for (ItemProgress& progress : entry.progress) {
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -16,12 +17,22 @@
 
 namespace hatchfork::store {
 
-/// Keeps a job. The same identifier again changes nothing.
+/// Keeps a job, unless it does not fit beside what waits on its route. The same identifier again changes nothing. A
+/// refusal holds for all copies of the try, since the submitter may have been told.
 struct SubmitJob {
   static constexpr std::string_view kKind = "submit";
   JobSubmission job;
+  WaitingLimit limit;
+  /// Zero: not named, and never remembered.
+  std::uint64_t attempt = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitJob, job)
+/// Entries that older programs logged have neither a limit nor a try.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SubmitJob, job, limit, attempt)
+
+/// What `JobState::apply` answers.
+inline constexpr std::string_view kApplyChanged = "changed";
+inline constexpr std::string_view kApplyUnchanged = "unchanged";
+inline constexpr std::string_view kApplyOverLimit = "over_limit";
 
 struct JobResult {
   JobId job;
@@ -99,6 +110,8 @@
   };
   std::unordered_map<std::string, Progress> progress;
   bool ended = false;
+  /// Tokens of all open items.
+  std::uint64_t open_tokens = 0;
 
   bool isFinished() const { return ended || open_items.empty(); }
 };
@@ -119,11 +132,19 @@
   const std::map<JobId, StoredJob>& jobs() const { return jobs_; }
   /// Null for an unknown job.
   const StoredJob* find(const JobId& job) const;
+  /// Tokens of the open items of all jobs that were submitted under the host and prefix and are not ended.
+  std::uint64_t waitingTokens(std::string_view host, std::string_view prefix) const;
+  /// Tokens of all open items.
+  std::uint64_t waitingTokens() const;
+  /// Tokens of all items that were listed here so far; only grows.
+  std::uint64_t listedTokens() const { return listed_tokens_; }
   /// Bytes of bodies and texts that are held.
   std::uint64_t heldBytes() const { return held_bytes_; }
 
  private:
-  bool applyOne(const SubmitJob& command);
+  std::string_view applyOne(const SubmitJob& command);
+  bool exceedsLimit(const SubmitJob& command) const;
+  void rememberRefusal(std::uint64_t attempt);
   bool applyOne(const ListResults& command);
   bool listResult(StoredJob& job, const JobResult& entry);
   bool applyOne(const SaveProgress& command);
@@ -134,9 +155,15 @@
 
   ChangeHandler on_change_;
   std::map<JobId, StoredJob> jobs_;
+  /// Tries that were refused, the newest last.
+  std::deque<std::uint64_t> refused_attempts_;
   std::uint64_t held_bytes_ = 0;
+  std::uint64_t listed_tokens_ = 0;
 };
 
+/// Tokens of all items of a job.
+std::uint64_t tokensOf(const JobSubmission& job);
+
 /// The results of a job from a position on, at most about `most_bytes` of text but at least one where there is one.
 ResultsReply resultsFrom(const StoredJob& job, std::uint64_t from, std::size_t most_bytes);
 
--- a/src/process/store/store_messages.hpp
+++ b/src/process/store/store_messages.hpp
@@ -16,8 +16,11 @@
 struct SubmitJobRequest {
   static constexpr std::string_view kKind = "submit";
   JobSubmission job;
+  WaitingLimit limit;
+  /// Names this try of the submitter; copies of one try have one outcome.
+  std::uint64_t attempt = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitJobRequest, job)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitJobRequest, job, limit, attempt)
 
 struct ReadResultsRequest {
   static constexpr std::string_view kKind = "results";
@@ -83,6 +86,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UnavailableReply, may_apply, cause)
 
-using StoreReply = std::variant<DoneReply, ResultsReply, ItemReply, UnknownReply, UnavailableReply>;
+/// The job does not fit beside what waits on its route. Final for this try: no copy of it has an effect.
+struct OverLimitReply {
+  static constexpr std::string_view kKind = "over_limit";
+  /// Tokens that wait, and those of the refused job.
+  std::uint64_t waiting_tokens = 0;
+  std::uint64_t job_tokens = 0;
+  /// When it is likely to fit, as far as the route's progress tells.
+  std::uint32_t come_back_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OverLimitReply, waiting_tokens, job_tokens, come_back_ms)
+
+using StoreReply = std::variant<DoneReply, ResultsReply, ItemReply, UnknownReply, UnavailableReply, OverLimitReply>;
 
 }  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -39,6 +39,12 @@
 /// A store under load may be late by a fifth of a second; elections in series cost more than a slow one.
 constexpr consensus::Timing kStoreTiming{fromMillis(75), fromMillis(300)};
 
+StoreReply replyOf(const ProposalOutcome& outcome) {
+  if (outcome.result == ProposalResult::kApplied) return DoneReply{};
+  const bool may_apply = outcome.result == ProposalResult::kUnknown;
+  return UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"};
+}
+
 }  // namespace
 
 StoreProgram::StoreProgram(fleet::FleetSettings settings, std::string settings_file,
@@ -221,6 +227,10 @@
              static_cast<double>(executor_->running()));
   page.gauge("hatchfork_items_run_here", "Batch items that this store runs.", static_cast<double>(runner_->running()));
   page.gauge("hatchfork_items_waiting", "Batch items that wait for a slot.", static_cast<double>(executor_->waiting()));
+  page.gauge("hatchfork_waiting_tokens", "Tokens of open batch items, of all jobs.",
+             static_cast<double>(state_->waitingTokens()));
+  page.counter("hatchfork_jobs_over_limit_total", "Job submissions refused here by the limit of waiting tokens.",
+               static_cast<double>(over_limit_jobs_));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
@@ -242,12 +252,30 @@
     reply(UnavailableReply{false, "full"});
     return;
   }
-  auto logged = [id, items, reply = std::move(reply)](const StoreReply& outcome) {
+  const WaitingLimit limit = request.limit;
+  const std::uint64_t tokens = tokensOf(request.job);
+  SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
+  auto done = [this, id, items, limit, tokens, reply = std::move(reply)](const ProposalOutcome& outcome) {
+    const bool over_limit = outcome.result == ProposalResult::kApplied && outcome.reply == kApplyOverLimit;
+    if (over_limit) ++over_limit_jobs_;
     logEvent(LogLevel::kInfo, "job_submitted",
-             {{"job", id.value}, {"items", items}, {"kept", std::holds_alternative<DoneReply>(outcome)}});
-    reply(outcome);
+             {{"job", id.value},
+              {"items", items},
+              {"tokens", tokens},
+              {"kept", outcome.result == ProposalResult::kApplied && !over_limit},
+              {"over_limit", over_limit}});
+    reply(over_limit ? overLimit(limit, tokens) : replyOf(outcome));
   };
-  propose(SubmitJob{std::move(request.job)}, logged);
+  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
+}
+
+/// The time to return follows from how fast the route's tokens are finished.
+StoreReply StoreProgram::overLimit(const WaitingLimit& limit, std::uint64_t job_tokens) const {
+  const std::uint64_t waiting = state_->waitingTokens(limit.host, limit.prefix);
+  const std::uint64_t wanted = waiting + job_tokens;
+  const std::uint64_t excess = wanted - std::min(wanted, limit.most_tokens);
+  const Duration until_room = finished_tokens_.timeToDrain(monotonicNow(), excess);
+  return OverLimitReply{waiting, job_tokens, static_cast<std::uint32_t>(toMillis(until_room))};
 }
 
 void StoreProgram::serve(EndJobRequest request, ReplyFunction reply) {
@@ -260,14 +288,8 @@
 }
 
 void StoreProgram::propose(JobCommand command, ReplyFunction reply) {
-  group_->propose(encodeTagged(command), kProposalTimeout, [reply = std::move(reply)](const ProposalOutcome& outcome) {
-    if (outcome.result == ProposalResult::kApplied) {
-      reply(DoneReply{});
-      return;
-    }
-    const bool may_apply = outcome.result == ProposalResult::kUnknown;
-    reply(UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"});
-  });
+  group_->propose(encodeTagged(command), kProposalTimeout,
+                  [reply = std::move(reply)](const ProposalOutcome& outcome) { reply(replyOf(outcome)); });
 }
 
 void StoreProgram::answerFresh(std::function<StoreReply()> answer, ReplyFunction reply) {
@@ -339,6 +361,13 @@
   }
 }
 
+/// A state that was restored counts anew.
+void StoreProgram::measureProgress(Instant now) {
+  const std::uint64_t listed = state_->listedTokens();
+  if (listed > listed_tokens_) finished_tokens_.noteFinished(now, static_cast<double>(listed - listed_tokens_));
+  listed_tokens_ = listed;
+}
+
 Awaitable<void> StoreProgram::tickLoop() {
   while (true) {
     co_await connection::sleepFor(kTickInterval);
@@ -347,6 +376,7 @@
     executor_->tick(now);
     runner_->tick(now);
     answerHeldReads(now);
+    measureProgress(now);
     loads_.expire(now);
     if (now >= next_trim_) {
       next_trim_ = now + kTrimInterval;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -17,6 +17,7 @@
 #include "process/store/job_executor.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/store_messages.hpp"
+#include "request/limits/drain_meter.hpp"
 #include "version/dialect.hpp"
 
 namespace hatchfork::store {
@@ -51,6 +52,7 @@
   void serve(ReadResultsRequest request, ReplyFunction reply);
   void serve(ReadItemRequest request, ReplyFunction reply);
   void serve(EndJobRequest request, ReplyFunction reply);
+  StoreReply overLimit(const WaitingLimit& limit, std::uint64_t job_tokens) const;
   void propose(JobCommand command, ReplyFunction reply);
   /// Answers from the state once that is as fresh as this call.
   void answerFresh(std::function<StoreReply()> answer, ReplyFunction reply);
@@ -59,6 +61,7 @@
   void updateLeading();
   void noteChange(const JobId& job);
   void answerHeldReads(Instant now);
+  void measureProgress(Instant now);
   void onView(const fleet::FleetView& view, bool changed);
   std::vector<fleet::StorePresence> presence() const;
   bool mayStoreMore() const;
@@ -80,6 +83,10 @@
   std::unique_ptr<connection::FrameServer> frame_server_;
   std::unique_ptr<fleet::MetricsServer> metrics_;
   request::LoadBoard loads_;
+  /// How fast tokens of items are finished, and those that were when it was last told.
+  request::DrainMeter finished_tokens_;
+  std::uint64_t listed_tokens_ = 0;
+  std::uint64_t over_limit_jobs_ = 0;
   std::list<HeldRead> held_reads_;
   std::set<JobId> changed_jobs_;
   Instant next_trim_{};
--- a/src/version/batch_submission.hpp
+++ b/src/version/batch_submission.hpp
@@ -41,6 +41,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSubmission, id, host, path, submitted_at, items)
 
+/// How many tokens of open items may wait on one route, over all jobs that were submitted to it.
+struct WaitingLimit {
+  std::string host;
+  std::string prefix;
+  /// Zero without a limit.
+  std::uint64_t most_tokens = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingLimit, host, prefix, most_tokens)
+
 enum class ItemOutcome : std::uint8_t { kCompleted, kErrored };
 NLOHMANN_JSON_SERIALIZE_ENUM(ItemOutcome, {{ItemOutcome::kCompleted, 0}, {ItemOutcome::kErrored, 1}})
 
--- a/src/version/route_table.hpp
+++ b/src/version/route_table.hpp
@@ -58,6 +58,8 @@
   Duration completion_target{};
   /// Batch only: when an item may be given up, counted from the job's first send.
   Duration retention{};
+  /// Batch only: the most tokens of open items that may wait on the route, over all submitters; zero without a limit.
+  std::uint64_t most_waiting_tokens = 0;
 
   /// True if a request may run at a second engine after it may have run at a first.
   bool isRepeatable() const { return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable); }
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -16,7 +16,8 @@
   {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Type":"safe","TimeoutMs":8000,"TargetLatencyMs":300,
    "TrafficSplit":[{"Service":"llm","Weight":90},{"Service":"app","Weight":10}],"MaxAttempts":1},
   {"Name":"r3","Host":"a.example","PathPrefix":"/z/","Type":"batch","TimeoutMs":8000,"TargetLatencyMs":300,
-   "Service":"llm","CompletionTargetMs":20000,"RetentionS":60.5,"MaxAttempts":3}],
+   "Service":"llm","CompletionTargetMs":20000,"RetentionS":60.5,"MaxQueuedTokens":1400000,
+   "MaxAttempts":3}],
   "Services":[{"Name":"llm","HealthPath":"/healthz","MaxConnections":200,"Engine":{"Slots":12,"KvCacheTokens":147261}},
               {"Name":"app","HealthPath":"/healthz","MaxConnections":100}],
   "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
@@ -41,6 +42,8 @@
   const Route* batch = table.find("a.example", "/z/1");
   REQUIRE(batch->completion_target == std::chrono::seconds(20));
   REQUIRE(batch->retention == fromMillis(60500));
+  REQUIRE(batch->most_waiting_tokens == 1400000);
+  REQUIRE(stream->most_waiting_tokens == 0);
   REQUIRE(table.service(ServiceId("llm"))->slots == 12);
   REQUIRE(table.limits().idle_timeout == std::chrono::seconds(15));
 }
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -183,3 +183,79 @@
   REQUIRE(stored.submission.items.front().headers.capacity() == 0);
   REQUIRE(state.heldBytes() == 9000);
 }
+
+namespace {
+
+SubmitJob limited(const std::string& id, int items, std::uint64_t most_tokens, std::uint64_t attempt) {
+  return SubmitJob{job(id, items), WaitingLimit{"a.example", "/x/", most_tokens}, attempt};
+}
+
+}  // namespace
+
+TEST_CASE("a job that does not fit beside what waits on its route is refused whole", "[store][limit]") {
+  JobState state;
+  REQUIRE(apply(state, limited("j", 3, 50, 1)) == "changed");
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 30);
+  REQUIRE(apply(state, limited("k", 3, 50, 2)) == "over_limit");
+  REQUIRE(state.find(JobId("k")) == nullptr);
+  // What just fits is taken, and the limit counts all submitters of the route together.
+  REQUIRE(apply(state, limited("l", 2, 50, 3)) == "changed");
+  REQUIRE(apply(state, limited("m", 1, 50, 4)) == "over_limit");
+  // A limit that was raised holds at once, and so does one that is far below what waits; zero is none.
+  REQUIRE(apply(state, limited("n", 1, 60, 5)) == "changed");
+  REQUIRE(apply(state, limited("o", 1, 10, 6)) == "over_limit");
+  REQUIRE(apply(state, limited("p", 9, 0, 7)) == "changed");
+}
+
+TEST_CASE("a job that was kept is never refused when it comes again", "[store][limit]") {
+  JobState state;
+  REQUIRE(apply(state, limited("j", 3, 30, 1)) == "changed");
+  REQUIRE(apply(state, limited("j", 3, 30, 2)) == "unchanged");
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 30);
+}
+
+TEST_CASE("tokens are given back when items end and when their job is ended", "[store][limit]") {
+  JobState state;
+  apply(state, limited("j", 3, 0, 1));
+  apply(state, result("j", 1, "x"));
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 20);
+  REQUIRE(state.listedTokens() == 10);
+  apply(state, result("j", 1, "x"));
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 20);
+  apply(state, EndJob{JobId("j")});
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 0);
+  REQUIRE(state.waitingTokens() == 0);
+}
+
+TEST_CASE("other routes' jobs count for nothing", "[store][limit]") {
+  JobState state;
+  SubmitJob other = limited("j", 9, 0, 1);
+  other.job.path = "/y/";
+  apply(state, other);
+  REQUIRE(state.waitingTokens("a.example", "/x/") == 0);
+  REQUIRE(state.waitingTokens("b.example", "/y/") == 0);
+  REQUIRE(state.waitingTokens("a.example", "/y/") == 90);
+}
+
+TEST_CASE("a refusal holds for every copy of the same try, a later try is judged anew", "[store][limit]") {
+  JobState state;
+  apply(state, limited("j", 3, 30, 1));
+  REQUIRE(apply(state, limited("k", 1, 30, 2)) == "over_limit");
+  apply(state, EndJob{JobId("j")});
+  REQUIRE(apply(state, limited("k", 1, 30, 2)) == "over_limit");
+  JobState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(apply(restored, limited("k", 1, 30, 2)) == "over_limit");
+  REQUIRE(apply(state, limited("k", 1, 30, 3)) == "changed");
+}
+
+TEST_CASE("a restored state counts what waits as the first one did", "[store][limit]") {
+  JobState state;
+  apply(state, limited("j", 5, 0, 1));
+  apply(state, result("j", 2, "x"));
+  JobState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(restored.waitingTokens("a.example", "/x/") == 40);
+  apply(restored, result("j", 3, "x"));
+  REQUIRE(restored.waitingTokens("a.example", "/x/") == 30);
+}
