Keep a lane for long prompts only where long prompts come

Hypothesis: the lane of a third of the engines takes room from short prompts where no long ones exist.

--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -102,10 +102,19 @@
   return std::max(own, std::min(limits_.most_hearsay_ms, static_cast<double>(state.known_others.avoid_ms)));
 }
 
-double EngineSelector::laneCost(const EngineState& state, const EngineQuery& query) const {
+void EngineSelector::noteLongPrompt(Instant now, const EngineQuery& query) {
+  if (!query.background && isLong(query)) long_prompt_at_[query.service] = now;
+}
+
+bool EngineSelector::hasLongLane(Instant now, const ServiceId& service) const {
+  const auto seen = long_prompt_at_.find(service);
+  return seen != long_prompt_at_.end() && now <= seen->second + limits_.long_lane_kept_for;
+}
+
+double EngineSelector::laneCost(Instant now, const EngineState& state, const EngineQuery& query) const {
+  if (!hasLongLane(now, query.service)) return 0;
   if (query.background) return state.in_long_lane ? 0 : limits_.background_beside_lane_ms;
-  const bool is_long = query.prompt.prompt_tokens >= limits_.long_prompt_tokens;
-  if (is_long) return state.in_long_lane ? 0 : limits_.long_beside_lane_ms;
+  if (isLong(query)) return state.in_long_lane ? 0 : limits_.long_beside_lane_ms;
   // Services that run no model have no long prompts to keep apart.
   if (query.prompt.prompt_tokens == 0) return 0;
   return state.in_long_lane ? limits_.short_in_long_lane_ms : 0;
@@ -134,10 +143,10 @@
   total += running * limits_.running_cost_ms;
   total += waiting * limits_.slot_hold_ms / slots;
   const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
-  const bool at_home = cached && query.prompt.prompt_tokens >= limits_.long_prompt_tokens;
+  const bool at_home = cached && isLong(query);
   if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
-  return total + laneCost(state, query) + silenceCost(now, state);
+  return total + laneCost(now, state, query) + silenceCost(now, state);
 }
 
 std::vector<EngineSelector::EngineState*> EngineSelector::candidates(Instant now, const EngineQuery& query) {
@@ -163,6 +172,7 @@
 }
 
 std::optional<EngineChoice> EngineSelector::choose(Instant now, const EngineQuery& query) {
+  noteLongPrompt(now, query);
   const std::vector<EngineState*> usable = candidates(now, query);
   if (usable.empty()) return std::nullopt;
   const std::uint64_t prefix = prefixIdentity(query.prompt);
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -57,6 +57,8 @@
   std::uint32_t long_prompt_tokens = 4000;
   /// Share of a service's engines that long prompts and background work go to first, the same at all gateways.
   double long_lane_share = 0.34;
+  /// A lane is kept apart only for so long after the last long prompt that this process has seen.
+  Duration long_lane_kept_for = std::chrono::seconds(15);
   /// What a request outside of its lane costs more: short ones in the long lane, long ones and background work beside
   /// it.
   double short_in_long_lane_ms = 25;
@@ -182,12 +184,16 @@
   };
 
   void assignLanes();
+  /// Notes a long prompt, which makes or keeps the long lane of its service.
+  void noteLongPrompt(Instant now, const EngineQuery& query);
+  bool isLong(const EngineQuery& query) const { return query.prompt.prompt_tokens >= limits_.long_prompt_tokens; }
+  bool hasLongLane(Instant now, const ServiceId& service) const;
   bool knowsOthers(Instant now, const EngineState& state) const;
   bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
   /// By how much an answer of the engine is overdue here.
   double overdueMs(Instant now, const EngineState& state) const;
   double silenceCost(Instant now, const EngineState& state) const;
-  double laneCost(const EngineState& state, const EngineQuery& query) const;
+  double laneCost(Instant now, const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
@@ -196,6 +202,8 @@
   SelectorLimits limits_;
   std::mt19937_64 random_;
   std::map<EngineId, EngineState> engines_;
+  /// When the last long prompt for a service came by.
+  std::map<ServiceId, Instant> long_prompt_at_;
   std::unordered_map<TicketId, Ticket> tickets_;
   TicketId last_ticket_ = 0;
 };
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -131,6 +131,23 @@
   REQUIRE(with_long.size() == 3);
 }
 
+TEST_CASE("without long prompts no engine is kept apart for them", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(9));
+  std::set<EngineId> with_short;
+  for (int i = 0; i < 200; ++i) with_short.insert(selector.choose(kStart, query())->engine.id);
+  REQUIRE(with_short.size() == 9);
+  // Some time after the last long prompt its lane is given up.
+  selector.choose(kStart, query(999, 13000));
+  std::set<EngineId> beside;
+  for (int i = 0; i < 200; ++i) beside.insert(selector.choose(kStart, query())->engine.id);
+  REQUIRE(beside.size() == 6);
+  std::set<EngineId> later;
+  const Instant much_later = kStart + std::chrono::seconds(16);
+  for (int i = 0; i < 200; ++i) later.insert(selector.choose(much_later, query())->engine.id);
+  REQUIRE(later.size() == 9);
+}
+
 TEST_CASE("an engine that is silent for longer than a prompt takes is avoided until it speaks", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(2));
