Run batch by due time, keep room by observed surges, start slowly after a change of leader

Change: RunTimeModel learns pace and length of items; items that can be in time go first, by due time plus time left; urgency follows slack and replaces pressure; SurgeMeter keeps 0.3 of the largest rise of late free, at most an eighth of an engine; runs with the most slack yield first; a leader starts after 300 ms and then 20 runs a second for 3 s. item_sent tells due time, time left and urgency.

--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -79,6 +79,8 @@
   /// Text to be added, and the event that it reaches up to; zero where events have no identifiers.
   std::string text;
   std::uint64_t last_event = 0;
+  /// Events that the text holds.
+  std::uint64_t events = 0;
   bool ended = false;
   RunEnd end = RunEnd::kBroken;
   request::EngineVerdict verdict = request::EngineVerdict::kNeutral;
@@ -91,7 +93,7 @@
 inline void to_json(nlohmann::json& json, const RunNews& news) {
   json = nlohmann::json::array({news.number, news.sequence, news.text, news.last_event, news.ended, news.end,
                                 static_cast<unsigned>(news.verdict), news.cause, news.engine_running,
-                                news.engine_waiting, news.engine_slots});
+                                news.engine_waiting, news.engine_slots, news.events});
 }
 inline void from_json(const nlohmann::json& json, RunNews& news) {
   json.at(0).get_to(news.number);
@@ -105,6 +107,7 @@
   json.at(8).get_to(news.engine_running);
   json.at(9).get_to(news.engine_waiting);
   json.at(10).get_to(news.engine_slots);
+  json.at(11).get_to(news.events);
 }
 
 /// What a store has to tell of the runs that it was ordered.
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -141,6 +141,7 @@
     ++run->news.sequence;
     report.news.push_back(run->news);
     run->news.text.clear();
+    run->news.events = 0;
     run->news.engine_slots = 0;
   }
   report_(leader_, std::move(report));
@@ -232,6 +233,7 @@
       news.text += event->data;
       run.has_text = true;
       run.has_news = true;
+      ++news.events;
       if (event->id) run.last_event = *event->id;
       news.last_event = run.last_event;
     }
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -1,6 +1,7 @@
 #include "process/store/job_executor.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "common/log.hpp"
@@ -12,7 +13,14 @@
 
 namespace {
 
-constexpr Duration kYieldInterval = fromMillis(150);
+constexpr Duration kYieldInterval = fromMillis(50);
+/// A new leader knows little of what else is under way, and callers come back in a crowd after a failure of many
+/// processes: it allows itself so many more runs a second.
+constexpr double kStartsPerSecond = 20;
+/// Until this long after its start.
+constexpr Duration kSlowStart = std::chrono::seconds(3);
+/// How often the waiting items are put in order.
+constexpr Duration kOrderInterval = fromMillis(100);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
 /// Wall clocks may differ by this much; an item is given up only so much later than its retention.
 constexpr Duration kClockMargin = fromMillis(2500);
@@ -20,12 +28,12 @@
 constexpr Duration kFinishedJobKept = std::chrono::minutes(10);
 /// A route must be missing for this long before the open items of its jobs are given up.
 constexpr Duration kRouteMissingFor = std::chrono::seconds(4);
-/// How long a run takes, roughly; a backlog of less than the relaxed time needs no hurry.
-constexpr Duration kTypicalRun = fromMillis(4500);
-constexpr Duration kRelaxedBacklog = std::chrono::seconds(2);
-constexpr double kMostPressure = 3;
 /// Places in the queue that one pass looks at for an item that may start.
 constexpr std::size_t kMostLookedAt = 64;
+/// While no run was seen, a whole one is taken to need this share of the time until results are due.
+constexpr int kGuessedShareOfTarget = 4;
+/// Results that a new leader learns from.
+constexpr std::size_t kMostLearnedFrom = 100;
 
 RunBoardLimits boardLimits(std::size_t most_runs) {
   RunBoardLimits limits;
@@ -64,6 +72,8 @@
   leading_ = leading;
   term_ = term;
   if (!leading) return;
+  starts_from_ = monotonicNow() + options_.loads_known_after;
+  learnFromResults();
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
   logEvent(LogLevel::kInfo, "executor_started", {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
   pump();
@@ -98,16 +108,19 @@
 void JobExecutor::enqueueOpenItems(const StoredJob& job) {
   if (job.isFinished()) return;
   std::map<std::string, ItemPtr>& runs = items_[job.submission.id];
+  const Instant due = dueTimeOf(monotonicNow(), job);
   for (const OpaqueItem& item : job.submission.items) {
     if (!job.open_items.contains(item.id) || runs.contains(item.id)) continue;
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
     run->chain = chains_() >> 11;
+    run->due = due;
     loadSavedProgress(*run);
     runs.emplace(item.id, run);
     queue_.push_back(run);
   }
+  next_order_ = Instant{};
 }
 
 void JobExecutor::stopItems(const JobId& job) {
@@ -138,6 +151,8 @@
 void JobExecutor::pump() {
   if (!leading_ || !routes_) return;
   const Instant now = monotonicNow();
+  if (now < starts_from_) return;
+  orderQueue(now);
   while (startNext(now)) {
   }
 }
@@ -152,13 +167,49 @@
   return open ? job : nullptr;
 }
 
-double JobExecutor::pressure() const {
-  const double per_second = std::max(1.0, static_cast<double>(runs_.size()) / toSeconds(kTypicalRun));
-  const double backlog = static_cast<double>(queue_.size()) / per_second;
-  return std::clamp(backlog / toSeconds(kRelaxedBacklog), 1.0, kMostPressure);
+Instant JobExecutor::dueTimeOf(Instant now, const StoredJob& job) {
+  const Route* route = routeOf(job);
+  if (route == nullptr || route->completion_target == Duration::zero()) return Instant::max();
+  run_times_.setGuess(route->completion_target / kGuessedShareOfTarget);
+  const std::int64_t age_ms = std::max<std::int64_t>(0, connection::wallNow() - job.submission.submitted_at);
+  return now + route->completion_target - fromMillis(age_ms);
+}
+
+request::DueItem JobExecutor::dueItemOf(const ItemRun& run) const {
+  return request::DueItem{run.due, run_times_.timeLeft(run.events)};
+}
+
+double JobExecutor::urgencyOf(Instant now, const ItemRun& run) const {
+  return request::urgencyOf(now, dueItemOf(run), run_times_.wholeTime());
+}
+
+void JobExecutor::learnFromResults() {
+  std::size_t learned = 0;
+  for (const auto& [id, job] : state_->jobs()) {
+    for (const ItemResult& result : job.results) {
+      if (result.outcome != ItemOutcome::kCompleted || learned >= kMostLearnedFrom) continue;
+      run_times_.noteWhole(eventsIn(result.text));
+      ++learned;
+    }
+  }
+}
+
+void JobExecutor::orderQueue(Instant now) {
+  if (now < next_order_) return;
+  next_order_ = now + kOrderInterval;
+  for (const ItemPtr& run : queue_) run->order = dueItemOf(*run);
+  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
+    return request::goesBefore(now, left->order, right->order);
+  });
+}
+
+std::size_t JobExecutor::mostRunsNow(Instant now) const {
+  if (now >= starts_from_ + kSlowStart) return std::numeric_limits<std::size_t>::max();
+  return 1 + static_cast<std::size_t>(kStartsPerSecond * toSeconds(now - starts_from_));
 }
 
 bool JobExecutor::startNext(Instant now) {
+  if (runs_.size() >= mostRunsNow(now)) return false;
   const std::size_t looked_at = std::min(queue_.size(), kMostLookedAt);
   for (std::size_t i = 0; i < looked_at; ++i) {
     const ItemPtr run = queue_[i];
@@ -170,7 +221,7 @@
       return true;
     }
     if (route == nullptr) continue;
-    const request::EngineQuery query = queryOf(job->submission.items[job->open_items.at(run->item)], *route);
+    const request::EngineQuery query = queryOf(*run, job->submission.items[job->open_items.at(run->item)], *route);
     const std::optional<EngineChoice> choice = selector_.choose(now, query);
     if (!choice || !board_.chooseRunner(now)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
@@ -180,13 +231,13 @@
   return false;
 }
 
-request::EngineQuery JobExecutor::queryOf(const OpaqueItem& item, const Route& route) {
+request::EngineQuery JobExecutor::queryOf(const ItemRun& run, const OpaqueItem& item, const Route& route) {
   request::EngineQuery query;
   query.service = split_.choose(route);
   query.zone = options_.zone;
   query.prefix_affinity = route.prefix_affinity;
   query.background = true;
-  query.pressure = pressure();
+  query.urgency = urgencyOf(monotonicNow(), run);
   const HeaderNames& names = dialect_.headers();
   std::string parts;
   std::string usage;
@@ -198,30 +249,41 @@
   return query;
 }
 
-void JobExecutor::yieldSlots(Instant now) {
-  if (now < next_yield_) return;
-  next_yield_ = now + kYieldInterval;
+std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) const {
   std::map<EngineId, double> excess;
   for (const request::EngineShare& share : selector_.ownShares(now)) {
     const double above = selector_.excess(now, share.engine);
     if (above >= 1) excess[share.engine] = above;
   }
-  if (excess.empty()) return;
-  for (const auto& [id, runs] : items_) {
-    for (const auto& [item, run] : runs) {
-      // Only a run that can go on after an event loses nothing but the reading of its prompt.
-      if (!run->running || run->yielding || !run->last_event) continue;
-      const auto found = excess.find(run->engine);
-      if (found == excess.end() || found->second < 1) continue;
-      found->second -= 1;
-      run->yielding = true;
-    }
-  }
-  std::vector<ItemPtr> yielding;
+  return excess;
+}
+
+std::vector<JobExecutor::ItemPtr> JobExecutor::runsToYield(Instant now) {
+  std::map<EngineId, double> excess = runsTooMany(now);
+  std::vector<ItemPtr> candidates;
   for (const auto& [number, run] : runs_) {
-    if (run->yielding) yielding.push_back(run);
+    // Only a run that can go on after an event loses nothing but the reading of its prompt.
+    if (!run->last_event || !excess.contains(run->engine)) continue;
+    run->order = dueItemOf(*run);
+    candidates.push_back(run);
+  }
+  std::sort(candidates.begin(), candidates.end(), [now](const ItemPtr& left, const ItemPtr& right) {
+    return request::goesBefore(now, right->order, left->order);
+  });
+  std::vector<ItemPtr> chosen;
+  for (const ItemPtr& run : candidates) {
+    double& above = excess[run->engine];
+    if (above < 1) continue;
+    above -= 1;
+    chosen.push_back(run);
   }
-  for (const ItemPtr& run : yielding) {
+  return chosen;
+}
+
+void JobExecutor::yieldSlots(Instant now) {
+  if (now < next_yield_) return;
+  next_yield_ = now + kYieldInterval;
+  for (const ItemPtr& run : runsToYield(now)) {
     board_.stop(run->number);
     endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, "engine above its slots");
   }
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -14,6 +14,8 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_board.hpp"
+#include "request/batch/due_order.hpp"
+#include "request/batch/run_time_model.hpp"
 #include "request/exchange/engine_selector.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
@@ -26,6 +28,8 @@
   std::uint64_t seed = 1;
   /// Most items under way at once at one store.
   std::size_t most_running = 400;
+  /// Gateways find a new leader and tell it their load within this time; it starts no run before.
+  Duration loads_known_after = fromMillis(300);
 };
 
 struct JobExecutorCounters {
@@ -96,9 +100,14 @@
     std::uint32_t failures = 0;
     std::uint32_t attempts = 0;
     Instant not_before{};
+    /// When the result is due, and what the item's order is decided by.
+    Instant due = Instant::max();
+    request::DueItem order{};
     bool running = false;
-    /// Broken off here to make room for online requests.
-    bool yielding = false;
+    /// Events that all runs have brought, and when this run brought its first one and how many there were then.
+    std::uint64_t events = 0;
+    Instant first_event_at{};
+    std::uint64_t events_before = 0;
     EngineId engine;
     bool stopped = false;
     /// Names the run under way in reports.
@@ -119,7 +128,20 @@
   void pump();
   /// False if nothing can be started now.
   bool startNext(Instant now);
-  request::EngineQuery queryOf(const OpaqueItem& item, const Route& route);
+  request::EngineQuery queryOf(const ItemRun& run, const OpaqueItem& item, const Route& route);
+  /// When the job's results are due.
+  Instant dueTimeOf(Instant now, const StoredJob& job);
+  request::DueItem dueItemOf(const ItemRun& run) const;
+  double urgencyOf(Instant now, const ItemRun& run) const;
+  /// Puts the waiting items in the order in which they are to run.
+  void orderQueue(Instant now);
+  void notePace(Instant now, const ItemRun& run);
+  /// Learns how many events items have from results that the group keeps.
+  void learnFromResults();
+  /// How many runs each crowded engine should lose now.
+  std::map<EngineId, double> runsTooMany(Instant now) const;
+  /// Runs at engines with too many requests, those with the most slack first.
+  std::vector<ItemPtr> runsToYield(Instant now);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
                 const request::EngineQuery& query);
   void takeNews(const ItemPtr& run, const fleet::RunNews& news);
@@ -147,8 +169,6 @@
   void proposeResults();
   const StoredJob* openJob(const ItemRun& run) const;
   const Route* routeOf(const StoredJob& job) const;
-  /// Rises above one while items wait for longer than their due time allows.
-  double pressure() const;
 
   JobExecutorOptions options_;
   const Dialect& dialect_;
@@ -162,7 +182,13 @@
   bool leading_ = false;
   std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
+  /// In the order of the last `orderQueue`; what came since stands at its end.
   std::deque<ItemPtr> queue_;
+  Instant next_order_{};
+  Instant starts_from_{};
+  /// Runs under way that a new leader allows itself; grows until it is of no matter.
+  std::size_t mostRunsNow(Instant now) const;
+  request::RunTimeModel run_times_;
   /// Items under way, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
   std::vector<ProposedResult> results_;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -26,6 +26,7 @@
   run.last_event = run.saved_event;
   run.text = kept->second.text;
   run.has_text = true;
+  run.events = eventsIn(run.text);
 }
 
 /// After a save: what an earlier leadership kept late makes this chain one of its own.
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -18,7 +18,7 @@
 
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 constexpr Duration kRetryAfterDecline = fromMillis(80);
-constexpr Duration kRetryAfterYield = fromMillis(400);
+constexpr Duration kRetryAfterYield = fromMillis(200);
 /// A run whose store has fallen silent may still be under way there for the rest of its lease.
 constexpr Duration kRetryAfterLoss = fromMillis(300);
 
@@ -28,7 +28,8 @@
                            const request::EngineQuery& query) {
   const ReplicaId runner = board_.chooseRunner(now).value_or(options_.self);
   run->running = true;
-  run->yielding = false;
+  run->first_event_at = Instant{};
+  run->events_before = run->events;
   run->engine = choice.engine.id;
   run->number = board_.begin(now, runner);
   run->ticket = selector_.begin(now, choice.engine.id, query);
@@ -55,6 +56,9 @@
             {"resume_after", run->last_event.value_or(0)},
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
             {"load_age_ms", choice.load_age_ms},
+            {"due_in_ms", toMillis(run->due - now)},
+            {"time_left_ms", toMillis(run_times_.timeLeft(run->events))},
+            {"urgency", fmt::format("{:.2f}", query.urgency)},
             {"version", routes_->version()}});
   if (send_(runner, fleet::FleetMessage(std::move(order)))) return;
   board_.avoid(now, runner);
@@ -100,9 +104,19 @@
     run->has_text = true;
   }
   if (news.last_event > 0) run->last_event = news.last_event;
+  if (news.events > 0 && run->first_event_at == Instant{}) {
+    run->first_event_at = now;
+    run->events_before = run->events + news.events;
+  }
+  run->events += news.events;
   if (news.ended) endRun(run, news.end, news.verdict, news.cause);
 }
 
+void JobExecutor::notePace(Instant now, const ItemRun& run) {
+  if (run.first_event_at == Instant{}) return;
+  run_times_.notePace(run.events - run.events_before, now - run.first_event_at);
+}
+
 void JobExecutor::breakRuns(const std::vector<std::uint64_t>& numbers) {
   for (const std::uint64_t number : numbers) {
     const auto found = runs_.find(number);
@@ -114,7 +128,10 @@
 }
 
 void JobExecutor::endRun(const ItemPtr& run, RunEnd end, EngineVerdict verdict, const std::string& cause) {
-  selector_.end(monotonicNow(), run->ticket, verdict);
+  const Instant now = monotonicNow();
+  selector_.end(now, run->ticket, verdict);
+  notePace(now, *run);
+  if (end == RunEnd::kWhole) run_times_.noteWhole(run->events);
   runs_.erase(run->number);
   run->running = false;
   finishRun(run, end, cause);
@@ -166,12 +183,13 @@
       if (!run->last_event) {
         run->saved_bytes = 0;
         run->text.clear();
+        run->events = 0;
         run->has_text = false;
       }
       break;
   }
-  // What has begun goes first: it is the oldest.
-  queue_.push_front(run);
+  queue_.push_back(run);
+  next_order_ = Instant{};
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -83,6 +83,11 @@
   return waiting;
 }
 
+std::uint64_t eventsIn(std::string_view text) {
+  if (text.empty()) return 0;
+  return 1 + static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
 std::uint64_t tokensOf(const JobSubmission& job) {
   std::uint64_t tokens = 0;
   for (const OpaqueItem& item : job.items) tokens += item.tokens;
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -161,6 +161,9 @@
   std::uint64_t listed_tokens_ = 0;
 };
 
+/// Events whose data a text joins by line feeds.
+std::uint64_t eventsIn(std::string_view text);
+
 /// Tokens of all items of a job.
 std::uint64_t tokensOf(const JobSubmission& job);
 
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -120,18 +120,39 @@
   return state.in_long_lane ? limits_.short_in_long_lane_ms : 0;
 }
 
+void EngineSelector::noteSurges(Instant now) {
+  std::map<ServiceId, double> under_way;
+  for (const auto& [id, state] : engines_) under_way[state.record.service] += state.known_others.in_flight;
+  for (const auto& [service, count] : under_way) surges_[service].note(now, count);
+}
+
+double EngineSelector::keptFree(Instant now, const EngineState& state) const {
+  const auto surge = surges_.find(state.record.service);
+  const std::size_t engines = engineCount(state.record.service);
+  if (surge == surges_.end() || engines == 0) return 0;
+  const double each = limits_.surge_kept_free * surge->second.surge(now) / static_cast<double>(engines);
+  return std::min(each, limits_.most_kept_free * state.record.slots);
+}
+
 bool EngineSelector::hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const {
-  const double slots = state.record.slots;
-  const double share = state.in_long_lane ? limits_.background_lane_share : limits_.background_beside_share;
-  const double held = std::max(1.0, std::min(1.0, share * query.pressure) * slots);
-  if (state.in_flight + 1 > held || state.unread_tokens > limits_.background_most_unread) return false;
-  return estimatedRunning(now, state) + 1 <= std::max(1.0, slots * (1 - limits_.background_kept_free));
+  if (state.unread_tokens > limits_.background_most_unread) return false;
+  const double kept_free = keptFree(now, state) * (1 - query.urgency);
+  return estimatedRunning(now, state) + 1 <= std::max(1.0, state.record.slots - kept_free);
 }
 
-double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
-  const double running = estimatedRunning(now, state);
-  const double slots = std::max<double>(1, state.record.slots);
-  const double waiting = std::max(0.0, running + 1 - slots);
+double EngineSelector::slotHoldMs(const ServiceId& service) const {
+  const auto learned = hold_ms_.find(service);
+  return learned == hold_ms_.end() ? limits_.slot_hold_ms : learned->second;
+}
+
+void EngineSelector::learnHold(Instant now, const Ticket& ticket, const EngineState& state) {
+  if (ticket.background || !ticket.answering) return;
+  const double held_ms = toSeconds(now - ticket.answering_at) * 1000;
+  const auto [entry, first] = hold_ms_.emplace(state.record.service, held_ms);
+  if (!first) entry->second += limits_.hold_learning_rate * (held_ms - entry->second);
+}
+
+double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
   double tokens = static_cast<double>(state.unread_tokens) + query.prompt.prompt_tokens;
   if (cached) tokens -= query.prompt.sharedTokens();
   if (knowsOthers(now, state)) {
@@ -139,9 +160,21 @@
     const double read = toSeconds(now - state.known_at) * 1000 * limits_.prompt_tokens_per_ms;
     tokens += std::max(0.0, static_cast<double>(state.known_others.unread_tokens) - read);
   }
-  double total = tokens / limits_.prompt_tokens_per_ms;
+  return tokens / limits_.prompt_tokens_per_ms;
+}
+
+double EngineSelector::slotWaitMs(Instant now, const EngineState& state) const {
+  const double slots = std::max<double>(1, state.record.slots);
+  const double waiting = std::max(0.0, estimatedRunning(now, state) + 1 - slots);
+  return waiting * slotHoldMs(state.record.service) / slots;
+}
+
+double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
+  const double running = estimatedRunning(now, state);
+  const double slots = std::max<double>(1, state.record.slots);
+  double total = readingMs(now, state, query, cached);
   total += running * limits_.running_cost_ms;
-  total += waiting * limits_.slot_hold_ms / slots;
+  total += slotWaitMs(now, state);
   const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
   const bool at_home = cached && isLong(query);
   if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
@@ -201,14 +234,15 @@
     best_cost = total;
     best_cached = cached;
   }
-  return describe(now, *best, best_cost, best_cached, usable.size());
+  return describe(now, *best, query, best_cost, best_cached, usable.size());
 }
 
-EngineChoice EngineSelector::describe(Instant now, const EngineState& state, double cost_ms, bool cached,
-                                      std::size_t among) const {
+EngineChoice EngineSelector::describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms,
+                                      bool cached, std::size_t among) const {
   EngineChoice choice;
   choice.engine = state.record;
   choice.cost_ms = cost_ms;
+  choice.expected_first_ms = readingMs(now, state, query, cached) + slotWaitMs(now, state);
   choice.in_flight = state.in_flight;
   choice.estimated_running = estimatedRunning(now, state);
   choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
@@ -239,14 +273,15 @@
     due = now + limits_.silence_allowed + Duration(static_cast<Duration::rep>(reading_ms * 1000));
     state.due.insert(due);
   }
-  tickets_[ticket] = Ticket{engine, unread, due, false};
+  tickets_[ticket] = Ticket{engine, unread, due, false, query.background, Instant{}};
   return ticket;
 }
 
-void EngineSelector::noteFirstByte(Instant, TicketId ticket) {
+void EngineSelector::noteFirstByte(Instant now, TicketId ticket) {
   const auto found = tickets_.find(ticket);
   if (found == tickets_.end() || found->second.answering) return;
   found->second.answering = true;
+  found->second.answering_at = now;
   const auto engine = engines_.find(found->second.engine);
   if (engine == engines_.end()) return;
   EngineState& state = engine->second;
@@ -272,6 +307,7 @@
     const auto found = engines_.find(share.engine);
     if (found != engines_.end()) found->second.known_others = share;
   }
+  noteSurges(now);
 }
 
 std::vector<EngineShare> EngineSelector::ownShares(Instant now) const {
@@ -296,11 +332,12 @@
   noteFirstByte(now, ticket);
   const auto found = tickets_.find(ticket);
   if (found == tickets_.end()) return;
-  const EngineId id = found->second.engine;
+  const Ticket ended = found->second;
   tickets_.erase(found);
-  const auto engine = engines_.find(id);
+  const auto engine = engines_.find(ended.engine);
   if (engine == engines_.end()) return;
   EngineState& state = engine->second;
+  if (verdict == EngineVerdict::kGood) learnHold(now, ended, state);
   if (state.in_flight > 0) --state.in_flight;
   if (verdict == EngineVerdict::kGood) state.failures = 0;
   if (verdict == EngineVerdict::kGone) state.gone = true;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -14,6 +14,7 @@
 #include "common/time.hpp"
 #include "request/exchange/load_board.hpp"
 #include "request/exchange/prompt_shape.hpp"
+#include "request/exchange/surge_meter.hpp"
 #include "version/engine_record.hpp"
 
 namespace hatchfork::request {
@@ -31,8 +32,10 @@
 struct SelectorLimits {
   /// Prompt tokens that an engine reads in a millisecond.
   double prompt_tokens_per_ms = 85;
-  /// Mean time that a running request holds its slot.
+  /// Mean time that a running request holds its slot, until it was seen.
   double slot_hold_ms = 700;
+  /// Weight of a new observation of that time against all older ones.
+  double hold_learning_rate = 0.03;
   /// What each running request adds to the others' first token.
   double running_cost_ms = 0.6;
   /// Loads are known late, so an engine that looks nearly full may be full: from this share of its slots on, the risk
@@ -64,11 +67,10 @@
   double short_in_long_lane_ms = 25;
   double long_beside_lane_ms = 120;
   double background_beside_lane_ms = 30;
-  /// Slots that background work of this process may hold at one engine, as a share.
-  double background_lane_share = 0.35;
-  double background_beside_share = 0.35;
-  /// Background work starts only where the estimated running requests leave this share of the slots free.
-  double background_kept_free = 0.15;
+  /// Background work leaves slots free for this share of the online requests that have lately come in a surge, since it
+  /// gives way to the rest in time; but no larger share of an engine's slots than the second.
+  double surge_kept_free = 0.3;
+  double most_kept_free = 0.125;
   /// And where no more than so many prompt tokens of this process wait to be read.
   std::uint64_t background_most_unread = 3000;
   /// What the other processes are known to have under way counts for this long.
@@ -88,8 +90,8 @@
   bool prefix_affinity = false;
   /// Batch work: it takes only what online requests leave.
   bool background = false;
-  /// One, or more while background work is late: its shares of the slots grow with it.
-  double pressure = 1;
+  /// Background only: zero for work that can wait, one for work that must run now and leaves no slots free.
+  double urgency = 0;
   /// Engines that were tried for this request.
   std::set<EngineId> excluded;
 };
@@ -98,6 +100,8 @@
 struct EngineChoice {
   EngineRecord engine;
   double cost_ms = 0;
+  /// How long the request will wait for a slot and for its prompt to be read, as far as is known.
+  double expected_first_ms = 0;
   std::uint32_t in_flight = 0;
   double estimated_running = 0;
   /// Age of the engine's reported load; negative where it reported none.
@@ -181,6 +185,9 @@
     std::uint64_t unread_tokens = 0;
     Instant due{};
     bool answering = false;
+    /// Only online requests tell how long online requests hold their slots.
+    bool background = false;
+    Instant answering_at{};
   };
 
   void assignLanes();
@@ -189,19 +196,32 @@
   bool isLong(const EngineQuery& query) const { return query.prompt.prompt_tokens >= limits_.long_prompt_tokens; }
   bool hasLongLane(Instant now, const ServiceId& service) const;
   bool knowsOthers(Instant now, const EngineState& state) const;
+  void noteSurges(Instant now);
+  /// Slots of the engine that are kept free for a surge of online requests.
+  double keptFree(Instant now, const EngineState& state) const;
   bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
   /// By how much an answer of the engine is overdue here.
   double overdueMs(Instant now, const EngineState& state) const;
   double silenceCost(Instant now, const EngineState& state) const;
   double laneCost(Instant now, const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
+  double slotHoldMs(const ServiceId& service) const;
+  void learnHold(Instant now, const Ticket& ticket, const EngineState& state);
+  /// Time until the prompt is read, and until a slot is free before that.
+  double readingMs(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
+  double slotWaitMs(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
-  EngineChoice describe(Instant now, const EngineState& state, double cost_ms, bool cached, std::size_t among) const;
+  EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, bool cached,
+                        std::size_t among) const;
 
   SelectorLimits limits_;
   std::mt19937_64 random_;
   std::map<EngineId, EngineState> engines_;
+  /// Mean time that an online request of a service holds its slot.
+  std::map<ServiceId, double> hold_ms_;
+  /// Surges of the other processes' requests.
+  std::map<ServiceId, SurgeMeter> surges_;
   /// When the last long prompt for a service came by.
   std::map<ServiceId, Instant> long_prompt_at_;
   std::unordered_map<TicketId, Ticket> tickets_;
