Turn requests back at their arrival while engines could not begin them in time

Hypothesis: engines serve in the order of arrival, so while more come than they hold, all later ones are late; a request refused at once and asked again may still be in time. Change: ArrivalGate weighs the wait at the chosen engine (prompts ahead, requests above its slots, learned time for which online requests hold a slot) against the route's objective with a fifth of doubt; 503, not run, with a spread time to return.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -58,6 +58,7 @@
 void ExchangeRun::readRequest() {
   const HeaderNames& names = tools_.dialect.headers();
   received_at_ = monotonicNow();
+  come_back_after_ = kComeBackAfter;
   deadline_ = received_at_ + route_.timeout;
   id_ = std::string(request_.header(names.request_id));
   if (const auto remaining = readMilliseconds(request_.header(names.remaining_ms))) {
@@ -78,13 +79,31 @@
   cause_ = "no_engine";
   while (mayGoOn(end)) {
     const std::optional<EngineChoice> choice = tools_.selector.choose(monotonicNow(), query_);
-    if (!choice) break;
+    if (!choice || turnsBack(*choice)) break;
     end = co_await attempt(*choice);
     query_.excluded.insert(engine_);
   }
   co_await conclude(end);
 }
 
+bool ExchangeRun::turnsBack(const EngineChoice& choice) {
+  if (runs_ + refusals_ > 0) return false;
+  const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
+  if (tools_.gate.admits(route_.objective, monotonicNow() - received_at_, wait)) return false;
+  come_back_after_ = tools_.gate.comeBackAfter(wait);
+  cause_ = "engines_full";
+  ++tools_.counters.turned_back;
+  logEvent(LogLevel::kInfo, "request_turned_back",
+           {{"request", id_},
+            {"expected_wait_ms", toMillis(wait)},
+            {"objective_ms", toMillis(route_.objective)},
+            {"engine", choice.engine.id.value},
+            {"running", fmt::format("{:.1f}", choice.estimated_running)},
+            {"load_age_ms", choice.load_age_ms},
+            {"come_back_ms", toMillis(come_back_after_)}});
+  return true;
+}
+
 bool ExchangeRun::mayGoOn(AttemptEnd end) const {
   if (end == AttemptEnd::kAnswered || end == AttemptEnd::kCallerLeft || caller_left_) return false;
   if (monotonicNow() >= deadline_) return false;
@@ -281,7 +300,7 @@
   if (runs_ == 0) {
     ++tools_.counters.refused;
     error = Error{ErrorKind::kUnavailable, "no engine took the request: " + cause_, "come back at the given time",
-                  Executed::kNo, kComeBackAfter};
+                  Executed::kNo, come_back_after_};
   } else {
     ++tools_.counters.failed;
     error = Error{past_deadline ? ErrorKind::kDeadlineExceeded : ErrorKind::kUpstreamFailed,
@@ -289,7 +308,7 @@
                   Executed::kUnknown, std::nullopt};
   }
   HttpResponse response = connection::errorResponse(error);
-  if (runs_ == 0) setRetryAfter(response, kComeBackAfter);
+  if (runs_ == 0) setRetryAfter(response, come_back_after_);
   const unsigned status = response.status;
   co_await writer_.send(std::move(response));
   logEnd(runs_ == 0 ? "refused" : "failed", status);
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -9,6 +9,7 @@
 #include "connection/engine_exchange.hpp"
 #include "connection/http_server.hpp"
 #include "process/metrics/metrics_page.hpp"
+#include "request/exchange/arrival_gate.hpp"
 #include "request/exchange/engine_selector.hpp"
 #include "version/dialect.hpp"
 #include "version/route_table.hpp"
@@ -20,6 +21,8 @@
   std::uint64_t received = 0;
   std::uint64_t answered = 0;
   std::uint64_t refused = 0;
+  /// Of these, at their arrival, since no engine would have begun them in time.
+  std::uint64_t turned_back = 0;
   std::uint64_t failed = 0;
   std::uint64_t caller_left = 0;
   std::uint64_t attempts = 0;
@@ -37,6 +40,7 @@
   request::EngineSelector& selector;
   ExchangeCounters& counters;
   ZoneId zone;
+  request::ArrivalGate& gate;
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
@@ -78,6 +82,8 @@
   connection::Awaitable<void> conclude(AttemptEnd last);
   connection::EngineRequest engineRequest(const request::EngineChoice& choice) const;
   bool mayGoOn(AttemptEnd end) const;
+  /// True if the request was turned back before it was sent to any engine, since it would be late.
+  bool turnsBack(const request::EngineChoice& choice);
   bool isDeclined(const connection::EngineExchange& exchange) const;
   std::vector<connection::HttpHeader> answerHeaders(const connection::EngineExchange& exchange) const;
   void logAttempt(const request::EngineChoice& choice) const;
@@ -96,6 +102,7 @@
   Instant deadline_;
   std::shared_ptr<connection::ExchangeControl> control_;
   bool caller_left_ = false;
+  Duration come_back_after_{};
   /// Engines that may have run it.
   std::uint32_t runs_ = 0;
   /// Engines that declined it or could not be reached.
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -45,6 +45,7 @@
       dialect_(std::move(dialect)),
       engines_(context_),
       selector_(drawSeed()),
+      gate_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
       jobs_(*dialect_, stores_, drawSeed()) {}
@@ -173,7 +174,7 @@
     co_await writer.send(std::move(response));
     co_return;
   }
-  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone};
+  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_};
   ExchangeRun run(tools, routes, *route, split_.choose(*route), request, writer);
   co_await run.run();
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -49,6 +49,7 @@
   connection::asio::io_context context_;
   connection::EngineClient engines_;
   request::EngineSelector selector_;
+  request::ArrivalGate gate_;
   request::WeightedSplit split_;
   StoreClient stores_;
   JobApi jobs_;
