Let batch keep to the lane of long prompts that other processes have under way

Change: at stores a lane stands while other processes have as much unread at one engine as a long prompt.

--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -106,13 +106,14 @@
   if (!query.background && isLong(query)) long_prompt_at_[query.service] = now;
 }
 
-bool EngineSelector::hasLongLane(Instant now, const ServiceId& service) const {
-  const auto seen = long_prompt_at_.find(service);
-  return seen != long_prompt_at_.end() && now <= seen->second + limits_.long_lane_kept_for;
+bool EngineSelector::hasLongLane(Instant now, const EngineQuery& query) const {
+  const std::map<ServiceId, Instant>& known = query.background ? long_prompt_heard_at_ : long_prompt_at_;
+  const auto seen = known.find(query.service);
+  return seen != known.end() && now <= seen->second + limits_.long_lane_kept_for;
 }
 
 double EngineSelector::laneCost(Instant now, const EngineState& state, const EngineQuery& query) const {
-  if (!hasLongLane(now, query.service)) return 0;
+  if (!hasLongLane(now, query)) return 0;
   if (query.background) return state.in_long_lane ? 0 : limits_.background_beside_lane_ms;
   if (isLong(query)) return state.in_long_lane ? 0 : limits_.long_beside_lane_ms;
   // Services that run no model have no long prompts to keep apart.
@@ -305,7 +306,9 @@
   }
   for (const EngineShare& share : others) {
     const auto found = engines_.find(share.engine);
-    if (found != engines_.end()) found->second.known_others = share;
+    if (found == engines_.end()) continue;
+    found->second.known_others = share;
+    if (share.unread_tokens >= limits_.long_prompt_tokens) long_prompt_heard_at_[found->second.record.service] = now;
   }
   noteSurges(now);
 }
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -194,7 +194,7 @@
   /// Notes a long prompt, which makes or keeps the long lane of its service.
   void noteLongPrompt(Instant now, const EngineQuery& query);
   bool isLong(const EngineQuery& query) const { return query.prompt.prompt_tokens >= limits_.long_prompt_tokens; }
-  bool hasLongLane(Instant now, const ServiceId& service) const;
+  bool hasLongLane(Instant now, const EngineQuery& query) const;
   bool knowsOthers(Instant now, const EngineState& state) const;
   void noteSurges(Instant now);
   /// Slots of the engine that are kept free for a surge of online requests.
@@ -224,6 +224,9 @@
   std::map<ServiceId, SurgeMeter> surges_;
   /// When the last long prompt for a service came by.
   std::map<ServiceId, Instant> long_prompt_at_;
+  /// When other processes last had so much unread at one engine that there may be a long prompt among it. That is no
+  /// proof, so only background work makes room for it.
+  std::map<ServiceId, Instant> long_prompt_heard_at_;
   std::unordered_map<TicketId, Ticket> tickets_;
   TicketId last_ticket_ = 0;
 };
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -172,6 +172,22 @@
   REQUIRE(later.size() == 9);
 }
 
+TEST_CASE("batch work goes to the lane of long prompts that other processes have under way", "[selector]") {
+  EngineSelector selector(5);
+  selector.setEngines(engines(9));
+  EngineQuery background = query();
+  background.background = true;
+  const auto chosen = [&](Instant now) {
+    std::set<EngineId> engines;
+    for (int i = 0; i < 200; ++i) engines.insert(selector.choose(now, background)->engine.id);
+    return engines.size();
+  };
+  REQUIRE(chosen(kStart) == 9);
+  selector.noteOthers(kStart, {EngineShare{EngineId("engine-1"), 1, 13000, 0}});
+  REQUIRE(chosen(kStart + fromMillis(800)) == 3);
+  REQUIRE(chosen(kStart + std::chrono::seconds(16)) == 9);
+}
+
 TEST_CASE("an engine that is silent for longer than a prompt takes is avoided until it speaks", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(2));
