Choose among engines drawn by lot while choices are blind; reckon what is kept free once for each choice

Change 1: an online request without a home chooses among so many engines drawn by lot that about two choices made within 100 ms fall on the least loaded one, from the others' requests and the learned time for which a slot is held; never among fewer than three. Change 2: counted once; a new leader starts a fifth of all slots a second.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -188,6 +188,8 @@
   requests("refused", counters_.refused);
   requests("failed", counters_.failed);
   requests("caller_left", counters_.caller_left);
+  page.counter("hatchfork_requests_turned_back_total", "Refused at their arrival, since they would be late.",
+               static_cast<double>(counters_.turned_back));
   page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
   page.counter("hatchfork_attempts_declined_total", "Of these, declined by the engine.",
                static_cast<double>(counters_.declined));
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -15,8 +15,8 @@
 
 constexpr Duration kYieldInterval = fromMillis(50);
 /// A new leader knows little of what else is under way, and callers come back in a crowd after a failure of many
-/// processes: it allows itself so many more runs a second.
-constexpr double kStartsPerSecond = 20;
+/// processes: it allows itself this share of all slots more a second.
+constexpr double kSlotsStartedPerSecond = 0.2;
 /// Until this long after its start.
 constexpr Duration kSlowStart = std::chrono::seconds(3);
 /// How often the waiting items are put in order.
@@ -205,7 +205,8 @@
 
 std::size_t JobExecutor::mostRunsNow(Instant now) const {
   if (now >= starts_from_ + kSlowStart) return std::numeric_limits<std::size_t>::max();
-  return 1 + static_cast<std::size_t>(kStartsPerSecond * toSeconds(now - starts_from_));
+  const double more_each_second = kSlotsStartedPerSecond * selector_.allSlots();
+  return 1 + static_cast<std::size_t>(more_each_second * toSeconds(now - starts_from_));
 }
 
 bool JobExecutor::startNext(Instant now) {
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -61,6 +61,10 @@
     next.emplace(engine.id, std::move(state));
   }
   engines_ = std::move(next);
+  engine_counts_.clear();
+  for (const auto& [id, state] : engines_) {
+    if (!state.record.leaving) ++engine_counts_[state.record.service];
+  }
   assignLanes();
 }
 
@@ -122,23 +126,25 @@
 }
 
 void EngineSelector::noteSurges(Instant now) {
+  if (now < next_surge_note_) return;
+  next_surge_note_ = now + limits_.surge_note_interval;
   std::map<ServiceId, double> under_way;
   for (const auto& [id, state] : engines_) under_way[state.record.service] += state.known_others.in_flight;
   for (const auto& [service, count] : under_way) surges_[service].note(now, count);
 }
 
-double EngineSelector::keptFree(Instant now, const EngineState& state) const {
-  const auto surge = surges_.find(state.record.service);
-  const std::size_t engines = engineCount(state.record.service);
-  if (surge == surges_.end() || engines == 0) return 0;
-  const double each = limits_.surge_kept_free * surge->second.surge(now) / static_cast<double>(engines);
-  return std::min(each, limits_.most_kept_free * state.record.slots);
+double EngineSelector::keptFreeEach(Instant now, const ServiceId& service) const {
+  const auto surge = surges_.find(service);
+  const auto count = engine_counts_.find(service);
+  if (surge == surges_.end() || count == engine_counts_.end()) return 0;
+  return limits_.surge_kept_free * surge->second.surge(now) / static_cast<double>(count->second);
 }
 
-bool EngineSelector::hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const {
+bool EngineSelector::hasBackgroundRoom(Instant now, const EngineState& state, double kept_free) const {
   if (state.unread_tokens > limits_.background_most_unread) return false;
-  const double kept_free = keptFree(now, state) * (1 - query.urgency);
-  return estimatedRunning(now, state) + 1 <= std::max(1.0, state.record.slots - kept_free);
+  const double slots = state.record.slots;
+  const double usable = slots - std::min(kept_free, limits_.most_kept_free * slots);
+  return estimatedRunning(now, state) + 1 <= std::max(1.0, usable);
 }
 
 double EngineSelector::slotHoldMs(const ServiceId& service) const {
@@ -187,11 +193,12 @@
   std::vector<EngineState*> usable;
   std::vector<EngineState*> ejected;
   bool any_in_rotation = false;
+  const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
   for (auto& [id, state] : engines_) {
     if (state.record.service != query.service || state.record.leaving || state.gone) continue;
     if (query.excluded.contains(id)) continue;
     any_in_rotation = any_in_rotation || now >= state.ejected_until;
-    if (query.background && !hasBackgroundRoom(now, state, query)) continue;
+    if (query.background && !hasBackgroundRoom(now, state, kept_free)) continue;
     (now < state.ejected_until ? ejected : usable).push_back(&state);
   }
   // Batch work waits for room at an engine in rotation.
@@ -205,13 +212,29 @@
   return usable;
 }
 
+void EngineSelector::drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable) {
+  double others = 0;
+  for (const EngineState* state : usable) {
+    if (knowsOthers(now, *state)) others += state->known_others.in_flight;
+  }
+  const double blind_choices = others / slotHoldMs(query.service) * toSeconds(limits_.blind_for) * 1000;
+  if (blind_choices <= limits_.blind_choices_each) return;
+  const double share = limits_.blind_choices_each / blind_choices;
+  const double wanted = std::max(limits_.fewest_drawn, share * static_cast<double>(usable.size()));
+  const auto drawn = static_cast<std::size_t>(std::ceil(wanted));
+  if (drawn >= usable.size()) return;
+  std::shuffle(usable.begin(), usable.end(), random_);
+  usable.resize(drawn);
+}
+
 std::optional<EngineChoice> EngineSelector::choose(Instant now, const EngineQuery& query) {
   noteLongPrompt(now, query);
-  const std::vector<EngineState*> usable = candidates(now, query);
+  std::vector<EngineState*> usable = candidates(now, query);
   if (usable.empty()) return std::nullopt;
   const std::uint64_t prefix = prefixIdentity(query.prompt);
   const bool sticky = query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
   std::set<EngineId> home;
+  if (!sticky && !query.background) drawEngines(now, query, usable);
   if (sticky) {
     std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
     for (const EngineState* state : usable) {
@@ -352,9 +375,14 @@
 }
 
 std::size_t EngineSelector::engineCount(const ServiceId& service) const {
-  return static_cast<std::size_t>(std::count_if(engines_.begin(), engines_.end(), [&](const auto& entry) {
-    return entry.second.record.service == service && !entry.second.record.leaving;
-  }));
+  const auto count = engine_counts_.find(service);
+  return count == engine_counts_.end() ? 0 : count->second;
+}
+
+std::uint32_t EngineSelector::allSlots() const {
+  std::uint32_t slots = 0;
+  for (const auto& [id, state] : engines_) slots += state.record.leaving ? 0 : state.record.slots;
+  return slots;
 }
 
 std::uint32_t EngineSelector::inFlight(const EngineId& engine) const {
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -73,6 +73,14 @@
   double most_kept_free = 0.125;
   /// And where no more than so many prompt tokens of this process wait to be read.
   std::uint64_t background_most_unread = 3000;
+  /// Processes tell each other their loads this often; what they choose meanwhile is not known to each other.
+  Duration blind_for = fromMillis(100);
+  /// A choice is made among so many engines drawn by lot that about this many blind choices fall on the least loaded
+  /// one, but among no fewer than the second.
+  double blind_choices_each = 2;
+  double fewest_drawn = 3;
+  /// The others' requests are counted this often at the most.
+  Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have under way counts for this long.
   Duration others_known_for = fromMillis(700);
   /// Time out of rotation after a failure; doubles with each further one.
@@ -154,6 +162,8 @@
 
   bool knows(const EngineId& engine) const { return engines_.contains(engine); }
   std::size_t engineCount(const ServiceId& service) const;
+  /// Slots of all engines that are not leaving.
+  std::uint32_t allSlots() const;
   /// Requests of this process that are under way at the engine.
   std::uint32_t inFlight(const EngineId& engine) const;
   /// Slots of the service that are estimated to be free.
@@ -197,9 +207,9 @@
   bool hasLongLane(Instant now, const EngineQuery& query) const;
   bool knowsOthers(Instant now, const EngineState& state) const;
   void noteSurges(Instant now);
-  /// Slots of the engine that are kept free for a surge of online requests.
-  double keptFree(Instant now, const EngineState& state) const;
-  bool hasBackgroundRoom(Instant now, const EngineState& state, const EngineQuery& query) const;
+  /// Slots of each engine of the service that are kept free for a surge of online requests.
+  double keptFreeEach(Instant now, const ServiceId& service) const;
+  bool hasBackgroundRoom(Instant now, const EngineState& state, double kept_free) const;
   /// By how much an answer of the engine is overdue here.
   double overdueMs(Instant now, const EngineState& state) const;
   double silenceCost(Instant now, const EngineState& state) const;
@@ -212,6 +222,8 @@
   double slotWaitMs(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
+  /// Draws some of the engines, so that processes that know the same loads do not all choose the same engine.
+  void drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable);
   EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, bool cached,
                         std::size_t among) const;
 
@@ -220,6 +232,9 @@
   std::map<EngineId, EngineState> engines_;
   /// Mean time that an online request of a service holds its slot.
   std::map<ServiceId, double> hold_ms_;
+  /// Engines of each service that are not leaving.
+  std::map<ServiceId, std::size_t> engine_counts_;
+  Instant next_surge_note_{};
   /// Surges of the other processes' requests.
   std::map<ServiceId, SurgeMeter> surges_;
   /// When the last long prompt for a service came by.
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -188,6 +188,24 @@
   REQUIRE(chosen(kStart + std::chrono::seconds(16)) == 9);
 }
 
+TEST_CASE("many processes that know the same loads do not all choose the same engine", "[selector]") {
+  std::vector<EngineShare> others;
+  for (int i = 0; i < 40; ++i) others.push_back(EngineShare{EngineId("engine-" + std::to_string(i)), 9, 0, 0});
+  // One engine has room, and all processes know it.
+  others[7].in_flight = 2;
+  std::map<EngineId, int> chosen;
+  for (std::uint64_t process = 1; process <= 60; ++process) {
+    EngineSelector selector(process);
+    selector.setEngines(engines(40));
+    selector.noteOthers(kStart, others);
+    ++chosen[selector.choose(kStart, query())->engine.id];
+  }
+  // About fifty choices fall within the time for which they do not know of each other.
+  REQUIRE(chosen[EngineId("engine-7")] <= 12);
+  REQUIRE(chosen[EngineId("engine-7")] >= 1);
+  REQUIRE(chosen.size() >= 20);
+}
+
 TEST_CASE("an engine that is silent for longer than a prompt takes is avoided until it speaks", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(2));
