--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -47,11 +47,12 @@
 
 HttpResponse overLimit(const Route& route, const store::OverLimitReply& reply) {
   const Duration come_back = fromMillis(reply.come_back_ms);
-  const std::string message = fmt::format("{} tokens wait on route {}, {} more would exceed its limit of {}",
-                                          reply.waiting_tokens, route.name, reply.job_tokens, route.most_waiting_tokens);
-  HttpResponse response = connection::errorResponse(
-      Error{ErrorKind::kRateLimited, message, "send the job again at the given time, or a smaller one", Executed::kNo,
-            come_back});
+  const std::string message =
+      fmt::format("{} tokens wait on route {}, {} more would exceed its limit of {}", reply.waiting_tokens, route.name,
+                  reply.job_tokens, route.most_waiting_tokens);
+  HttpResponse response = connection::errorResponse(Error{ErrorKind::kRateLimited, message,
+                                                          "send the job again at the given time, or a smaller one",
+                                                          Executed::kNo, come_back});
   setRetryAfter(response, come_back);
   return response;
 }
