--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -126,6 +126,8 @@
   void enqueueOpenItems(const StoredJob& job);
   void stopItems(const JobId& job);
   void pump();
+  /// Runs under way that a new leader allows itself; grows until it is of no matter.
+  std::size_t mostRunsNow(Instant now) const;
   /// False if nothing can be started now.
   bool startNext(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const OpaqueItem& item, const Route& route);
@@ -185,9 +187,8 @@
   /// In the order of the last `orderQueue`; what came since stands at its end.
   std::deque<ItemPtr> queue_;
   Instant next_order_{};
+  /// A new leader starts no run before.
   Instant starts_from_{};
-  /// Runs under way that a new leader allows itself; grows until it is of no matter.
-  std::size_t mostRunsNow(Instant now) const;
   request::RunTimeModel run_times_;
   /// Items under way, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
--- /dev/null
+++ b/src/request/exchange/engine_selector_background.cpp
@@ -0,0 +1,36 @@
+#include <algorithm>
+
+#include "request/exchange/engine_selector.hpp"
+
+// What background work may take of an engine, and when it is to give way.
+namespace hatchfork::request {
+
+void EngineSelector::noteSurges(Instant now) {
+  if (now < next_surge_note_) return;
+  next_surge_note_ = now + limits_.surge_note_interval;
+  std::map<ServiceId, double> under_way;
+  for (const auto& [id, state] : engines_) under_way[state.record.service] += state.known_others.in_flight;
+  for (const auto& [service, count] : under_way) surges_[service].note(now, count);
+}
+
+double EngineSelector::keptFreeEach(Instant now, const ServiceId& service) const {
+  const auto surge = surges_.find(service);
+  const auto count = engine_counts_.find(service);
+  if (surge == surges_.end() || count == engine_counts_.end()) return 0;
+  return limits_.surge_kept_free * surge->second.surge(now) / static_cast<double>(count->second);
+}
+
+bool EngineSelector::hasBackgroundRoom(Instant now, const EngineState& state, double kept_free) const {
+  if (state.unread_tokens > limits_.background_most_unread) return false;
+  const double slots = state.record.slots;
+  const double usable = slots - std::min(kept_free, limits_.most_kept_free * slots);
+  return estimatedRunning(now, state) + 1 <= std::max(1.0, usable);
+}
+
+double EngineSelector::excess(Instant now, const EngineId& engine) const {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end() || !knowsOthers(now, found->second)) return 0;
+  return std::max(0.0, estimatedRunning(now, found->second) - found->second.record.slots);
+}
+
+}  // namespace hatchfork::request
