Tell subscribers what changed, encoded once for all that lack the same

Cause: each change of an engine sent the list of all engines to every subscriber, encoded for each of them, and each proof of freshness carried all addresses. Ruled out: the consensus of group 0 itself; it commits single registrations of a few hundred bytes. Change: the state remembers which engines changed at which revision; an update carries these, the document and the directory only where the subscriber lacks them; updates of one round are encoded once for all that hold the same; changes closer together than 100 ms share one round. Engines are found by address without a search. Test: feed_test.cpp holds a change of one engine among 400 under 400 bytes, and a proof under 60; before, both carried 400 engines.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -103,7 +103,7 @@
 }
 
 void GatewayProgram::onView(const fleet::FleetView& view, bool changed) {
-  stores_.setStores(view.stores);
+  stores_.setStores(fleet::addressesOf(view.stores));
   if (!changed) return;
   if (view.routes != routes_) {
     routes_ = view.routes;
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/control_program.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/log.hpp"
 #include "connection/stop_signal.hpp"
@@ -14,6 +15,8 @@
 
 constexpr Duration kMaintenanceInterval = fromMillis(250);
 constexpr Duration kFreshnessInterval = fromMillis(300);
+/// Changes closer together than this reach subscribers in one update; far below the time in which they must be known.
+constexpr Duration kPushInterval = fromMillis(100);
 /// After this long a control process has heard of every store that runs.
 constexpr Duration kStoresKnownAfter = std::chrono::seconds(3);
 /// The store group forms once no new store has been heard of for this long.
@@ -33,7 +36,8 @@
       settings_file_(std::move(settings_file)),
       dialect_(std::move(dialect)),
       engines_(settings_.engine_beat),
-      links_(context_, settings_.control_port) {}
+      links_(context_, settings_.control_port),
+      push_timer_(context_) {}
 
 ControlProgram::~ControlProgram() = default;
 
@@ -47,11 +51,7 @@
   options.may_form = settings_.first_start;
   options.most_voters = kMostControlVoters;
   auto make_machine = [this] {
-    return std::make_unique<FleetState>([this] {
-      connection::asio::post(context_, [this] {
-        if (feed_) feed_->push(monotonicNow());
-      });
-    });
+    return std::make_unique<FleetState>([this] { pushSoon(); });
   };
   auto adopt_machine = [this](consensus::StateMachine& machine) {
     state_ = static_cast<FleetState*>(&machine);
@@ -228,6 +228,18 @@
   }
 }
 
+void ControlProgram::pushSoon() {
+  if (std::exchange(push_armed_, true)) return;
+  const Instant now = monotonicNow();
+  push_timer_.expires_after(std::max(Duration::zero(), pushed_at_ + kPushInterval - now));
+  push_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    push_armed_ = false;
+    pushed_at_ = monotonicNow();
+    if (feed_) feed_->push(pushed_at_);
+  });
+}
+
 void ControlProgram::proveFreshness() {
   const Instant asked_at = monotonicNow();
   proving_ = true;
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -47,6 +47,8 @@
   void shareDirectory(Instant now);
   void formStoreGroup(Instant now);
   void forgetSilentEngines(Instant now);
+  /// Tells subscribers of changes, many together where they come in quick succession.
+  void pushSoon();
   void proveFreshness();
   /// Subscribers wait for the first proof after a start or a change of leader.
   void proveWhenLed();
@@ -71,6 +73,9 @@
   std::unique_ptr<connection::HttpServer> http_server_;
   std::unique_ptr<MetricsServer> metrics_;
   std::set<ReplicaId> controls_;
+  connection::asio::steady_timer push_timer_;
+  bool push_armed_ = false;
+  Instant pushed_at_{};
   Instant started_at_{};
   Instant leading_since_{};
   bool proving_ = false;
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -124,29 +124,58 @@
   // An older state than the one held can only come from a process that lost its proof: it proves nothing.
   if (frame.document_version < held || frame.engines_revision < view_.engines_revision) return;
   bool changed = false;
-  if (frame.document_version > held && !frame.document.empty()) {
-    Result<std::shared_ptr<const RouteTable>> parsed = dialect_.parseRoutes(frame.document);
-    if (!isOk(parsed)) {
-      logEvent(LogLevel::kError, "document_unreadable",
-               {{"version", frame.document_version}, {"error", describe(errorOf(parsed))}});
-      return;
-    }
-    view_.routes = std::move(valueOf(parsed));
+  if (frame.document && frame.document_version > held) {
+    if (!takeDocument(frame.document_version, *frame.document)) return;
     changed = true;
-    logEvent(LogLevel::kInfo, "routes_in_force", {{"version", view_.routes->version()}, {"before", held}});
   }
-  if (frame.has_engines && frame.engines_revision >= view_.engines_revision) {
+  if (frame.engines) {
     changed = changed || frame.engines_revision > view_.engines_revision;
-    view_.engines = std::make_shared<const std::vector<EngineRecord>>(std::move(frame.engines));
-    view_.engines_revision = frame.engines_revision;
+    takeEngines(frame.engines_revision, std::move(*frame.engines));
   }
-  controls_.insert(frame.controls.begin(), frame.controls.end());
-  // A control process that has just started knows of no store yet: the last list stands.
-  if (!frame.stores.empty()) view_.stores = std::move(frame.stores);
-  view_.retiring = std::move(frame.retiring);
-  view_.store_group = std::move(frame.store_group);
+  if (frame.directory) takeDirectory(std::move(*frame.directory));
   proved_at_ = monotonicNow();
   on_view_(view_, changed);
 }
 
+bool FeedClient::takeDocument(std::uint64_t version, const std::string& document) {
+  Result<std::shared_ptr<const RouteTable>> parsed = dialect_.parseRoutes(document);
+  if (!isOk(parsed)) {
+    logEvent(LogLevel::kError, "document_unreadable",
+             {{"version", version}, {"error", describe(errorOf(parsed))}});
+    return false;
+  }
+  const std::uint64_t before = view_.routes ? view_.routes->version() : 0;
+  view_.routes = std::move(valueOf(parsed));
+  logEvent(LogLevel::kInfo, "routes_in_force", {{"version", view_.routes->version()}, {"before", before}});
+  return true;
+}
+
+void FeedClient::takeEngines(std::uint64_t revision, EngineUpdate update) {
+  if (update.is_whole) engines_.clear();
+  for (const EngineId& id : update.removed) engines_.erase(id);
+  for (EngineRecord& engine : update.present) {
+    const EngineId id = engine.id;
+    engines_[id] = std::move(engine);
+  }
+  auto engines = std::make_shared<std::vector<EngineRecord>>();
+  engines->reserve(engines_.size());
+  for (const auto& [id, engine] : engines_) engines->push_back(engine);
+  view_.engines = std::move(engines);
+  view_.engines_revision = revision;
+}
+
+void FeedClient::takeDirectory(DirectoryUpdate update) {
+  controls_.insert(update.controls.begin(), update.controls.end());
+  // A control process that has just started knows of no store yet: the last list stands.
+  if (!update.stores.empty()) view_.stores = std::move(update.stores);
+  view_.retiring = std::move(update.retiring);
+  view_.store_group = std::move(update.store_group);
+}
+
+std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores) {
+  std::vector<ReplicaId> addresses;
+  for (const StoreAddress& store : stores) addresses.push_back(store.address);
+  return addresses;
+}
+
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -20,11 +21,14 @@
   std::shared_ptr<const RouteTable> routes;
   std::uint64_t engines_revision = 0;
   std::shared_ptr<const std::vector<EngineRecord>> engines;
-  std::vector<ReplicaId> stores;
+  std::vector<StoreAddress> stores;
   std::vector<ReplicaId> retiring;
   consensus::Membership store_group;
 };
 
+/// The addresses alone.
+std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores);
+
 struct FeedClientOptions {
   std::string node;
   std::uint16_t control_port = 0;
@@ -54,6 +58,10 @@
   connection::Awaitable<std::shared_ptr<connection::FrameConnection>> connect(const ReplicaId& control);
   void onFrame(const std::string& body);
   void take(UpdateFrame& frame);
+  /// False if the document can't be read.
+  bool takeDocument(std::uint64_t version, const std::string& document);
+  void takeEngines(std::uint64_t revision, EngineUpdate update);
+  void takeDirectory(DirectoryUpdate update);
   std::string subscription() const;
   std::vector<ReplicaId> order();
 
@@ -63,6 +71,8 @@
   ViewHandler on_view_;
   PresenceSource presence_;
   FleetView view_;
+  /// The engines of the view, by identifier.
+  std::map<EngineId, EngineRecord> engines_;
   std::set<ReplicaId> controls_;
   Instant proved_at_ = Instant::min();
   /// Where the search for a control process goes on.
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -15,17 +15,17 @@
 void FeedServer::subscribe(Instant now, const SubscribeFrame& frame, const ConnectionPtr& from) {
   const bool is_new = !subscribers_.contains(from);
   if (!is_new) return;
-  Subscriber subscriber;
-  subscriber.document_version = frame.document_version;
-  subscriber.engines_revision = frame.engines_revision;
-  subscriber.has_engines = frame.engines_revision > 0;
   logEvent(LogLevel::kInfo, "subscriber_joined",
            {{"subscriber", frame.node},
             {"document_version", frame.document_version},
             {"engines_revision", frame.engines_revision},
             {"fresh", isFresh(now)}});
-  Subscriber& entry = subscribers_.emplace(from, subscriber).first->second;
-  if (isFresh(now)) update(from, entry);
+  const Held claimed{frame.document_version, frame.engines_revision, 0};
+  Held& held = subscribers_.emplace(from, claimed).first->second;
+  if (!isFresh(now)) return;
+  refreshDirectory();
+  Encoded encoded;
+  update(from, held, encoded);
 }
 
 void FeedServer::unsubscribe(const ConnectionPtr& connection) {
@@ -41,31 +41,55 @@
 
 void FeedServer::push(Instant now) {
   if (!isFresh(now)) return;
-  for (auto& [connection, subscriber] : subscribers_) update(connection, subscriber);
+  refreshDirectory();
+  Encoded encoded;
+  for (auto& [connection, held] : subscribers_) update(connection, held, encoded);
+}
+
+void FeedServer::update(const ConnectionPtr& connection, Held& held, Encoded& encoded) {
+  const auto [entry, is_first] = encoded.try_emplace(held);
+  if (is_first) entry->second = encodeTagged(FleetMessage(updateFor(held)));
+  connection->send(entry->second);
+  held.document_version = std::max(held.document_version, state_->documentVersion());
+  held.engines_revision = std::max(held.engines_revision, state_->enginesRevision());
+  held.directory_revision = directory_revision_;
 }
 
-void FeedServer::update(const ConnectionPtr& connection, Subscriber& subscriber) {
-  const std::string bytes = encodeTagged(FleetMessage(updateFor(subscriber)));
-  subscriber.document_version = std::max(subscriber.document_version, state_->documentVersion());
-  subscriber.engines_revision = std::max(subscriber.engines_revision, state_->enginesRevision());
-  subscriber.has_engines = true;
-  connection->send(bytes);
+void FeedServer::refreshDirectory() {
+  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup()};
+  for (const auto& [node, address] : state_->retiring()) now.retiring.push_back(address);
+  if (now == directory_) return;
+  directory_ = std::move(now);
+  ++directory_revision_;
 }
 
-UpdateFrame FeedServer::updateFor(const Subscriber& subscriber) const {
+UpdateFrame FeedServer::updateFor(const Held& held) const {
   UpdateFrame frame;
   frame.document_version = state_->documentVersion();
-  if (frame.document_version > subscriber.document_version) frame.document = state_->document();
   frame.engines_revision = state_->enginesRevision();
-  frame.has_engines = !subscriber.has_engines || frame.engines_revision > subscriber.engines_revision;
-  if (frame.has_engines) {
-    for (const auto& [id, engine] : state_->engines()) frame.engines.push_back(engine);
-  }
-  frame.controls = controls_;
-  frame.stores = directory_.addresses();
-  for (const auto& [node, address] : state_->retiring()) frame.retiring.push_back(address);
-  frame.store_group = state_->storeGroup();
+  if (frame.document_version > held.document_version) frame.document = state_->document();
+  if (frame.engines_revision > held.engines_revision) frame.engines = engineUpdate(held.engines_revision);
+  if (directory_revision_ != held.directory_revision) frame.directory = directory_;
   return frame;
 }
 
+EngineUpdate FeedServer::engineUpdate(std::uint64_t since) const {
+  EngineUpdate update;
+  const std::optional<std::set<EngineId>> changed = state_->enginesChangedSince(since);
+  update.is_whole = !changed;
+  if (!changed) {
+    for (const auto& [id, engine] : state_->engines()) update.present.push_back(engine);
+    return update;
+  }
+  for (const EngineId& id : *changed) {
+    const auto engine = state_->engines().find(id);
+    if (engine == state_->engines().end()) {
+      update.removed.push_back(id);
+    } else {
+      update.present.push_back(engine->second);
+    }
+  }
+  return update;
+}
+
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/feed_server.hpp
+++ b/src/process/fleet/feed_server.hpp
@@ -10,14 +10,15 @@
 
 namespace hatchfork::fleet {
 
-/// Tells gateways and stores of the fleet's state: everything they lack when they subscribe, changes at once, and a
-/// proof of freshness several times a second. Sends nothing while this replica can't prove that it holds the newest
-/// state, so that subscribers notice and turn to another one. Belongs to one thread.
+/// Tells gateways and stores of the fleet's state: everything they lack when they subscribe, changes afterwards, and a
+/// proof of freshness several times a second. Subscribers that lack the same share one encoded update, so that a change
+/// costs its own size once, and a send for each subscriber. Sends nothing while this replica can't prove that it holds
+/// the newest state, so that subscribers notice and turn to another one. Belongs to one thread.
 class FeedServer {
  public:
   using ConnectionPtr = connection::FrameServer::ConnectionPtr;
 
-  FeedServer(const FleetState& state, const StoreDirectory& directory) : state_(&state), directory_(directory) {}
+  FeedServer(const FleetState& state, const StoreDirectory& stores) : state_(&state), stores_(stores) {}
   /// The replica was opened anew, with another state object.
   void setState(const FleetState& state) { state_ = &state; }
 
@@ -32,20 +33,29 @@
   std::size_t subscribers() const { return subscribers_.size(); }
 
  private:
-  /// What one subscriber has been sent.
-  struct Subscriber {
+  /// What one subscriber holds or has been sent.
+  struct Held {
     std::uint64_t document_version = 0;
     std::uint64_t engines_revision = 0;
-    bool has_engines = false;
+    /// Zero: no directory yet.
+    std::uint64_t directory_revision = 0;
+    auto operator<=>(const Held&) const = default;
   };
+  /// Encoded updates of one round, by what their receivers hold.
+  using Encoded = std::map<Held, std::string>;
 
-  void update(const ConnectionPtr& connection, Subscriber& subscriber);
-  UpdateFrame updateFor(const Subscriber& subscriber) const;
+  void update(const ConnectionPtr& connection, Held& held, Encoded& encoded);
+  UpdateFrame updateFor(const Held& held) const;
+  EngineUpdate engineUpdate(std::uint64_t since) const;
+  /// Notes whether the directory has changed.
+  void refreshDirectory();
 
   const FleetState* state_;
-  const StoreDirectory& directory_;
+  const StoreDirectory& stores_;
   std::vector<ReplicaId> controls_;
-  std::map<ConnectionPtr, Subscriber> subscribers_;
+  std::map<ConnectionPtr, Held> subscribers_;
+  DirectoryUpdate directory_;
+  std::uint64_t directory_revision_ = 1;
   Instant fresh_until_{};
 };
 
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -113,26 +113,59 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubscribeFrame, node, document_version, engines_revision, store)
 
-/// The fleet's state, or the parts of it that the subscriber lacks. Each one proves that what it names was the newest
-/// at some moment shortly before.
-struct UpdateFrame {
-  static constexpr std::string_view kKind = "u";
-  std::uint64_t document_version = 0;
-  /// The document itself, where the subscriber lacks it; else empty.
-  std::string document;
-  std::uint64_t engines_revision = 0;
-  bool has_engines = false;
-  std::vector<EngineRecord> engines;
-  /// Addresses of the control processes and of the stores that are known.
+/// A store as subscribers know it.
+struct StoreAddress {
+  ReplicaId address;
+  ZoneId zone;
+  auto operator<=>(const StoreAddress&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreAddress, address, zone)
+
+/// Engines that a subscriber lacks: all of them, or those that changed after a revision it holds.
+struct EngineUpdate {
+  /// True: what is not named here is gone. False: what is not named here stands.
+  bool is_whole = false;
+  std::vector<EngineRecord> present;
+  std::vector<EngineId> removed;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EngineUpdate, is_whole, present, removed)
+
+/// Where other processes are, and what the stores are to do.
+struct DirectoryUpdate {
+  /// Addresses of the control processes and the stores that are known.
   std::vector<ReplicaId> controls;
-  std::vector<ReplicaId> stores;
+  std::vector<StoreAddress> stores;
   /// Stores that an operator wants emptied.
   std::vector<ReplicaId> retiring;
   /// Members that the store group forms with; none before that is decided.
   consensus::Membership store_group;
+  bool operator==(const DirectoryUpdate&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UpdateFrame, document_version, document, engines_revision, has_engines, engines,
-                                   controls, stores, retiring, store_group)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryUpdate, controls, stores, retiring, store_group)
+
+/// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it names
+/// were the newest at some moment shortly before.
+struct UpdateFrame {
+  static constexpr std::string_view kKind = "u";
+  std::uint64_t document_version = 0;
+  std::uint64_t engines_revision = 0;
+  std::optional<std::string> document;
+  std::optional<EngineUpdate> engines;
+  std::optional<DirectoryUpdate> directory;
+};
+inline void to_json(nlohmann::json& json, const UpdateFrame& update) {
+  json = nlohmann::json{{"v", update.document_version}, {"r", update.engines_revision}};
+  if (update.document) json["document"] = *update.document;
+  if (update.engines) json["engines"] = *update.engines;
+  if (update.directory) json["directory"] = *update.directory;
+}
+inline void from_json(const nlohmann::json& json, UpdateFrame& update) {
+  json.at("v").get_to(update.document_version);
+  json.at("r").get_to(update.engines_revision);
+  if (json.contains("document")) update.document = json.at("document").get<std::string>();
+  if (json.contains("engines")) update.engines = json.at("engines").get<EngineUpdate>();
+  if (json.contains("directory")) update.directory = json.at("directory").get<DirectoryUpdate>();
+}
 
 /// A request to a store, and its answer; `number` is unique on its connection.
 struct StoreRequestFrame {
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t kMostDeparted = 20000;
+/// Changes of engines that are remembered for subscribers that lack only these: all engines of a large fleet once.
+constexpr std::size_t kMostEngineChanges = 4096;
 
 /// The state as it travels in snapshots.
 struct FleetSnapshot {
@@ -46,26 +48,54 @@
     next.leaving = next.leaving || known->second.leaving;
     if (known->second == next) return false;
   }
-  std::erase_if(engines_,
-                [&](const auto& entry) { return entry.first != engine.id && entry.second.address == engine.address; });
+  const auto at_address = engine_at_address_.find(engine.address);
+  if (at_address != engine_at_address_.end() && at_address->second != engine.id) {
+    const EngineId former = at_address->second;
+    removeEngine(former);
+  }
+  // An engine that has moved leaves its former address.
+  if (known != engines_.end() && known->second.address != engine.address) {
+    engine_at_address_.erase(known->second.address);
+  }
   engines_[engine.id] = next;
-  ++engines_revision_;
+  engine_at_address_[engine.address] = engine.id;
+  noteEngineChange(engine.id);
   return true;
 }
 
 bool FleetState::applyOne(const DepartEngine& command) {
   if (departed_.contains(command.engine)) return false;
   noteDeparted(command.engine);
-  engines_.erase(command.engine);
-  ++engines_revision_;
+  removeEngine(command.engine);
   return true;
 }
 
 bool FleetState::applyOne(const ForgetEngines& command) {
-  std::size_t forgotten = 0;
-  for (const EngineId& engine : command.engines) forgotten += engines_.erase(engine);
-  if (forgotten > 0) ++engines_revision_;
-  return forgotten > 0;
+  const std::uint64_t before = engines_revision_;
+  for (const EngineId& engine : command.engines) removeEngine(engine);
+  return engines_revision_ > before;
+}
+
+void FleetState::removeEngine(const EngineId& engine) {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) return;
+  const auto at_address = engine_at_address_.find(found->second.address);
+  if (at_address != engine_at_address_.end() && at_address->second == engine) engine_at_address_.erase(at_address);
+  engines_.erase(found);
+  noteEngineChange(engine);
+}
+
+void FleetState::noteEngineChange(const EngineId& engine) {
+  ++engines_revision_;
+  engine_changes_.push_back(engine);
+  if (engine_changes_.size() > kMostEngineChanges) engine_changes_.pop_front();
+}
+
+std::optional<std::set<EngineId>> FleetState::enginesChangedSince(std::uint64_t revision) const {
+  if (revision > engines_revision_) return std::nullopt;
+  const std::uint64_t missed = engines_revision_ - revision;
+  if (missed > engine_changes_.size()) return std::nullopt;
+  return std::set<EngineId>(engine_changes_.end() - static_cast<std::ptrdiff_t>(missed), engine_changes_.end());
 }
 
 bool FleetState::applyOne(const FormStoreGroup& command) {
@@ -105,8 +135,11 @@
   document_version_ = snapshot.document_version;
   document_ = std::move(snapshot.document);
   engines_.clear();
+  engine_at_address_.clear();
+  engine_changes_.clear();
   for (EngineRecord& engine : snapshot.engines) {
     const EngineId id = engine.id;
+    engine_at_address_[engine.address] = id;
     engines_.emplace(id, std::move(engine));
   }
   engines_revision_ = snapshot.engines_revision;
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -82,8 +83,10 @@
   std::uint64_t documentVersion() const { return document_version_; }
   const std::string& document() const { return document_; }
   const std::map<EngineId, EngineRecord>& engines() const { return engines_; }
-  /// Rises whenever the engines change.
+  /// Rises by one with each engine that is added, changed or removed.
   std::uint64_t enginesRevision() const { return engines_revision_; }
+  /// Engines added, changed or removed since that revision; nothing where that is no longer remembered.
+  std::optional<std::set<EngineId>> enginesChangedSince(std::uint64_t revision) const;
   bool hasDeparted(const EngineId& engine) const { return departed_.contains(engine); }
   const consensus::Membership& storeGroup() const { return store_group_; }
   /// Stores to be emptied, by node name.
@@ -97,12 +100,18 @@
   bool applyOne(const FormStoreGroup& command);
   bool applyOne(const RetireStore& command);
   void noteDeparted(const EngineId& engine);
+  void noteEngineChange(const EngineId& engine);
+  void removeEngine(const EngineId& engine);
 
   ChangeHandler on_change_;
   std::uint64_t document_version_ = 0;
   std::string document_;
   std::map<EngineId, EngineRecord> engines_;
   std::uint64_t engines_revision_ = 0;
+  /// The engines of the last changes, the newest last: the last one belongs to `engines_revision_`. Not replicated.
+  std::deque<EngineId> engine_changes_;
+  /// Who is at each address, so that a newcomer there takes its place without a search.
+  std::map<std::string, EngineId> engine_at_address_;
   std::set<EngineId> departed_;
   /// The same in the order in which they left; the oldest are forgotten.
   std::deque<EngineId> departed_order_;
--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -45,9 +45,9 @@
   return stores;
 }
 
-std::vector<ReplicaId> StoreDirectory::addresses() const {
-  std::vector<ReplicaId> addresses;
-  for (const auto& [address, presence] : stores_) addresses.push_back(address);
+std::vector<StoreAddress> StoreDirectory::addresses() const {
+  std::vector<StoreAddress> addresses;
+  for (const auto& [address, presence] : stores_) addresses.push_back(StoreAddress{address, presence.zone});
   return addresses;
 }
 
--- a/src/process/fleet/store_directory.hpp
+++ b/src/process/fleet/store_directory.hpp
@@ -22,8 +22,8 @@
 
   /// Stores heard directly and lately, to be passed on.
   std::vector<StorePresence> heardDirectly(Instant now) const;
-  /// Addresses of all stores heard of within the last seconds.
-  std::vector<ReplicaId> addresses() const;
+  /// All stores heard of within the last seconds, by address.
+  std::vector<StoreAddress> addresses() const;
   /// Null if no store of that node name is known.
   const StorePresence* find(const std::string& node) const;
   const std::map<ReplicaId, StorePresence>& stores() const { return stores_; }
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -59,7 +59,8 @@
 
 void JobExecutor::setView(const fleet::FleetView& view, bool engines_changed) {
   routes_ = view.routes;
-  std::set<ReplicaId> runners(view.stores.begin(), view.stores.end());
+  const std::vector<ReplicaId> stores = fleet::addressesOf(view.stores);
+  std::set<ReplicaId> runners(stores.begin(), stores.end());
   for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
   board_.setRunners(std::move(runners));
   if (engines_changed) selector_.setEngines(*view.engines);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -139,7 +139,7 @@
 }
 
 void StoreProgram::onView(const fleet::FleetView& view, bool changed) {
-  group_->setContacts(view.stores);
+  group_->setContacts(fleet::addressesOf(view.stores));
   group_->setRetiring(std::set<ReplicaId>(view.retiring.begin(), view.retiring.end()));
   if (!view.store_group.members.empty()) group_->formWith(view.store_group);
   if (changed) executor_->setView(view, /*engines_changed=*/true);
--- /dev/null
+++ b/tests/process/fleet/feed_test.cpp
@@ -0,0 +1,102 @@
+#include <catch2/catch.hpp>
+
+#include "platform/platform_dialect.hpp"
+#include "process/fleet/feed_client.hpp"
+#include "process/fleet/feed_server.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::fleet;
+using connection::monotonicNow;
+
+namespace {
+
+constexpr std::uint16_t kPort = 17942;
+constexpr int kEngines = 400;
+
+EngineRecord engine(int number, std::uint32_t slots = 8) {
+  const std::string text = std::to_string(number);
+  return EngineRecord{EngineId("i-" + text), ServiceId("s"), "10.0.0.1:" + text, ZoneId("z1"), slots, false};
+}
+
+/// A control process's feed on loopback, and one subscriber.
+class FeedStage {
+ public:
+  FeedStage()
+      : dialect_(platform::makePlatformDialect()),
+        feed_(state_, stores_),
+        server_(
+            context_, connection::Endpoint{"127.0.0.1", kPort},
+            [this](const std::string& body, const connection::FrameServer::ConnectionPtr& from) {
+              const auto message = decodeTagged<FleetMessage>(body);
+              connection_ = from;
+              feed_.subscribe(monotonicNow(), std::get<SubscribeFrame>(valueOf(message)), from);
+            },
+            [this](const connection::FrameServer::ConnectionPtr& closed) { feed_.unsubscribe(closed); }) {
+    for (int i = 0; i < kEngines; ++i) apply(RegisterEngine{engine(i)});
+    feed_.setControls({ReplicaId("127.0.0.1")});
+    REQUIRE(isOk(server_.start()));
+    client_ = std::make_unique<FeedClient>(
+        context_, FeedClientOptions{"g1", kPort, {ReplicaId("127.0.0.1")}}, *dialect_,
+        [this](const FleetView&, bool changed) { changes += changed ? 1 : 0; }, nullptr);
+    client_->start();
+    prove();
+    runUntil([this] { return client_->view().engines->size() == kEngines; });
+  }
+
+  void apply(const FleetCommand& command) { state_.apply(1, encodeTagged(command)); }
+  void prove() { feed_.proveFresh(monotonicNow(), monotonicNow()); }
+  template <class Condition>
+  void runUntil(Condition condition) {
+    const Instant give_up = monotonicNow() + std::chrono::seconds(10);
+    while (!condition() && monotonicNow() < give_up) context_.run_for(std::chrono::milliseconds(5));
+    REQUIRE(condition());
+  }
+  /// Bytes that the next update costs.
+  std::uint64_t bytesOfUpdate(const FleetCommand& command) {
+    const std::uint64_t before = connection_->bytesSent();
+    apply(command);
+    prove();
+    runUntil([this, before] { return connection_->bytesSent() > before; });
+    return connection_->bytesSent() - before;
+  }
+  const FleetView& view() const { return client_->view(); }
+
+  int changes = 0;
+
+ private:
+  connection::asio::io_context context_;
+  std::unique_ptr<const Dialect> dialect_;
+  FleetState state_;
+  StoreDirectory stores_;
+  FeedServer feed_;
+  connection::FrameServer server_;
+  std::unique_ptr<FeedClient> client_;
+  connection::FrameServer::ConnectionPtr connection_;
+};
+
+}  // namespace
+
+TEST_CASE("a change of one engine costs its own size, however many there are", "[fleet][feed]") {
+  FeedStage stage;
+  const std::uint64_t bytes = stage.bytesOfUpdate(RegisterEngine{engine(7, 16)});
+  REQUIRE(bytes < 400);
+  stage.runUntil([&] { return stage.view().engines_revision == kEngines + 1; });
+  REQUIRE(stage.view().engines->size() == kEngines);
+  const auto changed = std::find_if(stage.view().engines->begin(), stage.view().engines->end(),
+                                    [](const EngineRecord& one) { return one.id == EngineId("i-7"); });
+  REQUIRE(changed->slots == 16);
+}
+
+TEST_CASE("an engine that has left is gone at subscribers", "[fleet][feed]") {
+  FeedStage stage;
+  REQUIRE(stage.bytesOfUpdate(DepartEngine{EngineId("i-3")}) < 200);
+  stage.runUntil([&] { return stage.view().engines->size() == kEngines - 1; });
+}
+
+TEST_CASE("a proof of freshness carries nothing that the subscriber holds", "[fleet][feed]") {
+  FeedStage stage;
+  const int changes = stage.changes;
+  // An engine that changes nothing.
+  REQUIRE(stage.bytesOfUpdate(RegisterEngine{engine(7)}) < 60);
+  REQUIRE(stage.changes == changes);
+}
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -181,3 +181,33 @@
   directory.expire(kStart + std::chrono::seconds(60));
   REQUIRE(directory.addresses().empty());
 }
+
+TEST_CASE("the changes of engines since a revision are told, or that they are no longer known", "[fleet]") {
+  FleetState state;
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  apply(state, RegisterEngine{engine("e2", "10.0.0.2:80")});
+  const std::uint64_t before = state.enginesRevision();
+  REQUIRE(state.enginesChangedSince(before)->empty());
+  apply(state, RegisterEngine{engine("e2", "10.0.0.2:80", true)});
+  apply(state, DepartEngine{EngineId("e1")});
+  REQUIRE(*state.enginesChangedSince(before) == std::set<EngineId>{EngineId("e1"), EngineId("e2")});
+  REQUIRE_FALSE(state.enginesChangedSince(state.enginesRevision() + 1));
+  // A snapshot does not carry them.
+  FleetState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(restored.enginesRevision() == state.enginesRevision());
+  REQUIRE_FALSE(restored.enginesChangedSince(before));
+  REQUIRE(restored.enginesChangedSince(restored.enginesRevision())->empty());
+}
+
+TEST_CASE("an engine that takes the place of another changes both", "[fleet]") {
+  FleetState state;
+  apply(state, RegisterEngine{engine("e1", "10.0.0.1:80")});
+  const std::uint64_t before = state.enginesRevision();
+  apply(state, RegisterEngine{engine("e2", "10.0.0.1:80")});
+  REQUIRE(*state.enginesChangedSince(before) == std::set<EngineId>{EngineId("e1"), EngineId("e2")});
+  // An engine that moves leaves its address to others.
+  apply(state, RegisterEngine{engine("e2", "10.0.0.9:80")});
+  apply(state, RegisterEngine{engine("e3", "10.0.0.1:80")});
+  REQUIRE(state.engines().size() == 2);
+}
