Aggregate loads by zone, apart from the leader of the stores, in one digest for all

Change: two stores of each zone aggregate; reports when something has changed; totals between zones; digests of changes, encoded once, no more than 6 KB a second for a receiver; the selector learns how often it is told. The board tells totals; its tests that took a process's own shares out now hold for the digest's reader, with as exact values.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// How often a gateway tells what it has under way.
-constexpr Duration kLoadInterval = fromMillis(80);
+/// How often a gateway looks whether what it has under way has changed since it last told it.
+constexpr Duration kLoadInterval = fromMillis(50);
 constexpr Duration kMaintenanceInterval = fromMillis(1000);
 /// A gateway that is being stopped takes new connections for this long, since callers learn of it with a delay.
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
@@ -48,6 +48,8 @@
       gate_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
+      loads_(settings_.name, settings_.zone,
+             [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
       jobs_(*dialect_, stores_, drawSeed()) {}
 
 GatewayProgram::~GatewayProgram() = default;
@@ -79,8 +81,10 @@
   const Status measuring = metrics_->start();
   if (!isOk(measuring)) return measuring;
 
-  stores_.setLoadHandler(
-      [this](const std::vector<request::EngineShare>& others) { selector_.noteOthers(monotonicNow(), others); });
+  stores_.setDigestHandler([this](const fleet::LoadDigestFrame& digest) {
+    const Instant now = monotonicNow();
+    if (const auto others = loads_.take(now, digest)) selector_.noteOthers(now, *others);
+  });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
   feed_ = std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, nullptr);
@@ -104,6 +108,7 @@
 
 void GatewayProgram::onView(const fleet::FleetView& view, bool changed) {
   stores_.setStores(fleet::addressesOf(view.stores));
+  loads_.setStores(view.stores);
   if (!changed) return;
   if (view.routes != routes_) {
     routes_ = view.routes;
@@ -113,6 +118,7 @@
                         limits.idle_timeout + std::chrono::seconds(1));
   }
   selector_.setEngines(*view.engines);
+  loads_.setEngines(*view.engines);
 }
 
 bool GatewayProgram::isReady() const {
@@ -225,17 +231,12 @@
   }
 }
 
-/// Reports what is under way here, and hears in return what all others have under way. Silent while nothing runs and
-/// nothing did at the last report.
+/// Tells an aggregator what is under way here.
 Awaitable<void> GatewayProgram::loadLoop() {
-  bool reported = false;
   while (true) {
     co_await connection::sleepFor(kLoadInterval);
     const Instant now = monotonicNow();
-    std::vector<request::EngineShare> shares = selector_.ownShares(now);
-    const bool has_any = !shares.empty();
-    if (has_any || reported) stores_.reportLoad(now, settings_.name, std::move(shares));
-    reported = has_any;
+    loads_.report(now, selector_.ownShares(now));
   }
 }
 
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -11,6 +11,7 @@
 #include "process/exchange/store_client.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
+#include "process/fleet/load_reporter.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
@@ -52,6 +53,7 @@
   request::ArrivalGate gate_;
   request::WeightedSplit split_;
   StoreClient stores_;
+  fleet::LoadReporter loads_;
   JobApi jobs_;
   ExchangeCounters counters_;
   std::unique_ptr<fleet::FeedClient> feed_;
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// A store that has answered a load report is the one to tell for this long.
-constexpr Duration kHubKnownFor = fromMillis(600);
 constexpr Duration kPauseBetweenRounds = fromMillis(40);
 
 }  // namespace
@@ -32,7 +30,7 @@
     if (links_.contains(store)) continue;
     auto link = std::make_shared<connection::ReconnectingLink>(
         context_, connection::Endpoint{store.value, store_port_},
-        [this, store](const std::string& body) { onFrame(store, body); },
+        [this](const std::string& body) { onFrame(body); },
         [this, store](bool connected) { onLinkState(store, connected); });
     links_[store].link = link;
     link->start();
@@ -57,21 +55,16 @@
   for (const ReplyHandler& done : lost) done(UnavailableReply{true, "the connection to the store broke"});
 }
 
-void StoreClient::reportLoad(Instant now, const std::string& node, std::vector<request::EngineShare> shares) {
-  const std::string bytes = encodeTagged(fleet::FleetMessage(fleet::LoadFrame{node, std::move(shares)}));
-  const bool hub_known = load_heard_at_ != Instant::min() && now < load_heard_at_ + kHubKnownFor;
-  for (const auto& [store, entry] : links_) {
-    if (!hub_known || store == load_hub_) entry.link->send(bytes);
-  }
+bool StoreClient::send(const ReplicaId& store, const fleet::FleetMessage& message) {
+  const auto found = links_.find(store);
+  return found != links_.end() && found->second.link->isConnected() && found->second.link->send(encodeTagged(message));
 }
 
-void StoreClient::onFrame(const ReplicaId& store, const std::string& body) {
+void StoreClient::onFrame(const std::string& body) {
   Result<fleet::FleetMessage> message = decodeTagged<fleet::FleetMessage>(body);
   if (!isOk(message)) return;
-  if (const auto* load = std::get_if<fleet::LoadFrame>(&valueOf(message))) {
-    load_hub_ = store;
-    load_heard_at_ = monotonicNow();
-    if (on_load_) on_load_(load->shares);
+  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&valueOf(message))) {
+    if (on_digest_) on_digest_(*digest);
     return;
   }
   const auto* frame = std::get_if<fleet::StoreReplyFrame>(&valueOf(message));
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -35,12 +35,12 @@
   ~StoreClient();
 
   void setStores(const std::vector<ReplicaId>& stores);
-  /// Called with what all other processes have under way at engines.
-  void setLoadHandler(std::function<void(const std::vector<request::EngineShare>&)> on_load) {
-    on_load_ = std::move(on_load);
+  /// Called with the loads that an aggregator tells.
+  void setDigestHandler(std::function<void(const fleet::LoadDigestFrame&)> on_digest) {
+    on_digest_ = std::move(on_digest);
   }
-  /// Tells the leader of the stores, or all of them while it is not known, what this process has under way.
-  void reportLoad(Instant now, const std::string& node, std::vector<request::EngineShare> shares);
+  /// False if there is no connection to that store, or none is wanted.
+  bool send(const ReplicaId& store, const fleet::FleetMessage& message);
   /// Asks store after store until one answers or `deadline` has come; a store that has not answered after `hedge` is
   /// waited for on, but the next one is asked beside it, since all requests may be repeated. An `UnavailableReply` says
   /// whether the request may have an effect all the same.
@@ -60,7 +60,7 @@
            const std::shared_ptr<CallState>& state);
   /// The first connected store of the round that was not asked in it and is not being asked.
   std::optional<ReplicaId> nextStore(const CallState& state) const;
-  void onFrame(const ReplicaId& store, const std::string& body);
+  void onFrame(const std::string& body);
   void onLinkState(const ReplicaId& store, bool connected);
   /// Connected stores, the one that answered last first.
   std::vector<ReplicaId> order() const;
@@ -74,10 +74,7 @@
   };
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_number_ = 0;
-  std::function<void(const std::vector<request::EngineShare>&)> on_load_;
-  /// The store that answers load reports, and when it last did.
-  ReplicaId load_hub_;
-  Instant load_heard_at_ = Instant::min();
+  std::function<void(const fleet::LoadDigestFrame&)> on_digest_;
   ReplicaId preferred_;
   std::uint64_t seed_;
 };
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -183,16 +183,34 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreReplyFrame, number, reply)
 
-/// What a gateway has under way at engines, and, from the leader of the store group in return, what all others have.
-struct LoadFrame {
+/// What a process has under way at engines, for the aggregator that it reports to. Replaces its last report.
+struct LoadReportFrame {
   static constexpr std::string_view kKind = "l";
   std::string node;
   std::vector<request::EngineShare> shares;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadFrame, node, shares)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReportFrame, node, shares)
 
-using FleetMessage =
-    std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame, UpdateFrame,
-                 StoreRequestFrame, StoreReplyFrame, LoadFrame, RunOrder, RunLease, RunReport>;
+/// Totals of all processes that report to one aggregator, for the other aggregators: a whole `LoadDigestWriter` digest.
+struct LoadTotalsFrame {
+  static constexpr std::string_view kKind = "lt";
+  ReplicaId from;
+  std::string digest;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadTotalsFrame, from, digest)
+
+/// Totals of all processes of the fleet, from an aggregator to those that report to it: the same bytes for all of them.
+struct LoadDigestFrame {
+  static constexpr std::string_view kKind = "ld";
+  ReplicaId from;
+  /// Engines that are not named have no load; else they have the load that was told last.
+  bool is_whole = false;
+  std::string digest;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadDigestFrame, from, is_whole, digest)
+
+using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
+                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
+                                  LoadDigestFrame, RunOrder, RunLease, RunReport>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/peer_links.cpp
+++ b/src/process/fleet/peer_links.cpp
@@ -20,8 +20,11 @@
     auto on_state = [to](bool connected) {
       logEvent(LogLevel::kInfo, connected ? "peer_connected" : "peer_lost", {{"peer", to.value}});
     };
-    entry.link = std::make_shared<connection::ReconnectingLink>(
-        context_, connection::Endpoint{to.value, port_}, [](const std::string&) {}, on_state);
+    auto on_frame = [this](const std::string& body) {
+      if (on_frame_) on_frame_(body);
+    };
+    entry.link = std::make_shared<connection::ReconnectingLink>(context_, connection::Endpoint{to.value, port_},
+                                                                on_frame, on_state);
     entry.link->start();
   }
   std::string bytes = encodeTagged(message);
--- a/src/process/fleet/peer_links.hpp
+++ b/src/process/fleet/peer_links.hpp
@@ -14,6 +14,8 @@
 class PeerLinks {
  public:
   PeerLinks(connection::asio::io_context& context, std::uint16_t port) : context_(context), port_(port) {}
+  /// Called with frames that a peer sends back on a link from here.
+  void setFrameHandler(std::function<void(const std::string& body)> on_frame) { on_frame_ = std::move(on_frame); }
   ~PeerLinks();
 
   /// False if there is no connection now, so that the frame was surely not sent.
@@ -29,6 +31,7 @@
 
   connection::asio::io_context& context_;
   std::uint16_t port_;
+  std::function<void(const std::string& body)> on_frame_;
   std::map<ReplicaId, Link> links_;
 };
 
--- /dev/null
+++ b/src/process/store/load_aggregator.cpp
@@ -0,0 +1,96 @@
+#include "process/store/load_aggregator.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "common/log.hpp"
+#include "process/fleet/load_reporter.hpp"
+
+namespace hatchfork::store {
+namespace {
+
+/// Digests come no more often than this: about a seventh of the time for which an online request holds its slot.
+constexpr Duration kShortestInterval = fromMillis(100);
+/// And no less often, so that a silent aggregator is noticed.
+constexpr Duration kLongestInterval = fromMillis(500);
+/// What digests may cost a receiver in the mean.
+constexpr double kBytesPerSecond = 6 * 1024;
+/// A process that has reported nothing for this long gets no digests any more.
+constexpr Duration kReceiverLifetime = std::chrono::seconds(2);
+
+}  // namespace
+
+void LoadAggregator::setStores(const std::vector<fleet::StoreAddress>& stores) {
+  std::set<ZoneId> zones;
+  for (const fleet::StoreAddress& store : stores) zones.insert(store.zone);
+  peers_.clear();
+  for (const ZoneId& zone : zones) {
+    for (const ReplicaId& store : fleet::aggregatorsOf(stores, zone)) {
+      if (store != self_) peers_.push_back(store);
+    }
+  }
+}
+
+void LoadAggregator::setEngines(const std::vector<EngineRecord>& engines) {
+  engines_.clear();
+  engines_.reserve(engines.size());
+  for (const EngineRecord& engine : engines) engines_.push_back(engine.id);
+}
+
+void LoadAggregator::take(Instant now, const fleet::LoadReportFrame& report, LoadReceiver from) {
+  local_.report(now, report.node, report.shares);
+  all_.report(now, report.node, report.shares);
+  Receiver& receiver = receivers_[report.node];
+  receiver.heard_at = now;
+  if (receiver.link.connection == from.connection) return;
+  receiver.link = std::move(from);
+  receiver.link.send(frameOf(digest_.all(), /*is_whole=*/true));
+}
+
+void LoadAggregator::take(Instant now, const fleet::LoadTotalsFrame& totals) {
+  request::LoadDigestReader reader;
+  reader.setEngines(engines_);
+  if (!reader.take(totals.digest, /*is_whole=*/true)) {
+    logEvent(LogLevel::kWarning, "load_totals_refused",
+             {{"store", totals.from.value}, {"bytes", totals.digest.size()}, {"cause", "malformed"}});
+    return;
+  }
+  all_.report(now, totals.from.value, reader.others({}));
+}
+
+void LoadAggregator::tick(Instant now) {
+  if (now < next_digest_) return;
+  expire(now);
+  next_digest_ = now + kShortestInterval;
+  if (receivers_.empty()) return;
+  sendTotals();
+  sendDigest();
+  next_digest_ = now + digest_interval_;
+}
+
+void LoadAggregator::expire(Instant now) {
+  local_.expire(now);
+  all_.expire(now);
+  std::erase_if(receivers_, [now](const auto& entry) { return now > entry.second.heard_at + kReceiverLifetime; });
+}
+
+void LoadAggregator::sendTotals() {
+  request::LoadDigestWriter whole;
+  const fleet::LoadTotalsFrame frame{self_, whole.changes(local_.totals())};
+  for (const ReplicaId& peer : peers_) send_(peer, frame);
+}
+
+void LoadAggregator::sendDigest() {
+  const std::string frame = frameOf(digest_.changes(all_.totals()), /*is_whole=*/false);
+  for (const auto& [node, receiver] : receivers_) receiver.link.send(frame);
+  const double seconds = static_cast<double>(frame.size()) / kBytesPerSecond;
+  const Duration wanted(static_cast<Duration::rep>(seconds * 1e6));
+  digest_interval_ = std::clamp(wanted, kShortestInterval, kLongestInterval);
+}
+
+std::string LoadAggregator::frameOf(std::string digest, bool is_whole) const {
+  return encodeTagged(fleet::FleetMessage(fleet::LoadDigestFrame{self_, is_whole, std::move(digest)}));
+}
+
+}  // namespace hatchfork::store
--- /dev/null
+++ b/src/process/store/load_aggregator.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/time.hpp"
+#include "process/fleet/fleet_messages.hpp"
+#include "request/exchange/load_board.hpp"
+#include "request/exchange/load_digest.hpp"
+
+namespace hatchfork::store {
+
+/// How a process that reports here is reached.
+struct LoadReceiver {
+  /// Identity of the connection: another one has heard nothing yet.
+  const void* connection = nullptr;
+  std::function<void(const std::string& frame)> send;
+};
+
+/// Adds up what the processes that report to this store have under way, exchanges the totals with the aggregators of
+/// all zones, and tells the sum to those that report here. Every store can be one; most are not, since nobody reports to
+/// them. Independent of who leads the stores.
+///
+/// Cost: a report costs its own size; a digest is encoded once for all receivers and holds what has changed, sent the
+/// less often the larger it is, so that a receiver's bytes a second do not grow with the fleet. No I/O, no clock.
+/// Belongs to one thread.
+class LoadAggregator {
+ public:
+  using SendFunction = std::function<void(const ReplicaId& to, const fleet::LoadTotalsFrame& totals)>;
+
+  LoadAggregator(ReplicaId self, SendFunction send) : self_(std::move(self)), send_(std::move(send)) {}
+
+  void setStores(const std::vector<fleet::StoreAddress>& stores);
+  void setEngines(const std::vector<EngineRecord>& engines);
+  void take(Instant now, const fleet::LoadReportFrame& report, LoadReceiver from);
+  void take(Instant now, const fleet::LoadTotalsFrame& totals);
+  /// Sends what is due; call many times a second.
+  void tick(Instant now);
+
+  std::size_t receivers() const { return receivers_.size(); }
+  Duration digestInterval() const { return digest_interval_; }
+
+ private:
+  struct Receiver {
+    LoadReceiver link;
+    Instant heard_at{};
+  };
+
+  void expire(Instant now);
+  void sendTotals();
+  void sendDigest();
+  std::string frameOf(std::string digest, bool is_whole) const;
+
+  ReplicaId self_;
+  SendFunction send_;
+  /// The aggregators of all zones, this store left out.
+  std::vector<ReplicaId> peers_;
+  std::vector<EngineId> engines_;
+  std::map<std::string, Receiver> receivers_;
+  /// What is reported here, and the same together with the totals of the other aggregators.
+  request::LoadBoard local_;
+  request::LoadBoard all_;
+  request::LoadDigestWriter digest_;
+  Instant next_digest_{};
+  Duration digest_interval_{};
+};
+
+}  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -52,7 +52,14 @@
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       dialect_(std::move(dialect)),
-      links_(context_, settings_.store_port) {}
+      links_(context_, settings_.store_port),
+      aggregator_(settings_.self(),
+                  [this](const ReplicaId& to, const fleet::LoadTotalsFrame& totals) { links_.send(to, totals); }),
+      own_load_(settings_.name, settings_.zone, [this](const ReplicaId& to, const fleet::LoadReportFrame& report) {
+        return sendLoadReport(to, report);
+      }) {
+  links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
+}
 
 StoreProgram::~StoreProgram() = default;
 
@@ -142,7 +149,12 @@
   group_->setContacts(fleet::addressesOf(view.stores));
   group_->setRetiring(std::set<ReplicaId>(view.retiring.begin(), view.retiring.end()));
   if (!view.store_group.members.empty()) group_->formWith(view.store_group);
-  if (changed) executor_->setView(view, /*engines_changed=*/true);
+  aggregator_.setStores(view.stores);
+  own_load_.setStores(view.stores);
+  if (!changed) return;
+  aggregator_.setEngines(*view.engines);
+  own_load_.setEngines(*view.engines);
+  executor_->setView(view, /*engines_changed=*/true);
 }
 
 void StoreProgram::onFrame(const std::string& body, const ConnectionPtr& from) {
@@ -161,8 +173,10 @@
     group_->receive(*reply);
   } else if (const auto* request = std::get_if<fleet::StoreRequestFrame>(&decoded)) {
     onRequest(*request, from);
-  } else if (const auto* load = std::get_if<fleet::LoadFrame>(&decoded)) {
-    onLoad(*load, from);
+  } else if (const auto* load = std::get_if<fleet::LoadReportFrame>(&decoded)) {
+    onLoadReport(*load, from);
+  } else if (const auto* totals = std::get_if<fleet::LoadTotalsFrame>(&decoded)) {
+    aggregator_.take(monotonicNow(), *totals);
   } else if (const auto* order = std::get_if<fleet::RunOrder>(&decoded)) {
     if (!stopping_) runner_->take(*order);
   } else if (const auto* lease = std::get_if<fleet::RunLease>(&decoded)) {
@@ -191,13 +205,40 @@
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || unconfirmed_lately), group_->term());
 }
 
-void StoreProgram::onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from) {
-  if (!executor_->isLeading()) return;
+void StoreProgram::onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from) {
+  LoadReceiver receiver{from.get(), [from](const std::string& frame) { from->send(frame); }};
+  aggregator_.take(monotonicNow(), report, std::move(receiver));
+}
+
+void StoreProgram::onReturnedFrame(const std::string& body) {
+  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
+  if (!isOk(message)) {
+    logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
+    return;
+  }
+  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&valueOf(message))) onDigest(*digest);
+}
+
+void StoreProgram::onDigest(const fleet::LoadDigestFrame& digest) {
   const Instant now = monotonicNow();
-  loads_.report(now, frame.node, frame.shares);
-  loads_.report(now, settings_.name, executor_->ownShares(now));
-  executor_->noteOthers(now, loads_.others(settings_.name));
-  from->send(encodeTagged(FleetMessage(fleet::LoadFrame{settings_.name, loads_.others(frame.node)})));
+  if (const auto others = own_load_.take(now, digest)) executor_->noteOthers(now, *others);
+}
+
+bool StoreProgram::sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report) {
+  if (to != settings_.self()) return links_.send(to, report);
+  // Posted, so that the reporter is not called back from within its own call.
+  LoadReceiver receiver{this, [this](const std::string& frame) {
+                          connection::asio::post(context_, [this, frame] { onReturnedFrame(frame); });
+                        }};
+  aggregator_.take(monotonicNow(), report, std::move(receiver));
+  return true;
+}
+
+void StoreProgram::reportOwnLoad(Instant now) {
+  const bool leading = executor_->isLeading();
+  if (!leading && !reports_load_) return;
+  reports_load_ = leading;
+  own_load_.report(now, executor_->ownShares(now));
 }
 
 void StoreProgram::onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from) {
@@ -377,7 +418,8 @@
     runner_->tick(now);
     answerHeldReads(now);
     measureProgress(now);
-    loads_.expire(now);
+    reportOwnLoad(now);
+    aggregator_.tick(now);
     if (now >= next_trim_) {
       next_trim_ = now + kTrimInterval;
       runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -11,11 +11,13 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/group_host.hpp"
+#include "process/fleet/load_reporter.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "process/fleet/peer_links.hpp"
 #include "process/store/item_runner.hpp"
 #include "process/store/job_executor.hpp"
 #include "process/store/job_state.hpp"
+#include "process/store/load_aggregator.hpp"
 #include "process/store/store_messages.hpp"
 #include "request/limits/drain_meter.hpp"
 #include "version/dialect.hpp"
@@ -45,8 +47,14 @@
 
   Status start();
   void onFrame(const std::string& body, const ConnectionPtr& from);
-  /// Takes a gateway's load report and answers with what all others have under way; only at the leader.
-  void onLoad(const fleet::LoadFrame& frame, const ConnectionPtr& from);
+  /// A process reports its load to this store.
+  void onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from);
+  /// What other stores send back on links from here.
+  void onReturnedFrame(const std::string& body);
+  void onDigest(const fleet::LoadDigestFrame& digest);
+  bool sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report);
+  /// At the leader: tells what its runs have under way, and once that they are over.
+  void reportOwnLoad(Instant now);
   void onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from);
   void serve(SubmitJobRequest request, ReplyFunction reply);
   void serve(ReadResultsRequest request, ReplyFunction reply);
@@ -82,7 +90,10 @@
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::FrameServer> frame_server_;
   std::unique_ptr<fleet::MetricsServer> metrics_;
-  request::LoadBoard loads_;
+  /// Loads of the processes that report to this store, and what the leader's executor reports and hears itself.
+  LoadAggregator aggregator_;
+  fleet::LoadReporter own_load_;
+  bool reports_load_ = false;
   /// How fast tokens of items are finished, and those that were when it was last told.
   request::DrainMeter finished_tokens_;
   std::uint64_t listed_tokens_ = 0;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -195,7 +195,8 @@
   for (const EngineState* state : usable) {
     if (knowsOthers(now, *state)) others += state->known_others.in_flight;
   }
-  const double blind_choices = others / slotHoldMs(query.service) * toSeconds(limits_.blind_for) * 1000;
+  const Duration blind_for = std::max(limits_.blind_for, told_every_);
+  const double blind_choices = others / slotHoldMs(query.service) * toSeconds(blind_for) * 1000;
   if (blind_choices <= limits_.blind_choices_each) return;
   const double share = limits_.blind_choices_each / blind_choices;
   const double wanted = std::max(limits_.fewest_drawn, share * static_cast<double>(usable.size()));
@@ -300,7 +301,16 @@
   found->second.load_at = now;
 }
 
+void EngineSelector::noteTelling(Instant now) {
+  const bool is_first = others_noted_at_ == Instant::min();
+  const Duration gap = is_first ? Duration::zero() : std::min(now - others_noted_at_, limits_.others_known_for);
+  others_noted_at_ = now;
+  const double more = limits_.blind_learning_rate * static_cast<double>((gap - told_every_).count());
+  told_every_ += Duration(static_cast<Duration::rep>(more));
+}
+
 void EngineSelector::noteOthers(Instant now, const std::vector<EngineShare>& others) {
+  noteTelling(now);
   for (auto& [id, state] : engines_) {
     state.known_others = EngineShare{id, 0, 0, 0};
     state.known_at = now;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -73,8 +73,11 @@
   double most_kept_free = 0.125;
   /// And where no more than so many prompt tokens of this process wait to be read.
   std::uint64_t background_most_unread = 3000;
-  /// Processes tell each other their loads this often; what they choose meanwhile is not known to each other.
+  /// Processes tell each other their loads every so often; what they choose meanwhile is not known to each other. This
+  /// long at least, and as long as lies between the loads that were told lately.
   Duration blind_for = fromMillis(100);
+  /// Weight of the last interval between told loads against all earlier ones.
+  double blind_learning_rate = 0.2;
   /// A choice is made among so many engines drawn by lot that about this many blind choices fall on the least loaded
   /// one, but among no fewer than the second.
   double blind_choices_each = 2;
@@ -82,7 +85,7 @@
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have under way counts for this long.
-  Duration others_known_for = fromMillis(700);
+  Duration others_known_for = fromMillis(1000);
   /// Time out of rotation after a failure; doubles with each further one.
   Duration first_ejection = fromMillis(400);
   Duration longest_ejection = fromMillis(5000);
@@ -207,6 +210,8 @@
   bool hasLongLane(Instant now, const EngineQuery& query) const;
   bool knowsOthers(Instant now, const EngineState& state) const;
   void noteSurges(Instant now);
+  /// Learns how often the others' loads are told.
+  void noteTelling(Instant now);
   /// Slots of each engine of the service that are kept free for a surge of online requests.
   double keptFreeEach(Instant now, const ServiceId& service) const;
   bool hasBackgroundRoom(Instant now, const EngineState& state, double kept_free) const;
@@ -234,6 +239,9 @@
   std::map<ServiceId, double> hold_ms_;
   /// Engines of each service that are not leaving.
   std::map<ServiceId, std::size_t> engine_counts_;
+  /// When the others' loads were last told, and the mean time between that.
+  Instant others_noted_at_ = Instant::min();
+  Duration told_every_{};
   Instant next_surge_note_{};
   /// Surges of the other processes' requests.
   std::map<ServiceId, SurgeMeter> surges_;
--- a/src/request/exchange/load_board.cpp
+++ b/src/request/exchange/load_board.cpp
@@ -46,27 +46,11 @@
   });
 }
 
-std::vector<EngineShare> LoadBoard::others(const std::string& process) const {
-  std::map<EngineId, EngineShare> own;
-  const auto report = reports_.find(process);
-  if (report != reports_.end()) {
-    for (const EngineShare& share : report->second.shares) {
-      EngineShare& sum = own[share.engine];
-      sum.in_flight += share.in_flight;
-      sum.unread_tokens += share.unread_tokens;
-    }
-  }
+std::vector<EngineShare> LoadBoard::totals() const {
   std::vector<EngineShare> list;
   for (const auto& [engine, total] : totals_) {
     EngineShare share{engine, total.in_flight, total.unread_tokens, 0};
-    const auto mine = own.find(engine);
-    if (mine != own.end()) {
-      share.in_flight -= mine->second.in_flight;
-      share.unread_tokens -= mine->second.unread_tokens;
-    }
-    for (const auto& [who, avoid_ms] : total.avoid_ms) {
-      if (who != process) share.avoid_ms = std::max(share.avoid_ms, avoid_ms);
-    }
+    for (const auto& [who, avoid_ms] : total.avoid_ms) share.avoid_ms = std::max(share.avoid_ms, avoid_ms);
     if (share.in_flight > 0 || share.unread_tokens > 0 || share.avoid_ms > 0) list.push_back(std::move(share));
   }
   return list;
--- a/src/request/exchange/load_board.hpp
+++ b/src/request/exchange/load_board.hpp
@@ -22,7 +22,7 @@
   std::uint32_t avoid_ms = 0;
   bool operator==(const EngineShare&) const = default;
 };
-/// An array without field names: every process sends its shares and gets those of all others several times a second.
+/// An array without field names: every process sends its shares several times a second.
 inline void to_json(nlohmann::json& json, const EngineShare& share) {
   json = nlohmann::json::array({share.engine, share.in_flight, share.unread_tokens, share.avoid_ms});
 }
@@ -39,8 +39,8 @@
  public:
   void report(Instant now, const std::string& process, std::vector<EngineShare> shares);
   void expire(Instant now);
-  /// Sums over all processes but one.
-  std::vector<EngineShare> others(const std::string& process) const;
+  /// Sums over all processes, of engines with any load, by engine.
+  std::vector<EngineShare> totals() const;
   std::size_t processes() const { return reports_.size(); }
 
  private:
--- /dev/null
+++ b/tests/request/exchange/load_digest_test.cpp
@@ -0,0 +1,90 @@
+#include "request/exchange/load_digest.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hatchfork;
+using namespace hatchfork::request;
+
+namespace {
+
+EngineShare share(const std::string& engine, std::uint32_t in_flight, std::uint64_t unread = 0,
+                  std::uint32_t avoid_ms = 0) {
+  return EngineShare{EngineId(engine), in_flight, unread, avoid_ms};
+}
+
+std::vector<EngineShare> sorted(std::vector<EngineShare> shares) {
+  std::sort(shares.begin(), shares.end(),
+            [](const EngineShare& left, const EngineShare& right) { return left.engine < right.engine; });
+  return shares;
+}
+
+LoadDigestReader readerOf(const std::vector<std::string>& engines) {
+  std::vector<EngineId> ids;
+  for (const std::string& engine : engines) ids.emplace_back(engine);
+  LoadDigestReader reader;
+  reader.setEngines(ids);
+  return reader;
+}
+
+}  // namespace
+
+TEST_CASE("a receiver takes its own shares out of the totals", "[digest]") {
+  LoadDigestWriter writer;
+  LoadDigestReader reader = readerOf({"a", "b", "c"});
+  REQUIRE(reader.take(writer.changes({share("a", 6, 5120), share("b", 1)}), false));
+  REQUIRE(sorted(reader.others({})) == std::vector<EngineShare>{share("a", 6, 5120), share("b", 1)});
+  REQUIRE(reader.others({share("a", 4, 2560), share("b", 1)}) == std::vector<EngineShare>{share("a", 2, 2560)});
+  // Loads that are told late may be less than the own ones.
+  REQUIRE(reader.others({share("a", 9, 9000), share("b", 3)}).empty());
+}
+
+TEST_CASE("the own word against an engine does not come back, that of another does", "[digest]") {
+  LoadDigestWriter writer;
+  LoadDigestReader reader = readerOf({"a"});
+  REQUIRE(reader.take(writer.changes({share("a", 2, 0, 250)}), false));
+  REQUIRE(reader.others({share("a", 1, 0, 250)}).front().avoid_ms == 0);
+  REQUIRE(reader.others({share("a", 1, 0, 100)}).front().avoid_ms >= 250);
+  REQUIRE(reader.others({share("a", 1)}).front().avoid_ms >= 250);
+}
+
+TEST_CASE("a digest costs what has changed, not what there is", "[digest]") {
+  LoadDigestWriter writer;
+  std::vector<EngineShare> totals;
+  for (int i = 0; i < 1000; ++i) totals.push_back(share("engine-" + std::to_string(i), 3));
+  REQUIRE(writer.changes(totals).size() == 1000 * kDigestEntryBytes);
+  REQUIRE(writer.changes(totals).empty());
+  totals[7].in_flight = 4;
+  totals.pop_back();
+  REQUIRE(writer.changes(totals).size() == 2 * kDigestEntryBytes);
+  REQUIRE(writer.all().size() == 999 * kDigestEntryBytes);
+}
+
+TEST_CASE("changes and whole digests lead to the same loads", "[digest]") {
+  std::mt19937_64 random(11);
+  LoadDigestWriter writer;
+  LoadDigestReader early = readerOf({"a", "b", "c", "d"});
+  for (int step = 0; step < 500; ++step) {
+    std::vector<EngineShare> totals;
+    for (const char* engine : {"a", "b", "c", "d"}) {
+      if (random() % 3 == 0) continue;
+      totals.push_back(share(engine, random() % 4 + 1, 256 * (random() % 3), 16 * (random() % 3)));
+    }
+    REQUIRE(early.take(writer.changes(totals), false));
+    LoadDigestReader late = readerOf({"a", "b", "c", "d"});
+    REQUIRE(late.take(writer.all(), true));
+    REQUIRE(sorted(early.others({})) == totals);
+    REQUIRE(sorted(late.others({})) == totals);
+  }
+}
+
+TEST_CASE("malformed digests change nothing, and counts beyond their field are told as its greatest", "[digest]") {
+  LoadDigestWriter writer;
+  LoadDigestReader reader = readerOf({"a"});
+  REQUIRE(reader.take(writer.changes({share("a", 100000, 1u << 30, 1u << 20)}), false));
+  REQUIRE(reader.others({}).front().in_flight == 255);
+  REQUIRE(reader.others({}).front().unread_tokens == 255 * 256);
+  REQUIRE_FALSE(reader.take("12345", true));
+  REQUIRE(reader.others({}).size() == 1);
+}
