A change of leader of the stores breaks off no run

Change: runs go on under the lease (2.5 s without any leader); a store offers a new leader what it runs, with the item's whole text and its chain, and what ended within 3 s; the leader takes up runs of open items and stops the rest. Numbers of runs carry the term. A new leader tells all stores of itself for 1.5 s. Text that does not follow on what the group keeps is listed whole.

--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -211,6 +211,6 @@
 
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
                                   UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
-                                  LoadDigestFrame, RunOrder, RunLease, RunReport>;
+                                  LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -12,8 +12,9 @@
 
 /// Frames between the leader of the store group, which decides where batch items run, and the stores that run them.
 ///
-/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen, and breaks
-/// off what it runs once the leader has been silent for the time of the lease.
+/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen. Its runs do not
+/// end with the term: it offers them to the next leader, which takes them up or stops them. A store breaks off what it
+/// runs once no leader has been heard for the time of the lease.
 namespace hatchfork::fleet {
 
 /// How a run of an item ended.
@@ -56,11 +57,16 @@
   std::string engine_address;
   /// The engine is asked to go on after this event; zero for a run from the start.
   std::uint64_t last_event = 0;
-  /// There is text already, so that what comes next follows on a line feed.
+  /// There is text already, so that what comes next follows on a line feed; and that text, for an offer.
   bool has_text = false;
+  std::string text;
+  /// Chain of runs that this one continues, and what the group kept of the item when it was ordered.
+  std::uint64_t chain = 0;
+  std::uint64_t saved_event = 0;
+  std::uint64_t saved_chain = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunOrder, from, term, number, job, item, host, engine, engine_address, last_event,
-                                   has_text)
+                                   has_text, text, chain, saved_event, saved_chain)
 
 /// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
 struct RunLease {
@@ -122,4 +128,37 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, from, term, news, running)
 
+/// A run that was ordered by an earlier leader, as far as it has got.
+struct OfferedRun {
+  std::uint64_t number = 0;
+  /// Of the last news; the next ones go on from it.
+  std::uint64_t sequence = 0;
+  JobId job;
+  std::string item;
+  EngineId engine;
+  std::uint64_t chain = 0;
+  std::uint64_t saved_event = 0;
+  std::uint64_t saved_chain = 0;
+  /// The item's whole text so far, the text of earlier runs of the chain included.
+  std::string text;
+  bool has_text = false;
+  std::uint64_t last_event = 0;
+  bool ended = false;
+  RunEnd end = RunEnd::kBroken;
+  request::EngineVerdict verdict = request::EngineVerdict::kNeutral;
+  std::string cause;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OfferedRun, number, sequence, job, item, engine, chain, saved_event, saved_chain,
+                                   text, has_text, last_event, ended, end, verdict, cause)
+
+/// What a store runs, or has run to its end lately, for earlier leaders; to a new one.
+struct RunOffer {
+  static constexpr std::string_view kKind = "rf";
+  ReplicaId from;
+  /// Term of the leader that it is offered to.
+  std::uint64_t term = 0;
+  std::vector<OfferedRun> runs;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunOffer, from, term, runs)
+
 }  // namespace hatchfork::fleet
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -27,8 +27,11 @@
 constexpr Duration kFirstEventTimeout = std::chrono::seconds(6);
 /// A run without a further event for this long is broken off.
 constexpr Duration kNextEventTimeout = std::chrono::seconds(3);
-/// Without a sign of life of the leader for this long, nobody is known to want what runs here.
-constexpr Duration kLease = fromMillis(1200);
+/// Without a sign of life of a leader for this long, nobody is known to want what runs here. Longer than most changes
+/// of leader take, shorter than the time within which the runs of an ended job must stop.
+constexpr Duration kLease = fromMillis(2500);
+/// Runs that ended within this time are offered to a new leader: its predecessor may not have listed their results.
+constexpr Duration kEndedKept = std::chrono::seconds(3);
 constexpr Duration kReportInterval = fromMillis(200);
 /// First events and ends are reported at once, together with others of the same moment.
 constexpr Duration kReportSoon = fromMillis(15);
@@ -54,9 +57,55 @@
 void ItemRunner::setLeader(const ReplicaId& leader, std::uint64_t term) {
   leader_heard_at_ = monotonicNow();
   if (term == term_ && leader == leader_) return;
-  stopAll();
   leader_ = leader;
   term_ = term;
+  offerRuns();
+}
+
+fleet::OfferedRun ItemRunner::offerOf(const Run& run) {
+  fleet::OfferedRun offer;
+  offer.number = run.order.number;
+  offer.sequence = run.news.sequence;
+  offer.job = run.order.job;
+  offer.item = run.order.item.id;
+  offer.engine = run.order.engine;
+  offer.chain = run.order.chain;
+  offer.saved_event = run.order.saved_event;
+  offer.saved_chain = run.order.saved_chain;
+  offer.text = run.text;
+  offer.has_text = run.has_text;
+  offer.last_event = run.last_event;
+  offer.ended = run.news.ended;
+  offer.end = run.news.end;
+  offer.verdict = run.news.verdict;
+  offer.cause = run.news.cause;
+  return offer;
+}
+
+void ItemRunner::offerRuns() {
+  ended_.clear();
+  fleet::RunOffer offer{self_, term_, {}};
+  for (const auto& [number, run] : runs_) {
+    // What was to be reported is part of the offer.
+    run->has_news = false;
+    run->news.text.clear();
+    run->news.events = 0;
+    offer.runs.push_back(offerOf(*run));
+  }
+  for (const EndedRun& ended : kept_ended_) offer.runs.push_back(ended.offer);
+  if (offer.runs.empty()) return;
+  logEvent(LogLevel::kInfo, "runs_offered",
+           {{"leader", leader_.value}, {"term", term_}, {"running", runs_.size()}, {"ended", kept_ended_.size()}});
+  report_(leader_, std::move(offer));
+}
+
+void ItemRunner::keepEnded(const Run& run) {
+  const bool is_final = run.news.end == RunEnd::kWhole || run.news.end == RunEnd::kImpossible;
+  if (is_final) kept_ended_.push_back(EndedRun{offerOf(run), monotonicNow()});
+}
+
+void ItemRunner::forgetEnded(Instant now) {
+  while (!kept_ended_.empty() && now > kept_ended_.front().ended_at + kEndedKept) kept_ended_.pop_front();
 }
 
 void ItemRunner::take(fleet::RunOrder order) {
@@ -67,6 +116,7 @@
   run->news.number = order.number;
   run->has_text = order.has_text;
   run->last_event = order.last_event;
+  run->text = std::move(order.text);
   run->news.last_event = order.last_event;
   run->order = std::move(order);
   runs_.emplace(run->order.number, run);
@@ -112,8 +162,9 @@
 }
 
 void ItemRunner::tick(Instant now) {
+  forgetEnded(now);
   if (runs_.empty() && ended_.empty()) return;
-  if (now > leader_heard_at_ + kLease && leader_ != self_) {
+  if (now > leader_heard_at_ + kLease) {
     logEvent(LogLevel::kWarning, "run_lease_ended", {{"leader", leader_.value}, {"running", runs_.size()}});
     stopAll();
     return;
@@ -144,7 +195,7 @@
     run->news.events = 0;
     run->news.engine_slots = 0;
   }
-  report_(leader_, std::move(report));
+  report_(leader_, fleet::FleetMessage(std::move(report)));
 }
 
 connection::EngineRequest ItemRunner::engineRequest(Run& run) const {
@@ -228,25 +279,31 @@
     const bool first = news.sequence == 0 && !run.has_news;
     splitter.append(std::get<std::string>(piece));
     while (std::optional<connection::StreamEvent> event = splitter.next()) {
-      if (event->id && *event->id <= run.last_event) continue;
-      if (run.has_text) news.text += '\n';
-      news.text += event->data;
-      run.has_text = true;
-      run.has_news = true;
-      ++news.events;
-      if (event->id) run.last_event = *event->id;
-      news.last_event = run.last_event;
+      takeEvent(run, *event);
     }
     if (first && run.has_news) reportSoon();
   }
 }
 
+void ItemRunner::takeEvent(Run& run, const connection::StreamEvent& event) {
+  if (event.id && *event.id <= run.last_event) return;
+  const std::string addition = (run.has_text ? "\n" : "") + event.data;
+  run.news.text += addition;
+  run.text += addition;
+  run.has_text = true;
+  run.has_news = true;
+  ++run.news.events;
+  if (event.id) run.last_event = *event.id;
+  run.news.last_event = run.last_event;
+}
+
 void ItemRunner::finish(const RunPtr& run) {
   run->control.reset();
   if (run->stopped) return;
   runs_.erase(run->order.number);
   run->news.ended = true;
   ++run->news.sequence;
+  keepEnded(*run);
   ended_.push_back(std::move(run->news));
   reportSoon();
 }
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,20 +11,22 @@
 
 #include "connection/asio.hpp"
 #include "connection/engine_exchange.hpp"
-#include "process/fleet/run_messages.hpp"
+#include "connection/event_stream.hpp"
+#include "process/fleet/fleet_messages.hpp"
 #include "version/dialect.hpp"
 
 namespace hatchfork::store {
 
 /// Runs batch items at engines as the leader of the store group orders, and reports what comes of them. It decides
-/// nothing: a run that breaks is reported and forgotten. Belongs to one thread.
+/// nothing: a run that breaks is reported and forgotten. Runs outlive their leader: the next one is offered what runs
+/// here and what ended lately, since nobody else may know it. Belongs to one thread.
 ///
-/// Invariant: only orders of the newest term that was heard of are run, and none of them longer than the lease after
-/// the leader's last sign of life.
+/// Invariant: orders of an older term than the newest that was heard of are not taken, and nothing runs longer than the
+/// lease after the last sign of life of a leader.
 class ItemRunner {
  public:
-  /// Sends a report to the leader of that term.
-  using ReportFunction = std::function<void(const ReplicaId& leader, fleet::RunReport report)>;
+  /// Sends a report or an offer to a leader.
+  using ReportFunction = std::function<void(const ReplicaId& leader, fleet::FleetMessage message)>;
 
   ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report);
   ~ItemRunner();
@@ -48,6 +51,13 @@
     bool has_text = false;
     bool stopped = false;
     std::uint64_t last_event = 0;
+    /// The item's whole text, that of earlier runs included.
+    std::string text;
+  };
+  /// A run that ended, kept for a while for the next leader.
+  struct EndedRun {
+    fleet::OfferedRun offer;
+    Instant ended_at{};
   };
   using RunPtr = std::shared_ptr<Run>;
 
@@ -59,6 +69,14 @@
   connection::EngineRequest engineRequest(Run& run) const;
   void noteLoad(Run& run, connection::EngineExchange& exchange) const;
   void finish(const RunPtr& run);
+  /// Adds an event to what is to be reported.
+  void takeEvent(Run& run, const connection::StreamEvent& event);
+  /// Keeps a run that has brought a final outcome.
+  void keepEnded(const Run& run);
+  void forgetEnded(Instant now);
+  static fleet::OfferedRun offerOf(const Run& run);
+  /// Tells a new leader what runs here.
+  void offerRuns();
   void reportSoon();
   void report();
 
@@ -70,6 +88,7 @@
   std::map<std::uint64_t, RunPtr> runs_;
   /// Ended runs that have not been reported.
   std::vector<fleet::RunNews> ended_;
+  std::deque<EndedRun> kept_ended_;
   ReplicaId leader_;
   std::uint64_t term_ = 0;
   Instant leader_heard_at_{};
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -73,13 +73,18 @@
   leading_ = leading;
   term_ = term;
   if (!leading) return;
-  starts_from_ = monotonicNow() + options_.loads_known_after;
+  const Instant now = monotonicNow();
+  starts_from_ = now + options_.loads_known_after;
+  adopted_ = 0;
+  board_.startTerm(now, term);
   learnFromResults();
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
   logEvent(LogLevel::kInfo, "executor_started", {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
+  sendLeases(now);
   pump();
 }
 
+/// Runs go on at their stores, which offer them to the next leader.
 void JobExecutor::stopLeading() {
   logEvent(LogLevel::kInfo, "executor_stopped",
            {{"term", term_}, {"running", runs_.size()}, {"waiting", queue_.size()}});
@@ -91,8 +96,7 @@
   items_.clear();
   queue_.clear();
   results_.clear();
-  board_.stopAll();
-  sendLeases(now);
+  board_.clear();
 }
 
 void JobExecutor::noteChange(const JobId& id) {
@@ -207,7 +211,7 @@
 std::size_t JobExecutor::mostRunsNow(Instant now) const {
   if (now >= starts_from_ + kSlowStart) return std::numeric_limits<std::size_t>::max();
   const double more_each_second = kSlotsStartedPerSecond * selector_.allSlots();
-  return 1 + static_cast<std::size_t>(more_each_second * toSeconds(now - starts_from_));
+  return adopted_ + 1 + static_cast<std::size_t>(more_each_second * toSeconds(now - starts_from_));
 }
 
 bool JobExecutor::startNext(Instant now) {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -66,6 +66,8 @@
   void noteChange(const JobId& job);
   /// What a store has to tell of the runs that it was ordered.
   void take(const fleet::RunReport& report);
+  /// What a store runs for earlier leaders: open items go on there, anything else is stopped.
+  void take(const fleet::RunOffer& offer);
   /// Drives retries, leases and retention; call several times a second.
   void tick(Instant now);
 
@@ -104,6 +106,8 @@
     Instant due = Instant::max();
     request::DueItem order{};
     bool running = false;
+    /// Its outcome is being proposed.
+    bool has_outcome = false;
     /// Events that all runs have brought, and when this run brought its first one and how many there were then.
     std::uint64_t events = 0;
     Instant first_event_at{};
@@ -146,6 +150,9 @@
   std::vector<ItemPtr> runsToYield(Instant now);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
                 const request::EngineQuery& query);
+  /// The item of an offered run, if it is open and nothing is under way for it.
+  ItemPtr itemWanting(const fleet::OfferedRun& offered) const;
+  void adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered);
   void takeNews(const ItemPtr& run, const fleet::RunNews& news);
   /// The run is over, as far as this process knows.
   void endRun(const ItemPtr& run, RunEnd end, request::EngineVerdict verdict, const std::string& cause);
@@ -189,6 +196,8 @@
   Instant next_order_{};
   /// A new leader starts no run before.
   Instant starts_from_{};
+  /// Runs that it took up from earlier leaders.
+  std::size_t adopted_ = 0;
   request::RunTimeModel run_times_;
   /// Items under way, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -77,6 +77,7 @@
 
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
   outcome == ItemOutcome::kCompleted ? ++counters_.completed : ++counters_.errored;
+  run->has_outcome = true;
   results_.push_back({resultOf(*run, outcome, /*whole_text=*/false), run});
   proposeResults();
 }
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -47,6 +47,10 @@
   order.engine_address = choice.engine.address;
   order.last_event = run->last_event.value_or(0);
   order.has_text = run->has_text;
+  order.text = run->text;
+  order.chain = run->chain;
+  order.saved_event = run->saved_event;
+  order.saved_chain = run->saved_chain;
   logEvent(LogLevel::kInfo, "item_sent",
            {{"job", run->job.value},
             {"request", run->item},
@@ -92,6 +96,63 @@
   pump();
 }
 
+void JobExecutor::take(const fleet::RunOffer& offer) {
+  if (!leading_ || offer.term != term_) return;
+  const Instant now = monotonicNow();
+  std::size_t adopted = 0;
+  for (const fleet::OfferedRun& offered : offer.runs) {
+    const ItemPtr run = itemWanting(offered);
+    if (!run) {
+      if (!offered.ended) board_.refuse(offer.from, offered.number);
+      continue;
+    }
+    adoptRun(now, offer.from, run, offered);
+    ++adopted;
+  }
+  adopted_ += adopted;
+  logEvent(LogLevel::kInfo, "runs_adopted",
+           {{"runner", offer.from.value}, {"term", term_}, {"offered", offer.runs.size()}, {"adopted", adopted}});
+  std::erase_if(queue_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
+}
+
+JobExecutor::ItemPtr JobExecutor::itemWanting(const fleet::OfferedRun& offered) const {
+  const auto job = items_.find(offered.job);
+  if (job == items_.end()) return nullptr;
+  const auto found = job->second.find(offered.item);
+  if (found == job->second.end()) return nullptr;
+  const ItemPtr& run = found->second;
+  const bool is_free = !run->running && !run->stopped && !run->has_outcome;
+  return is_free && openJob(*run) != nullptr ? run : nullptr;
+}
+
+/// The offered text is whole, so it replaces what the group keeps; that it goes on from what is kept is known only where
+/// the chain is the same, or nothing was kept since the run was ordered.
+void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
+  const bool same_chain = run->saved_chain == offered.chain && run->saved_event <= offered.last_event;
+  const bool nothing_since = run->saved_chain == offered.saved_chain && run->saved_event == offered.saved_event;
+  run->diverged = run->saved_event > 0 && !same_chain && !nothing_since;
+  run->chain = offered.chain;
+  run->text = offered.text;
+  run->has_text = offered.has_text;
+  run->last_event.reset();
+  if (offered.last_event > 0) run->last_event = offered.last_event;
+  run->events = offered.has_text ? eventsIn(offered.text) : 0;
+  run->running = true;
+  run->first_event_at = Instant{};
+  run->engine = offered.engine;
+  run->number = offered.number;
+  request::EngineQuery query;
+  query.background = true;
+  run->ticket = selector_.begin(now, offered.engine, query);
+  runs_[run->number] = run;
+  if (offered.ended) {
+    endRun(run, offered.end, offered.verdict, offered.cause);
+    return;
+  }
+  if (offered.has_text) selector_.noteFirstByte(now, run->ticket);
+  board_.adopt(now, runner, offered.number, offered.sequence);
+}
+
 void JobExecutor::takeNews(const ItemPtr& run, const fleet::RunNews& news) {
   const Instant now = monotonicNow();
   if (news.engine_slots > 0) {
--- a/src/process/store/run_board.cpp
+++ b/src/process/store/run_board.cpp
@@ -5,6 +5,20 @@
 
 namespace hatchfork::store {
 
+namespace {
+
+/// The upper part of a run's number is its term.
+constexpr unsigned kTermShift = 32;
+
+}  // namespace
+
+void RunBoard::startTerm(Instant now, std::uint64_t term) {
+  clear();
+  last_number_ = term << kTermShift;
+  announced_until_ = now + limits_.announced_for;
+  next_lease_ = now;
+}
+
 void RunBoard::setRunners(std::set<ReplicaId> runners) {
   runners_ = std::move(runners);
 }
@@ -43,12 +57,23 @@
   return number;
 }
 
+void RunBoard::adopt(Instant now, const ReplicaId& runner, std::uint64_t number, std::uint64_t sequence) {
+  runs_[number] = Run{runner, now, sequence};
+  Runner& entry = at_[runner];
+  entry.heard_at = now;
+  entry.runs.insert(number);
+}
+
 void RunBoard::avoid(Instant now, const ReplicaId& runner) {
   avoided_until_[runner] = now + limits_.avoided_for;
 }
 
 CheckedReport RunBoard::check(Instant now, const fleet::RunReport& report) {
   CheckedReport checked;
+  for (const std::uint64_t number : report.running) {
+    const auto run = runs_.find(number);
+    if (run == runs_.end() || run->second.runner != report.from) refuse(report.from, number);
+  }
   const auto runner = at_.find(report.from);
   if (runner == at_.end()) return checked;
   runner->second.heard_at = now;
@@ -107,13 +132,18 @@
 std::map<ReplicaId, std::vector<std::uint64_t>> RunBoard::takeLeases(Instant now) {
   std::map<ReplicaId, std::vector<std::uint64_t>> leases = std::exchange(stopped_, {});
   if (now < next_lease_) return leases;
-  next_lease_ = now + limits_.lease_interval;
+  const bool announces = now < announced_until_;
+  next_lease_ = now + (announces ? limits_.announce_interval : limits_.lease_interval);
   for (const auto& [id, runner] : at_) leases.try_emplace(id);
+  if (!announces) return leases;
+  for (const ReplicaId& runner : runners_) leases.try_emplace(runner);
   return leases;
 }
 
-void RunBoard::stopAll() {
-  while (!runs_.empty()) stop(runs_.begin()->first);
+void RunBoard::clear() {
+  runs_.clear();
+  at_.clear();
+  stopped_.clear();
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -26,6 +26,9 @@
   Duration avoided_for = fromMillis(3000);
   /// Interval of the signs of life to stores that run items.
   Duration lease_interval = fromMillis(250);
+  /// A new leader tells all stores of itself for this long, so that they offer it what they run, and this often.
+  Duration announced_for = fromMillis(1500);
+  Duration announce_interval = fromMillis(50);
 };
 
 /// What a report says, checked against what was ordered.
@@ -43,12 +46,18 @@
  public:
   RunBoard(ReplicaId self, RunBoardLimits limits) : self_(std::move(self)), limits_(limits) {}
 
+  /// A leadership begins: nothing is under way as far as it knows. Numbers of runs differ from those of other terms.
+  void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
   void setRunners(std::set<ReplicaId> runners);
   /// Where the next run goes: here while few are under way here, else where the fewest are. Nothing if all are full.
   std::optional<ReplicaId> chooseRunner(Instant now) const;
   /// Notes an order; returns its number.
   std::uint64_t begin(Instant now, const ReplicaId& runner);
+  /// Takes up a run that an earlier leader ordered; its news go on after `sequence`.
+  void adopt(Instant now, const ReplicaId& runner, std::uint64_t number, std::uint64_t sequence);
+  /// Has the store break off a run that is not in this table.
+  void refuse(const ReplicaId& runner, std::uint64_t number) { stopped_[runner].push_back(number); }
   /// The store can't be reached.
   void avoid(Instant now, const ReplicaId& runner);
   CheckedReport check(Instant now, const fleet::RunReport& report);
@@ -59,8 +68,8 @@
   /// A sign of life for each store that runs items or is to break some off; empty before the interval is over, unless
   /// runs are to be broken off.
   std::map<ReplicaId, std::vector<std::uint64_t>> takeLeases(Instant now);
-  /// Nobody waits for any run any more; numbers go on rising.
-  void stopAll();
+  /// The leadership is over: the stores go on for the next leader.
+  void clear();
 
   std::size_t running() const { return runs_.size(); }
   std::size_t runningAt(const ReplicaId& runner) const;
@@ -88,6 +97,7 @@
   std::map<ReplicaId, std::vector<std::uint64_t>> stopped_;
   std::uint64_t last_number_ = 0;
   Instant next_lease_{};
+  Instant announced_until_{};
 };
 
 }  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -77,9 +77,7 @@
   };
   auto send_run = [this](const ReplicaId& to, const FleetMessage& message) { return sendToStore(to, message); };
   executor_ = std::make_unique<JobExecutor>(executor_options, *dialect_, propose_command, send_run);
-  auto report = [this](const ReplicaId& leader, fleet::RunReport news) {
-    sendToStore(leader, FleetMessage(std::move(news)));
-  };
+  auto report = [this](const ReplicaId& leader, const FleetMessage& news) { sendToStore(leader, news); };
   runner_ = std::make_unique<ItemRunner>(context_, *dialect_, settings_.self(), report);
 
   fleet::GroupHostOptions options;
@@ -183,6 +181,8 @@
     runner_->take(*lease);
   } else if (const auto* report = std::get_if<fleet::RunReport>(&decoded)) {
     executor_->take(*report);
+  } else if (const auto* offer = std::get_if<fleet::RunOffer>(&decoded)) {
+    executor_->take(*offer);
   }
 }
 
@@ -193,6 +193,7 @@
     if (const auto* order = std::get_if<fleet::RunOrder>(&message)) runner_->take(*order);
     if (const auto* lease = std::get_if<fleet::RunLease>(&message)) runner_->take(*lease);
     if (const auto* report = std::get_if<fleet::RunReport>(&message)) executor_->take(*report);
+    if (const auto* offer = std::get_if<fleet::RunOffer>(&message)) executor_->take(*offer);
   });
   return true;
 }
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -1,5 +1,6 @@
 #include "process/store/job_executor.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "connection/asio.hpp"
@@ -36,6 +37,7 @@
     };
     auto send = [this](const ReplicaId&, const fleet::FleetMessage& message) {
       if (const auto* order = std::get_if<RunOrder>(&message)) orders_.push_back(*order);
+      if (const auto* lease = std::get_if<fleet::RunLease>(&message)) leases_.push_back(*lease);
       return true;
     };
     executor_ = std::make_unique<JobExecutor>(options, *dialect_, propose, send);
@@ -62,6 +64,12 @@
   JobExecutor& executor() { return *executor_; }
   const RunOrder& lastOrder() const { return orders_.back(); }
   std::size_t orders() const { return orders_.size(); }
+  /// Whether the executor has had that run broken off.
+  bool hasStopped(std::uint64_t number) const {
+    return std::any_of(leases_.begin(), leases_.end(), [number](const fleet::RunLease& lease) {
+      return std::find(lease.stopped.begin(), lease.stopped.end(), number) != lease.stopped.end();
+    });
+  }
   const StoredJob& job() const { return *state_.find(JobId("j")); }
 
   void report(std::uint64_t term, std::uint64_t sequence, const std::string& text, std::uint64_t last_event,
@@ -76,6 +84,11 @@
     executor_->take(RunReport{kSelf, term, {news}, {lastOrder().number}});
   }
 
+  static void waitUntil(Instant time) {
+    while (connection::monotonicNow() < time) {
+    }
+  }
+
   /// Ends the oldest proposal; applies it to the state first where that is wanted.
   void endProposal(bool applied) {
     Proposal proposal = std::move(proposals_.front());
@@ -96,6 +109,7 @@
   std::unique_ptr<const Dialect> dialect_;
   JobState state_;
   std::vector<RunOrder> orders_;
+  std::vector<fleet::RunLease> leases_;
   std::vector<Proposal> proposals_;
   std::unique_ptr<JobExecutor> executor_;
 };
@@ -189,3 +203,87 @@
   stage.executor().tick(later);
   REQUIRE(stage.orders() == 1);
 }
+
+namespace {
+
+/// What a store offers of the run that the first leadership ordered, with one more event than was reported.
+fleet::RunOffer offerOf(const RunOrder& order, std::uint64_t term, bool whole) {
+  fleet::OfferedRun run;
+  run.number = order.number;
+  run.sequence = whole ? 2 : 1;
+  run.job = order.job;
+  run.item = order.item.id;
+  run.engine = order.engine;
+  run.chain = order.chain;
+  run.saved_event = order.saved_event;
+  run.saved_chain = order.saved_chain;
+  run.text = "one\ntwo";
+  run.has_text = true;
+  run.last_event = 2;
+  run.ended = whole;
+  if (whole) run.end = fleet::RunEnd::kWhole;
+  return fleet::RunOffer{kSelf, term, {run}};
+}
+
+}  // namespace
+
+TEST_CASE("a new leader goes on with the runs of the one before, and starts none of them again", "[store][executor]") {
+  ExecutorStage stage(fromMillis(40));
+  stage.executor().setLeading(true, 1);
+  const Instant later = connection::monotonicNow() + fromMillis(45);
+  stage.waitUntil(later);
+  stage.executor().tick(later);
+  REQUIRE(stage.orders() == 1);
+  const RunOrder order = stage.lastOrder();
+  const bool kept = GENERATE(false, true);
+  if (kept) {
+    stage.report(1, 1, "one", 1, false);
+    stage.executor().tick(later);
+    stage.endProposal(true);  // The progress up to event 1 is kept.
+  }
+  stage.executor().setLeading(false, 2);
+  REQUIRE_FALSE(stage.hasStopped(order.number));
+  stage.executor().setLeading(true, 3);
+  const bool whole = GENERATE(false, true);
+  stage.executor().take(offerOf(order, 3, whole));
+  if (!whole) {
+    REQUIRE(stage.executor().running() == 1);
+    stage.report(3, 2, "\nthree", 3, true);
+  }
+  const Instant after = connection::monotonicNow() + fromMillis(45);
+  stage.waitUntil(after);
+  stage.executor().tick(after);
+  REQUIRE(stage.orders() == 1);
+  while (stage.proposals() > 0) stage.endProposal(true);
+  REQUIRE(stage.job().results.size() == 1);
+  REQUIRE(stage.job().results.front().text == (whole ? "one\ntwo" : "one\ntwo\nthree"));
+}
+
+TEST_CASE("what a leader does not want of what it is offered is stopped", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  const RunOrder order = stage.lastOrder();
+  stage.executor().setLeading(false, 2);
+  stage.executor().setLeading(true, 3);
+  // The item is under way again already.
+  REQUIRE(stage.orders() == 2);
+  REQUIRE(stage.lastOrder().number != order.number);
+  stage.executor().take(offerOf(order, 3, false));
+  stage.executor().tick(connection::monotonicNow() + fromMillis(300));
+  REQUIRE(stage.hasStopped(order.number));
+  REQUIRE_FALSE(stage.hasStopped(stage.lastOrder().number));
+}
+
+TEST_CASE("an offered text of another chain than the kept one is listed whole", "[store][executor]") {
+  ExecutorStage stage(fromMillis(40));
+  stage.executor().setLeading(true, 1);
+  stage.waitUntil(connection::monotonicNow() + fromMillis(45));
+  stage.executor().tick(connection::monotonicNow());
+  const RunOrder order = stage.lastOrder();
+  stage.executor().setLeading(false, 2);
+  stage.apply(SaveProgress{{ItemProgress{JobId("j"), "i", 0, 0, 1, 99, "ONE", 0}}});
+  stage.executor().setLeading(true, 3);
+  stage.executor().take(offerOf(order, 3, true));
+  while (stage.proposals() > 0) stage.endProposal(true);
+  REQUIRE(stage.job().results.front().text == "one\ntwo");
+}
