After a stall of its own a replica reads what waits before it judges; name the cause of a lost leadership

Cause: a leader that stood still for an election's time stepped down although the answers of its quorum waited unread; a follower that stood still asked for votes although heartbeats waited. leadership_lost named no cause. Change: after a gap between ticks of a heartbeat interval or more, one heartbeat interval is given to read, at most up to three election timeouts without a quorum. The log line names cause, age of the last confirmation, and the last stall.

--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -85,6 +85,7 @@
 
 void Replica::tick(Instant now) {
   now_ = now;
+  noteOwnStall();
   if (fault_) return;
   if (!record_.joined) {
     tickFormation();
@@ -162,7 +163,7 @@
   if (fault_) return;
   fault_ = error;
   logEvent(LogLevel::kError, "replica_stopped", {{"group", options_.group}, {"error", describe(error)}});
-  if (role_ == Role::kLeader) leaveLeadership();
+  if (role_ == Role::kLeader) leaveLeadership("disk_fault");
   role_ = Role::kFollower;
   leader_.reset();
   failReads();
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -128,10 +128,13 @@
   void handle(const Identity& from, const Envelope& envelope, const VoteReply& reply);
   void handle(const Identity& from, const Envelope& envelope, const TimeoutNow& order);
   bool isLogUpToDate(const VoteRequest& request) const;
-  void becomeFollower(Term term, std::optional<Identity> leader);
+  void becomeFollower(Term term, std::optional<Identity> leader, std::string_view cause = "newer_term");
   void becomeLeader();
-  void leaveLeadership();
+  /// `cause` is for the log.
+  void leaveLeadership(std::string_view cause);
   void checkQuorum();
+  /// Notes that this replica itself stood still, so that messages which say otherwise may wait unread.
+  void noteOwnStall();
   void tickTransfer();
   void tryTransfer();
   /// The greatest value that a quorum of voters has reached; `value(peer)` for others, `own` for this replica.
@@ -222,6 +225,9 @@
   /// Entry that opened this replica's leadership.
   LogIndex leadership_index_ = 0;
   Instant elected_at_{};
+  Instant ticked_at_{};
+  /// When this replica last went on after it had stood still.
+  Instant resumed_at_ = Instant::min();
   Instant next_heartbeat_{};
   std::uint64_t round_ = 0;
   std::uint64_t last_read_round_ = 0;
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -5,6 +5,12 @@
 
 // Elections, leadership and its loss.
 namespace hatchfork::consensus {
+namespace {
+
+/// A leader that stands still again and again steps down after so many election timeouts without a quorum.
+constexpr int kMostStalledTimeouts = 3;
+
+}  // namespace
 
 void Replica::resetElectionDeadline() {
   const Duration timeout = options_.timing.election_timeout;
@@ -116,8 +122,8 @@
   startElection(/*leadership_transfer=*/true);
 }
 
-void Replica::becomeFollower(Term term, std::optional<Identity> leader) {
-  if (role_ == Role::kLeader) leaveLeadership();
+void Replica::becomeFollower(Term term, std::optional<Identity> leader, std::string_view cause) {
+  if (role_ == Role::kLeader) leaveLeadership(cause);
   role_ = Role::kFollower;
   leader_ = std::move(leader);
   pre_vote_running_ = false;
@@ -148,8 +154,15 @@
   if (role_ == Role::kLeader) sendHeartbeatRound();
 }
 
-void Replica::leaveLeadership() {
-  logEvent(LogLevel::kInfo, "leadership_lost", {{"group", options_.group}, {"term", record_.term}});
+void Replica::leaveLeadership(std::string_view cause) {
+  const Instant confirmed = std::max(quorumConfirmedAt(), elected_at_);
+  logEvent(LogLevel::kInfo, "leadership_lost",
+           {{"group", options_.group},
+            {"term", record_.term},
+            {"cause", cause},
+            {"confirmed_ms_ago", toMillis(now_ - confirmed)},
+            {"resumed_ms_ago", resumed_at_ == Instant::min() ? -1 : toMillis(now_ - resumed_at_)},
+            {"log_entries_ahead", log_->lastIndex() - committed_}});
   role_ = Role::kFollower;
   leader_.reset();
   // The entries are in the log: a later leader may commit them or not.
@@ -168,8 +181,22 @@
 
 void Replica::checkQuorum() {
   const Instant confirmed = std::max(quorumConfirmedAt(), elected_at_);
-  if (now_ < confirmed + options_.timing.election_timeout) return;
-  becomeFollower(record_.term, std::nullopt);
+  const Duration timeout = options_.timing.election_timeout;
+  if (now_ < confirmed + timeout) return;
+  // After a stall of its own, answers of the quorum may wait unread: they get one heartbeat's time, though not for ever.
+  const bool answers_may_wait = resumed_at_ != Instant::min() && now_ < resumed_at_ + options_.timing.heartbeat_interval;
+  if (answers_may_wait && now_ < confirmed + kMostStalledTimeouts * timeout) return;
+  becomeFollower(record_.term, std::nullopt, "no_quorum");
+}
+
+void Replica::noteOwnStall() {
+  const bool stalled = ticked_at_ != Instant{} && now_ - ticked_at_ >= options_.timing.heartbeat_interval;
+  ticked_at_ = now_;
+  if (!stalled) return;
+  resumed_at_ = now_;
+  // The leader's heartbeats may wait unread as well.
+  const Instant soonest = now_ + options_.timing.heartbeat_interval;
+  if (role_ != Role::kLeader) election_deadline_ = std::max(election_deadline_, soonest);
 }
 
 void Replica::transferLeadership(Instant now) {
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -240,7 +240,7 @@
   if (role_ == Role::kLeader) {
     tryTransfer();
     const bool removed = memberships_.latestIndex() <= committed_ && !isSelfVoter();
-    if (removed) becomeFollower(record_.term, std::nullopt);
+    if (removed) becomeFollower(record_.term, std::nullopt, "removed");
   }
   takeSnapshotIfDue();
 }
