Apply committed entries in slices of 128 KB

Change: a slice ends at 128 KB or 128 entries; the driver goes on after other work of the thread has had its turn; reads of the leader wait for what they need to be applied.

--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -100,6 +100,7 @@
     tickOrphaned();
   }
   tickFollowerReads();
+  if (!fault_ && applied_ < committed_) applyCommitted();
 }
 
 void Replica::receive(Instant now, const PeerMessage& message) {
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -44,6 +44,7 @@
   void formWith(Instant now, const Membership& initial) override;
   std::vector<Candidate> candidates(Instant now) const override;
   std::vector<PeerHealth> peerHealth(Instant now) const override;
+  bool applyNextSlice(Instant now) override;
   std::vector<PeerMessage> takeMessages() override;
   std::vector<RequestOutcome> takeOutcomes() override;
   GroupStatus status() const override;
@@ -158,7 +159,10 @@
   void onSynced();
   void advanceCommit();
   void commitTo(LogIndex index);
+  /// Applies committed entries up to the size of a slice.
   void applyCommitted();
+  /// Applies the next entry; false if it can't be read.
+  bool applyNextEntry(std::uint64_t& bytes);
   void applyEntry(const LogEntry& entry);
 
   // Reads (replica_read.cpp).
--- a/src/process/consensus/replica_read.cpp
+++ b/src/process/consensus/replica_read.cpp
@@ -64,6 +64,8 @@
   while (!leader_reads_.empty()) {
     const LeaderRead& read = leader_reads_.front();
     if (read.round == 0 || read.round > acknowledged) return;
+    // An asking follower waits for its own state machine.
+    if (!read.asker && read.index > applied_) return;
     if (read.asker) {
       send(*read.asker, ReadIndexReply{read.number, read.index});
     } else {
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint64_t kMostBytesInFlight = 768 * 1024;
 /// Applied entries whose payloads stay in memory for members that are a little behind.
 constexpr LogIndex kEntriesKeptInMemory = 12;
+/// A slice of applying: some milliseconds on a third of a core. What is more waits for the next one.
+constexpr std::uint64_t kMostBytesAppliedAtOnce = 128 * 1024;
+constexpr std::size_t kMostEntriesAppliedAtOnce = 128;
 /// Heartbeat intervals without progress after which a peer is probed anew.
 constexpr int kResendIntervals = 3;
 
@@ -218,25 +221,44 @@
   applyCommitted();
 }
 
+bool Replica::applyNextSlice(Instant now) {
+  now_ = now;
+  if (fault_ || applied_ >= committed_) return false;
+  applyCommitted();
+  return !fault_ && applied_ < committed_;
+}
+
+bool Replica::applyNextEntry(std::uint64_t& bytes) {
+  const LogIndex next = applied_ + 1;
+  if (!log_->isReleased(next)) {
+    applied_ = next;
+    bytes += log_->at(next).payload.size();
+    applyEntry(log_->at(next));
+    return true;
+  }
+  const Result<LogEntry> entry = log_->read(next);
+  if (!isOk(entry)) {
+    setFault(errorOf(entry));
+    return false;
+  }
+  applied_ = next;
+  bytes += valueOf(entry).payload.size();
+  applyEntry(valueOf(entry));
+  return true;
+}
+
 void Replica::applyCommitted() {
-  while (applied_ < committed_ && !fault_) {
-    ++applied_;
-    if (!log_->isReleased(applied_)) {
-      applyEntry(log_->at(applied_));
-      continue;
-    }
-    const Result<LogEntry> entry = log_->read(applied_);
-    if (!isOk(entry)) {
-      --applied_;
-      setFault(errorOf(entry));
-      return;
-    }
-    applyEntry(valueOf(entry));
+  std::uint64_t bytes = 0;
+  std::size_t entries = 0;
+  while (applied_ < committed_ && !fault_ && bytes < kMostBytesAppliedAtOnce && entries < kMostEntriesAppliedAtOnce) {
+    if (!applyNextEntry(bytes)) return;
+    ++entries;
   }
   if (fault_) return;
   // Members that are far behind are served from the file.
   if (applied_ > kEntriesKeptInMemory) log_->release(applied_ - kEntriesKeptInMemory);
   completeFollowerReads();
+  completeLeaderReads();
   if (role_ == Role::kLeader) {
     tryTransfer();
     const bool removed = memberships_.latestIndex() <= committed_ && !isSelfVoter();
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -172,6 +172,10 @@
   /// The other members as the leader sees them; empty elsewhere.
   virtual std::vector<PeerHealth> peerHealth(Instant now) const = 0;
 
+  /// Committed entries are applied in slices, so that a long log never keeps messages waiting. Applies the next slice;
+  /// false once all are applied. Each `tick` applies one as well.
+  virtual bool applyNextSlice(Instant now) = 0;
+
   virtual std::vector<PeerMessage> takeMessages() = 0;
   virtual std::vector<RequestOutcome> takeOutcomes() = 0;
   virtual GroupStatus status() const = 0;
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -277,6 +277,8 @@
   for (const consensus::RequestOutcome& outcome : replica_->takeOutcomes()) finish(outcome);
   logRoleChange();
   if (on_progress_) on_progress_();
+  // Other work of this thread comes between two slices.
+  if (replica_ && replica_->applyNextSlice(monotonicNow())) flushSoon();
 }
 
 void GroupHost::finish(const consensus::RequestOutcome& outcome) {
