Run batch items at a store in their engine's zone, and fewer at the leader

Cause: a stream crossed zones twice, from the engine to its runner and on to the leader; the leader kept 40 runs to itself also where 45 stores stand by. Change: the store with the fewest runs in the engine's zone, while it has no more than one and a half times the mean; the leader keeps runs only while there are fewer than 40 in all.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -59,8 +59,8 @@
 
 void JobExecutor::setView(const fleet::FleetView& view, bool engines_changed) {
   routes_ = view.routes;
-  const std::vector<ReplicaId> stores = fleet::addressesOf(view.stores);
-  std::set<ReplicaId> runners(stores.begin(), stores.end());
+  std::map<ReplicaId, ZoneId> runners;
+  for (const fleet::StoreAddress& store : view.stores) runners.emplace(store.address, store.zone);
   for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
   board_.setRunners(std::move(runners));
   if (engines_changed) selector_.setEngines(*view.engines);
@@ -229,7 +229,7 @@
     if (route == nullptr) continue;
     const request::EngineQuery query = queryOf(*run, job->submission.items[job->open_items.at(run->item)], *route);
     const std::optional<EngineChoice> choice = selector_.choose(now, query);
-    if (!choice || !board_.chooseRunner(now)) return false;
+    if (!choice || !board_.chooseRunner(now, choice->engine.zone)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     startRun(now, run, *job, *choice, query);
     return true;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -26,7 +26,7 @@
 
 void JobExecutor::startRun(Instant now, const ItemPtr& run, const StoredJob& job, const EngineChoice& choice,
                            const request::EngineQuery& query) {
-  const ReplicaId runner = board_.chooseRunner(now).value_or(options_.self);
+  const ReplicaId runner = board_.chooseRunner(now, choice.engine.zone).value_or(options_.self);
   run->running = true;
   run->first_event_at = Instant{};
   run->events_before = run->events;
--- a/src/process/store/run_board.cpp
+++ b/src/process/store/run_board.cpp
@@ -19,7 +19,7 @@
   next_lease_ = now;
 }
 
-void RunBoard::setRunners(std::set<ReplicaId> runners) {
+void RunBoard::setRunners(std::map<ReplicaId, ZoneId> runners) {
   runners_ = std::move(runners);
 }
 
@@ -28,18 +28,17 @@
   return found == at_.end() ? 0 : found->second.runs.size();
 }
 
-std::optional<ReplicaId> RunBoard::chooseRunner(Instant now) const {
-  const std::size_t here = runningAt(self_);
-  if (here < std::min(limits_.local_runs, limits_.most_runs)) return self_;
+bool RunBoard::isAvoided(Instant now, const ReplicaId& runner) const {
+  const auto avoided = avoided_until_.find(runner);
+  return avoided != avoided_until_.end() && now < avoided->second;
+}
+
+std::optional<ReplicaId> RunBoard::fewestRuns(Instant now, const ZoneId* zone, std::size_t limit) const {
   std::optional<ReplicaId> best;
-  std::size_t fewest = limits_.most_runs;
-  if (here < fewest) {
-    best = self_;
-    fewest = here;
-  }
-  for (const ReplicaId& runner : runners_) {
-    const auto avoided = avoided_until_.find(runner);
-    if (avoided != avoided_until_.end() && now < avoided->second) continue;
+  std::size_t fewest = limit;
+  for (const auto& [runner, its_zone] : runners_) {
+    if (zone != nullptr && its_zone != *zone) continue;
+    if (runner != self_ && isAvoided(now, runner)) continue;
     const std::size_t runs = runningAt(runner);
     if (runs >= fewest) continue;
     best = runner;
@@ -48,6 +47,17 @@
   return best;
 }
 
+std::optional<ReplicaId> RunBoard::chooseRunner(Instant now, const ZoneId& zone) const {
+  const std::size_t here = runningAt(self_);
+  if (runs_.size() < limits_.local_runs && here < limits_.most_runs) return self_;
+  const double mean = static_cast<double>(runs_.size()) / std::max<double>(1, static_cast<double>(runners_.size()));
+  const auto even = static_cast<std::size_t>(limits_.most_above_mean * mean) + limits_.slack_above_mean;
+  if (auto near = fewestRuns(now, &zone, std::min(even, limits_.most_runs))) return near;
+  if (auto any = fewestRuns(now, nullptr, limits_.most_runs)) return any;
+  if (here < limits_.most_runs) return self_;
+  return std::nullopt;
+}
+
 std::uint64_t RunBoard::begin(Instant now, const ReplicaId& runner) {
   const std::uint64_t number = ++last_number_;
   runs_[number] = Run{runner, now, 0};
@@ -136,7 +146,7 @@
   next_lease_ = now + (announces ? limits_.announce_interval : limits_.lease_interval);
   for (const auto& [id, runner] : at_) leases.try_emplace(id);
   if (!announces) return leases;
-  for (const ReplicaId& runner : runners_) leases.try_emplace(runner);
+  for (const auto& [runner, zone] : runners_) leases.try_emplace(runner);
   return leases;
 }
 
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -14,8 +14,11 @@
 namespace hatchfork::store {
 
 struct RunBoardLimits {
-  /// Runs that the leader keeps to itself before it spreads them over all stores.
+  /// While there are fewer runs than this in all, the leader keeps them to itself: one process is woken, not many.
   std::size_t local_runs = 40;
+  /// A store in the engine's zone is preferred while it has no more than this many times the mean, and these more.
+  double most_above_mean = 1.5;
+  std::size_t slack_above_mean = 4;
   /// Most runs of one store.
   std::size_t most_runs = 400;
   /// Reports come several times in this time; a store that is silent for longer has lost its runs.
@@ -49,9 +52,11 @@
   /// A leadership begins: nothing is under way as far as it knows. Numbers of runs differ from those of other terms.
   void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
-  void setRunners(std::set<ReplicaId> runners);
-  /// Where the next run goes: here while few are under way here, else where the fewest are. Nothing if all are full.
-  std::optional<ReplicaId> chooseRunner(Instant now) const;
+  void setRunners(std::map<ReplicaId, ZoneId> runners);
+  /// Where the next run goes, whose engine is in `zone`: here while few are under way in all; else to the store with the
+  /// fewest, one in that zone before others, so that its stream crosses zones once and not twice. Nothing if all are
+  /// full.
+  std::optional<ReplicaId> chooseRunner(Instant now, const ZoneId& zone) const;
   /// Notes an order; returns its number.
   std::uint64_t begin(Instant now, const ReplicaId& runner);
   /// Takes up a run that an earlier leader ordered; its news go on after `sequence`.
@@ -87,10 +92,13 @@
   };
 
   void forget(std::uint64_t number);
+  bool isAvoided(Instant now, const ReplicaId& runner) const;
+  /// The store with the fewest runs, and fewer than `limit`; of one zone or, without one, of all.
+  std::optional<ReplicaId> fewestRuns(Instant now, const ZoneId* zone, std::size_t limit) const;
 
   ReplicaId self_;
   RunBoardLimits limits_;
-  std::set<ReplicaId> runners_;
+  std::map<ReplicaId, ZoneId> runners_;
   std::map<std::uint64_t, Run> runs_;
   std::map<ReplicaId, Runner> at_;
   std::map<ReplicaId, Instant> avoided_until_;
--- a/tests/process/store/run_board_test.cpp
+++ b/tests/process/store/run_board_test.cpp
@@ -12,6 +12,8 @@
 const ReplicaId kHere("10.0.0.1");
 const ReplicaId kThere("10.0.0.2");
 const ReplicaId kElsewhere("10.0.0.3");
+const ZoneId kZone("z1");
+const ZoneId kOtherZone("z2");
 
 RunBoardLimits limits(std::size_t local, std::size_t most) {
   RunBoardLimits made;
@@ -22,7 +24,7 @@
 
 RunBoard board(std::size_t local, std::size_t most) {
   RunBoard made(kHere, limits(local, most));
-  made.setRunners({kHere, kThere, kElsewhere});
+  made.setRunners({{kHere, kZone}, {kThere, kZone}, {kElsewhere, kOtherZone}});
   return made;
 }
 
@@ -43,7 +45,7 @@
 TEST_CASE("the leader keeps the first runs and spreads the rest evenly", "[store][runs]") {
   RunBoard runs = board(2, 4);
   for (int i = 0; i < 12; ++i) {
-    const auto runner = runs.chooseRunner(at(0));
+    const auto runner = runs.chooseRunner(at(0), kZone);
     REQUIRE(runner);
     if (i < 2) REQUIRE(*runner == kHere);
     runs.begin(at(0), *runner);
@@ -51,20 +53,20 @@
   REQUIRE(runs.runningAt(kHere) == 4);
   REQUIRE(runs.runningAt(kThere) == 4);
   REQUIRE(runs.runningAt(kElsewhere) == 4);
-  REQUIRE_FALSE(runs.chooseRunner(at(0)));
+  REQUIRE_FALSE(runs.chooseRunner(at(0), kZone));
 }
 
 TEST_CASE("a store that is out of reach gets no orders for a while", "[store][runs]") {
   RunBoard runs = board(0, 4);
   runs.avoid(at(0), kThere);
   for (int i = 0; i < 8; ++i) {
-    const auto runner = runs.chooseRunner(at(10));
+    const auto runner = runs.chooseRunner(at(10), kZone);
     REQUIRE(runner);
     REQUIRE(*runner != kThere);
     runs.begin(at(10), *runner);
   }
-  REQUIRE_FALSE(runs.chooseRunner(at(10)));
-  REQUIRE(runs.chooseRunner(at(5000)) == kThere);
+  REQUIRE_FALSE(runs.chooseRunner(at(10), kZone));
+  REQUIRE(runs.chooseRunner(at(5000), kZone) == kThere);
 }
 
 TEST_CASE("news are taken in their order, and a run with a gap in them is lost", "[store][runs]") {
@@ -111,3 +113,18 @@
   REQUIRE(runs.takeLeases(at(410)).at(kThere) == std::vector<std::uint64_t>{number});
   REQUIRE(runs.takeLeases(at(900)).empty());
 }
+
+TEST_CASE("a run goes to a store in its engine's zone while that has not many more than others", "[store][runs]") {
+  RunBoard runs = board(0, 100);
+  std::size_t there = 0;
+  for (int i = 0; i < 30; ++i) {
+    const auto runner = runs.chooseRunner(at(0), kOtherZone);
+    REQUIRE(runner);
+    if (*runner == kElsewhere) ++there;
+    runs.begin(at(0), *runner);
+  }
+  // The only store of that zone has more than its even share of ten, but not all.
+  REQUIRE(there > 12);
+  REQUIRE(there < 25);
+  REQUIRE(runs.chooseRunner(at(0), kZone) != kElsewhere);
+}
