Gateways keep links to the stores that answer or aggregate, not to all

Cause: every gateway kept a connection to every store: 11,250 on the large sites, though six or seven stores hold the jobs. Change: the directory tells the members of the store group; a gateway links to these and to its aggregators.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -107,8 +107,7 @@
 }
 
 void GatewayProgram::onView(const fleet::FleetView& view, bool changed) {
-  stores_.setStores(fleet::addressesOf(view.stores));
-  loads_.setStores(view.stores);
+  linkStores(view);
   if (!changed) return;
   if (view.routes != routes_) {
     routes_ = view.routes;
@@ -121,6 +120,17 @@
   loads_.setEngines(*view.engines);
 }
 
+void GatewayProgram::linkStores(const fleet::FleetView& view) {
+  loads_.setStores(view.stores);
+  std::vector<ReplicaId> wanted = loads_.aggregators();
+  if (view.store_members.empty()) {
+    wanted = fleet::addressesOf(view.stores);
+  } else {
+    wanted.insert(wanted.end(), view.store_members.begin(), view.store_members.end());
+  }
+  stores_.setStores(wanted);
+}
+
 bool GatewayProgram::isReady() const {
   return !stopping_ && routes_ != nullptr;
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -32,6 +32,9 @@
  private:
   Status start();
   void onView(const fleet::FleetView& view, bool changed);
+  /// Links to the stores that answer requests and to those that aggregate loads, not to all of them: a link from every
+  /// gateway to every store would grow with their product.
+  void linkStores(const fleet::FleetView& view);
   connection::Awaitable<void> handle(const connection::HttpRequest& request, connection::ResponseWriter& writer);
   connection::Awaitable<void> handleReadiness(const connection::HttpRequest& request,
                                               connection::ResponseWriter& writer);
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -170,6 +170,8 @@
   if (!update.stores.empty()) view_.stores = std::move(update.stores);
   view_.retiring = std::move(update.retiring);
   view_.store_group = std::move(update.store_group);
+  // As above: a control process that has just started has heard of no leader yet.
+  if (!update.store_members.empty()) view_.store_members = std::move(update.store_members);
 }
 
 std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores) {
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -24,6 +24,8 @@
   std::vector<StoreAddress> stores;
   std::vector<ReplicaId> retiring;
   consensus::Membership store_group;
+  /// Stores that hold the jobs now; none before they are known.
+  std::vector<ReplicaId> store_members;
 };
 
 /// The addresses alone.
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -56,8 +56,11 @@
 }
 
 void FeedServer::refreshDirectory() {
-  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup()};
+  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup(), {}};
   for (const auto& [node, address] : state_->retiring()) now.retiring.push_back(address);
+  if (stores_.groupMembership()) {
+    for (const consensus::Member& member : stores_.groupMembership()->members) now.store_members.push_back(member.id);
+  }
   if (now == directory_) return;
   directory_ = std::move(now);
   ++directory_revision_;
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -139,9 +139,11 @@
   std::vector<ReplicaId> retiring;
   /// Members that the store group forms with; none before that is decided.
   consensus::Membership store_group;
+  /// Stores that hold the jobs now, as the newest leader of the group told; none before one was heard.
+  std::vector<ReplicaId> store_members;
   bool operator==(const DirectoryUpdate&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryUpdate, controls, stores, retiring, store_group)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryUpdate, controls, stores, retiring, store_group, store_members)
 
 /// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it names
 /// were the newest at some moment shortly before.
--- a/src/process/fleet/load_reporter.cpp
+++ b/src/process/fleet/load_reporter.cpp
@@ -32,11 +32,14 @@
 void LoadReporter::setStores(const std::vector<StoreAddress>& stores) {
   aggregators_ = aggregatorsOf(stores, zone_);
   std::set<ZoneId> zones;
-  for (const StoreAddress& store : stores) zones.insert(store.zone);
-  for (const ZoneId& zone : zones) {
-    if (zone == zone_) continue;
-    for (const ReplicaId& store : aggregatorsOf(stores, zone)) aggregators_.push_back(store);
+  for (const StoreAddress& store : stores) {
+    if (store.zone != zone_) zones.insert(store.zone);
   }
+  if (zones.empty()) return;
+  // The zone that follows the own one by name, the first one after the last.
+  const auto after = zones.upper_bound(zone_);
+  const ZoneId next = after == zones.end() ? *zones.begin() : *after;
+  for (const ReplicaId& store : aggregatorsOf(stores, next)) aggregators_.push_back(store);
 }
 
 void LoadReporter::setEngines(const std::vector<EngineRecord>& engines) {
--- a/src/process/fleet/load_reporter.hpp
+++ b/src/process/fleet/load_reporter.hpp
@@ -19,7 +19,7 @@
 std::vector<ReplicaId> aggregatorsOf(const std::vector<StoreAddress>& stores, const ZoneId& zone);
 
 /// Tells one aggregator what this process has under way at engines, and takes what all others have. Turns to the next
-/// aggregator where one is out of reach or silent: those of the own zone first, then those of the others. No I/O, no
+/// aggregator where one is out of reach or silent: those of the own zone first, then those of the next zone. No I/O, no
 /// clock. Belongs to one thread.
 class LoadReporter {
  public:
@@ -30,6 +30,8 @@
       : node_(std::move(node)), zone_(std::move(zone)), send_(std::move(send)) {}
 
   void setStores(const std::vector<StoreAddress>& stores);
+  /// The stores that it may turn to, the preferred one first: few, so that few links are kept.
+  const std::vector<ReplicaId>& aggregators() const { return aggregators_; }
   void setEngines(const std::vector<EngineRecord>& engines);
   /// Reports at once what differs from the last report, and every so often what does not. Call many times a second.
   void report(Instant now, std::vector<request::EngineShare> shares);
