--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -163,6 +163,11 @@
     return;
   }
   const FleetMessage& decoded = valueOf(message);
+  const fleet::HandlerWatch::Timer timer(handlers_, std::visit([](const auto& body) { return body.kKind; }, decoded));
+  dispatch(decoded, from);
+}
+
+void StoreProgram::dispatch(const FleetMessage& decoded, const ConnectionPtr& from) {
   if (const auto* group = std::get_if<fleet::GroupFrame>(&decoded)) {
     group_->receive(*group);
   } else if (const auto* proposal = std::get_if<fleet::ProposalFrame>(&decoded)) {
@@ -273,6 +278,14 @@
              static_cast<double>(state_->waitingTokens()));
   page.counter("hatchfork_jobs_over_limit_total", "Job submissions refused here by the limit of waiting tokens.",
                static_cast<double>(over_limit_jobs_));
+  page.counter("hatchfork_handler_overruns_total", "Handlers that kept the thread for longer than they may.",
+               static_cast<double>(handlers_.overruns()));
+  page.gauge("hatchfork_handler_longest_ms", "The longest handler since the start.",
+             static_cast<double>(toMillis(handlers_.longest())));
+  page.gauge("hatchfork_load_receivers", "Processes that report their loads to this store.",
+             static_cast<double>(aggregator_.receivers()));
+  page.gauge("hatchfork_load_digest_interval_ms", "Time between the last two digests of loads.",
+             static_cast<double>(toMillis(aggregator_.digestInterval())));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
@@ -376,6 +389,7 @@
   if (std::exchange(change_posted_, true)) return;
   connection::asio::post(context_, [this] {
     change_posted_ = false;
+    const fleet::HandlerWatch::Timer timer(handlers_, "changed_jobs");
     for (const JobId& changed : std::exchange(changed_jobs_, {})) executor_->noteChange(changed);
     answerHeldReads(monotonicNow());
   });
@@ -413,24 +427,27 @@
 Awaitable<void> StoreProgram::tickLoop() {
   while (true) {
     co_await connection::sleepFor(kTickInterval);
-    const Instant now = monotonicNow();
-    updateLeading();
-    executor_->tick(now);
-    runner_->tick(now);
-    answerHeldReads(now);
-    measureProgress(now);
-    reportOwnLoad(now);
-    aggregator_.tick(now);
-    if (now >= next_trim_) {
-      next_trim_ = now + kTrimInterval;
-      runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
-      // Large messages leave free memory behind that the allocator would keep.
-      ::malloc_trim(0);
-    }
-    links_.dropUnused(now);
+    const fleet::HandlerWatch::Timer timer(handlers_, "tick");
+    tick(monotonicNow());
   }
 }
 
+void StoreProgram::tick(Instant now) {
+  updateLeading();
+  executor_->tick(now);
+  runner_->tick(now);
+  answerHeldReads(now);
+  measureProgress(now);
+  reportOwnLoad(now);
+  aggregator_.tick(now);
+  links_.dropUnused(now);
+  if (now < next_trim_) return;
+  next_trim_ = now + kTrimInterval;
+  runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
+  // Large messages leave free memory behind that the allocator would keep.
+  ::malloc_trim(0);
+}
+
 Awaitable<void> StoreProgram::stopOnSignal() {
   co_await connection::awaitStopSignal();
   logEvent(LogLevel::kInfo, "planned_stop_started", {{"running", executor_->running()}});
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -11,6 +11,7 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/group_host.hpp"
+#include "process/fleet/handler_watch.hpp"
 #include "process/fleet/load_reporter.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "process/fleet/peer_links.hpp"
@@ -47,6 +48,8 @@
 
   Status start();
   void onFrame(const std::string& body, const ConnectionPtr& from);
+  void dispatch(const fleet::FleetMessage& message, const ConnectionPtr& from);
+  void tick(Instant now);
   /// A process reports its load to this store.
   void onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from);
   /// What other stores send back on links from here.
@@ -103,6 +106,7 @@
   Instant next_trim_{};
   /// When a quorum last confirmed the leadership of this store.
   Instant confirmed_at_ = Instant::min();
+  fleet::HandlerWatch handlers_;
   bool change_posted_ = false;
   bool stopping_ = false;
 };
