Read a shared prefix at one engine while that is not loaded; tell own shares without walking all engines

Change: the first home takes them, the second one is expected to keep half of the prefix and takes them while the first is loaded. Beside it, a second change: own shares are kept by the engines in use (3,000 engines were walked 20 times a second).

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -255,7 +255,7 @@
   return query;
 }
 
-std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) const {
+std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) {
   std::map<EngineId, double> excess;
   for (const request::EngineShare& share : selector_.ownShares(now)) {
     const double above = selector_.excess(now, share.engine);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -75,7 +75,7 @@
   /// Term of the last leadership that was announced here.
   std::uint64_t term() const { return term_; }
   /// What the runs here have under way, and what all gateways have.
-  std::vector<request::EngineShare> ownShares(Instant now) const { return selector_.ownShares(now); }
+  std::vector<request::EngineShare> ownShares(Instant now) { return selector_.ownShares(now); }
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   const JobExecutorCounters& counters() const { return counters_; }
   bool knowsEngine(const EngineId& engine) const { return selector_.knows(engine); }
@@ -145,7 +145,7 @@
   /// Learns how many events items have from results that the group keeps.
   void learnFromResults();
   /// How many runs each crowded engine should lose now.
-  std::map<EngineId, double> runsTooMany(Instant now) const;
+  std::map<EngineId, double> runsTooMany(Instant now);
   /// Runs at engines with too many requests, those with the most slack first.
   std::vector<ItemPtr> runsToYield(Instant now);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -137,9 +138,9 @@
   if (!first) entry->second += limits_.hold_learning_rate * (held_ms - entry->second);
 }
 
-double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
+double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
   double tokens = static_cast<double>(state.unread_tokens) + query.prompt.prompt_tokens;
-  if (cached) tokens -= query.prompt.sharedTokens();
+  tokens -= kept * query.prompt.sharedTokens();
   if (knowsOthers(now, state)) {
     // What was to be read when it was told has been read in part since.
     const double read = toSeconds(now - state.known_at) * 1000 * limits_.prompt_tokens_per_ms;
@@ -154,14 +155,14 @@
   return waiting * slotHoldMs(state.record.service) / slots;
 }
 
-double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const {
+double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
   const double running = estimatedRunning(now, state);
   const double slots = std::max<double>(1, state.record.slots);
-  double total = readingMs(now, state, query, cached);
+  double total = readingMs(now, state, query, kept);
   total += running * limits_.running_cost_ms;
   total += slotWaitMs(now, state);
   const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
-  const bool at_home = cached && isLong(query);
+  const bool at_home = kept > 0 && isLong(query);
   if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
   return total + laneCost(now, state, query) + silenceCost(now, state);
@@ -212,44 +213,54 @@
   if (usable.empty()) return std::nullopt;
   const std::uint64_t prefix = prefixIdentity(query.prompt);
   const bool sticky = query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
-  std::set<EngineId> home;
   if (!sticky && !query.background) drawEngines(now, query, usable);
-  if (sticky) {
-    std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
-    for (const EngineState* state : usable) {
-      ranked.emplace_back(state->in_long_lane, mix(prefix ^ hashText(state->record.id.value)), state->record.id);
-    }
-    std::sort(ranked.rbegin(), ranked.rend());
-    for (std::size_t i = 0; i < ranked.size() && i < limits_.home_engines; ++i)
-      home.insert(std::get<EngineId>(ranked[i]));
-  }
+  const std::vector<EngineId> homes = sticky ? homesOf(prefix, usable) : std::vector<EngineId>();
   EngineState* best = nullptr;
   double best_cost = 0;
-  bool best_cached = false;
+  double best_kept = 0;
   std::uniform_real_distribution<double> jitter(0.0, 3.0);
   for (EngineState* state : usable) {
-    const auto sent = state->prefixes.find(prefix);
-    const bool sent_lately = sent != state->prefixes.end() && now - sent->second < kPrefixKept;
-    const bool cached = sticky && (home.contains(state->record.id) || sent_lately);
-    const double total = cost(now, *state, query, cached) + jitter(random_);
+    const double kept = sticky ? keptShare(now, *state, prefix, homes) : 0;
+    const double total = cost(now, *state, query, kept) + jitter(random_);
     if (best != nullptr && total >= best_cost) continue;
     best = state;
     best_cost = total;
-    best_cached = cached;
+    best_kept = kept;
+  }
+  return describe(now, *best, query, best_cost, best_kept, usable.size());
+}
+
+std::vector<EngineId> EngineSelector::homesOf(std::uint64_t prefix, const std::vector<EngineState*>& usable) const {
+  std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
+  for (const EngineState* state : usable) {
+    ranked.emplace_back(state->in_long_lane, mix(prefix ^ hashText(state->record.id.value)), state->record.id);
   }
-  return describe(now, *best, query, best_cost, best_cached, usable.size());
+  const auto wanted = static_cast<std::ptrdiff_t>(std::min(ranked.size(), limits_.home_engines));
+  std::partial_sort(ranked.begin(), ranked.begin() + wanted, ranked.end(), std::greater<>());
+  std::vector<EngineId> homes;
+  for (std::ptrdiff_t i = 0; i < wanted; ++i) homes.push_back(std::get<EngineId>(ranked[static_cast<std::size_t>(i)]));
+  return homes;
+}
+
+double EngineSelector::keptShare(Instant now, const EngineState& state, std::uint64_t prefix,
+                                 const std::vector<EngineId>& homes) const {
+  const auto sent = state.prefixes.find(prefix);
+  const bool sent_lately = sent != state.prefixes.end() && now - sent->second < kPrefixKept;
+  if (sent_lately || (!homes.empty() && homes.front() == state.record.id)) return 1;
+  const bool at_home = std::find(homes.begin(), homes.end(), state.record.id) != homes.end();
+  return at_home ? limits_.kept_at_other_homes : 0;
 }
 
 EngineChoice EngineSelector::describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms,
-                                      bool cached, std::size_t among) const {
+                                      double kept, std::size_t among) const {
   EngineChoice choice;
   choice.engine = state.record;
   choice.cost_ms = cost_ms;
-  choice.expected_first_ms = readingMs(now, state, query, cached) + slotWaitMs(now, state);
+  choice.expected_first_ms = readingMs(now, state, query, kept) + slotWaitMs(now, state);
   choice.in_flight = state.in_flight;
   choice.estimated_running = estimatedRunning(now, state);
   choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
-  choice.expects_cached_prefix = cached;
+  choice.expects_cached_prefix = kept > 0;
   choice.in_long_lane = state.in_long_lane;
   choice.candidates = among;
   return choice;
@@ -262,6 +273,7 @@
   std::uint64_t unread = query.prompt.prompt_tokens;
   if (found != engines_.end()) {
     EngineState& state = found->second;
+    engaged_.insert(engine);
     ++state.in_flight;
     if (query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens) {
       const std::uint64_t prefix = prefixIdentity(query.prompt);
@@ -324,14 +336,23 @@
   noteSurges(now);
 }
 
-std::vector<EngineShare> EngineSelector::ownShares(Instant now) const {
+std::vector<EngineShare> EngineSelector::ownShares(Instant now) {
   std::vector<EngineShare> shares;
-  for (const auto& [id, state] : engines_) {
+  for (auto engaged = engaged_.begin(); engaged != engaged_.end();) {
+    const auto engine = engines_.find(*engaged);
+    if (engine == engines_.end()) {
+      engaged = engaged_.erase(engaged);
+      continue;
+    }
+    const EngineState& state = engine->second;
     double avoid = overdueMs(now, state);
     if (now < state.ejected_until) avoid = std::max(avoid, toSeconds(state.ejected_until - now) * 1000);
-    const bool is_news = state.in_flight > 0 || avoid >= 1;
-    if (is_news)
-      shares.push_back(EngineShare{id, state.in_flight, state.unread_tokens, static_cast<std::uint32_t>(avoid)});
+    if (state.in_flight == 0 && avoid < 1) {
+      engaged = engaged_.erase(engaged);
+      continue;
+    }
+    shares.push_back(EngineShare{*engaged, state.in_flight, state.unread_tokens, static_cast<std::uint32_t>(avoid)});
+    ++engaged;
   }
   return shares;
 }
@@ -350,6 +371,7 @@
   if (verdict == EngineVerdict::kGood) state.failures = 0;
   if (verdict == EngineVerdict::kGone) state.gone = true;
   if (verdict == EngineVerdict::kDeclined) state.ejected_until = std::max(state.ejected_until, now + fromMillis(50));
+  engaged_.insert(ended.engine);
   if (verdict != EngineVerdict::kFailed) return;
   const Duration pause = limits_.first_ejection * (1 << std::min<std::uint32_t>(state.failures, 4));
   ++state.failures;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -52,8 +52,10 @@
   double other_zone_cost_ms = 4;
   /// Shared prompt parts below this are not worth a detour.
   std::uint32_t affinity_tokens = 1500;
-  /// Engines that are at home for one shared prefix.
+  /// Engines that are at home for one shared prefix: the first one takes its prompts, so that they are read there once;
+  /// the others take them while it is loaded, and are expected to keep this share of the prefix.
   std::size_t home_engines = 2;
+  double kept_at_other_homes = 0.5;
   /// A reported load counts half after this long.
   Duration load_half_life = fromMillis(2000);
   /// Prompts of so many tokens are long: reading one holds up every other request of its engine.
@@ -157,8 +159,8 @@
   void noteLoad(Instant now, const EngineId& engine, const EngineLoad& load);
   /// What all other processes have under way; goes before loads that engines report, while it is new.
   void noteOthers(Instant now, const std::vector<EngineShare>& others);
-  /// What this process has under way, for the others.
-  std::vector<EngineShare> ownShares(Instant now) const;
+  /// What this process has under way, for the others, by engine. Costs what is under way, not what engines there are.
+  std::vector<EngineShare> ownShares(Instant now);
   /// Requests above the engine's slots, of all processes; zero where the others' are not known.
   double excess(Instant now, const EngineId& engine) const;
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
@@ -223,18 +225,25 @@
   double slotHoldMs(const ServiceId& service) const;
   void learnHold(Instant now, const Ticket& ticket, const EngineState& state);
   /// Time until the prompt is read, and until a slot is free before that.
-  double readingMs(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
+  double readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
   double slotWaitMs(Instant now, const EngineState& state) const;
-  double cost(Instant now, const EngineState& state, const EngineQuery& query, bool cached) const;
+  double cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
+  /// The engines at home for a prefix, the first one first.
+  std::vector<EngineId> homesOf(std::uint64_t prefix, const std::vector<EngineState*>& usable) const;
+  /// Share of the prompt's shared parts that the engine is expected to keep.
+  double keptShare(Instant now, const EngineState& state, std::uint64_t prefix,
+                   const std::vector<EngineId>& homes) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
   /// Draws some of the engines, so that processes that know the same loads do not all choose the same engine.
   void drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable);
-  EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, bool cached,
+  EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, double kept,
                         std::size_t among) const;
 
   SelectorLimits limits_;
   std::mt19937_64 random_;
   std::map<EngineId, EngineState> engines_;
+  /// Engines that this process has requests at, or avoids; those without either are taken out when shares are told.
+  std::set<EngineId> engaged_;
   /// Mean time that an online request of a service holds its slot.
   std::map<ServiceId, double> hold_ms_;
   /// Engines of each service that are not leaving.
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -64,6 +64,26 @@
   for (const auto& [prefix, at] : homes) REQUIRE(at.size() <= 2);
 }
 
+TEST_CASE("a prefix is read at one engine while that is not loaded, and at one other while it is", "[selector]") {
+  for (std::uint64_t prefix = 1; prefix <= 20; ++prefix) {
+    std::set<EngineId> idle;
+    std::set<EngineId> loaded;
+    for (std::uint64_t gateway = 1; gateway <= 8; ++gateway) {
+      EngineSelector selector(gateway);
+      selector.setEngines(engines(12));
+      const EngineQuery wanted = query(prefix * 1000, 13000);
+      const EngineId home = selector.choose(kStart, wanted)->engine.id;
+      idle.insert(home);
+      // Prompts of others that take 140 ms to read.
+      selector.noteOthers(kStart, {EngineShare{home, 3, 12000, 0}});
+      loaded.insert(selector.choose(kStart, wanted)->engine.id);
+    }
+    REQUIRE(idle.size() == 1);
+    REQUIRE(loaded.size() == 1);
+    REQUIRE(idle != loaded);
+  }
+}
+
 TEST_CASE("a loaded home loses a prompt to an engine where it starts sooner", "[selector]") {
   EngineSelector selector(3);
   selector.setEngines(engines(6));
