Bound the size of a digest of loads, so that its cost does not grow with the fleet

Cause: the interval grew with the digest and ended at 500 ms, so above some 430 engines a receiver's bytes grew with the engines: the test of the first form was red at 400 engines against 100. Change: 87 engines a digest at most, every 100 ms, in turn. The test holds at 2,000 engines against 200.

--- a/src/process/store/load_aggregator.cpp
+++ b/src/process/store/load_aggregator.cpp
@@ -10,12 +10,12 @@
 namespace hatchfork::store {
 namespace {
 
-/// Digests come no more often than this: about a seventh of the time for which an online request holds its slot.
-constexpr Duration kShortestInterval = fromMillis(100);
-/// And no less often, so that a silent aggregator is noticed.
-constexpr Duration kLongestInterval = fromMillis(500);
-/// What digests may cost a receiver in the mean.
-constexpr double kBytesPerSecond = 6 * 1024;
+/// Time between digests: about a seventh of the time for which an online request holds its slot.
+constexpr Duration kDigestInterval = fromMillis(100);
+/// A digest that tells nothing is sent only this often, as a sign of life.
+constexpr Duration kEmptyInterval = fromMillis(400);
+/// Most entries of one digest: 6 KB a second for a receiver.
+constexpr std::size_t kMostEntries = 87;
 /// A process that has reported nothing for this long gets no digests any more.
 constexpr Duration kReceiverLifetime = std::chrono::seconds(2);
 
@@ -62,11 +62,10 @@
 void LoadAggregator::tick(Instant now) {
   if (now < next_digest_) return;
   expire(now);
-  next_digest_ = now + kShortestInterval;
+  next_digest_ = now + kDigestInterval;
   if (receivers_.empty()) return;
   sendTotals();
-  sendDigest();
-  next_digest_ = now + digest_interval_;
+  sendDigest(now);
 }
 
 void LoadAggregator::expire(Instant now) {
@@ -81,12 +80,12 @@
   for (const ReplicaId& peer : peers_) send_(peer, frame);
 }
 
-void LoadAggregator::sendDigest() {
-  const std::string frame = frameOf(digest_.changes(all_.totals()), /*is_whole=*/false);
+void LoadAggregator::sendDigest(Instant now) {
+  std::string digest = digest_.changes(all_.totals(), kMostEntries);
+  if (digest.empty() && now < told_at_ + kEmptyInterval) return;
+  told_at_ = now;
+  const std::string frame = frameOf(std::move(digest), /*is_whole=*/false);
   for (const auto& [node, receiver] : receivers_) receiver.link.send(frame);
-  const double seconds = static_cast<double>(frame.size()) / kBytesPerSecond;
-  const Duration wanted(static_cast<Duration::rep>(seconds * 1e6));
-  digest_interval_ = std::clamp(wanted, kShortestInterval, kLongestInterval);
 }
 
 std::string LoadAggregator::frameOf(std::string digest, bool is_whole) const {
--- a/src/process/store/load_aggregator.hpp
+++ b/src/process/store/load_aggregator.hpp
@@ -20,12 +20,12 @@
 };
 
 /// Adds up what the processes that report to this store have under way, exchanges the totals with the aggregators of
-/// all zones, and tells the sum to those that report here. Every store can be one; most are not, since nobody reports to
-/// them. Independent of who leads the stores.
+/// all zones, and tells the sum to those that report here. Every store can be one; most are not, since nobody reports
+/// to them. Independent of who leads the stores.
 ///
-/// Cost: a report costs its own size; a digest is encoded once for all receivers and holds what has changed, sent the
-/// less often the larger it is, so that a receiver's bytes a second do not grow with the fleet. No I/O, no clock.
-/// Belongs to one thread.
+/// Cost: a report costs its own size; a digest is encoded once for all receivers and holds what has changed, up to a
+/// most, so that a receiver's bytes a second do not grow with the fleet: where more changes, each engine is told less
+/// often. No I/O, no clock. Belongs to one thread.
 class LoadAggregator {
  public:
   using SendFunction = std::function<void(const ReplicaId& to, const fleet::LoadTotalsFrame& totals)>;
@@ -40,7 +40,6 @@
   void tick(Instant now);
 
   std::size_t receivers() const { return receivers_.size(); }
-  Duration digestInterval() const { return digest_interval_; }
 
  private:
   struct Receiver {
@@ -50,7 +49,7 @@
 
   void expire(Instant now);
   void sendTotals();
-  void sendDigest();
+  void sendDigest(Instant now);
   std::string frameOf(std::string digest, bool is_whole) const;
 
   ReplicaId self_;
@@ -64,7 +63,8 @@
   request::LoadBoard all_;
   request::LoadDigestWriter digest_;
   Instant next_digest_{};
-  Duration digest_interval_{};
+  /// When the last digest went out, an empty one included.
+  Instant told_at_{};
 };
 
 }  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -284,8 +284,6 @@
              static_cast<double>(toMillis(handlers_.longest())));
   page.gauge("hatchfork_load_receivers", "Processes that report their loads to this store.",
              static_cast<double>(aggregator_.receivers()));
-  page.gauge("hatchfork_load_digest_interval_ms", "Time between the last two digests of loads.",
-             static_cast<double>(toMillis(aggregator_.digestInterval())));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
--- a/src/request/exchange/load_digest.cpp
+++ b/src/request/exchange/load_digest.cpp
@@ -59,20 +59,24 @@
   return hash;
 }
 
-std::string LoadDigestWriter::changes(const std::vector<EngineShare>& totals) {
+std::string LoadDigestWriter::changes(const std::vector<EngineShare>& totals, std::size_t most_entries) {
+  std::map<EngineKey, std::string> changed;
+  for (const auto& [key, values] : told_) changed[key] = noLoad();
+  for (const EngineShare& share : totals) changed[engineKey(share.engine)] = encodeValues(share);
+  std::erase_if(changed, [this](const auto& entry) {
+    const auto told = told_.find(entry.first);
+    return told != told_.end() && told->second == entry.second;
+  });
   std::string bytes;
-  std::map<EngineKey, std::string> now;
-  for (const EngineShare& share : totals) {
-    const EngineKey key = engineKey(share.engine);
-    std::string values = encodeValues(share);
-    const auto told = told_.find(key);
-    if (told == told_.end() || told->second != values) appendEntry(bytes, key, values);
-    now[key] = std::move(values);
+  auto entry = changed.lower_bound(next_);
+  for (std::size_t count = std::min(most_entries, changed.size()); count > 0; --count) {
+    if (entry == changed.end()) entry = changed.begin();
+    appendEntry(bytes, entry->first, entry->second);
+    told_[entry->first] = entry->second;
+    if (entry->second == noLoad()) told_.erase(entry->first);
+    ++entry;
   }
-  for (const auto& [key, values] : told_) {
-    if (!now.contains(key)) appendEntry(bytes, key, noLoad());
-  }
-  told_ = std::move(now);
+  next_ = entry == changed.end() ? 0 : entry->first;
   return bytes;
 }
 
--- a/src/request/exchange/load_digest.hpp
+++ b/src/request/exchange/load_digest.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -15,8 +16,8 @@
 ///
 /// An entry is seven bytes: a hash of the engine's identifier (4, little-endian), requests in flight (1), unread prompt
 /// tokens in units of 256 (1), and how strongly some process avoids the engine, in units of 16 ms (1). Counts beyond
-/// their field are told as the greatest that fits. Two engines with equal hashes would be told each other's loads; among
-/// 3,000 engines that happens in one fleet of a thousand, and misleads the choice of these two engines only.
+/// their field are told as the greatest that fits. Two engines with equal hashes would be told each other's loads;
+/// among 3,000 engines that happens in one fleet of a thousand, and misleads the choice of these two engines only.
 namespace hatchfork::request {
 
 using EngineKey = std::uint32_t;
@@ -27,14 +28,18 @@
 /// Turns totals into digests; remembers what the last one told. Belongs to one thread.
 class LoadDigestWriter {
  public:
-  /// Entries that differ from what was told so far. An engine without any load any more is told once, as zero.
-  std::string changes(const std::vector<EngineShare>& totals);
+  /// Entries that differ from what was told so far, `most_entries` at most: where there are more, each call goes on
+  /// where the last one ended, so that all have their turn. An engine without any load any more is told once, as zero.
+  std::string changes(const std::vector<EngineShare>& totals,
+                      std::size_t most_entries = std::numeric_limits<std::size_t>::max());
   /// All entries that were told so far and are not zero, for a new receiver.
   std::string all() const;
 
  private:
   /// Encoded values by engine.
   std::map<EngineKey, std::string> told_;
+  /// The engine that the next call looks at first.
+  EngineKey next_ = 0;
 };
 
 /// One receiver's copy of the totals. Belongs to one thread.
--- a/tests/process/store/load_aggregator_test.cpp
+++ b/tests/process/store/load_aggregator_test.cpp
@@ -118,7 +118,8 @@
     for (const std::size_t frame : stage.frame_bytes) bytes += frame;
     return static_cast<double>(bytes) / 10;
   };
-  const double few = bytesASecond(100);
-  REQUIRE(few > 1000);
-  REQUIRE(bytesASecond(400) < 1.3 * few);
+  const double few = bytesASecond(200);
+  REQUIRE(few > 3000);
+  REQUIRE(few < 8000);
+  REQUIRE(bytesASecond(2000) <= few);
 }
--- a/tests/request/exchange/load_digest_test.cpp
+++ b/tests/request/exchange/load_digest_test.cpp
@@ -79,6 +79,28 @@
   }
 }
 
+TEST_CASE("where more changes than a digest may hold, every engine has its turn", "[digest]") {
+  LoadDigestWriter writer;
+  std::vector<std::string> names;
+  std::vector<EngineShare> totals;
+  for (int i = 0; i < 100; ++i) {
+    names.push_back("engine-" + std::to_string(i));
+    totals.push_back(share(names.back(), 3));
+  }
+  LoadDigestReader reader = readerOf(names);
+  for (int step = 0; step < 4; ++step) {
+    // All of them change before each digest.
+    for (EngineShare& total : totals) total.in_flight = 4 + static_cast<std::uint32_t>(step);
+    const std::string digest = writer.changes(totals, 25);
+    REQUIRE(digest.size() == 25 * kDigestEntryBytes);
+    REQUIRE(reader.take(digest, false));
+  }
+  REQUIRE(reader.others({}).size() == 100);
+  for (int step = 0; step < 4; ++step) REQUIRE(reader.take(writer.changes(totals, 25), false));
+  REQUIRE(writer.changes(totals, 25).empty());
+  for (const EngineShare& told : reader.others({})) REQUIRE(told.in_flight == 7);
+}
+
 TEST_CASE("malformed digests change nothing, and counts beyond their field are told as its greatest", "[digest]") {
   LoadDigestWriter writer;
   LoadDigestReader reader = readerOf({"a"});
