--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -121,6 +121,9 @@
   // Election (replica_election.cpp).
   void tickElection();
   void resetElectionDeadline();
+  /// Sooner than after a leader fell silent: a replica that has just started has none to wait for, and pre-votes
+  /// disturb no leader that others hear.
+  void setFirstElectionDeadline();
   bool hasLiveLeader() const;
   void startPreVote();
   void startElection(bool leadership_transfer);
@@ -134,6 +137,8 @@
   /// `cause` is for the log.
   void leaveLeadership(std::string_view cause);
   void checkQuorum();
+  /// This replica stood still lately, or is applying a long log: what others sent may wait unread.
+  bool isHeldUp() const;
   /// Notes that this replica itself stood still, so that messages which say otherwise may wait unread.
   void noteOwnStall();
   void tickTransfer();
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -9,6 +9,8 @@
 
 /// A leader that stands still again and again steps down after so many election timeouts without a quorum.
 constexpr int kMostStalledTimeouts = 3;
+/// A stall counts for so many heartbeat intervals after it.
+constexpr int kStallRemembered = 2;
 
 }  // namespace
 
@@ -18,8 +20,17 @@
   election_deadline_ = now_ + timeout + Duration(extra(random_));
 }
 
+void Replica::setFirstElectionDeadline() {
+  std::uniform_int_distribution<Duration::rep> extra(0, options_.timing.election_timeout.count() - 1);
+  election_deadline_ = now_ + options_.timing.heartbeat_interval + Duration(extra(random_));
+}
+
 void Replica::tickElection() {
   if (!isSelfVoter() || now_ < election_deadline_) return;
+  // While it applies a long log, heartbeats may wait unread.
+  const bool had_leader = leader_ && leader_heard_at_ != Instant::min();
+  const Duration most_silence = kMostStalledTimeouts * options_.timing.election_timeout;
+  if (had_leader && applied_ < committed_ && now_ < leader_heard_at_ + most_silence) return;
   startPreVote();
 }
 
@@ -183,12 +194,17 @@
   const Instant confirmed = std::max(quorumConfirmedAt(), elected_at_);
   const Duration timeout = options_.timing.election_timeout;
   if (now_ < confirmed + timeout) return;
-  // After a stall of its own, answers of the quorum may wait unread: they get one heartbeat's time, though not for ever.
-  const bool answers_may_wait = resumed_at_ != Instant::min() && now_ < resumed_at_ + options_.timing.heartbeat_interval;
-  if (answers_may_wait && now_ < confirmed + kMostStalledTimeouts * timeout) return;
+  // Answers of the quorum may wait unread, here or at peers that are as busy, though not for ever.
+  if (isHeldUp() && now_ < confirmed + kMostStalledTimeouts * timeout) return;
   becomeFollower(record_.term, std::nullopt, "no_quorum");
 }
 
+bool Replica::isHeldUp() const {
+  const bool stalled_lately =
+      resumed_at_ != Instant::min() && now_ < resumed_at_ + kStallRemembered * options_.timing.heartbeat_interval;
+  return stalled_lately || applied_ < committed_;
+}
+
 void Replica::noteOwnStall() {
   const bool stalled = ticked_at_ != Instant{} && now_ - ticked_at_ >= options_.timing.heartbeat_interval;
   ticked_at_ = now_;
