--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -29,8 +29,7 @@
   for (const ReplicaId& store : stores) {
     if (links_.contains(store)) continue;
     auto link = std::make_shared<connection::ReconnectingLink>(
-        context_, connection::Endpoint{store.value, store_port_},
-        [this](const std::string& body) { onFrame(body); },
+        context_, connection::Endpoint{store.value, store_port_}, [this](const std::string& body) { onFrame(body); },
         [this, store](bool connected) { onLinkState(store, connected); });
     links_[store].link = link;
     link->start();
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -50,9 +50,7 @@
   options.formation_members = settings_.seeds;
   options.may_form = settings_.first_start;
   options.most_voters = kMostControlVoters;
-  auto make_machine = [this] {
-    return std::make_unique<FleetState>([this] { pushSoon(); });
-  };
+  auto make_machine = [this] { return std::make_unique<FleetState>([this] { pushSoon(); }); };
   auto adopt_machine = [this](consensus::StateMachine& machine) {
     state_ = static_cast<FleetState*>(&machine);
     if (feed_) feed_->setState(*state_);
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -140,8 +140,7 @@
 bool FeedClient::takeDocument(std::uint64_t version, const std::string& document) {
   Result<std::shared_ptr<const RouteTable>> parsed = dialect_.parseRoutes(document);
   if (!isOk(parsed)) {
-    logEvent(LogLevel::kError, "document_unreadable",
-             {{"version", version}, {"error", describe(errorOf(parsed))}});
+    logEvent(LogLevel::kError, "document_unreadable", {{"version", version}, {"error", describe(errorOf(parsed))}});
     return false;
   }
   const std::uint64_t before = view_.routes ? view_.routes->version() : 0;
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -145,8 +145,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryUpdate, controls, stores, retiring, store_group, store_members)
 
-/// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it names
-/// were the newest at some moment shortly before.
+/// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it
+/// names were the newest at some moment shortly before.
 struct UpdateFrame {
   static constexpr std::string_view kKind = "u";
   std::uint64_t document_version = 0;
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -12,9 +12,9 @@
 
 /// Frames between the leader of the store group, which decides where batch items run, and the stores that run them.
 ///
-/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen. Its runs do not
-/// end with the term: it offers them to the next leader, which takes them up or stops them. A store breaks off what it
-/// runs once no leader has been heard for the time of the lease.
+/// An order is bound to the term of its leader: a store takes no order of an older term than it has seen. Its runs do
+/// not end with the term: it offers them to the next leader, which takes them up or stops them. A store breaks off what
+/// it runs once no leader has been heard for the time of the lease.
 namespace hatchfork::fleet {
 
 /// How a run of an item ended.
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -125,8 +125,8 @@
   return is_free && openJob(*run) != nullptr ? run : nullptr;
 }
 
-/// The offered text is whole, so it replaces what the group keeps; that it goes on from what is kept is known only where
-/// the chain is the same, or nothing was kept since the run was ordered.
+/// The offered text is whole, so it replaces what the group keeps; that it goes on from what is kept is known only
+/// where the chain is the same, or nothing was kept since the run was ordered.
 void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
   const bool same_chain = run->saved_chain == offered.chain && run->saved_event <= offered.last_event;
   const bool nothing_since = run->saved_chain == offered.saved_chain && run->saved_event == offered.saved_event;
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -53,9 +53,9 @@
   void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
   void setRunners(std::map<ReplicaId, ZoneId> runners);
-  /// Where the next run goes, whose engine is in `zone`: here while few are under way in all; else to the store with the
-  /// fewest, one in that zone before others, so that its stream crosses zones once and not twice. Nothing if all are
-  /// full.
+  /// Where the next run goes, whose engine is in `zone`: here while few are under way in all; else to the store with
+  /// the fewest, one in that zone before others, so that its stream crosses zones once and not twice. Nothing if all
+  /// are full.
   std::optional<ReplicaId> chooseRunner(Instant now, const ZoneId& zone) const;
   /// Notes an order; returns its number.
   std::uint64_t begin(Instant now, const ReplicaId& runner);
--- a/tests/process/fleet/load_reporter_test.cpp
+++ b/tests/process/fleet/load_reporter_test.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 constexpr Instant kStart{std::chrono::seconds(100)};
-const std::vector<StoreAddress> kStores = {{ReplicaId("10.0.0.1"), ZoneId("z1")}, {ReplicaId("10.0.0.2"), ZoneId("z1")},
-                                           {ReplicaId("10.0.0.3"), ZoneId("z1")}, {ReplicaId("10.0.1.1"), ZoneId("z2")},
+const std::vector<StoreAddress> kStores = {{ReplicaId("10.0.0.1"), ZoneId("z1")},
+                                           {ReplicaId("10.0.0.2"), ZoneId("z1")},
+                                           {ReplicaId("10.0.0.3"), ZoneId("z1")},
+                                           {ReplicaId("10.0.1.1"), ZoneId("z2")},
                                            {ReplicaId("10.0.1.2"), ZoneId("z2")}};
 
 struct Sent {
@@ -40,8 +42,7 @@
 }  // namespace
 
 TEST_CASE("all processes of a zone name the same aggregators", "[loads]") {
-  REQUIRE(aggregatorsOf(kStores, ZoneId("z1")) ==
-          std::vector<ReplicaId>{ReplicaId("10.0.0.3"), ReplicaId("10.0.0.2")});
+  REQUIRE(aggregatorsOf(kStores, ZoneId("z1")) == std::vector<ReplicaId>{ReplicaId("10.0.0.3"), ReplicaId("10.0.0.2")});
   REQUIRE(aggregatorsOf(kStores, ZoneId("z3")).empty());
 }
 
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -238,7 +238,8 @@
   const bool kept = GENERATE(false, true);
   if (kept) {
     stage.report(1, 1, "one", 1, false);
-    stage.executor().tick(later);
+    stage.executor().tick(later + fromMillis(1100));
+    REQUIRE(stage.proposals() == 1);
     stage.endProposal(true);  // The progress up to event 1 is kept.
   }
   stage.executor().setLeading(false, 2);
