--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -24,8 +24,7 @@
   Held& held = subscribers_.emplace(from, claimed).first->second;
   if (!isFresh(now)) return;
   refreshDirectory();
-  Encoded encoded;
-  update(from, held, encoded);
+  update(from, held);
 }
 
 void FeedServer::unsubscribe(const ConnectionPtr& connection) {
@@ -42,14 +41,21 @@
 void FeedServer::push(Instant now) {
   if (!isFresh(now)) return;
   refreshDirectory();
-  Encoded encoded;
-  for (auto& [connection, held] : subscribers_) update(connection, held, encoded);
+  for (auto& [connection, held] : subscribers_) update(connection, held);
 }
 
-void FeedServer::update(const ConnectionPtr& connection, Held& held, Encoded& encoded) {
-  const auto [entry, is_first] = encoded.try_emplace(held);
+const std::string& FeedServer::encodedUpdate(const Held& held) {
+  if (encoded_to_ != newest()) {
+    encoded_.clear();
+    encoded_to_ = newest();
+  }
+  const auto [entry, is_first] = encoded_.try_emplace(held);
   if (is_first) entry->second = encodeTagged(FleetMessage(updateFor(held)));
-  connection->send(entry->second);
+  return entry->second;
+}
+
+void FeedServer::update(const ConnectionPtr& connection, Held& held) {
+  connection->send(encodedUpdate(held));
   held.document_version = std::max(held.document_version, state_->documentVersion());
   held.engines_revision = std::max(held.engines_revision, state_->enginesRevision());
   held.directory_revision = directory_revision_;
--- a/src/process/fleet/feed_server.hpp
+++ b/src/process/fleet/feed_server.hpp
@@ -20,7 +20,10 @@
 
   FeedServer(const FleetState& state, const StoreDirectory& stores) : state_(&state), stores_(stores) {}
   /// The replica was opened anew, with another state object.
-  void setState(const FleetState& state) { state_ = &state; }
+  void setState(const FleetState& state) {
+    state_ = &state;
+    encoded_.clear();
+  }
 
   void subscribe(Instant now, const SubscribeFrame& frame, const ConnectionPtr& from);
   void unsubscribe(const ConnectionPtr& connection);
@@ -41,10 +44,11 @@
     std::uint64_t directory_revision = 0;
     auto operator<=>(const Held&) const = default;
   };
-  /// Encoded updates of one round, by what their receivers hold.
-  using Encoded = std::map<Held, std::string>;
-
-  void update(const ConnectionPtr& connection, Held& held, Encoded& encoded);
+  /// Encodes what a subscriber that holds this lacks, or takes what was encoded for another one.
+  const std::string& encodedUpdate(const Held& held);
+  void update(const ConnectionPtr& connection, Held& held);
+  /// What this process holds now.
+  Held newest() const { return Held{state_->documentVersion(), state_->enginesRevision(), directory_revision_}; }
   UpdateFrame updateFor(const Held& held) const;
   EngineUpdate engineUpdate(std::uint64_t since) const;
   /// Notes whether the directory has changed.
@@ -56,6 +60,9 @@
   std::map<ConnectionPtr, Held> subscribers_;
   DirectoryUpdate directory_;
   std::uint64_t directory_revision_ = 1;
+  /// Encoded updates to `encoded_to_`, by what their receivers hold.
+  std::map<Held, std::string> encoded_;
+  Held encoded_to_;
   Instant fresh_until_{};
 };
 
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -211,3 +211,12 @@
   apply(state, RegisterEngine{engine("e3", "10.0.0.1:80")});
   REQUIRE(state.engines().size() == 2);
 }
+
+TEST_CASE("engines travel without field names, and those of older logs are read", "[fleet]") {
+  const EngineRecord sent = engine("e1", "10.0.0.1:80", true);
+  REQUIRE(valueOf(decodeStruct<EngineRecord>(encodeStruct(sent))) == sent);
+  const nlohmann::json older = {{"id", "e1"},   {"service", "llm"}, {"address", "10.0.0.1:80"},
+                                {"zone", "z1"}, {"slots", 8},       {"leaving", true}};
+  REQUIRE(valueOf(decodeStruct<EngineRecord>(encodeCbor(older))) == sent);
+  REQUIRE_FALSE(isOk(decodeStruct<EngineRecord>(encodeCbor(nlohmann::json::array({"e1", "llm"})))));
+}
