Name an item's text by its run, so that two runs of one item are never joined

Ruled out: reports out of order (checked by sequence), late saves of an older term (they follow on what is kept or are passed over). Change: each run has a chain of its own; an offered text counts as going on from what is kept only where that was reported by this very run, or nothing was kept since it was ordered; else it is listed whole.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -119,7 +119,6 @@
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
-    run->chain = chains_() >> 11;
     run->due = due;
     loadSavedProgress(*run);
     runs.emplace(item.id, run);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -93,7 +93,8 @@
     /// How much of the text is kept by the group: up to which event, and how many bytes.
     std::uint64_t saved_event = 0;
     std::size_t saved_bytes = 0;
-    /// Who kept that, and the name of this chain of runs.
+    /// The run that reported that, and the name of the run that is under way or ended last: its text goes on from the
+    /// runs before it.
     std::uint64_t saved_chain = 0;
     std::uint64_t chain = 0;
     /// The group keeps progress of another chain: this one is listed with its whole text.
@@ -120,6 +121,12 @@
   };
   using ItemPtr = std::shared_ptr<ItemRun>;
   using RunEnd = fleet::RunEnd;
+  /// Progress that is being proposed.
+  struct ProposedProgress {
+    ItemPtr run;
+    std::uint64_t chain = 0;
+    std::uint64_t last_event = 0;
+  };
   /// A result that is being proposed, and the item it came from.
   struct ProposedResult {
     JobResult result;
@@ -170,7 +177,8 @@
   void saveProgress(Instant now);
   void saveFailure(const ItemRun& run);
   void loadSavedProgress(ItemRun& run) const;
-  void noteSavedProgress(ItemRun& run) const;
+  /// `chain` and `last_event`: what was proposed to be kept.
+  void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
   /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-/// A new chain goes on from what the group keeps.
+/// The next run goes on from what the group keeps.
 void JobExecutor::loadSavedProgress(ItemRun& run) const {
   const StoredJob* job = state_->find(run.job);
   const auto kept = job->progress.find(run.item);
@@ -29,16 +29,16 @@
   run.events = eventsIn(run.text);
 }
 
-/// After a save: what an earlier leadership kept late makes this chain one of its own.
-void JobExecutor::noteSavedProgress(ItemRun& run) const {
+/// After a save: where something else is kept than what was proposed, the text goes on from that no more.
+void JobExecutor::noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const {
   const StoredJob* job = state_->find(run.job);
   if (job == nullptr) return;
   const auto kept = job->progress.find(run.item);
   if (kept == job->progress.end()) return;
-  if (kept->second.chain == run.chain) {
-    run.saved_event = kept->second.last_event;
+  if (kept->second.chain == chain && kept->second.last_event == last_event) {
+    run.saved_event = last_event;
     run.saved_bytes = kept->second.text.size();
-    run.saved_chain = run.chain;
+    run.saved_chain = chain;
     return;
   }
   run.diverged = run.diverged || kept->second.chain != run.saved_chain || kept->second.last_event != run.saved_event;
@@ -48,14 +48,14 @@
   if (saving_ || now < next_save_) return;
   next_save_ = now + kSaveInterval;
   SaveProgress save;
-  std::vector<ItemPtr> saved;
+  std::vector<ProposedProgress> saved;
   for (const auto& [id, runs] : items_) {
     for (const auto& [item, run] : runs) {
       const bool has_news = run->running && !run->diverged && run->last_event && *run->last_event > run->saved_event;
       if (!has_news) continue;
       save.items.push_back({id, item, run->saved_event, run->saved_chain, *run->last_event, run->chain,
                             run->text.substr(run->saved_bytes), run->failures});
-      saved.push_back(run);
+      saved.push_back({run, run->chain, *run->last_event});
     }
   }
   if (save.items.empty()) return;
@@ -63,7 +63,7 @@
   propose_(std::move(save), [this, alive = alive_, saved = std::move(saved)](bool) {
     if (!*alive) return;
     saving_ = false;
-    for (const ItemPtr& run : saved) noteSavedProgress(*run);
+    for (const ProposedProgress& entry : saved) noteSavedProgress(*entry.run, entry.chain, entry.last_event);
   });
 }
 
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 constexpr Duration kRetryAfterDecline = fromMillis(80);
 constexpr Duration kRetryAfterYield = fromMillis(200);
+/// Chains are drawn below 2^53, so that they stay exact in every reader of JSON.
+constexpr unsigned kChainShift = 11;
 /// A run whose store has fallen silent may still be under way there for the rest of its lease.
 constexpr Duration kRetryAfterLoss = fromMillis(300);
 
@@ -28,6 +30,8 @@
                            const request::EngineQuery& query) {
   const ReplicaId runner = board_.chooseRunner(now, choice.engine.zone).value_or(options_.self);
   run->running = true;
+  // Two runs of an item may be under way at two stores for a moment, so each one's text has a name of its own.
+  run->chain = chains_() >> kChainShift;
   run->first_event_at = Instant{};
   run->events_before = run->events;
   run->engine = choice.engine.id;
@@ -126,11 +130,11 @@
 }
 
 /// The offered text is whole, so it replaces what the group keeps; that it goes on from what is kept is known only
-/// where the chain is the same, or nothing was kept since the run was ordered.
+/// where that was reported by this very run, or nothing was kept since it was ordered.
 void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
-  const bool same_chain = run->saved_chain == offered.chain && run->saved_event <= offered.last_event;
+  const bool same_run = run->saved_chain == offered.chain && run->saved_event <= offered.last_event;
   const bool nothing_since = run->saved_chain == offered.saved_chain && run->saved_event == offered.saved_event;
-  run->diverged = run->saved_event > 0 && !same_chain && !nothing_since;
+  run->diverged = run->saved_event > 0 && !same_run && !nothing_since;
   run->chain = offered.chain;
   run->text = offered.text;
   run->has_text = offered.has_text;
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -46,8 +46,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobResult, job, result, after_event, after_chain)
 
 /// How far an open item has got: the text that follows on what is kept up to `after_event` by the chain `after_chain`.
-/// A chain is a series of runs each of which was asked to go on after the last event of the one before; texts of
-/// different chains are never joined in the middle.
+/// A chain is one run and the runs before it, each of which was asked to go on after the last event of the one before;
+/// it is named by its last run. Texts of different chains are never joined in the middle.
 struct ItemProgress {
   JobId job;
   std::string item;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -288,3 +288,34 @@
   while (stage.proposals() > 0) stage.endProposal(true);
   REQUIRE(stage.job().results.front().text == "one\ntwo");
 }
+
+TEST_CASE("a run that was replaced before it is offered is not joined with its successor's text", "[store][executor]") {
+  ExecutorStage stage(fromMillis(40));
+  stage.executor().setLeading(true, 1);
+  stage.waitUntil(connection::monotonicNow() + fromMillis(45));
+  stage.executor().tick(connection::monotonicNow());
+  const RunOrder replaced = stage.lastOrder();
+  stage.report(1, 1, "one", 1, false);
+  // Its store has lost it, as far as the leader knows; another run goes on after event 1 and is kept up to event 2.
+  stage.executor().take(RunReport{kSelf, 1, {}, {}});
+  stage.waitUntil(connection::monotonicNow() + fromMillis(310));
+  stage.executor().tick(connection::monotonicNow());
+  REQUIRE(stage.orders() == 2);
+  REQUIRE(stage.lastOrder().last_event == 1);
+  stage.report(1, 1, "\nTWO", 2, false);
+  while (stage.proposals() > 0) stage.endProposal(true);
+  stage.executor().tick(connection::monotonicNow() + fromMillis(1100));
+  REQUIRE(stage.proposals() == 1);
+  stage.endProposal(true);
+  REQUIRE(stage.job().progress.at("i").last_event == 2);
+  // The store of the replaced run was only out of reach, and offers it to the next leader.
+  stage.executor().setLeading(false, 2);
+  stage.executor().setLeading(true, 3);
+  fleet::RunOffer offer = offerOf(replaced, 3, true);
+  offer.runs.front().text = "one\ntwo\nthree";
+  offer.runs.front().last_event = 3;
+  stage.executor().take(offer);
+  while (stage.proposals() > 0) stage.endProposal(true);
+  REQUIRE(stage.job().results.size() == 1);
+  REQUIRE(stage.job().results.front().text == "one\ntwo\nthree");
+}
