--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -200,8 +200,10 @@
   const double blind_choices = others / slotHoldMs(query.service) * toSeconds(blind_for) * 1000;
   if (blind_choices <= limits_.blind_choices_each) return;
   const double share = limits_.blind_choices_each / blind_choices;
-  const double wanted = std::max(limits_.fewest_drawn, share * static_cast<double>(usable.size()));
-  const auto drawn = static_cast<std::size_t>(std::ceil(wanted));
+  const auto drawn = static_cast<std::size_t>(std::ceil(share * static_cast<double>(usable.size())));
+  const auto speaking = std::partition(usable.begin(), usable.end(),
+                                       [this, now](const EngineState* state) { return silenceCost(now, *state) == 0; });
+  if (speaking != usable.begin()) usable.erase(speaking, usable.end());
   if (drawn >= usable.size()) return;
   std::shuffle(usable.begin(), usable.end(), random_);
   usable.resize(drawn);
@@ -256,7 +258,9 @@
   EngineChoice choice;
   choice.engine = state.record;
   choice.cost_ms = cost_ms;
-  choice.expected_first_ms = readingMs(now, state, query, kept) + slotWaitMs(now, state);
+  choice.expected_first_ms = readingMs(now, state, query, kept);
+  // A guessed time would turn callers back just when processes have started anew.
+  if (hold_ms_.contains(state.record.service)) choice.expected_first_ms += slotWaitMs(now, state);
   choice.in_flight = state.in_flight;
   choice.estimated_running = estimatedRunning(now, state);
   choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -81,9 +81,8 @@
   /// Weight of the last interval between told loads against all earlier ones.
   double blind_learning_rate = 0.2;
   /// A choice is made among so many engines drawn by lot that about this many blind choices fall on the least loaded
-  /// one, but among no fewer than the second.
+  /// one; where each engine gets more than that between two tellings, loads say nothing and one is drawn.
   double blind_choices_each = 2;
-  double fewest_drawn = 3;
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have under way counts for this long.
@@ -113,7 +112,8 @@
 struct EngineChoice {
   EngineRecord engine;
   double cost_ms = 0;
-  /// How long the request will wait for a slot and for its prompt to be read, as far as is known.
+  /// How long the request will wait for its prompt to be read, and for a slot where it was seen how long requests hold
+  /// one.
   double expected_first_ms = 0;
   std::uint32_t in_flight = 0;
   double estimated_running = 0;
@@ -234,7 +234,8 @@
   double keptShare(Instant now, const EngineState& state, std::uint64_t prefix,
                    const std::vector<EngineId>& homes) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
-  /// Draws some of the engines, so that processes that know the same loads do not all choose the same engine.
+  /// Draws some of the engines, so that processes that know the same loads do not all choose the same engine; among
+  /// those that nothing speaks against, where there are any.
   void drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable);
   EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, double kept,
                         std::size_t among) const;
--- a/tests/request/exchange/arrival_gate_test.cpp
+++ b/tests/request/exchange/arrival_gate_test.cpp
@@ -59,6 +59,9 @@
   EngineSelector selector(1);
   const ArrivalGate gate(1);
   selector.setEngines({engine()});
+  const TicketId seen = selector.begin(kStart, EngineId("engine-0"), query());
+  selector.noteFirstByte(kStart, seen);
+  selector.end(kStart + fromMillis(700), seen, EngineVerdict::kGood);
   const auto waits = [&] {
     const auto choice = selector.choose(kStart, query());
     return Duration(static_cast<Duration::rep>(choice->expected_first_ms * 1000));
@@ -73,6 +76,13 @@
   REQUIRE_FALSE(gate.admits(kObjective, Duration::zero(), waits()));
 }
 
+TEST_CASE("a process that has not seen how long slots are held turns nobody back for the wait", "[gate][selector]") {
+  EngineSelector selector(1);
+  selector.setEngines({engine()});
+  for (int i = 0; i < 40; ++i) selector.noteFirstByte(kStart, selector.begin(kStart, EngineId("engine-0"), query()));
+  REQUIRE(selector.choose(kStart, query())->expected_first_ms < 10);
+}
+
 TEST_CASE("the time for which slots are held is learned from online requests alone", "[gate][selector]") {
   EngineSelector selector(1);
   selector.setEngines({engine()});
