Report loads 10 ms after a change, and send digests at each tick of the store

Change: reports follow changes, digests come every 50 ms with 43 engines at most (the same bytes a second), totals between zones every 100 ms.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -16,8 +16,10 @@
 
 namespace {
 
-/// How often a gateway looks whether what it has under way has changed since it last told it.
-constexpr Duration kLoadInterval = fromMillis(50);
+/// Changes of what a gateway has under way that are closer together than this are reported together.
+constexpr Duration kLoadReportDelay = fromMillis(10);
+/// How often a gateway looks for what changes by time alone: answers that are overdue, reports to be repeated.
+constexpr Duration kLoadInterval = fromMillis(100);
 constexpr Duration kMaintenanceInterval = fromMillis(1000);
 /// A gateway that is being stopped takes new connections for this long, since callers learn of it with a delay.
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
@@ -50,7 +52,8 @@
       stores_(context_, settings_.store_port, drawSeed()),
       loads_(settings_.name, settings_.zone,
              [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
-      jobs_(*dialect_, stores_, drawSeed()) {}
+      jobs_(*dialect_, stores_, drawSeed()),
+      load_timer_(context_) {}
 
 GatewayProgram::~GatewayProgram() = default;
 
@@ -81,6 +84,7 @@
   const Status measuring = metrics_->start();
   if (!isOk(measuring)) return measuring;
 
+  selector_.setChangeHandler([this] { reportLoadSoon(); });
   stores_.setDigestHandler([this](const fleet::LoadDigestFrame& digest) {
     const Instant now = monotonicNow();
     if (const auto others = loads_.take(now, digest)) selector_.noteOthers(now, *others);
@@ -241,7 +245,17 @@
   }
 }
 
-/// Tells an aggregator what is under way here.
+void GatewayProgram::reportLoadSoon() {
+  if (std::exchange(load_timer_armed_, true)) return;
+  load_timer_.expires_after(kLoadReportDelay);
+  load_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    load_timer_armed_ = false;
+    const Instant now = monotonicNow();
+    loads_.report(now, selector_.ownShares(now));
+  });
+}
+
 Awaitable<void> GatewayProgram::loadLoop() {
   while (true) {
     co_await connection::sleepFor(kLoadInterval);
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -44,6 +44,8 @@
   void fillMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> maintenanceLoop();
   connection::Awaitable<void> loadLoop();
+  /// Reports what is under way here, with other changes of the same moment.
+  void reportLoadSoon();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
 
@@ -59,6 +61,8 @@
   fleet::LoadReporter loads_;
   JobApi jobs_;
   ExchangeCounters counters_;
+  connection::asio::steady_timer load_timer_;
+  bool load_timer_armed_ = false;
   std::unique_ptr<fleet::FeedClient> feed_;
   std::unique_ptr<connection::HttpServer> callers_;
   std::unique_ptr<connection::HttpServer> readiness_;
--- a/src/process/store/load_aggregator.cpp
+++ b/src/process/store/load_aggregator.cpp
@@ -10,12 +10,14 @@
 namespace hatchfork::store {
 namespace {
 
-/// Time between digests: about a seventh of the time for which an online request holds its slot.
-constexpr Duration kDigestInterval = fromMillis(100);
+/// Least time between digests: one goes out at each tick of the store, 50 ms apart.
+constexpr Duration kDigestInterval = fromMillis(40);
+/// Time between totals: they cross zones, and go to each aggregator.
+constexpr Duration kTotalsInterval = fromMillis(90);
 /// A digest that tells nothing is sent only this often, as a sign of life.
 constexpr Duration kEmptyInterval = fromMillis(400);
 /// Most entries of one digest: 6 KB a second for a receiver.
-constexpr std::size_t kMostEntries = 87;
+constexpr std::size_t kMostEntries = 43;
 /// A process that has reported nothing for this long gets no digests any more.
 constexpr Duration kReceiverLifetime = std::chrono::seconds(2);
 
@@ -64,7 +66,7 @@
   expire(now);
   next_digest_ = now + kDigestInterval;
   if (receivers_.empty()) return;
-  sendTotals();
+  sendTotals(now);
   sendDigest(now);
 }
 
@@ -74,7 +76,9 @@
   std::erase_if(receivers_, [now](const auto& entry) { return now > entry.second.heard_at + kReceiverLifetime; });
 }
 
-void LoadAggregator::sendTotals() {
+void LoadAggregator::sendTotals(Instant now) {
+  if (now < next_totals_) return;
+  next_totals_ = now + kTotalsInterval;
   request::LoadDigestWriter whole;
   const fleet::LoadTotalsFrame frame{self_, whole.changes(local_.totals())};
   for (const ReplicaId& peer : peers_) send_(peer, frame);
--- a/src/process/store/load_aggregator.hpp
+++ b/src/process/store/load_aggregator.hpp
@@ -48,7 +48,7 @@
   };
 
   void expire(Instant now);
-  void sendTotals();
+  void sendTotals(Instant now);
   void sendDigest(Instant now);
   std::string frameOf(std::string digest, bool is_whole) const;
 
@@ -63,6 +63,7 @@
   request::LoadBoard all_;
   request::LoadDigestWriter digest_;
   Instant next_digest_{};
+  Instant next_totals_{};
   /// When the last digest went out, an empty one included.
   Instant told_at_{};
 };
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -293,6 +293,7 @@
     state.due.insert(due);
   }
   tickets_[ticket] = Ticket{engine, unread, due, false, query.background, Instant{}};
+  noteChange();
   return ticket;
 }
 
@@ -367,6 +368,7 @@
   if (found == tickets_.end()) return;
   const Ticket ended = found->second;
   tickets_.erase(found);
+  noteChange();
   const auto engine = engines_.find(ended.engine);
   if (engine == engines_.end()) return;
   EngineState& state = engine->second;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -148,6 +149,8 @@
  public:
   explicit EngineSelector(std::uint64_t seed, SelectorLimits limits = {}) : limits_(limits), random_(seed) {}
 
+  /// Called whenever what this process has under way changes.
+  void setChangeHandler(std::function<void()> on_change) { on_change_ = std::move(on_change); }
   /// Takes the engines that are registered now; what is known of those that stay is kept.
   void setEngines(const std::vector<EngineRecord>& engines);
   std::optional<EngineChoice> choose(Instant now, const EngineQuery& query);
@@ -240,8 +243,13 @@
   EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, double kept,
                         std::size_t among) const;
 
+  void noteChange() const {
+    if (on_change_) on_change_();
+  }
+
   SelectorLimits limits_;
   std::mt19937_64 random_;
+  std::function<void()> on_change_;
   std::map<EngineId, EngineState> engines_;
   /// Engines that this process has requests at, or avoids; those without either are taken out when shares are told.
   std::set<EngineId> engaged_;
