Never use a run's number twice within a term; ended runs are offered for 8 s

Cause (found reading updateLeading beside the longer patience of a busy leader): an executor that was set aside after 800 ms without a quorum and taken up again in the same term began its numbers anew; a store ignores an order whose number it knows, and its reports of the old run would have been taken for the new one. Runs that ended are kept for 8 s, longer than the changes of leader that were seen.

--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -31,7 +31,7 @@
 /// of leader take, shorter than the time within which the runs of an ended job must stop.
 constexpr Duration kLease = fromMillis(2500);
 /// Runs that ended within this time are offered to a new leader: its predecessor may not have listed their results.
-constexpr Duration kEndedKept = std::chrono::seconds(3);
+constexpr Duration kEndedKept = std::chrono::seconds(8);
 constexpr Duration kReportInterval = fromMillis(200);
 /// First events and ends are reported at once, together with others of the same moment.
 constexpr Duration kReportSoon = fromMillis(15);
--- a/src/process/store/run_board.cpp
+++ b/src/process/store/run_board.cpp
@@ -14,7 +14,8 @@
 
 void RunBoard::startTerm(Instant now, std::uint64_t term) {
   clear();
-  last_number_ = term << kTermShift;
+  // Numbers go on rising where the same term begins once more.
+  last_number_ = std::max(last_number_, term << kTermShift);
   announced_until_ = now + limits_.announced_for;
   next_lease_ = now;
 }
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -49,7 +49,7 @@
  public:
   RunBoard(ReplicaId self, RunBoardLimits limits) : self_(std::move(self)), limits_(limits) {}
 
-  /// A leadership begins: nothing is under way as far as it knows. Numbers of runs differ from those of other terms.
+  /// A leadership begins: nothing is under way as far as it knows. Numbers of runs differ from all earlier ones.
   void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
   void setRunners(std::map<ReplicaId, ZoneId> runners);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -33,9 +33,6 @@
 constexpr std::size_t kRunsPerMegabyte = 2;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
 constexpr std::size_t kFewestVoters = 3;
-/// A leader that no quorum has confirmed for this long lets its runs go on: breaking all of them off for a moment of
-/// load costs more than a few that another leader begins meanwhile.
-constexpr Duration kUnconfirmedRuns = fromMillis(800);
 /// A store under load may be late by a fifth of a second; elections in series cost more than a slow one.
 constexpr consensus::Timing kStoreTiming{fromMillis(75), fromMillis(300)};
 
@@ -206,9 +203,9 @@
 void StoreProgram::updateLeading() {
   const Instant now = monotonicNow();
   if (group_->isConfirmedLeader()) confirmed_at_ = now;
+  // A leader that no quorum confirms for a moment goes on; the group ends its leadership if that lasts.
   const bool same_leadership = executor_->isLeading() && group_->isLeader() && group_->term() == executor_->term();
-  const bool unconfirmed_lately = same_leadership && now < confirmed_at_ + kUnconfirmedRuns;
-  executor_->setLeading(!stopping_ && (confirmed_at_ == now || unconfirmed_lately), group_->term());
+  executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
 }
 
 void StoreProgram::onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from) {
--- a/tests/process/store/run_board_test.cpp
+++ b/tests/process/store/run_board_test.cpp
@@ -1,6 +1,7 @@
 #include "process/store/run_board.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace hatchfork;
 using namespace hatchfork::store;
@@ -128,3 +129,28 @@
   REQUIRE(there < 25);
   REQUIRE(runs.chooseRunner(at(0), kZone) != kElsewhere);
 }
+
+TEST_CASE("numbers of runs differ over terms, and within a term that begins once more", "[store][runs]") {
+  RunBoard runs = board(0, 100);
+  std::set<std::uint64_t> numbers;
+  for (const std::uint64_t term : {1, 2, 2, 5, 5, 6}) {
+    runs.startTerm(at(0), term);
+    for (int i = 0; i < 3; ++i) numbers.insert(runs.begin(at(0), kThere));
+  }
+  REQUIRE(numbers.size() == 18);
+}
+
+TEST_CASE("a run that a store has and the leader does not know is stopped there", "[store][runs]") {
+  RunBoard runs = board(0, 100);
+  runs.startTerm(at(0), 2);
+  runs.check(at(100), RunReport{kThere, 2, {}, {77}});
+  REQUIRE(runs.takeLeases(at(100)).at(kThere) == std::vector<std::uint64_t>{77});
+}
+
+TEST_CASE("a new leader tells all stores of itself for a while", "[store][runs]") {
+  RunBoard runs = board(0, 100);
+  runs.startTerm(at(0), 2);
+  REQUIRE(runs.takeLeases(at(0)).size() == 3);
+  REQUIRE(runs.takeLeases(at(60)).size() == 3);
+  REQUIRE(runs.takeLeases(at(5000)).empty());
+}
