Take back the sooner first election after a start

Replicas that have just started do not hear a living leader yet and elect another one among themselves; each change of leader costs the older fleet its item leases.

--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -78,7 +78,7 @@
   rebuildMemberships(header);
   compactLog();
   if (fault_) return *fault_;
-  setFirstElectionDeadline();
+  resetElectionDeadline();
   next_hello_ = now_;
   return okStatus();
 }
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -121,9 +121,6 @@
   // Election (replica_election.cpp).
   void tickElection();
   void resetElectionDeadline();
-  /// Sooner than after a leader fell silent: a replica that has just started has none to wait for, and pre-votes
-  /// disturb no leader that others hear.
-  void setFirstElectionDeadline();
   bool hasLiveLeader() const;
   void startPreVote();
   void startElection(bool leadership_transfer);
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -20,11 +20,6 @@
   election_deadline_ = now_ + timeout + Duration(extra(random_));
 }
 
-void Replica::setFirstElectionDeadline() {
-  std::uniform_int_distribution<Duration::rep> extra(0, options_.timing.election_timeout.count() - 1);
-  election_deadline_ = now_ + options_.timing.heartbeat_interval + Duration(extra(random_));
-}
-
 void Replica::tickElection() {
   if (!isSelfVoter() || now_ < election_deadline_) return;
   // While it applies a long log, heartbeats may wait unread.
