--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -1,6 +1,8 @@
 #include "process/consensus/replica.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 #include "tests/process/consensus/test_cluster.hpp"
 
@@ -31,6 +33,26 @@
   }
 }
 
+TEST_CASE("a cluster forms whatever the order in which its members start", "[consensus][start]") {
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    TestCluster cluster(seed, 3);
+    std::mt19937_64 random(seed);
+    std::vector<std::pair<std::int64_t, std::size_t>> starts;
+    for (std::size_t number = 1; number <= 3; ++number) starts.emplace_back(random() % 300, number);
+    std::sort(starts.begin(), starts.end());
+    std::int64_t now = 0;
+    for (const auto& [at, number] : starts) {
+      cluster.run(at - now);
+      now = at;
+      cluster.host(number).start();
+    }
+    cluster.run(4000);
+    INFO("seed " << seed);
+    REQUIRE(cluster.leader() != nullptr);
+    REQUIRE(cluster.write("a=1"));
+  }
+}
+
 TEST_CASE("no cluster forms while one initial member is missing", "[consensus]") {
   TestCluster cluster(1);
   for (std::size_t number = 1; number <= 4; ++number) cluster.host(number).start();
