A replica that stands still again and again asks for votes all the same

Cause: after a gap of a heartbeat interval between two ticks the time of the next election was put off by one heartbeat interval; where every gap is that long (a starved machine), it was put off for ever, so a group without a leader stayed without one. Change: it is put off only while a leader was heard within three election timeouts.

--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -134,6 +134,8 @@
   /// `cause` is for the log.
   void leaveLeadership(std::string_view cause);
   void checkQuorum();
+  /// Within the time for which a busy replica waits for its leader.
+  bool heardLeaderLately() const;
   /// This replica stood still lately, or is applying a long log: what others sent may wait unread.
   bool isHeldUp() const;
   /// Notes that this replica itself stood still, so that messages which say otherwise may wait unread.
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -23,9 +23,7 @@
 void Replica::tickElection() {
   if (!isSelfVoter() || now_ < election_deadline_) return;
   // While it applies a long log, heartbeats may wait unread.
-  const bool had_leader = leader_ && leader_heard_at_ != Instant::min();
-  const Duration most_silence = kMostStalledTimeouts * options_.timing.election_timeout;
-  if (had_leader && applied_ < committed_ && now_ < leader_heard_at_ + most_silence) return;
+  if (applied_ < committed_ && heardLeaderLately()) return;
   startPreVote();
 }
 
@@ -194,6 +192,11 @@
   becomeFollower(record_.term, std::nullopt, "no_quorum");
 }
 
+bool Replica::heardLeaderLately() const {
+  const Duration most_silence = kMostStalledTimeouts * options_.timing.election_timeout;
+  return leader_heard_at_ != Instant::min() && now_ < leader_heard_at_ + most_silence;
+}
+
 bool Replica::isHeldUp() const {
   const bool stalled_lately =
       resumed_at_ != Instant::min() && now_ < resumed_at_ + kStallRemembered * options_.timing.heartbeat_interval;
@@ -205,9 +208,10 @@
   ticked_at_ = now_;
   if (!stalled) return;
   resumed_at_ = now_;
-  // The leader's heartbeats may wait unread as well.
-  const Instant soonest = now_ + options_.timing.heartbeat_interval;
-  if (role_ != Role::kLeader) election_deadline_ = std::max(election_deadline_, soonest);
+  // The heartbeats of a leader that was heard lately may wait unread as well. Without that bound, a replica that stands
+  // still again and again would never ask for votes.
+  if (role_ == Role::kLeader || !heardLeaderLately()) return;
+  election_deadline_ = std::max(election_deadline_, now_ + options_.timing.heartbeat_interval);
 }
 
 void Replica::transferLeadership(Instant now) {
--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -53,6 +53,33 @@
   }
 }
 
+TEST_CASE("replicas that stand still again and again still elect a leader", "[consensus][start]") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    TestCluster cluster(seed, 3);
+    cluster.startAll();
+    REQUIRE(cluster.write("a=1"));
+    sim::ReplicaHost* former = cluster.leader();
+    former->crash();
+    // Each goes on for a moment between two stalls that are longer than a heartbeat interval.
+    bool led = false;
+    for (int step = 0; step < 100 && !led; ++step) {
+      for (const auto& [name, host] : cluster.hosts()) {
+        if (host->isUp()) host->freeze();
+      }
+      cluster.run(150);
+      for (const auto& [name, host] : cluster.hosts()) {
+        if (host->isUp()) host->thaw();
+      }
+      cluster.run(4);
+      for (const auto& [name, host] : cluster.hosts()) {
+        if (host->isUp() && host->group(0)->role() == Role::kLeader) led = true;
+      }
+    }
+    INFO("seed " << seed);
+    REQUIRE(led);
+  }
+}
+
 TEST_CASE("no cluster forms while one initial member is missing", "[consensus]") {
   TestCluster cluster(1);
   for (std::size_t number = 1; number <= 4; ++number) cluster.host(number).start();
