--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -22,13 +22,7 @@
 /// The one group of all stores.
 constexpr GroupId kStoreGroup = 1;
 constexpr Duration kTickInterval = fromMillis(50);
-constexpr Duration kProposalTimeout = fromMillis(2000);
 constexpr Duration kLeadershipHandOverTime = fromMillis(1500);
-constexpr std::size_t kMostResultBytes = 700u << 10;
-/// Share of the process's memory that bodies and texts may take; the log's tail, messages under way and their copies
-/// need the rest.
-constexpr double kHeldShare = 0.38;
-constexpr double kBytesPerMegabyte = 1 << 20;
 /// Each run holds its request, its text and buffers.
 constexpr std::size_t kRunsPerMegabyte = 2;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
@@ -36,12 +30,6 @@
 /// A store under load may be late by a fifth of a second; elections in series cost more than a slow one.
 constexpr consensus::Timing kStoreTiming{fromMillis(75), fromMillis(300)};
 
-StoreReply replyOf(const ProposalOutcome& outcome) {
-  if (outcome.result == ProposalResult::kApplied) return DoneReply{};
-  const bool may_apply = outcome.result == ProposalResult::kUnknown;
-  return UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"};
-}
-
 }  // namespace
 
 StoreProgram::StoreProgram(fleet::FleetSettings settings, std::string settings_file,
@@ -208,54 +196,6 @@
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
 }
 
-void StoreProgram::onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from) {
-  LoadReceiver receiver{from.get(), [from](const std::string& frame) { from->send(frame); }};
-  aggregator_.take(monotonicNow(), report, std::move(receiver));
-}
-
-void StoreProgram::onReturnedFrame(const std::string& body) {
-  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
-  if (!isOk(message)) {
-    logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
-    return;
-  }
-  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&valueOf(message))) onDigest(*digest);
-}
-
-void StoreProgram::onDigest(const fleet::LoadDigestFrame& digest) {
-  const Instant now = monotonicNow();
-  if (const auto others = own_load_.take(now, digest)) executor_->noteOthers(now, *others);
-}
-
-bool StoreProgram::sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report) {
-  if (to != settings_.self()) return links_.send(to, report);
-  // Posted, so that the reporter is not called back from within its own call.
-  LoadReceiver receiver{this, [this](const std::string& frame) {
-                          connection::asio::post(context_, [this, frame] { onReturnedFrame(frame); });
-                        }};
-  aggregator_.take(monotonicNow(), report, std::move(receiver));
-  return true;
-}
-
-void StoreProgram::reportOwnLoad(Instant now) {
-  const bool leading = executor_->isLeading();
-  if (!leading && !reports_load_) return;
-  reports_load_ = leading;
-  own_load_.report(now, executor_->ownShares(now));
-}
-
-void StoreProgram::onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from) {
-  auto reply = [from, number = frame.number](const StoreReply& body) {
-    from->send(encodeTagged(FleetMessage(fleet::StoreReplyFrame{number, encodeTagged(body)})));
-  };
-  Result<StoreRequest> request = decodeTagged<StoreRequest>(frame.request);
-  if (!isOk(request)) {
-    reply(UnavailableReply{false, "malformed request"});
-    return;
-  }
-  std::visit([&](auto& body) { serve(std::move(body), reply); }, valueOf(request));
-}
-
 void StoreProgram::fillMetrics(metrics::MetricsPage& page) const {
   fleet::fillGroupMetrics(page, group_->status());
   const JobExecutorCounters& counters = executor_->counters();
@@ -285,100 +225,6 @@
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
 
-bool StoreProgram::mayStoreMore() const {
-  return static_cast<double>(state_->heldBytes()) < kHeldShare * settings_.memory_mb * kBytesPerMegabyte;
-}
-
-void StoreProgram::serve(SubmitJobRequest request, ReplyFunction reply) {
-  const JobId id = request.job.id;
-  const std::size_t items = request.job.items.size();
-  if (state_->find(id) != nullptr) {
-    // Applied here, so committed: a resend needs no second entry.
-    reply(DoneReply{});
-    return;
-  }
-  if (!mayStoreMore()) {
-    logEvent(LogLevel::kWarning, "job_refused", {{"job", id.value}, {"cause", "full"}, {"held", state_->heldBytes()}});
-    reply(UnavailableReply{false, "full"});
-    return;
-  }
-  const WaitingLimit limit = request.limit;
-  const std::uint64_t tokens = tokensOf(request.job);
-  SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
-  auto done = [this, id, items, limit, tokens, reply = std::move(reply)](const ProposalOutcome& outcome) {
-    const bool over_limit = outcome.result == ProposalResult::kApplied && outcome.reply == kApplyOverLimit;
-    if (over_limit) ++over_limit_jobs_;
-    logEvent(LogLevel::kInfo, "job_submitted",
-             {{"job", id.value},
-              {"items", items},
-              {"tokens", tokens},
-              {"kept", outcome.result == ProposalResult::kApplied && !over_limit},
-              {"over_limit", over_limit}});
-    reply(over_limit ? overLimit(limit, tokens) : replyOf(outcome));
-  };
-  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
-}
-
-/// The time to return follows from how fast the route's tokens are finished.
-StoreReply StoreProgram::overLimit(const WaitingLimit& limit, std::uint64_t job_tokens) const {
-  const std::uint64_t waiting = state_->waitingTokens(limit.host, limit.prefix);
-  const std::uint64_t wanted = waiting + job_tokens;
-  const std::uint64_t excess = wanted - std::min(wanted, limit.most_tokens);
-  const Duration until_room = finished_tokens_.timeToDrain(monotonicNow(), excess);
-  return OverLimitReply{waiting, job_tokens, static_cast<std::uint32_t>(toMillis(until_room))};
-}
-
-void StoreProgram::serve(EndJobRequest request, ReplyFunction reply) {
-  const JobId id = request.job;
-  auto logged = [id, reply = std::move(reply)](const StoreReply& outcome) {
-    logEvent(LogLevel::kInfo, "job_ended", {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(outcome)}});
-    reply(outcome);
-  };
-  propose(EndJob{id}, logged);
-}
-
-void StoreProgram::propose(JobCommand command, ReplyFunction reply) {
-  group_->propose(encodeTagged(command), kProposalTimeout,
-                  [reply = std::move(reply)](const ProposalOutcome& outcome) { reply(replyOf(outcome)); });
-}
-
-void StoreProgram::answerFresh(std::function<StoreReply()> answer, ReplyFunction reply) {
-  group_->read([answer = std::move(answer), reply = std::move(reply)](bool fresh) {
-    reply(fresh ? answer() : StoreReply(UnavailableReply{false, "no quorum has confirmed a fresh read"}));
-  });
-}
-
-void StoreProgram::serve(ReadResultsRequest request, ReplyFunction reply) {
-  group_->read([this, request = std::move(request), reply = std::move(reply)](bool fresh) {
-    if (!fresh) {
-      reply(UnavailableReply{false, "no quorum has confirmed a fresh read"});
-      return;
-    }
-    const StoredJob* job = state_->find(request.job);
-    if (job == nullptr) {
-      reply(UnknownReply{});
-      return;
-    }
-    const bool has_result = request.from < job->results.size();
-    if (has_result || request.wait_ms == 0 || job->isFinished()) {
-      reply(resultsFrom(*job, request.from, kMostResultBytes));
-      return;
-    }
-    held_reads_.push_back(HeldRead{request, monotonicNow() + fromMillis(request.wait_ms), reply});
-  });
-}
-
-void StoreProgram::serve(ReadItemRequest request, ReplyFunction reply) {
-  auto answer = [this, request]() -> StoreReply {
-    const StoredJob* job = state_->find(request.job);
-    if (job == nullptr) return UnknownReply{};
-    const auto open = job->open_items.find(request.item);
-    if (open == job->open_items.end()) return UnknownReply{};
-    return ItemReply{job->submission.items[open->second].body};
-  };
-  answerFresh(answer, std::move(reply));
-}
-
 void StoreProgram::noteChange(const JobId& job) {
   changed_jobs_.insert(job);
   if (std::exchange(change_posted_, true)) return;
@@ -390,28 +236,6 @@
   });
 }
 
-void StoreProgram::answerHeldReads(Instant now) {
-  std::vector<HeldRead> due;
-  for (auto held = held_reads_.begin(); held != held_reads_.end();) {
-    const StoredJob* job = state_->find(held->request.job);
-    const bool has_result = job != nullptr && (held->request.from < job->results.size() || job->isFinished());
-    if (has_result || now >= held->deadline || job == nullptr) {
-      due.push_back(std::move(*held));
-      held = held_reads_.erase(held);
-    } else {
-      ++held;
-    }
-  }
-  for (const HeldRead& held : due) {
-    const StoredJob* job = state_->find(held.request.job);
-    if (job == nullptr) {
-      held.reply(UnavailableReply{false, "the job is being replaced"});
-    } else {
-      held.reply(resultsFrom(*job, held.request.from, kMostResultBytes));
-    }
-  }
-}
-
 /// A state that was restored counts anew.
 void StoreProgram::measureProgress(Instant now) {
   const std::uint64_t listed = state_->listedTokens();
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -36,6 +36,9 @@
   Status run();
 
  private:
+  /// A proposal without an outcome after this long counts as unknown.
+  static constexpr Duration kProposalTimeout = fromMillis(2000);
+
   using ConnectionPtr = connection::FrameServer::ConnectionPtr;
   using ReplyFunction = std::function<void(StoreReply)>;
 
--- /dev/null
+++ b/src/process/store/store_program_requests.cpp
@@ -0,0 +1,158 @@
+#include <utility>
+
+#include "common/log.hpp"
+#include "process/store/store_program.hpp"
+
+// Requests of gateways, and their answers.
+namespace hatchfork::store {
+
+using connection::monotonicNow;
+using fleet::FleetMessage;
+using fleet::ProposalOutcome;
+using fleet::ProposalResult;
+
+namespace {
+
+constexpr std::size_t kMostResultBytes = 700u << 10;
+/// Share of the process's memory that bodies and texts may take; the log's tail, messages under way and their copies
+/// need the rest.
+constexpr double kHeldShare = 0.38;
+constexpr double kBytesPerMegabyte = 1 << 20;
+
+StoreReply replyOf(const ProposalOutcome& outcome) {
+  if (outcome.result == ProposalResult::kApplied) return DoneReply{};
+  const bool may_apply = outcome.result == ProposalResult::kUnknown;
+  return UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"};
+}
+
+}  // namespace
+
+void StoreProgram::onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from) {
+  auto reply = [from, number = frame.number](const StoreReply& body) {
+    from->send(encodeTagged(FleetMessage(fleet::StoreReplyFrame{number, encodeTagged(body)})));
+  };
+  Result<StoreRequest> request = decodeTagged<StoreRequest>(frame.request);
+  if (!isOk(request)) {
+    reply(UnavailableReply{false, "malformed request"});
+    return;
+  }
+  std::visit([&](auto& body) { serve(std::move(body), reply); }, valueOf(request));
+}
+
+bool StoreProgram::mayStoreMore() const {
+  return static_cast<double>(state_->heldBytes()) < kHeldShare * settings_.memory_mb * kBytesPerMegabyte;
+}
+
+void StoreProgram::serve(SubmitJobRequest request, ReplyFunction reply) {
+  const JobId id = request.job.id;
+  const std::size_t items = request.job.items.size();
+  if (state_->find(id) != nullptr) {
+    // Applied here, so committed: a resend needs no second entry.
+    reply(DoneReply{});
+    return;
+  }
+  if (!mayStoreMore()) {
+    logEvent(LogLevel::kWarning, "job_refused", {{"job", id.value}, {"cause", "full"}, {"held", state_->heldBytes()}});
+    reply(UnavailableReply{false, "full"});
+    return;
+  }
+  const WaitingLimit limit = request.limit;
+  const std::uint64_t tokens = tokensOf(request.job);
+  SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
+  auto done = [this, id, items, limit, tokens, reply = std::move(reply)](const ProposalOutcome& outcome) {
+    const bool over_limit = outcome.result == ProposalResult::kApplied && outcome.reply == kApplyOverLimit;
+    if (over_limit) ++over_limit_jobs_;
+    logEvent(LogLevel::kInfo, "job_submitted",
+             {{"job", id.value},
+              {"items", items},
+              {"tokens", tokens},
+              {"kept", outcome.result == ProposalResult::kApplied && !over_limit},
+              {"over_limit", over_limit}});
+    reply(over_limit ? overLimit(limit, tokens) : replyOf(outcome));
+  };
+  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
+}
+
+/// The time to return follows from how fast the route's tokens are finished.
+StoreReply StoreProgram::overLimit(const WaitingLimit& limit, std::uint64_t job_tokens) const {
+  const std::uint64_t waiting = state_->waitingTokens(limit.host, limit.prefix);
+  const std::uint64_t wanted = waiting + job_tokens;
+  const std::uint64_t excess = wanted - std::min(wanted, limit.most_tokens);
+  const Duration until_room = finished_tokens_.timeToDrain(monotonicNow(), excess);
+  return OverLimitReply{waiting, job_tokens, static_cast<std::uint32_t>(toMillis(until_room))};
+}
+
+void StoreProgram::serve(EndJobRequest request, ReplyFunction reply) {
+  const JobId id = request.job;
+  auto logged = [id, reply = std::move(reply)](const StoreReply& outcome) {
+    logEvent(LogLevel::kInfo, "job_ended", {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(outcome)}});
+    reply(outcome);
+  };
+  propose(EndJob{id}, logged);
+}
+
+void StoreProgram::propose(JobCommand command, ReplyFunction reply) {
+  group_->propose(encodeTagged(command), kProposalTimeout,
+                  [reply = std::move(reply)](const ProposalOutcome& outcome) { reply(replyOf(outcome)); });
+}
+
+void StoreProgram::answerFresh(std::function<StoreReply()> answer, ReplyFunction reply) {
+  group_->read([answer = std::move(answer), reply = std::move(reply)](bool fresh) {
+    reply(fresh ? answer() : StoreReply(UnavailableReply{false, "no quorum has confirmed a fresh read"}));
+  });
+}
+
+void StoreProgram::serve(ReadResultsRequest request, ReplyFunction reply) {
+  group_->read([this, request = std::move(request), reply = std::move(reply)](bool fresh) {
+    if (!fresh) {
+      reply(UnavailableReply{false, "no quorum has confirmed a fresh read"});
+      return;
+    }
+    const StoredJob* job = state_->find(request.job);
+    if (job == nullptr) {
+      reply(UnknownReply{});
+      return;
+    }
+    const bool has_result = request.from < job->results.size();
+    if (has_result || request.wait_ms == 0 || job->isFinished()) {
+      reply(resultsFrom(*job, request.from, kMostResultBytes));
+      return;
+    }
+    held_reads_.push_back(HeldRead{request, monotonicNow() + fromMillis(request.wait_ms), reply});
+  });
+}
+
+void StoreProgram::serve(ReadItemRequest request, ReplyFunction reply) {
+  auto answer = [this, request]() -> StoreReply {
+    const StoredJob* job = state_->find(request.job);
+    if (job == nullptr) return UnknownReply{};
+    const auto open = job->open_items.find(request.item);
+    if (open == job->open_items.end()) return UnknownReply{};
+    return ItemReply{job->submission.items[open->second].body};
+  };
+  answerFresh(answer, std::move(reply));
+}
+
+void StoreProgram::answerHeldReads(Instant now) {
+  std::vector<HeldRead> due;
+  for (auto held = held_reads_.begin(); held != held_reads_.end();) {
+    const StoredJob* job = state_->find(held->request.job);
+    const bool has_result = job != nullptr && (held->request.from < job->results.size() || job->isFinished());
+    if (has_result || now >= held->deadline || job == nullptr) {
+      due.push_back(std::move(*held));
+      held = held_reads_.erase(held);
+    } else {
+      ++held;
+    }
+  }
+  for (const HeldRead& held : due) {
+    const StoredJob* job = state_->find(held.request.job);
+    if (job == nullptr) {
+      held.reply(UnavailableReply{false, "the job is being replaced"});
+    } else {
+      held.reply(resultsFrom(*job, held.request.from, kMostResultBytes));
+    }
+  }
+}
+
+}  // namespace hatchfork::store
--- /dev/null
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -0,0 +1,92 @@
+#include <algorithm>
+#include <cmath>
+
+#include "request/exchange/engine_selector.hpp"
+
+// What an engine would cost a request, in milliseconds until its first token.
+namespace hatchfork::request {
+
+bool EngineSelector::knowsOthers(Instant now, const EngineState& state) const {
+  return state.known_at != Instant::min() && now <= state.known_at + limits_.others_known_for;
+}
+
+double EngineSelector::estimatedRunning(Instant now, const EngineState& state) const {
+  if (knowsOthers(now, state)) return state.in_flight + state.known_others.in_flight;
+  if (state.load_at == Instant::min()) return state.in_flight;
+  const double age = toSeconds(now - state.load_at) / toSeconds(limits_.load_half_life);
+  return state.in_flight + state.others * std::pow(0.5, age);
+}
+
+double EngineSelector::overdueMs(Instant now, const EngineState& state) const {
+  if (state.due.empty() || now <= *state.due.begin()) return 0;
+  return toSeconds(now - *state.due.begin()) * 1000;
+}
+
+double EngineSelector::silenceCost(Instant now, const EngineState& state) const {
+  const double own = std::min(limits_.most_silence_ms, overdueMs(now, state));
+  if (!knowsOthers(now, state)) return own;
+  return std::max(own, std::min(limits_.most_hearsay_ms, static_cast<double>(state.known_others.avoid_ms)));
+}
+
+void EngineSelector::noteLongPrompt(Instant now, const EngineQuery& query) {
+  if (!query.background && isLong(query)) long_prompt_at_[query.service] = now;
+}
+
+bool EngineSelector::hasLongLane(Instant now, const EngineQuery& query) const {
+  const std::map<ServiceId, Instant>& known = query.background ? long_prompt_heard_at_ : long_prompt_at_;
+  const auto seen = known.find(query.service);
+  return seen != known.end() && now <= seen->second + limits_.long_lane_kept_for;
+}
+
+double EngineSelector::laneCost(Instant now, const EngineState& state, const EngineQuery& query) const {
+  if (!hasLongLane(now, query)) return 0;
+  if (query.background) return state.in_long_lane ? 0 : limits_.background_beside_lane_ms;
+  if (isLong(query)) return state.in_long_lane ? 0 : limits_.long_beside_lane_ms;
+  // Services that run no model have no long prompts to keep apart.
+  if (query.prompt.prompt_tokens == 0) return 0;
+  return state.in_long_lane ? limits_.short_in_long_lane_ms : 0;
+}
+
+double EngineSelector::slotHoldMs(const ServiceId& service) const {
+  const auto learned = hold_ms_.find(service);
+  return learned == hold_ms_.end() ? limits_.slot_hold_ms : learned->second;
+}
+
+void EngineSelector::learnHold(Instant now, const Ticket& ticket, const EngineState& state) {
+  if (ticket.background || !ticket.answering) return;
+  const double held_ms = toSeconds(now - ticket.answering_at) * 1000;
+  const auto [entry, first] = hold_ms_.emplace(state.record.service, held_ms);
+  if (!first) entry->second += limits_.hold_learning_rate * (held_ms - entry->second);
+}
+
+double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
+  double tokens = static_cast<double>(state.unread_tokens) + query.prompt.prompt_tokens;
+  tokens -= kept * query.prompt.sharedTokens();
+  if (knowsOthers(now, state)) {
+    // What was to be read when it was told has been read in part since.
+    const double read = toSeconds(now - state.known_at) * 1000 * limits_.prompt_tokens_per_ms;
+    tokens += std::max(0.0, static_cast<double>(state.known_others.unread_tokens) - read);
+  }
+  return tokens / limits_.prompt_tokens_per_ms;
+}
+
+double EngineSelector::slotWaitMs(Instant now, const EngineState& state) const {
+  const double slots = std::max<double>(1, state.record.slots);
+  const double waiting = std::max(0.0, estimatedRunning(now, state) + 1 - slots);
+  return waiting * slotHoldMs(state.record.service) / slots;
+}
+
+double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
+  const double running = estimatedRunning(now, state);
+  const double slots = std::max<double>(1, state.record.slots);
+  double total = readingMs(now, state, query, kept);
+  total += running * limits_.running_cost_ms;
+  total += slotWaitMs(now, state);
+  const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
+  const bool at_home = kept > 0 && isLong(query);
+  if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
+  if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
+  return total + laneCost(now, state, query) + silenceCost(now, state);
+}
+
+}  // namespace hatchfork::request
