Rate limits of tenants by credits of one owner a tenant, exact over all gateways

Change: each tenant's limit has one owner among the members of the store group (rendezvous); gateways ask it for credits that live a tenth of the window. Without an answer in 60 ms a gateway admits its own part of the use of late. The members of the store group are kept in the committed state of the control group, so that they are known right after a start.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -57,6 +57,10 @@
       stores_(context_, settings_.store_port, drawSeed()),
       loads_(settings_.name, settings_.zone,
              [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
+      rate_limits_(context_, settings_.rate_limits,
+                   [this](const ReplicaId& to, const fleet::CreditQuestionFrame& question) {
+                     return stores_.send(to, question);
+                   }),
       jobs_(*dialect_, stores_, drawSeed()),
       load_timer_(context_) {}
 
@@ -94,6 +98,7 @@
     const Instant now = monotonicNow();
     if (const auto others = loads_.take(now, digest)) selector_.noteOthers(now, *others);
   });
+  stores_.setCreditHandler([this](const fleet::CreditAnswerFrame& answer) { rate_limits_.take(answer); });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
   feed_ = std::make_unique<fleet::FeedClient>(context_, feed_options, *dialect_, on_view, nullptr);
@@ -131,6 +136,7 @@
 
 void GatewayProgram::linkStores(const fleet::FleetView& view) {
   loads_.setStores(view.stores);
+  rate_limits_.setOwners(view.store_members);
   std::vector<ReplicaId> wanted = loads_.aggregators();
   if (view.store_members.empty()) {
     wanted = fleet::addressesOf(view.stores);
@@ -234,8 +240,22 @@
     co_await writer.send(std::move(response));
     co_return;
   }
+  co_await handleOnline(routes, *route, tenant, request, writer);
+}
+
+Awaitable<void> GatewayProgram::handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
+                                             const Tenant* tenant, const connection::HttpRequest& request,
+                                             connection::ResponseWriter& writer) {
+  if (tenant != nullptr) {
+    const Status admitted = co_await rate_limits_.admit(*tenant);
+    if (!isOk(admitted)) {
+      Error error = errorOf(admitted);
+      co_await refuse(request, writer, std::move(error));
+      co_return;
+    }
+  }
   ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_};
-  ExchangeRun run(tools, routes, *route, tenant, split_.choose(*route), request, writer);
+  ExchangeRun run(tools, routes, route, tenant, split_.choose(route), request, writer);
   co_await run.run();
 }
 
@@ -261,6 +281,20 @@
                static_cast<double>(engines_.connectionsMade()));
   page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
                static_cast<double>(engines_.connectionsReused()));
+  const RateLimitCounters& limits = rate_limits_.counters();
+  const auto limited = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_rate_limit_total", "Requests of tenants with a rate limit, by what became of them there.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  limited("admitted", limits.admitted - limits.admitted_alone);
+  limited("admitted_without_owner", limits.admitted_alone);
+  limited("over_limit", limits.over_limit);
+  limited("unanswered", limits.unanswered);
+  page.counter("hatchfork_rate_limit_questions_total", "Questions to the owners of rate limits.",
+               static_cast<double>(limits.questions));
+  page.histogram("hatchfork_rate_limit_wait_ms", "Wait of the requests that found no credit.", limits.wait);
+  page.gauge("hatchfork_rate_limit_tenants", "Tenants with a rate limit that sent requests here lately.",
+             static_cast<double>(rate_limits_.accounts()));
   const JobApiCounters& jobs = jobs_.counters();
   page.counter("hatchfork_jobs_submitted_total", "Batch jobs submitted here.", static_cast<double>(jobs.submitted));
   page.counter("hatchfork_jobs_accepted_total", "Of these, kept.", static_cast<double>(jobs.accepted));
@@ -282,6 +316,7 @@
   while (true) {
     co_await connection::sleepFor(kMaintenanceInterval);
     engines_.closeIdle([this](const EngineId& engine) { return selector_.knows(engine); });
+    rate_limits_.expire(monotonicNow());
   }
 }
 
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -8,6 +8,7 @@
 #include "connection/http_server.hpp"
 #include "process/exchange/exchange_run.hpp"
 #include "process/exchange/job_api.hpp"
+#include "process/exchange/rate_limit_client.hpp"
 #include "process/exchange/store_client.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
@@ -44,6 +45,10 @@
   connection::Awaitable<void> handleJobCall(const JobCall& call, const RouteTable& routes,
                                             const connection::HttpRequest& request,
                                             connection::ResponseWriter& writer);
+  /// An online request of an identified caller: admitted by the tenant's limit, then run.
+  connection::Awaitable<void> handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
+                                           const Tenant* tenant, const connection::HttpRequest& request,
+                                           connection::ResponseWriter& writer);
   /// A refusal that follows from the configuration: where that can't be shown to be the newest, the caller is asked to
   /// come back instead, since a newer one may allow what this one does not.
   Error unlessCurrent(Error refusal) const;
@@ -68,6 +73,7 @@
   request::WeightedSplit split_;
   StoreClient stores_;
   fleet::LoadReporter loads_;
+  RateLimitClient rate_limits_;
   JobApi jobs_;
   ExchangeCounters counters_;
   connection::asio::steady_timer load_timer_;
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -66,6 +66,10 @@
     if (on_digest_) on_digest_(*digest);
     return;
   }
+  if (const auto* credit = std::get_if<fleet::CreditAnswerFrame>(&valueOf(message))) {
+    if (on_credit_) on_credit_(*credit);
+    return;
+  }
   const auto* frame = std::get_if<fleet::StoreReplyFrame>(&valueOf(message));
   if (frame == nullptr) return;
   const auto found = pending_.find(frame->number);
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -39,6 +39,10 @@
   void setDigestHandler(std::function<void(const fleet::LoadDigestFrame&)> on_digest) {
     on_digest_ = std::move(on_digest);
   }
+  /// Called with what an owner of rate limits answers.
+  void setCreditHandler(std::function<void(const fleet::CreditAnswerFrame&)> on_credit) {
+    on_credit_ = std::move(on_credit);
+  }
   /// False if there is no connection to that store, or none is wanted.
   bool send(const ReplicaId& store, const fleet::FleetMessage& message);
   /// Asks store after store until one answers or `deadline` has come; a store that has not answered after `hedge` is
@@ -75,6 +79,7 @@
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_number_ = 0;
   std::function<void(const fleet::LoadDigestFrame&)> on_digest_;
+  std::function<void(const fleet::CreditAnswerFrame&)> on_credit_;
   ReplicaId preferred_;
   std::uint64_t seed_;
 };
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -200,6 +200,20 @@
                   });
 }
 
+void ControlProgram::noteStoreMembers() {
+  const std::vector<ReplicaId> members = directory_.groupMembers();
+  if (noting_members_ || members.empty() || members == state_->storeMembers()) return;
+  if (!group_->isConfirmedLeader()) return;
+  noting_members_ = true;
+  const std::uint64_t term = directory_.groupTerm();
+  group_->propose(encodeTagged(FleetCommand(NoteStoreMembers{term, members})), fromMillis(2000),
+                  [this, term, count = members.size()](const ProposalOutcome& outcome) {
+                    noting_members_ = false;
+                    logEvent(LogLevel::kInfo, "store_members_noted",
+                             {{"stores", count}, {"term", term}, {"reply", outcome.reply}});
+                  });
+}
+
 void ControlProgram::forgetSilentEngines(Instant now) {
   const bool leading = group_->isConfirmedLeader();
   if (leading && !was_leading_) leading_since_ = now;
@@ -222,6 +236,7 @@
     links_.dropUnused(now);
     shareDirectory(now);
     formStoreGroup(now);
+    noteStoreMembers();
     forgetSilentEngines(now);
   }
 }
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -46,6 +46,8 @@
   void updateContacts();
   void shareDirectory(Instant now);
   void formStoreGroup(Instant now);
+  /// Keeps the members of the store group in the committed state.
+  void noteStoreMembers();
   void forgetSilentEngines(Instant now);
   /// Tells subscribers of changes, many together where they come in quick succession.
   void pushSoon();
@@ -81,6 +83,7 @@
   bool proving_ = false;
   bool was_leading_ = false;
   bool forming_stores_ = false;
+  bool noting_members_ = false;
 };
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -62,11 +62,10 @@
 }
 
 void FeedServer::refreshDirectory() {
-  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup(), {}};
+  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup(), stores_.groupMembers()};
+  // After a start no leader of the stores has been heard yet; what was committed is the newest there is.
+  if (now.store_members.empty()) now.store_members = state_->storeMembers();
   for (const auto& [node, address] : state_->retiring()) now.retiring.push_back(address);
-  if (stores_.groupMembership()) {
-    for (const consensus::Member& member : stores_.groupMembership()->members) now.store_members.push_back(member.id);
-  }
   if (now == directory_) return;
   directory_ = std::move(now);
   ++directory_revision_;
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -10,6 +10,7 @@
 #include "common/codec.hpp"
 #include "common/ids.hpp"
 #include "process/consensus/replicated_group.hpp"
+#include "process/fleet/limit_messages.hpp"
 #include "process/fleet/run_messages.hpp"
 #include "request/exchange/load_board.hpp"
 #include "version/engine_record.hpp"
@@ -213,6 +214,7 @@
 
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
                                   UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
-                                  LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer>;
+                                  LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer, CreditQuestionFrame,
+                                  CreditAnswerFrame>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::int64_t kLargestPort = 65535;
 constexpr std::int64_t kMostToleratedLosses = 4;
+constexpr std::int64_t kMostRateLimitSlack = 10000;
 constexpr std::int64_t kLargestMemory = 1 << 20;
 
 std::optional<MetricsAddress> readMetrics(settings::SettingsReader& reader) {
@@ -62,6 +63,8 @@
   values.first_start = reader.boolean("first_start", false);
   values.tolerated_losses = static_cast<std::uint32_t>(reader.integer("tolerated_losses", 0, kMostToleratedLosses, 1));
   values.engine_beat = reader.milliseconds("engine_beat_ms", 100, 60000, fromMillis(1200));
+  values.rate_limits.window = reader.seconds("rate_limit_window_s", 1, 600, values.rate_limits.window);
+  values.rate_limits.slack = static_cast<double>(reader.integer("rate_limit_slack", 0, kMostRateLimitSlack, 0));
   values.memory_mb = static_cast<std::uint32_t>(reader.integer("memory_mb", 16, kLargestMemory, 256));
   values.grace = reader.seconds("grace_s", 0.5, 600, std::chrono::seconds(8));
   values.metrics = readMetrics(reader);
--- a/src/process/fleet/fleet_settings.hpp
+++ b/src/process/fleet/fleet_settings.hpp
@@ -9,6 +9,7 @@
 #include "common/result.hpp"
 #include "common/time.hpp"
 #include "connection/http_types.hpp"
+#include "request/limits/rate_credit.hpp"
 
 namespace hatchfork::fleet {
 
@@ -49,6 +50,8 @@
   std::uint32_t tolerated_losses = 1;
   /// Longest time between the beats of an engine.
   Duration engine_beat{};
+  /// How exactly the rate limits of tenants are held. Equal on all machines.
+  request::RateLimitOptions rate_limits;
   /// Memory that the process may use, in megabytes.
   std::uint32_t memory_mb = 256;
   /// Time a planned stop may take.
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -18,9 +18,12 @@
   std::vector<EngineId> departed;
   consensus::Membership store_group;
   std::map<std::string, ReplicaId> retiring;
+  std::uint64_t store_members_term = 0;
+  std::vector<ReplicaId> store_members;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetSnapshot, document_version, document, engines, engines_revision, departed,
-                                   store_group, retiring)
+/// Snapshots of older programs have no members of the store group.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSnapshot, document_version, document, engines, engines_revision,
+                                                departed, store_group, retiring, store_members_term, store_members)
 
 }  // namespace
 
@@ -108,6 +111,13 @@
   return retiring_.emplace(command.node, command.address).second;
 }
 
+bool FleetState::applyOne(const NoteStoreMembers& command) {
+  if (command.term < store_members_term_ || command.members == store_members_) return false;
+  store_members_term_ = command.term;
+  store_members_ = command.members;
+  return true;
+}
+
 void FleetState::noteDeparted(const EngineId& engine) {
   departed_.insert(engine);
   departed_order_.push_back(engine);
@@ -125,6 +135,8 @@
   snapshot.departed.assign(departed_order_.begin(), departed_order_.end());
   snapshot.store_group = store_group_;
   snapshot.retiring = retiring_;
+  snapshot.store_members_term = store_members_term_;
+  snapshot.store_members = store_members_;
   return encodeStruct(snapshot);
 }
 
@@ -147,6 +159,8 @@
   departed_ = std::set<EngineId>(departed_order_.begin(), departed_order_.end());
   store_group_ = std::move(snapshot.store_group);
   retiring_ = std::move(snapshot.retiring);
+  store_members_term_ = snapshot.store_members_term;
+  store_members_ = std::move(snapshot.store_members);
   if (on_change_) on_change_();
   return okStatus();
 }
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -64,8 +64,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RetireStore, node, address)
 
-using FleetCommand =
-    std::variant<PutDocument, RegisterEngine, DepartEngine, ForgetEngines, FormStoreGroup, RetireStore>;
+/// Keeps which stores hold the jobs, as the leader of the store group told in its term, so that all processes know it
+/// as soon as they start.
+struct NoteStoreMembers {
+  static constexpr std::string_view kKind = "note_store_members";
+  std::uint64_t term = 0;
+  std::vector<ReplicaId> members;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(NoteStoreMembers, term, members)
+
+using FleetCommand = std::variant<PutDocument, RegisterEngine, DepartEngine, ForgetEngines, FormStoreGroup, RetireStore,
+                                  NoteStoreMembers>;
 
 /// Replicated state of the control group of a fleet that forms itself: the document of routes, the engines, the first
 /// members of the store group and the stores to be emptied. Threading: control thread only.
@@ -89,6 +98,8 @@
   std::optional<std::set<EngineId>> enginesChangedSince(std::uint64_t revision) const;
   bool hasDeparted(const EngineId& engine) const { return departed_.contains(engine); }
   const consensus::Membership& storeGroup() const { return store_group_; }
+  /// Stores that hold the jobs, as far as a leader of their group has told; none before the first one did.
+  const std::vector<ReplicaId>& storeMembers() const { return store_members_; }
   /// Stores to be emptied, by node name.
   const std::map<std::string, ReplicaId>& retiring() const { return retiring_; }
 
@@ -99,6 +110,7 @@
   bool applyOne(const ForgetEngines& command);
   bool applyOne(const FormStoreGroup& command);
   bool applyOne(const RetireStore& command);
+  bool applyOne(const NoteStoreMembers& command);
   void noteDeparted(const EngineId& engine);
   void noteEngineChange(const EngineId& engine);
   void removeEngine(const EngineId& engine);
@@ -117,6 +129,8 @@
   std::deque<EngineId> departed_order_;
   consensus::Membership store_group_;
   std::map<std::string, ReplicaId> retiring_;
+  std::uint64_t store_members_term_ = 0;
+  std::vector<ReplicaId> store_members_;
 };
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -51,6 +51,13 @@
   return addresses;
 }
 
+std::vector<ReplicaId> StoreDirectory::groupMembers() const {
+  std::vector<ReplicaId> members;
+  if (!group_membership_) return members;
+  for (const consensus::Member& member : group_membership_->members) members.push_back(member.id);
+  return members;
+}
+
 const StorePresence* StoreDirectory::find(const std::string& node) const {
   for (const auto& [address, presence] : stores_) {
     if (presence.node == node) return &presence;
--- a/src/process/fleet/store_directory.hpp
+++ b/src/process/fleet/store_directory.hpp
@@ -31,6 +31,9 @@
   Instant newestAt() const { return newest_at_; }
   /// The committed membership that the newest leader of the store group told.
   const std::optional<consensus::Membership>& groupMembership() const { return group_membership_; }
+  /// Its members alone; none before a leader was heard.
+  std::vector<ReplicaId> groupMembers() const;
+  std::uint64_t groupTerm() const { return group_term_; }
 
  private:
   void take(Instant now, const StorePresence& presence);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -42,7 +42,8 @@
                   [this](const ReplicaId& to, const fleet::LoadTotalsFrame& totals) { links_.send(to, totals); }),
       own_load_(settings_.name, settings_.zone, [this](const ReplicaId& to, const fleet::LoadReportFrame& report) {
         return sendLoadReport(to, report);
-      }) {
+      }),
+      rate_limits_(settings_.rate_limits) {
   links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
 }
 
@@ -134,6 +135,7 @@
   if (!view.store_group.members.empty()) group_->formWith(view.store_group);
   aggregator_.setStores(view.stores);
   own_load_.setStores(view.stores);
+  updateRateLimits(view);
   if (!changed) return;
   aggregator_.setEngines(*view.engines);
   own_load_.setEngines(*view.engines);
@@ -165,6 +167,8 @@
     onLoadReport(*load, from);
   } else if (const auto* totals = std::get_if<fleet::LoadTotalsFrame>(&decoded)) {
     aggregator_.take(monotonicNow(), *totals);
+  } else if (const auto* question = std::get_if<fleet::CreditQuestionFrame>(&decoded)) {
+    onCreditQuestion(*question, from);
   } else if (const auto* order = std::get_if<fleet::RunOrder>(&decoded)) {
     if (!stopping_) runner_->take(*order);
   } else if (const auto* lease = std::get_if<fleet::RunLease>(&decoded)) {
@@ -221,6 +225,8 @@
              static_cast<double>(toMillis(handlers_.longest())));
   page.gauge("hatchfork_load_receivers", "Processes that report their loads to this store.",
              static_cast<double>(aggregator_.receivers()));
+  page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
+             static_cast<double>(rate_limits_.buckets()));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
@@ -262,6 +268,7 @@
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
+  rate_limits_.expire(now);
   runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
   // Large messages leave free memory behind that the allocator would keep.
   ::malloc_trim(0);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -21,6 +21,7 @@
 #include "process/store/load_aggregator.hpp"
 #include "process/store/store_messages.hpp"
 #include "request/limits/drain_meter.hpp"
+#include "request/limits/rate_limit_owner.hpp"
 #include "version/dialect.hpp"
 
 namespace hatchfork::store {
@@ -59,6 +60,9 @@
   void onReturnedFrame(const std::string& body);
   void onDigest(const fleet::LoadDigestFrame& digest);
   bool sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report);
+  void onCreditQuestion(const fleet::CreditQuestionFrame& frame, const ConnectionPtr& from);
+  /// Takes the tenants' limits, and the stores that own them, from the newest view.
+  void updateRateLimits(const fleet::FleetView& view);
   /// At the leader: tells what its runs have under way, and once that they are over.
   void reportOwnLoad(Instant now);
   void onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from);
@@ -100,6 +104,10 @@
   LoadAggregator aggregator_;
   fleet::LoadReporter own_load_;
   bool reports_load_ = false;
+  /// The buckets of the tenants whose limits this store owns, and all that own some.
+  request::RateLimitOwner rate_limits_;
+  std::vector<ReplicaId> limit_owners_;
+  std::shared_ptr<const RouteTable> routes_;
   /// How fast tokens of items are finished, and those that were when it was last told.
   request::DrainMeter finished_tokens_;
   std::uint64_t listed_tokens_ = 0;
--- a/src/request/limits/drain_meter.hpp
+++ b/src/request/limits/drain_meter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/time.hpp"
+#include "request/limits/rate_meter.hpp"
 
 namespace hatchfork::request {
 
@@ -16,20 +17,17 @@
 /// clock. Belongs to one thread.
 class DrainMeter {
  public:
-  explicit DrainMeter(DrainMeterLimits limits = {}) : limits_(limits) {}
+  explicit DrainMeter(DrainMeterLimits limits = {}) : limits_(limits), finished_(limits.memory) {}
 
-  void noteFinished(Instant now, double units);
+  void noteFinished(Instant now, double units) { finished_.note(now, units); }
   /// Units a second, lately.
-  double rate(Instant now) const;
+  double rate(Instant now) const { return finished_.rate(now); }
   /// When so many units will have been finished at the rate of late; the longest time while nothing is.
   Duration timeToDrain(Instant now, double units) const;
 
  private:
-  double recent(Instant now) const;
-
   DrainMeterLimits limits_;
-  double recent_units_ = 0;
-  Instant noted_at_{};
+  RateMeter finished_;
 };
 
 }  // namespace hatchfork::request
--- /dev/null
+++ b/src/request/limits/rate_limit_account.cpp
@@ -0,0 +1,120 @@
+#include "request/limits/rate_limit_account.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hatchfork::request {
+namespace {
+
+/// Over which time arrivals are averaged that tell how many credits are needed soon. So long that a lone request asks for
+/// no credit but its own.
+constexpr Duration kArrivalMemory = fromMillis(1000);
+/// Credits are held for the arrivals of this part of their lifetime.
+constexpr double kAheadPart = 0.6;
+/// The part of that stock below which more are asked for.
+constexpr double kRefillBelow = 0.5;
+/// Least and longest time for which a limit is taken for exhausted after its owner said so: bounds the questions of a
+/// gateway for a tenant that is over its limit to ten a second.
+constexpr Duration kShortestPause = fromMillis(100);
+constexpr Duration kLongestPause = fromMillis(500);
+/// An owner that did not answer is asked again after this long.
+constexpr Duration kCutOffFor = fromMillis(300);
+/// The bucket of the own part holds so many seconds of its rate.
+constexpr double kOwnPartSeconds = 0.5;
+/// Callers are never told to stay away for longer.
+constexpr Duration kLongestReturn = std::chrono::seconds(2);
+constexpr Duration kIdleAfter = std::chrono::seconds(30);
+
+}  // namespace
+
+RateLimitAccount::RateLimitAccount(RateLimitOptions options)
+    : options_(options), arrivals_(kArrivalMemory), admitted_(options.window), own_bucket_(0, 0) {}
+
+void RateLimitAccount::noteArrival(Instant now) {
+  arrivals_.note(now, 1);
+  arrived_at_ = now;
+}
+
+void RateLimitAccount::dropExpired(Instant now) {
+  while (!lots_.empty() && now >= lots_.front().expires_at) lots_.pop_front();
+}
+
+double RateLimitAccount::stock() const {
+  double credits = 0;
+  for (const Lot& lot : lots_) credits += lot.credits;
+  return credits;
+}
+
+bool RateLimitAccount::tryTake(Instant now) {
+  dropExpired(now);
+  if (lots_.empty()) return false;
+  lots_.front().credits -= 1;
+  if (lots_.front().credits < 1) lots_.pop_front();
+  admitted_.note(now, 1);
+  return true;
+}
+
+std::optional<CreditQuestion> RateLimitAccount::nextQuestion(Instant now, std::size_t waiting) {
+  if (asked_at_ || isOverLimit(now) || isCutOff(now)) return std::nullopt;
+  dropExpired(now);
+  const double ahead = std::floor(kAheadPart * toSeconds(options_.creditLifetime()) * arrivals_.rate(now));
+  const double held = stock();
+  if (waiting == 0 && held >= kRefillBelow * ahead) return std::nullopt;
+  asked_at_ = now;
+  return CreditQuestion{ahead - std::min(held, ahead) + static_cast<double>(waiting)};
+}
+
+void RateLimitAccount::noteAnswer(Instant now, const CreditAnswer& answer) {
+  const std::optional<Instant> asked_at = std::exchange(asked_at_, std::nullopt);
+  cut_off_until_ = Instant{};
+  answered_at_ = now;
+  last_answer_ = answer;
+  if (!asked_at) {
+    // The question was given up long ago; its credits may be too old.
+    return;
+  }
+  if (answer.granted >= 1) lots_.push_back(Lot{answer.granted, *asked_at + options_.creditLifetime()});
+  if (answer.granted < 1) over_limit_until_ = now + std::clamp(answer.wait, kShortestPause, kLongestPause);
+}
+
+double RateLimitAccount::ownPart(Instant now) const {
+  if (last_answer_.used_per_second <= 0) return 0;
+  return std::min(1.0, admitted_.rate(now) / last_answer_.used_per_second);
+}
+
+void RateLimitAccount::noteNoAnswer(Instant now, const TenantLimits& limits) {
+  asked_at_.reset();
+  cut_off_until_ = now + kCutOffFor;
+  const double rate = limits.online_requests_per_second * ownPart(now);
+  const double burst = std::max(1.0, kOwnPartSeconds * rate);
+  // A gateway that knows no use admits a single request.
+  const double least_rate = 1e-3;
+  if (now >= own_bucket_until_) {
+    own_bucket_ = TokenBucket(std::max(least_rate, rate), burst);
+  } else {
+    own_bucket_.configure(std::max(least_rate, rate), burst);
+  }
+  // Filled anew only after a window with an owner in reach.
+  own_bucket_until_ = now + options_.window;
+}
+
+bool RateLimitAccount::tryTakeOwnPart(Instant now) {
+  if (!own_bucket_.tryTake(now)) return false;
+  admitted_.note(now, 1);
+  return true;
+}
+
+Duration RateLimitAccount::comeBackAfter(Instant now, const TenantLimits& limits) {
+  const double rate = limits.online_requests_per_second * ownPart(now);
+  const double pause_seconds = rate <= 0 ? toSeconds(kLongestReturn) : 1 / rate;
+  const Duration pause(static_cast<Duration::rep>(std::min(pause_seconds, toSeconds(kLongestReturn)) * 1e6));
+  next_return_ = std::min(std::max(now, next_return_) + pause, now + kLongestReturn);
+  return std::max(next_return_ - now, kShortestPause);
+}
+
+bool RateLimitAccount::isIdle(Instant now) const {
+  return now > arrived_at_ + kIdleAfter;
+}
+
+}  // namespace hatchfork::request
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -220,3 +220,17 @@
   REQUIRE(valueOf(decodeStruct<EngineRecord>(encodeCbor(older))) == sent);
   REQUIRE_FALSE(isOk(decodeStruct<EngineRecord>(encodeCbor(nlohmann::json::array({"e1", "llm"})))));
 }
+
+TEST_CASE("the members of the store group are kept with the term that told them", "[fleet]") {
+  FleetState state;
+  const std::vector<ReplicaId> first = {ReplicaId("10.0.0.1"), ReplicaId("10.0.0.2")};
+  const std::vector<ReplicaId> second = {ReplicaId("10.0.0.2"), ReplicaId("10.0.0.3")};
+  REQUIRE(apply(state, NoteStoreMembers{4, first}) == "changed");
+  REQUIRE(apply(state, NoteStoreMembers{4, first}) == "unchanged");
+  REQUIRE(apply(state, NoteStoreMembers{6, second}) == "changed");
+  // What an earlier leader told, late.
+  REQUIRE(apply(state, NoteStoreMembers{5, first}) == "unchanged");
+  FleetState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(restored.storeMembers() == second);
+}
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -234,8 +234,8 @@
   other.job.path = "/y/";
   apply(state, other);
   REQUIRE(state.waitingTokens(kRoute) == 0);
-  REQUIRE(state.waitingTokens("b.example", "/y/") == 0);
-  REQUIRE(state.waitingTokens("a.example", "/y/") == 90);
+  REQUIRE(state.waitingTokens(WaitingLimit{"b.example", "/y/"}) == 0);
+  REQUIRE(state.waitingTokens(WaitingLimit{"a.example", "/y/"}) == 90);
 }
 
 TEST_CASE("a refusal holds for every copy of the same try, a later try is judged anew", "[store][limit]") {
@@ -256,9 +256,9 @@
   apply(state, result("j", 2, "x"));
   JobState restored;
   REQUIRE(isOk(restored.restore(state.snapshot())));
-  REQUIRE(restored.waitingTokens("a.example", "/x/") == 40);
+  REQUIRE(restored.waitingTokens(kRoute) == 40);
   apply(restored, result("j", 3, "x"));
-  REQUIRE(restored.waitingTokens("a.example", "/x/") == 30);
+  REQUIRE(restored.waitingTokens(kRoute) == 30);
 }
 
 namespace {
