--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "common/log.hpp"
 #include "connection/event_stream.hpp"
@@ -80,14 +81,37 @@
   AttemptEnd end = AttemptEnd::kNotSent;
   cause_ = "no_engine";
   while (mayGoOn(end)) {
-    const std::optional<EngineChoice> choice = tools_.selector.choose(monotonicNow(), query_);
-    if (!choice || turnsBack(*choice)) break;
+    const std::optional<EngineChoice> choice = co_await chooseEngine();
+    if (caller_left_ || !choice || turnsBack(*choice)) {
+      if (place_ != 0) tools_.placement.noteEnded(place_, EngineVerdict::kNeutral);
+      break;
+    }
     end = co_await attempt(*choice);
     query_.excluded.insert(engine_);
   }
   co_await conclude(end);
 }
 
+Awaitable<std::optional<EngineChoice>> ExchangeRun::chooseEngine() {
+  place_ = 0;
+  if (!tools_.selector.isSticky(query_)) {
+    std::vector<EngineId> unreachable = tools_.selector.ejectedEngines(monotonicNow(), query_.service);
+    const std::optional<PlacementClient::Place> place =
+        co_await tools_.placement.place(query_, std::move(unreachable));
+    if (place) {
+      const fleet::PlacementAnswer& answer = place->answer;
+      std::optional<EngineChoice> choice = tools_.selector.describeChosen(
+          monotonicNow(), answer.engine, query_, answer.expected_first_ms, answer.running);
+      if (choice) {
+        place_ = place->number;
+        co_return choice;
+      }
+      tools_.placement.noteEnded(place->number, EngineVerdict::kNeutral);
+    }
+  }
+  co_return tools_.selector.choose(monotonicNow(), query_);
+}
+
 bool ExchangeRun::turnsBack(const EngineChoice& choice) {
   if (runs_ + refusals_ > 0) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
@@ -160,6 +184,8 @@
   if (stream_started_) ++tools_.counters.resumed;
   logAttempt(choice);
   ticket_ = tools_.selector.begin(monotonicNow(), engine_, query_);
+  const bool placed_here = place_ == 0;
+  if (placed_here) place_ = tools_.placement.noteBegun(engine_, query_);
   connection::EngineRequest sent = engineRequest(choice);
   ExchangeStart started = co_await tools_.engines.open(std::move(sent), deadline_, control_);
   AttemptEnd end = AttemptEnd::kBroken;
@@ -177,6 +203,7 @@
   not_run ? ++refusals_ : ++runs_;
   if (end == AttemptEnd::kDeclined) ++tools_.counters.declined;
   tools_.selector.end(monotonicNow(), ticket_, verdict_);
+  tools_.placement.noteEnded(std::exchange(place_, 0), verdict_);
   logAttemptEnd(end, cause_);
   co_return end;
 }
@@ -184,6 +211,7 @@
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relay(EngineExchange& exchange) {
   const Instant now = monotonicNow();
   tools_.selector.noteFirstByte(now, ticket_);
+  tools_.placement.noteAnswering(place_);
   if (const auto load = request::parseEngineLoad(exchange.header(tools_.dialect.headers().engine_load))) {
     tools_.selector.noteLoad(now, engine_, *load);
   }
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -8,6 +8,7 @@
 
 #include "connection/engine_exchange.hpp"
 #include "connection/http_server.hpp"
+#include "process/exchange/placement_client.hpp"
 #include "process/metrics/metrics_page.hpp"
 #include "request/exchange/arrival_gate.hpp"
 #include "request/exchange/engine_selector.hpp"
@@ -41,6 +42,7 @@
   ExchangeCounters& counters;
   ZoneId zone;
   request::ArrivalGate& gate;
+  PlacementClient& placement;
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
@@ -74,6 +76,9 @@
   };
 
   void readRequest();
+  /// Asks the store that places this zone's requests; chooses here where that gives no engine, and for prompts that go
+  /// to the engines at home for their prefix.
+  connection::Awaitable<std::optional<request::EngineChoice>> chooseEngine();
   connection::Awaitable<AttemptEnd> attempt(const request::EngineChoice& choice);
   connection::Awaitable<AttemptEnd> relay(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayWhole(connection::EngineExchange& exchange);
@@ -112,6 +117,8 @@
   std::uint32_t refusals_ = 0;
   EngineId engine_;
   request::TicketId ticket_ = 0;
+  /// Names the attempt at the store that places requests; zero before one is placed.
+  std::uint64_t place_ = 0;
   request::EngineVerdict verdict_ = request::EngineVerdict::kNeutral;
   std::string cause_;
   bool stream_started_ = false;
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -61,6 +61,8 @@
                    [this](const ReplicaId& to, const fleet::CreditQuestionFrame& question) {
                      return stores_.send(to, question);
                    }),
+      placement_(context_, settings_.name,
+                 [this](const ReplicaId& to, const fleet::FleetMessage& message) { return stores_.send(to, message); }),
       jobs_(*dialect_, stores_, drawSeed()),
       load_timer_(context_) {}
 
@@ -98,6 +100,8 @@
     const Instant now = monotonicNow();
     if (const auto others = loads_.take(now, digest)) selector_.noteOthers(now, *others);
   });
+  loads_.setPlaced();
+  stores_.setPlacementHandler([this](const fleet::PlacementAnswer& answer) { placement_.take(answer); });
   stores_.setCreditHandler([this](const fleet::CreditAnswerFrame& answer) { rate_limits_.take(answer); });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, bool changed) { onView(view, changed); };
@@ -254,7 +258,7 @@
       co_return;
     }
   }
-  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_};
+  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_, placement_};
   ExchangeRun run(tools, routes, route, tenant, split_.choose(route), request, writer);
   co_await run.run();
 }
@@ -281,6 +285,12 @@
                static_cast<double>(engines_.connectionsMade()));
   page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
                static_cast<double>(engines_.connectionsReused()));
+  const PlacementClientCounters& placement = placement_.counters();
+  page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
+               static_cast<double>(placement.placed), {{"by", "store"}});
+  page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
+               static_cast<double>(placement.alone), {{"by", "gateway"}});
+  page.histogram("hatchfork_placement_wait_ms", "Wait for the store that places requests.", placement.wait);
   const RateLimitCounters& limits = rate_limits_.counters();
   const auto limited = [&page](const char* outcome, std::uint64_t value) {
     page.counter("hatchfork_rate_limit_total", "Requests of tenants with a rate limit, by what became of them there.",
@@ -336,6 +346,8 @@
     co_await connection::sleepFor(kLoadInterval);
     const Instant now = monotonicNow();
     loads_.report(now, selector_.ownShares(now));
+    placement_.setPlacer(loads_.current());
+    placement_.tick(now);
   }
 }
 
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -8,6 +8,7 @@
 #include "connection/http_server.hpp"
 #include "process/exchange/exchange_run.hpp"
 #include "process/exchange/job_api.hpp"
+#include "process/exchange/placement_client.hpp"
 #include "process/exchange/rate_limit_client.hpp"
 #include "process/exchange/store_client.hpp"
 #include "process/fleet/feed_client.hpp"
@@ -74,6 +75,7 @@
   StoreClient stores_;
   fleet::LoadReporter loads_;
   RateLimitClient rate_limits_;
+  PlacementClient placement_;
   JobApi jobs_;
   ExchangeCounters counters_;
   connection::asio::steady_timer load_timer_;
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -70,6 +70,10 @@
     if (on_credit_) on_credit_(*credit);
     return;
   }
+  if (const auto* placement = std::get_if<fleet::PlacementAnswer>(&valueOf(message))) {
+    if (on_placement_) on_placement_(*placement);
+    return;
+  }
   const auto* frame = std::get_if<fleet::StoreReplyFrame>(&valueOf(message));
   if (frame == nullptr) return;
   const auto found = pending_.find(frame->number);
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -43,6 +43,10 @@
   void setCreditHandler(std::function<void(const fleet::CreditAnswerFrame&)> on_credit) {
     on_credit_ = std::move(on_credit);
   }
+  /// Called with the answer of the store that places requests.
+  void setPlacementHandler(std::function<void(const fleet::PlacementAnswer&)> on_placement) {
+    on_placement_ = std::move(on_placement);
+  }
   /// False if there is no connection to that store, or none is wanted.
   bool send(const ReplicaId& store, const fleet::FleetMessage& message);
   /// Asks store after store until one answers or `deadline` has come; a store that has not answered after `hedge` is
@@ -80,6 +84,7 @@
   std::uint64_t last_number_ = 0;
   std::function<void(const fleet::LoadDigestFrame&)> on_digest_;
   std::function<void(const fleet::CreditAnswerFrame&)> on_credit_;
+  std::function<void(const fleet::PlacementAnswer&)> on_placement_;
   ReplicaId preferred_;
   std::uint64_t seed_;
 };
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -11,6 +11,7 @@
 #include "common/ids.hpp"
 #include "process/consensus/replicated_group.hpp"
 #include "process/fleet/limit_messages.hpp"
+#include "process/fleet/placement_messages.hpp"
 #include "process/fleet/run_messages.hpp"
 #include "request/exchange/load_board.hpp"
 #include "version/engine_record.hpp"
@@ -191,8 +192,10 @@
   static constexpr std::string_view kKind = "l";
   std::string node;
   std::vector<request::EngineShare> shares;
+  /// The receiver places the process's requests, so it knows what is under way sooner than from this report.
+  bool is_placed = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReportFrame, node, shares)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReportFrame, node, shares, is_placed)
 
 /// Totals of all processes that report to one aggregator, for the other aggregators: a whole `LoadDigestWriter` digest.
 struct LoadTotalsFrame {
@@ -215,6 +218,6 @@
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
                                   UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
                                   LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer, CreditQuestionFrame,
-                                  CreditAnswerFrame>;
+                                  CreditAnswerFrame, PlacementQuestion, PlacementAnswer, PlacementNotes>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/load_reporter.hpp
+++ b/src/process/fleet/load_reporter.hpp
@@ -32,6 +32,10 @@
   void setStores(const std::vector<StoreAddress>& stores);
   /// The stores that it may turn to, the preferred one first: few, so that few links are kept.
   const std::vector<ReplicaId>& aggregators() const { return aggregators_; }
+  /// The aggregator in use; empty before the first report went out.
+  const ReplicaId& current() const { return current_; }
+  /// From now on reports say that the aggregator places this process's requests.
+  void setPlaced() { is_placed_ = true; }
   void setEngines(const std::vector<EngineRecord>& engines);
   /// Reports at once what differs from the last report, and every so often what does not. Call many times a second.
   void report(Instant now, std::vector<request::EngineShare> shares);
@@ -50,7 +54,7 @@
   /// In the order of preference.
   std::vector<ReplicaId> aggregators_;
   std::map<ReplicaId, Instant> avoided_until_;
-  /// The aggregator in use; empty before the first report went out.
+  bool is_placed_ = false;
   ReplicaId current_;
   /// When it was last heard, or was turned to.
   Instant heard_at_{};
--- a/src/process/store/load_aggregator.cpp
+++ b/src/process/store/load_aggregator.cpp
@@ -43,6 +43,11 @@
 void LoadAggregator::take(Instant now, const fleet::LoadReportFrame& report, LoadReceiver from) {
   local_.report(now, report.node, report.shares);
   all_.report(now, report.node, report.shares);
+  std::vector<request::EngineShare> shares = report.shares;
+  if (report.is_placed) {
+    for (request::EngineShare& share : shares) share = request::EngineShare{share.engine, 0, 0, share.avoid_ms};
+  }
+  not_placed_.report(now, report.node, std::move(shares));
   Receiver& receiver = receivers_[report.node];
   receiver.heard_at = now;
   if (receiver.link.connection == from.connection) return;
@@ -59,6 +64,7 @@
     return;
   }
   all_.report(now, totals.from.value, reader.others({}));
+  not_placed_.report(now, totals.from.value, reader.others({}));
 }
 
 void LoadAggregator::tick(Instant now) {
@@ -73,6 +79,7 @@
 void LoadAggregator::expire(Instant now) {
   local_.expire(now);
   all_.expire(now);
+  not_placed_.expire(now);
   std::erase_if(receivers_, [now](const auto& entry) { return now > entry.second.heard_at + kReceiverLifetime; });
 }
 
--- a/src/process/store/load_aggregator.hpp
+++ b/src/process/store/load_aggregator.hpp
@@ -39,6 +39,8 @@
   /// Sends what is due; call many times a second.
   void tick(Instant now);
 
+  /// What processes have under way whose requests are not placed by this store, and which engines any process avoids.
+  std::vector<request::EngineShare> notPlacedHere() const { return not_placed_.totals(); }
   std::size_t receivers() const { return receivers_.size(); }
 
  private:
@@ -61,6 +63,7 @@
   /// What is reported here, and the same together with the totals of the other aggregators.
   request::LoadBoard local_;
   request::LoadBoard all_;
+  request::LoadBoard not_placed_;
   request::LoadDigestWriter digest_;
   Instant next_digest_{};
   Instant next_totals_{};
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -43,6 +43,7 @@
       own_load_(settings_.name, settings_.zone, [this](const ReplicaId& to, const fleet::LoadReportFrame& report) {
         return sendLoadReport(to, report);
       }),
+      placement_(std::random_device()()),
       rate_limits_(settings_.rate_limits) {
   links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
 }
@@ -83,9 +84,10 @@
   if (!isOk(group_started)) return group_started;
   group_->setProgressHandler([this] { updateLeading(); });
 
+  auto on_close = [this](const ConnectionPtr& closed) { placement_.drop(monotonicNow(), closed.get()); };
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
   frame_server_ =
-      std::make_unique<connection::FrameServer>(context_, settings_.storeEndpoint(settings_.self()), on_frame);
+      std::make_unique<connection::FrameServer>(context_, settings_.storeEndpoint(settings_.self()), on_frame, on_close);
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
 
@@ -138,6 +140,7 @@
   updateRateLimits(view);
   if (!changed) return;
   aggregator_.setEngines(*view.engines);
+  placement_.setEngines(*view.engines);
   own_load_.setEngines(*view.engines);
   executor_->setView(view, /*engines_changed=*/true);
 }
@@ -167,6 +170,10 @@
     onLoadReport(*load, from);
   } else if (const auto* totals = std::get_if<fleet::LoadTotalsFrame>(&decoded)) {
     aggregator_.take(monotonicNow(), *totals);
+  } else if (const auto* placement = std::get_if<fleet::PlacementQuestion>(&decoded)) {
+    from->send(encodeTagged(FleetMessage(placement_.take(monotonicNow(), *placement, from.get()))));
+  } else if (const auto* notes = std::get_if<fleet::PlacementNotes>(&decoded)) {
+    placement_.take(monotonicNow(), *notes, from.get());
   } else if (const auto* question = std::get_if<fleet::CreditQuestionFrame>(&decoded)) {
     onCreditQuestion(*question, from);
   } else if (const auto* order = std::get_if<fleet::RunOrder>(&decoded)) {
@@ -225,6 +232,14 @@
              static_cast<double>(toMillis(handlers_.longest())));
   page.gauge("hatchfork_load_receivers", "Processes that report their loads to this store.",
              static_cast<double>(aggregator_.receivers()));
+  const PlacementCounters& placements = placement_.counters();
+  const auto placed = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_placed_total", "Online requests placed for gateways, by what was found.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  placed("free_slot", placements.placed - placements.placed_at_full);
+  placed("no_free_slot", placements.placed_at_full);
+  placed("no_engine", placements.unplaced);
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
              static_cast<double>(rate_limits_.buckets()));
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
@@ -265,10 +280,12 @@
   measureProgress(now);
   reportOwnLoad(now);
   aggregator_.tick(now);
+  if (placement_.gateways() > 0) placement_.noteOthers(now, aggregator_.notPlacedHere());
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
   rate_limits_.expire(now);
+  placement_.expire(now);
   runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
   // Large messages leave free memory behind that the allocator would keep.
   ::malloc_trim(0);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -19,6 +19,7 @@
 #include "process/store/job_executor.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/load_aggregator.hpp"
+#include "process/store/placement_service.hpp"
 #include "process/store/store_messages.hpp"
 #include "request/limits/drain_meter.hpp"
 #include "request/limits/rate_limit_owner.hpp"
@@ -104,6 +105,8 @@
   LoadAggregator aggregator_;
   fleet::LoadReporter own_load_;
   bool reports_load_ = false;
+  /// Places the online requests of the gateways that report to this store.
+  PlacementService placement_;
   /// The buckets of the tenants whose limits this store owns, and all that own some.
   request::RateLimitOwner rate_limits_;
   std::vector<ReplicaId> limit_owners_;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -131,8 +131,8 @@
   std::vector<EngineState*> usable = candidates(now, query);
   if (usable.empty()) return std::nullopt;
   const std::uint64_t prefix = prefixIdentity(query.prompt);
-  const bool sticky = query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
-  if (!sticky && !query.background) drawEngines(now, query, usable);
+  const bool sticky = isSticky(query);
+  if (!sticky && !query.background && !limits_.places_zone) drawEngines(now, query, usable);
   const std::vector<EngineId> homes = sticky ? homesOf(prefix, usable) : std::vector<EngineId>();
   EngineState* best = nullptr;
   double best_cost = 0;
@@ -149,6 +149,31 @@
   return describe(now, *best, query, best_cost, best_kept, usable.size());
 }
 
+bool EngineSelector::isSticky(const EngineQuery& query) const {
+  return query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
+}
+
+std::optional<EngineChoice> EngineSelector::describeChosen(Instant now, const EngineId& engine,
+                                                           const EngineQuery& query, double expected_first_ms,
+                                                           double running) const {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end() || found->second.record.leaving || found->second.gone) return std::nullopt;
+  EngineChoice choice = describe(now, found->second, query, expected_first_ms, 0, 1);
+  choice.expected_first_ms = expected_first_ms;
+  choice.estimated_running = running;
+  return choice;
+}
+
+std::vector<EngineId> EngineSelector::ejectedEngines(Instant now, const ServiceId& service) const {
+  std::vector<EngineId> ejected;
+  for (const EngineId& id : engaged_) {
+    const auto found = engines_.find(id);
+    if (found == engines_.end() || found->second.record.service != service) continue;
+    if (now < found->second.ejected_until || found->second.gone) ejected.push_back(id);
+  }
+  return ejected;
+}
+
 std::vector<EngineId> EngineSelector::homesOf(std::uint64_t prefix, const std::vector<EngineState*>& usable) const {
   std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
   for (const EngineState* state : usable) {
@@ -196,7 +221,7 @@
     EngineState& state = found->second;
     engaged_.insert(engine);
     ++state.in_flight;
-    if (query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens) {
+    if (isSticky(query)) {
       const std::uint64_t prefix = prefixIdentity(query.prompt);
       const auto sent = state.prefixes.find(prefix);
       const bool kept = sent != state.prefixes.end() && now - sent->second < kPrefixKept;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -84,6 +84,9 @@
   /// A choice is made among so many engines drawn by lot that about this many blind choices fall on the least loaded
   /// one; where each engine gets more than that between two tellings, loads say nothing and one is drawn.
   double blind_choices_each = 2;
+  /// True where this process places the requests of its whole zone: what its zone's engines have under way is known, so
+  /// that neither sampling nor the risk of a nearly full engine counts there.
+  bool places_zone = false;
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have under way counts for this long.
@@ -169,6 +172,13 @@
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
 
   bool knows(const EngineId& engine) const { return engines_.contains(engine); }
+  /// The choice of an engine that another process made; nothing if the engine is not known here, or is leaving.
+  std::optional<EngineChoice> describeChosen(Instant now, const EngineId& engine, const EngineQuery& query,
+                                             double expected_first_ms, double running) const;
+  /// Engines of the service that this process keeps out of rotation.
+  std::vector<EngineId> ejectedEngines(Instant now, const ServiceId& service) const;
+  /// True if the prompt is to go to the engines at home for its prefix.
+  bool isSticky(const EngineQuery& query) const;
   std::size_t engineCount(const ServiceId& service) const;
   /// Slots of all engines that are not leaving.
   std::uint32_t allSlots() const;
--- a/src/request/exchange/engine_selector_costs.cpp
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -84,7 +84,8 @@
   total += slotWaitMs(now, state);
   const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
   const bool at_home = kept > 0 && isLong(query);
-  if (!at_home) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
+  const bool is_known = limits_.places_zone && state.record.zone == query.zone;
+  if (!at_home && !is_known) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
   return total + laneCost(now, state, query) + silenceCost(now, state);
 }
--- /dev/null
+++ b/tests/process/store/placement_service_test.cpp
@@ -0,0 +1,143 @@
+#include "process/store/placement_service.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hatchfork;
+using namespace hatchfork::store;
+using request::EngineVerdict;
+
+namespace {
+
+const int kFirst = 0;
+const int kSecond = 0;
+
+Instant at(std::int64_t milliseconds) {
+  return Instant(std::chrono::seconds(100) + fromMillis(milliseconds));
+}
+
+std::vector<EngineRecord> engines(int count, std::uint32_t slots, const std::string& zone = "z1") {
+  std::vector<EngineRecord> made;
+  for (int index = 0; index < count; ++index) {
+    EngineRecord engine;
+    engine.id = EngineId("e" + std::to_string(index));
+    engine.service = ServiceId("llm");
+    engine.address = "10.0.0." + std::to_string(index + 1) + ":80";
+    engine.zone = ZoneId(zone);
+    engine.slots = slots;
+    made.push_back(engine);
+  }
+  return made;
+}
+
+fleet::PlacementQuestion question(const std::string& node, std::uint64_t number) {
+  return fleet::PlacementQuestion{node, ZoneId("z1"), number, ServiceId("llm"), 100, {}};
+}
+
+fleet::PlacementNotes ended(const std::string& node, std::uint64_t number, EngineVerdict verdict) {
+  return fleet::PlacementNotes{node, false, {}, {}, {fleet::EndedRequest{number, verdict}}};
+}
+
+}  // namespace
+
+TEST_CASE("each slot is given away once, whichever gateways ask", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(5, 3));
+  std::map<EngineId, int> taken;
+  for (std::uint64_t number = 1; number <= 15; ++number) {
+    const bool first = number % 2 == 0;
+    const auto answer = service.take(at(0), question(first ? "g1" : "g2", number), first ? &kFirst : &kSecond);
+    REQUIRE_FALSE(answer.engine.empty());
+    REQUIRE(answer.running < 3);
+    ++taken[answer.engine];
+  }
+  for (const auto& [engine, count] : taken) REQUIRE(count == 3);
+  REQUIRE(service.counters().placed_at_full == 0);
+  service.take(at(1), question("g1", 99), &kFirst);
+  REQUIRE(service.counters().placed_at_full == 1);
+}
+
+TEST_CASE("a slot whose request has ended is the next one's", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(3, 1));
+  EngineId freed;
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    const auto answer = service.take(at(0), question("g1", number), &kFirst);
+    if (number == 2) freed = answer.engine;
+  }
+  service.take(at(5), ended("g1", 2, EngineVerdict::kGood), &kFirst);
+  REQUIRE(service.take(at(6), question("g2", 1), &kSecond).engine == freed);
+}
+
+TEST_CASE("an engine that failed one gateway is left out for all", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(4, 6));
+  const EngineId failed = service.take(at(0), question("g1", 1), &kFirst).engine;
+  service.take(at(5), ended("g1", 1, EngineVerdict::kFailed), &kFirst);
+  for (std::uint64_t number = 2; number <= 13; ++number) {
+    REQUIRE(service.take(at(6), question("g2", number), &kSecond).engine != failed);
+  }
+}
+
+TEST_CASE("a gateway whose connection ends gives its slots back", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(1, 2));
+  service.take(at(0), question("g1", 1), &kFirst);
+  service.take(at(0), question("g1", 2), &kFirst);
+  service.drop(at(10), &kSecond);
+  REQUIRE(service.take(at(11), question("g2", 1), &kSecond).running == 2);
+  service.drop(at(12), &kFirst);
+  REQUIRE(service.take(at(13), question("g2", 2), &kSecond).running == 1);
+}
+
+TEST_CASE("a silent gateway is forgotten", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(1, 2));
+  service.take(at(0), question("g1", 1), &kFirst);
+  service.expire(at(2000));
+  REQUIRE(service.gateways() == 1);
+  service.expire(at(2600));
+  REQUIRE(service.gateways() == 0);
+  REQUIRE(service.take(at(2700), question("g2", 1), &kSecond).running == 0);
+}
+
+TEST_CASE("a service that has just started learns what gateways have, and what they have no more", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(2, 4));
+  fleet::PlacementNotes whole{"g1", true, {}, {}, {}};
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    whole.present.push_back(fleet::PlacedRequest{number, EngineId("e0"), 100, true});
+  }
+  // The question of another request is under way.
+  whole.present.push_back(fleet::PlacedRequest{5, {}, 0, false});
+  service.take(at(0), whole, &kFirst);
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    REQUIRE(service.take(at(1), question("g2", number), &kSecond).engine == EngineId("e1"));
+  }
+  whole.present.clear();
+  service.take(at(2), whole, &kFirst);
+  REQUIRE(service.take(at(3), question("g2", 5), &kSecond).running == 0);
+}
+
+TEST_CASE("engines that a gateway can't reach are not given to it", "[placement]") {
+  PlacementService service(1);
+  service.setEngines(engines(2, 6));
+  fleet::PlacementQuestion asked = question("g1", 1);
+  asked.excluded = {EngineId("e0")};
+  REQUIRE(service.take(at(0), asked, &kFirst).engine == EngineId("e1"));
+  asked.excluded = {EngineId("e0"), EngineId("e1")};
+  REQUIRE(service.take(at(0), asked, &kFirst).engine.empty());
+  REQUIRE(service.counters().unplaced == 1);
+}
+
+TEST_CASE("a full zone sends requests to engines of other zones, as far as their load is known", "[placement]") {
+  PlacementService service(1);
+  std::vector<EngineRecord> all = engines(1, 1);
+  EngineRecord remote = all.front();
+  remote.id = EngineId("remote");
+  remote.zone = ZoneId("z2");
+  remote.slots = 6;
+  all.push_back(remote);
+  service.setEngines(all);
+  REQUIRE(service.take(at(0), question("g1", 1), &kFirst).engine == EngineId("e0"));
+  REQUIRE(service.take(at(0), question("g1", 2), &kFirst).engine == EngineId("remote"));
+}
--- a/tests/request/limits/rate_limit_property_test.cpp
+++ b/tests/request/limits/rate_limit_property_test.cpp
@@ -1,10 +1,10 @@
 #include <catch2/catch.hpp>
 #include <deque>
-#include <rapidcheck.h>
 #include <vector>
 
 #include "request/limits/rate_limit_account.hpp"
 #include "request/limits/rate_limit_owner.hpp"
+#include "tests/process/batch/property.hpp"
 
 using namespace hatchfork;
 using namespace hatchfork::request;
@@ -86,7 +86,7 @@
 }  // namespace
 
 TEST_CASE("no window sees more than the limit and its tolerance while gateways restart", "[limits][rate][property]") {
-  const bool holds = rc::check([] {
+  const bool holds = hatchfork::testing::holds([] {
     const RateLimitOptions options{std::chrono::seconds(5), 20};
     const TenantLimits limits = drawLimits();
     LimitedFleet fleet(*rc::gen::inRange<std::size_t>(1, 60), options, limits);
@@ -102,7 +102,7 @@
 }
 
 TEST_CASE("no window sees more than the limit and its tolerance when an owner is replaced", "[limits][rate][property]") {
-  const bool holds = rc::check([] {
+  const bool holds = hatchfork::testing::holds([] {
     const RateLimitOptions options{std::chrono::seconds(5), 20};
     const TenantLimits limits = drawLimits();
     LimitedFleet fleet(*rc::gen::inRange<std::size_t>(1, 60), options, limits);
@@ -119,7 +119,7 @@
 }
 
 TEST_CASE("what lies below the limit is admitted, however few or many the gateways", "[limits][rate][property]") {
-  const bool holds = rc::check([] {
+  const bool holds = hatchfork::testing::holds([] {
     const RateLimitOptions options{std::chrono::seconds(5), 20};
     TenantLimits limits = drawLimits();
     limits.online_requests_per_second += 9;
