A batch run gives way to the very online request that needs its slot

Cause: at the rise of a wave the leader of the stores saw crowded engines 150 to 200 ms late and broke runs off each 50 ms; online requests waited meanwhile, and so did those behind them. Change: the leader tells the stores that place requests what its runs have at each engine; one that places a request where only a batch run holds the slot asks the leader to break that run off at once. Loads of other zones' nearly full engines cost placement more (200 ms in place of 80), since they are known late.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -100,7 +100,7 @@
     const Instant now = monotonicNow();
     if (const auto others = loads_.take(now, digest)) selector_.noteOthers(now, *others);
   });
-  loads_.setPlaced();
+  loads_.setKind(fleet::LoadKind::kPlaced);
   stores_.setPlacementHandler([this](const fleet::PlacementAnswer& answer) { placement_.take(answer); });
   stores_.setCreditHandler([this](const fleet::CreditAnswerFrame& answer) { rate_limits_.take(answer); });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -187,23 +187,51 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreReplyFrame, number, reply)
 
+/// Whose requests a process reports.
+enum class LoadKind : std::uint8_t {
+  /// Online requests whose engines the process chose itself.
+  kChosen,
+  /// Online requests that the receiver placed, so that it knows them sooner than from the report.
+  kPlaced,
+  /// Batch runs, which give way.
+  kBackground,
+};
+
 /// What a process has under way at engines, for the aggregator that it reports to. Replaces its last report.
 struct LoadReportFrame {
   static constexpr std::string_view kKind = "l";
   std::string node;
   std::vector<request::EngineShare> shares;
-  /// The receiver places the process's requests, so it knows what is under way sooner than from this report.
-  bool is_placed = false;
+  LoadKind kind = LoadKind::kChosen;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReportFrame, node, shares, is_placed)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReportFrame, node, shares, kind)
 
 /// Totals of all processes that report to one aggregator, for the other aggregators: a whole `LoadDigestWriter` digest.
 struct LoadTotalsFrame {
   static constexpr std::string_view kKind = "lt";
   ReplicaId from;
   std::string digest;
+  /// Of these, what batch runs have.
+  std::string background;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadTotalsFrame, from, digest, background)
+
+/// What the batch runs have under way at each engine: from the leader of the stores to those that place online
+/// requests. A whole `LoadDigestWriter` digest.
+struct BackgroundLoadFrame {
+  static constexpr std::string_view kKind = "bl";
+  ReplicaId from;
+  std::uint64_t term = 0;
+  std::string digest;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackgroundLoadFrame, from, term, digest)
+
+/// An online request has been placed at an engine whose slots are taken: a batch run there is to give way now.
+struct GiveWayFrame {
+  static constexpr std::string_view kKind = "gw";
+  EngineId engine;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadTotalsFrame, from, digest)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GiveWayFrame, engine)
 
 /// Totals of all processes of the fleet, from an aggregator to those that report to it: the same bytes for all of them.
 struct LoadDigestFrame {
@@ -218,6 +246,7 @@
 using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
                                   UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
                                   LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer, CreditQuestionFrame,
-                                  CreditAnswerFrame, PlacementQuestion, PlacementAnswer, PlacementNotes>;
+                                  CreditAnswerFrame, PlacementQuestion, PlacementAnswer, PlacementNotes,
+                                  BackgroundLoadFrame, GiveWayFrame>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/load_reporter.cpp
+++ b/src/process/fleet/load_reporter.cpp
@@ -60,7 +60,7 @@
            {{"store", current_.value}, {"cause", "silent"}, {"silent_ms", toMillis(now - heard_at_)}});
   avoided_until_[current_] = now + kAvoidedFor;
   // Should it be alive after all, it must not count this process beside the next one.
-  send_(current_, LoadReportFrame{node_, {}, is_placed_});
+  send_(current_, LoadReportFrame{node_, {}, kind_});
   current_ = ReplicaId();
 }
 
@@ -72,11 +72,11 @@
 }
 
 void LoadReporter::sendTo(Instant now, std::vector<request::EngineShare> shares) {
-  LoadReportFrame frame{node_, std::move(shares), is_placed_};
+  LoadReportFrame frame{node_, std::move(shares), kind_};
   for (const ReplicaId& store : aggregators_) {
     if (isAvoided(now, store) || !send_(store, frame)) continue;
     if (store != current_) {
-      if (!current_.empty()) send_(current_, LoadReportFrame{node_, {}, is_placed_});
+      if (!current_.empty()) send_(current_, LoadReportFrame{node_, {}, kind_});
       logEvent(LogLevel::kInfo, "load_aggregator_used", {{"store", store.value}, {"before", current_.value}});
       current_ = store;
       heard_at_ = now;
--- a/src/process/fleet/load_reporter.hpp
+++ b/src/process/fleet/load_reporter.hpp
@@ -34,8 +34,8 @@
   const std::vector<ReplicaId>& aggregators() const { return aggregators_; }
   /// The aggregator in use; empty before the first report went out.
   const ReplicaId& current() const { return current_; }
-  /// From now on reports say that the aggregator places this process's requests.
-  void setPlaced() { is_placed_ = true; }
+  /// What reports tell of from now on.
+  void setKind(LoadKind kind) { kind_ = kind; }
   void setEngines(const std::vector<EngineRecord>& engines);
   /// Reports at once what differs from the last report, and every so often what does not. Call many times a second.
   void report(Instant now, std::vector<request::EngineShare> shares);
@@ -54,7 +54,7 @@
   /// In the order of preference.
   std::vector<ReplicaId> aggregators_;
   std::map<ReplicaId, Instant> avoided_until_;
-  bool is_placed_ = false;
+  LoadKind kind_ = LoadKind::kChosen;
   ReplicaId current_;
   /// When it was last heard, or was turned to.
   Instant heard_at_{};
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -289,11 +289,33 @@
   if (now < next_yield_) return;
   next_yield_ = now + kYieldInterval;
   for (const ItemPtr& run : runsToYield(now)) {
-    board_.stop(run->number);
-    endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, "engine above its slots");
+    yieldRun(run, "engine above its slots");
   }
 }
 
+void JobExecutor::yieldRun(const ItemPtr& run, const std::string& cause) {
+  board_.stop(run->number);
+  endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, cause);
+}
+
+void JobExecutor::giveWay(const EngineId& engine) {
+  if (!leading_) return;
+  const Instant now = monotonicNow();
+  ItemPtr chosen;
+  for (const auto& [number, run] : runs_) {
+    if (run->engine != engine) continue;
+    run->order = dueItemOf(*run);
+    // A run without an event would begin anew.
+    const bool loses_less = chosen && run->last_event.has_value() != chosen->last_event.has_value()
+                                ? run->last_event.has_value()
+                                : chosen && request::goesBefore(now, chosen->order, run->order);
+    if (!chosen || loses_less) chosen = run;
+  }
+  if (!chosen) return;
+  yieldRun(chosen, "online request placed");
+  sendLeases(now);
+}
+
 void JobExecutor::giveUpExpired(Instant now) {
   proposeResults();
   const WallMillis wall = connection::wallNow();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -68,6 +68,8 @@
   void take(const fleet::RunReport& report);
   /// What a store runs for earlier leaders: open items go on there, anything else is stopped.
   void take(const fleet::RunOffer& offer);
+  /// An online request wants the slot of a run at this engine: the one with the most slack gives way at once.
+  void giveWay(const EngineId& engine);
   /// Drives retries, leases and retention; call several times a second.
   void tick(Instant now);
 
@@ -179,6 +181,7 @@
   void loadSavedProgress(ItemRun& run) const;
   /// `chain` and `last_event`: what was proposed to be kept.
   void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
+  void yieldRun(const ItemPtr& run, const std::string& cause);
   /// Breaks off runs at engines that hold more requests than slots; they go on later after their last event.
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
--- a/src/process/store/load_aggregator.cpp
+++ b/src/process/store/load_aggregator.cpp
@@ -44,10 +44,11 @@
   local_.report(now, report.node, report.shares);
   all_.report(now, report.node, report.shares);
   std::vector<request::EngineShare> shares = report.shares;
-  if (report.is_placed) {
+  if (report.kind != fleet::LoadKind::kChosen) {
     for (request::EngineShare& share : shares) share = request::EngineShare{share.engine, 0, 0, share.avoid_ms};
   }
   not_placed_.report(now, report.node, std::move(shares));
+  if (report.kind == fleet::LoadKind::kBackground) background_.report(now, report.node, report.shares);
   Receiver& receiver = receivers_[report.node];
   receiver.heard_at = now;
   if (receiver.link.connection == from.connection) return;
@@ -57,14 +58,18 @@
 
 void LoadAggregator::take(Instant now, const fleet::LoadTotalsFrame& totals) {
   request::LoadDigestReader reader;
+  request::LoadDigestReader background;
   reader.setEngines(engines_);
-  if (!reader.take(totals.digest, /*is_whole=*/true)) {
+  background.setEngines(engines_);
+  const bool is_readable = reader.take(totals.digest, /*is_whole=*/true) &&
+                           background.take(totals.background, /*is_whole=*/true);
+  if (!is_readable) {
     logEvent(LogLevel::kWarning, "load_totals_refused",
              {{"store", totals.from.value}, {"bytes", totals.digest.size()}, {"cause", "malformed"}});
     return;
   }
   all_.report(now, totals.from.value, reader.others({}));
-  not_placed_.report(now, totals.from.value, reader.others({}));
+  not_placed_.report(now, totals.from.value, reader.others(background.others({})));
 }
 
 void LoadAggregator::tick(Instant now) {
@@ -80,6 +85,7 @@
   local_.expire(now);
   all_.expire(now);
   not_placed_.expire(now);
+  background_.expire(now);
   std::erase_if(receivers_, [now](const auto& entry) { return now > entry.second.heard_at + kReceiverLifetime; });
 }
 
@@ -87,7 +93,8 @@
   if (now < next_totals_) return;
   next_totals_ = now + kTotalsInterval;
   request::LoadDigestWriter whole;
-  const fleet::LoadTotalsFrame frame{self_, whole.changes(local_.totals())};
+  request::LoadDigestWriter background;
+  const fleet::LoadTotalsFrame frame{self_, whole.changes(local_.totals()), background.changes(background_.totals())};
   for (const ReplicaId& peer : peers_) send_(peer, frame);
 }
 
--- a/src/process/store/load_aggregator.hpp
+++ b/src/process/store/load_aggregator.hpp
@@ -39,8 +39,10 @@
   /// Sends what is due; call many times a second.
   void tick(Instant now);
 
-  /// What processes have under way whose requests are not placed by this store, and which engines any process avoids.
+  /// Online requests that were not placed by this store, and which engines any process avoids.
   std::vector<request::EngineShare> notPlacedHere() const { return not_placed_.totals(); }
+  /// The aggregators of all zones, this store left out.
+  const std::vector<ReplicaId>& peers() const { return peers_; }
   std::size_t receivers() const { return receivers_.size(); }
 
  private:
@@ -64,6 +66,8 @@
   request::LoadBoard local_;
   request::LoadBoard all_;
   request::LoadBoard not_placed_;
+  /// Of what is reported here, the batch runs.
+  request::LoadBoard background_;
   request::LoadDigestWriter digest_;
   Instant next_digest_{};
   Instant next_totals_{};
--- a/src/process/store/placement_service.cpp
+++ b/src/process/store/placement_service.cpp
@@ -15,10 +15,15 @@
 /// Notes that an answer has begun come with a delay that is no silence of the engine.
 constexpr Duration kNoteDelay = fromMillis(40);
 
+/// The load of other zones' engines is known late, so one that looks nearly full costs more than a short wait for a slot
+/// of the own zone.
+constexpr double kFullRiskMs = 200;
+
 request::SelectorLimits limitsOfPlacement() {
   request::SelectorLimits limits;
   limits.places_zone = true;
   limits.silence_allowed += kNoteDelay;
+  limits.full_risk_ms = kFullRiskMs;
   return limits;
 }
 
@@ -32,7 +37,8 @@
 
 }  // namespace
 
-PlacementService::PlacementService(std::uint64_t seed) : selector_(seed, limitsOfPlacement()) {}
+PlacementService::PlacementService(std::uint64_t seed, GiveWayFunction give_way)
+    : give_way_(std::move(give_way)), selector_(seed, limitsOfPlacement()) {}
 
 PlacementService::Gateway& PlacementService::gatewayOf(Instant now, const std::string& node, const void* connection) {
   Gateway& gateway = gateways_[node];
@@ -56,6 +62,11 @@
   gateway.tickets[question.number] = selector_.begin(now, choice->engine.id, query);
   ++counters_.placed;
   if (choice->estimated_running >= choice->engine.slots) ++counters_.placed_at_full;
+  if (choice->must_give_way) {
+    ++counters_.gave_way;
+    selector_.noteGivingWay(choice->engine.id);
+    give_way_(choice->engine.id);
+  }
   answer.engine = choice->engine.id;
   answer.expected_first_ms = choice->expected_first_ms;
   answer.running = choice->estimated_running;
--- a/src/process/store/placement_service.hpp
+++ b/src/process/store/placement_service.hpp
@@ -16,6 +16,8 @@
 
 struct PlacementCounters {
   std::uint64_t placed = 0;
+  /// Of these, at an engine where a batch run gives way.
+  std::uint64_t gave_way = 0;
   /// Of these, at an engine without a free slot, since none of the service was known to have one.
   std::uint64_t placed_at_full = 0;
   /// Questions without a usable engine.
@@ -28,11 +30,16 @@
 /// soft: gateways tell a new one all that they have. No I/O, no clock. Belongs to one thread.
 class PlacementService {
  public:
-  explicit PlacementService(std::uint64_t seed);
+  /// Asks that a batch run at an engine gives way now.
+  using GiveWayFunction = std::function<void(const EngineId& engine)>;
+
+  PlacementService(std::uint64_t seed, GiveWayFunction give_way);
 
   void setEngines(const std::vector<EngineRecord>& engines) { selector_.setEngines(engines); }
   /// What processes have under way whose requests are not placed here.
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
+  /// What batch runs have under way.
+  void noteBackground(const std::vector<request::EngineShare>& background) { selector_.noteBackground(background); }
   /// `connection`: identity of the connection that the gateway is reached by.
   fleet::PlacementAnswer take(Instant now, const fleet::PlacementQuestion& question, const void* connection);
   void take(Instant now, const fleet::PlacementNotes& notes, const void* connection);
@@ -57,6 +64,7 @@
   void endAll(Instant now, Gateway& gateway);
   void dropIf(Instant now, const std::function<bool(const Gateway&)>& is_gone);
 
+  GiveWayFunction give_way_;
   request::EngineSelector selector_;
   std::map<std::string, Gateway> gateways_;
   PlacementCounters counters_;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -43,8 +43,9 @@
       own_load_(settings_.name, settings_.zone, [this](const ReplicaId& to, const fleet::LoadReportFrame& report) {
         return sendLoadReport(to, report);
       }),
-      placement_(std::random_device()()),
+      placement_(std::random_device()(), [this](const EngineId& engine) { askToGiveWay(engine); }),
       rate_limits_(settings_.rate_limits) {
+  own_load_.setKind(fleet::LoadKind::kBackground);
   links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
 }
 
@@ -141,6 +142,8 @@
   if (!changed) return;
   aggregator_.setEngines(*view.engines);
   placement_.setEngines(*view.engines);
+  engine_ids_.clear();
+  for (const EngineRecord& engine : *view.engines) engine_ids_.push_back(engine.id);
   own_load_.setEngines(*view.engines);
   executor_->setView(view, /*engines_changed=*/true);
 }
@@ -170,6 +173,10 @@
     onLoadReport(*load, from);
   } else if (const auto* totals = std::get_if<fleet::LoadTotalsFrame>(&decoded)) {
     aggregator_.take(monotonicNow(), *totals);
+  } else if (const auto* background = std::get_if<fleet::BackgroundLoadFrame>(&decoded)) {
+    onBackground(*background);
+  } else if (const auto* wanted = std::get_if<fleet::GiveWayFrame>(&decoded)) {
+    executor_->giveWay(wanted->engine);
   } else if (const auto* placement = std::get_if<fleet::PlacementQuestion>(&decoded)) {
     from->send(encodeTagged(FleetMessage(placement_.take(monotonicNow(), *placement, from.get()))));
   } else if (const auto* notes = std::get_if<fleet::PlacementNotes>(&decoded)) {
@@ -237,7 +244,8 @@
     page.counter("hatchfork_placed_total", "Online requests placed for gateways, by what was found.",
                  static_cast<double>(value), {{"outcome", outcome}});
   };
-  placed("free_slot", placements.placed - placements.placed_at_full);
+  placed("free_slot", placements.placed - placements.placed_at_full - placements.gave_way);
+  placed("gave_way", placements.gave_way);
   placed("no_free_slot", placements.placed_at_full);
   placed("no_engine", placements.unplaced);
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -61,6 +61,11 @@
   void onReturnedFrame(const std::string& body);
   void onDigest(const fleet::LoadDigestFrame& digest);
   bool sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report);
+  /// Batch runs of the leader, for those that place online requests.
+  void tellBackground(const std::vector<request::EngineShare>& shares);
+  void onBackground(const fleet::BackgroundLoadFrame& background);
+  /// A placed request needs the slot of a batch run.
+  void askToGiveWay(const EngineId& engine);
   void onCreditQuestion(const fleet::CreditQuestionFrame& frame, const ConnectionPtr& from);
   /// Takes the tenants' limits, and the stores that own them, from the newest view.
   void updateRateLimits(const fleet::FleetView& view);
@@ -107,6 +112,11 @@
   bool reports_load_ = false;
   /// Places the online requests of the gateways that report to this store.
   PlacementService placement_;
+  /// The leader that last told of its batch runs, and its term.
+  ReplicaId background_from_;
+  std::uint64_t background_term_ = 0;
+  /// Decodes what the leader tells.
+  std::vector<EngineId> engine_ids_;
   /// The buckets of the tenants whose limits this store owns, and all that own some.
   request::RateLimitOwner rate_limits_;
   std::vector<ReplicaId> limit_owners_;
--- a/src/process/store/store_program_loads.cpp
+++ b/src/process/store/store_program_loads.cpp
@@ -28,6 +28,31 @@
   if (const auto others = own_load_.take(now, digest)) executor_->noteOthers(now, *others);
 }
 
+void StoreProgram::tellBackground(const std::vector<request::EngineShare>& shares) {
+  request::LoadDigestWriter whole;
+  const fleet::BackgroundLoadFrame frame{settings_.self(), executor_->term(), whole.changes(shares)};
+  for (const ReplicaId& peer : aggregator_.peers()) links_.send(peer, frame);
+  onBackground(frame);
+}
+
+void StoreProgram::onBackground(const fleet::BackgroundLoadFrame& background) {
+  if (background.term < background_term_) return;
+  background_term_ = background.term;
+  background_from_ = background.from;
+  request::LoadDigestReader reader;
+  reader.setEngines(engine_ids_);
+  if (reader.take(background.digest, /*is_whole=*/true)) placement_.noteBackground(reader.others({}));
+}
+
+void StoreProgram::askToGiveWay(const EngineId& engine) {
+  if (background_from_.empty()) return;
+  if (background_from_ == settings_.self()) {
+    executor_->giveWay(engine);
+  } else {
+    links_.send(background_from_, fleet::GiveWayFrame{engine});
+  }
+}
+
 bool StoreProgram::sendLoadReport(const ReplicaId& to, const fleet::LoadReportFrame& report) {
   if (to != settings_.self()) return links_.send(to, report);
   // Posted, so that the reporter is not called back from within its own call.
@@ -42,7 +67,9 @@
   const bool leading = executor_->isLeading();
   if (!leading && !reports_load_) return;
   reports_load_ = leading;
-  own_load_.report(now, executor_->ownShares(now));
+  const std::vector<request::EngineShare> shares = executor_->ownShares(now);
+  if (leading) tellBackground(shares);
+  own_load_.report(now, shares);
 }
 
 }  // namespace hatchfork::store
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -209,6 +209,7 @@
   choice.expects_cached_prefix = kept > 0;
   choice.in_long_lane = state.in_long_lane;
   choice.candidates = among;
+  choice.must_give_way = mustGiveWay(now, state);
   return choice;
 }
 
@@ -283,6 +284,19 @@
   noteSurges(now);
 }
 
+void EngineSelector::noteBackground(const std::vector<EngineShare>& background) {
+  for (auto& [id, state] : engines_) state.background = 0;
+  for (const EngineShare& share : background) {
+    const auto found = engines_.find(share.engine);
+    if (found != engines_.end()) found->second.background = share.in_flight;
+  }
+}
+
+void EngineSelector::noteGivingWay(const EngineId& engine) {
+  const auto found = engines_.find(engine);
+  if (found != engines_.end() && found->second.background > 0) --found->second.background;
+}
+
 std::vector<EngineShare> EngineSelector::ownShares(Instant now) {
   std::vector<EngineShare> shares;
   for (auto engaged = engaged_.begin(); engaged != engaged_.end();) {
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -87,6 +87,8 @@
   /// True where this process places the requests of its whole zone: what its zone's engines have under way is known, so
   /// that neither sampling nor the risk of a nearly full engine counts there.
   bool places_zone = false;
+  /// What it costs to wait until a batch run has given its slot up: an order to its store and a cancelled request.
+  double give_way_ms = 10;
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have under way counts for this long.
@@ -126,6 +128,8 @@
   bool expects_cached_prefix = false;
   bool in_long_lane = false;
   std::size_t candidates = 0;
+  /// A batch run holds the slot that the request is to have.
+  bool must_give_way = false;
 };
 
 /// Names one request under way at an engine.
@@ -165,6 +169,10 @@
   void noteLoad(Instant now, const EngineId& engine, const EngineLoad& load);
   /// What all other processes have under way; goes before loads that engines report, while it is new.
   void noteOthers(Instant now, const std::vector<EngineShare>& others);
+  /// What batch runs have under way, told apart from the others' requests.
+  void noteBackground(const std::vector<EngineShare>& background);
+  /// A batch run at the engine was asked to give way.
+  void noteGivingWay(const EngineId& engine);
   /// What this process has under way, for the others, by engine. Costs what is under way, not what engines there are.
   std::vector<EngineShare> ownShares(Instant now);
   /// Requests above the engine's slots, of all processes; zero where the others' are not known.
@@ -201,6 +209,8 @@
     /// Exact counts of the other processes, and when they were told.
     EngineShare known_others;
     Instant known_at = Instant::min();
+    /// Batch runs that give way to online requests; counted apart from all else.
+    std::uint32_t background = 0;
     bool in_long_lane = false;
     bool gone = false;
     std::uint32_t failures = 0;
@@ -240,6 +250,8 @@
   /// Time until the prompt is read, and until a slot is free before that.
   double readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
   double slotWaitMs(Instant now, const EngineState& state) const;
+  /// True if the engine has no free slot but one that a batch run gives up.
+  bool mustGiveWay(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
   /// The engines at home for a prefix, the first one first.
   std::vector<EngineId> homesOf(std::uint64_t prefix, const std::vector<EngineState*>& usable) const;
--- a/src/request/exchange/engine_selector_costs.cpp
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -76,12 +76,19 @@
   return waiting * slotHoldMs(state.record.service) / slots;
 }
 
+bool EngineSelector::mustGiveWay(Instant now, const EngineState& state) const {
+  const double running = estimatedRunning(now, state);
+  const double slots = state.record.slots;
+  return state.background > 0 && running + 1 <= slots && running + state.background + 1 > slots;
+}
+
 double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
   const double running = estimatedRunning(now, state);
   const double slots = std::max<double>(1, state.record.slots);
   double total = readingMs(now, state, query, kept);
   total += running * limits_.running_cost_ms;
   total += slotWaitMs(now, state);
+  if (mustGiveWay(now, state)) total += limits_.give_way_ms;
   const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
   const bool at_home = kept > 0 && isLong(query);
   const bool is_known = limits_.places_zone && state.record.zone == query.zone;
--- a/tests/process/store/placement_service_test.cpp
+++ b/tests/process/store/placement_service_test.cpp
@@ -40,7 +40,7 @@
 }  // namespace
 
 TEST_CASE("each slot is given away once, whichever gateways ask", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(5, 3));
   std::map<EngineId, int> taken;
   for (std::uint64_t number = 1; number <= 15; ++number) {
@@ -57,7 +57,7 @@
 }
 
 TEST_CASE("a slot whose request has ended is the next one's", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(3, 1));
   EngineId freed;
   for (std::uint64_t number = 1; number <= 3; ++number) {
@@ -69,7 +69,7 @@
 }
 
 TEST_CASE("an engine that failed one gateway is left out for all", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(4, 6));
   const EngineId failed = service.take(at(0), question("g1", 1), &kFirst).engine;
   service.take(at(5), ended("g1", 1, EngineVerdict::kFailed), &kFirst);
@@ -79,7 +79,7 @@
 }
 
 TEST_CASE("a gateway whose connection ends gives its slots back", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(1, 2));
   service.take(at(0), question("g1", 1), &kFirst);
   service.take(at(0), question("g1", 2), &kFirst);
@@ -90,7 +90,7 @@
 }
 
 TEST_CASE("a silent gateway is forgotten", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(1, 2));
   service.take(at(0), question("g1", 1), &kFirst);
   service.expire(at(2000));
@@ -101,7 +101,7 @@
 }
 
 TEST_CASE("a service that has just started learns what gateways have, and what they have no more", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(2, 4));
   fleet::PlacementNotes whole{"g1", true, {}, {}, {}};
   for (std::uint64_t number = 1; number <= 4; ++number) {
@@ -119,7 +119,7 @@
 }
 
 TEST_CASE("engines that a gateway can't reach are not given to it", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   service.setEngines(engines(2, 6));
   fleet::PlacementQuestion asked = question("g1", 1);
   asked.excluded = {EngineId("e0")};
@@ -130,7 +130,7 @@
 }
 
 TEST_CASE("a full zone sends requests to engines of other zones, as far as their load is known", "[placement]") {
-  PlacementService service(1);
+  PlacementService service(1, [](const EngineId&) {});
   std::vector<EngineRecord> all = engines(1, 1);
   EngineRecord remote = all.front();
   remote.id = EngineId("remote");
@@ -141,3 +141,21 @@
   REQUIRE(service.take(at(0), question("g1", 1), &kFirst).engine == EngineId("e0"));
   REQUIRE(service.take(at(0), question("g1", 2), &kFirst).engine == EngineId("remote"));
 }
+
+TEST_CASE("an online request takes a free slot, or else one that a batch run gives up, before it waits", "[placement]") {
+  std::vector<EngineId> gave_way;
+  PlacementService service(1, [&](const EngineId& engine) { gave_way.push_back(engine); });
+  service.setEngines(engines(2, 2));
+  service.noteBackground({request::EngineShare{EngineId("e0"), 2, 0, 0}, request::EngineShare{EngineId("e1"), 1, 0, 0}});
+  REQUIRE(service.take(at(0), question("g1", 1), &kFirst).engine == EngineId("e1"));
+  REQUIRE(gave_way.empty());
+  for (std::uint64_t number = 2; number <= 4; ++number) {
+    REQUIRE(service.take(at(0), question("g1", number), &kFirst).running < 2);
+  }
+  REQUIRE(gave_way.size() == 3);
+  REQUIRE(std::count(gave_way.begin(), gave_way.end(), EngineId("e0")) == 2);
+  // Nothing is left that could give way.
+  service.take(at(0), question("g1", 5), &kFirst);
+  REQUIRE(gave_way.size() == 3);
+  REQUIRE(service.counters().placed_at_full == 1);
+}
