--- a/bench/experiment/online_path.hpp
+++ b/bench/experiment/online_path.hpp
@@ -45,7 +45,7 @@
   void receive(const StreamDelivery& delivery);
   /// The caller closed its connection.
   void abandon(WorkId work);
-  /// Ends the account of requests that are still under way.
+  /// Ends the account of requests that are still in flight.
   void closeAccounts();
 
   void setObserver(CallerObserver observer) { observer_ = std::move(observer); }
@@ -62,7 +62,7 @@
     /// Tokens passed on to the caller.
     std::uint32_t tokens = 0;
     Instant last_token_at{};
-    /// The attempt under way.
+    /// The attempt in flight.
     request::AttemptId attempt = 0;
     request::RoutedAttempt routed;
     Instant attempt_started{};
--- a/bench/experiment/run_recorder.hpp
+++ b/bench/experiment/run_recorder.hpp
@@ -17,7 +17,7 @@
   kFailed,
   /// The caller went away.
   kAbandoned,
-  /// Still under way when the run was cut off.
+  /// Still in flight when the run was cut off.
   kUnfinished,
 };
 
--- a/bench/experiment/virtual_fleet.cpp
+++ b/bench/experiment/virtual_fleet.cpp
@@ -113,12 +113,12 @@
   const std::vector<EngineCounterSum> before = sumCounters();
   runUntil(to);
   const std::vector<EngineCounterSum> after = sumCounters();
-  const auto online_under_way = [this] {
+  const auto online_in_flight = [this] {
     std::size_t count = 0;
     for (const auto& gateway : gateways_) count += gateway->online().underWay();
     return count;
   };
-  while (events_.now() < to + kDrainTime && online_under_way() > 0) runUntil(events_.now() + kControlInterval);
+  while (events_.now() < to + kDrainTime && online_in_flight() > 0) runUntil(events_.now() + kControlInterval);
   std::uint64_t attempts = 0;
   std::uint64_t pauses = 0;
   for (const auto& gateway : gateways_) {
--- a/bench/experiment/virtual_fleet.hpp
+++ b/bench/experiment/virtual_fleet.hpp
@@ -41,7 +41,7 @@
 
   /// Runs up to `until`; may be called again with a later time.
   void runUntil(Instant until);
-  /// Runs the whole load, lets what is under way end, and gives the figures of each service.
+  /// Runs the whole load, lets what is in flight end, and gives the figures of each service.
   std::vector<RunFigures> runAll();
 
   sim::EventQueue& events() { return events_; }
--- a/bench/sim/gateway_batch.hpp
+++ b/bench/sim/gateway_batch.hpp
@@ -45,7 +45,7 @@
   std::size_t heldItems() const { return held_.size(); }
 
  private:
-  /// `kStarting`: the commit of the start is under way; `kGranted`: it is there.
+  /// `kStarting`: the commit of the start is in flight; `kGranted`: it is there.
   enum class Phase { kWaiting, kStarting, kGranted, kRunning, kEnded };
   struct ItemKey {
     JobId job;
--- a/bench/sim/nemesis.hpp
+++ b/bench/sim/nemesis.hpp
@@ -47,7 +47,7 @@
   Nemesis(Fleet& fleet, NemesisOptions options);
 
   void start();
-  /// No fault begins any more; those under way still end.
+  /// No fault begins any more; those in flight still end.
   void stop() { stopped_ = true; }
   /// Begins one fault now. False where no machine is fit for it.
   bool strike(FaultKind kind);
@@ -75,7 +75,7 @@
   Simulation& simulation_;
   NemesisOptions options_;
   std::map<FaultKind, std::size_t> begun_;
-  /// Names of processes with a fault under way.
+  /// Names of processes with a fault in flight.
   std::set<std::string> busy_;
   /// Machines whose disk is lost or damaged and not yet repaired.
   std::set<std::string> impaired_;
--- a/bench/sim/scenarios/batch_faults.cpp
+++ b/bench/sim/scenarios/batch_faults.cpp
@@ -24,7 +24,7 @@
   return false;
 }
 
-/// Work for about `seconds` of virtual time: jobs keep coming while the faults are under way.
+/// Work for about `seconds` of virtual time: jobs keep coming while the faults are in flight.
 void submitOverTime(Fleet& fleet, std::size_t count, Duration pause, const JobOwnerOptions& like) {
   for (std::size_t i = 0; i < count; ++i) {
     JobOwnerOptions options = like;
--- a/bench/sim/simulated_engine.hpp
+++ b/bench/sim/simulated_engine.hpp
@@ -53,7 +53,7 @@
   Simulation& simulation_;
   Process process_;
   std::vector<Run> runs_;
-  /// Runs under way; the number tells one run of a request from a later one.
+  /// Runs in flight; the number tells one run of a request from a later one.
   std::map<std::string, std::uint64_t> running_;
   std::uint64_t next_run_ = 0;
   Duration least_run_time_ = fromMillis(50);
--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t kPieceBytes = 4096;
 constexpr std::uint32_t kLargestHead = 64u << 10;
 
-/// A connection with the bytes read ahead of the parser. Shared with the write that may be under way.
+/// A connection with the bytes read ahead of the parser. Shared with the write that may be in flight.
 struct EngineConnection {
   explicit EngineConnection(asio::io_context& context) : socket(context) {}
   tcp::socket socket;
@@ -149,7 +149,7 @@
   void cancel() override {
     cancelled_ = true;
     timer_.cancel();
-    // A read that is under way ends with an error later, and still uses the buffer then: the connection itself must
+    // A read that is in flight ends with an error later, and still uses the buffer then: the connection itself must
     // stay until its coroutine has gone on.
     boost::system::error_code ignored;
     if (connection_) connection_->socket.close(ignored);
--- a/src/process/consensus/membership_plan.cpp
+++ b/src/process/consensus/membership_plan.cpp
@@ -63,7 +63,7 @@
     for (const Candidate& candidate : input_.candidates) {
       const Member* member = findMember(input_.current, candidate.id);
       if (member == nullptr || member->incarnation == candidate.incarnation) continue;
-      // An announcement of the former self may still be under way while the new self answers.
+      // An announcement of the former self may still be in flight while the new self answers.
       if (silence(candidate.id) < kFormerSelfSilentFor) continue;
       Membership target = without(candidate.id);
       target.members.push_back(Member{candidate.id, candidate.incarnation, false});
--- a/src/process/consensus/progress.hpp
+++ b/src/process/consensus/progress.hpp
@@ -30,7 +30,7 @@
   LogIndex match = 0;
   /// Next entry to send.
   LogIndex next = 1;
-  /// Probe only: a request is under way.
+  /// Probe only: a request is in flight.
   bool probe_sent = false;
   std::deque<SentBatch> in_flight;
   std::uint64_t in_flight_bytes = 0;
@@ -43,7 +43,7 @@
   Instant confirmed_at = Instant::min();
   LogIndex snapshot_index = 0;
   std::uint64_t snapshot_offset = 0;
-  /// A chunk is under way since then.
+  /// A chunk is in flight since then.
   bool chunk_sent = false;
   Instant chunk_sent_at{};
 
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -171,7 +171,7 @@
   if (!reply.accepted) {
     if (progress.state == ReplicationState::kSnapshot) return;
     const LogIndex next = std::min(std::max(reply.index, progress.match) + 1, log_->lastIndex() + 1);
-    // The probe under way asks just that: the refusal is an old one, or the peer lost what it had acknowledged. Sending
+    // The probe in flight asks just that: the refusal is an old one, or the peer lost what it had acknowledged. Sending
     // again at once would never end, and would multiply with each repeated message; heartbeats send it again.
     if (progress.probe_sent && progress.next == next) return;
     progress.startProbe(now_);
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -82,7 +82,7 @@
   cause_ = "no_engine";
   while (mayGoOn(end)) {
     const std::optional<EngineChoice> choice = co_await chooseEngine();
-    if (caller_left_ || !choice || turnsBack(*choice)) {
+    if (caller_left_ || !choice || rejectsEarly(*choice)) {
       if (place_ != 0) tools_.placement.noteEnded(place_, EngineVerdict::kNeutral);
       break;
     }
@@ -96,12 +96,11 @@
   place_ = 0;
   if (!tools_.selector.isSticky(query_)) {
     std::vector<EngineId> unreachable = tools_.selector.ejectedEngines(monotonicNow(), query_.service);
-    const std::optional<PlacementClient::Place> place =
-        co_await tools_.placement.place(query_, std::move(unreachable));
+    const std::optional<PlacementClient::Place> place = co_await tools_.placement.place(query_, std::move(unreachable));
     if (place) {
       const fleet::PlacementAnswer& answer = place->answer;
-      std::optional<EngineChoice> choice = tools_.selector.describeChosen(
-          monotonicNow(), answer.engine, query_, answer.expected_first_ms, answer.running);
+      std::optional<EngineChoice> choice = tools_.selector.describeChosen(monotonicNow(), answer.engine, query_,
+                                                                          answer.expected_first_ms, answer.running);
       if (choice) {
         place_ = place->number;
         co_return choice;
@@ -112,14 +111,14 @@
   co_return tools_.selector.choose(monotonicNow(), query_);
 }
 
-bool ExchangeRun::turnsBack(const EngineChoice& choice) {
+bool ExchangeRun::rejectsEarly(const EngineChoice& choice) {
   if (runs_ + refusals_ > 0) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
   if (tools_.gate.admits(route_.objective, monotonicNow() - received_at_, wait)) return false;
   come_back_after_ = tools_.gate.comeBackAfter(wait);
   cause_ = "engines_full";
-  ++tools_.counters.turned_back;
-  logEvent(LogLevel::kInfo, "request_turned_back",
+  ++tools_.counters.rejected_early;
+  logEvent(LogLevel::kInfo, "request_rejected_early",
            {{"request", id_},
             {"expected_wait_ms", toMillis(wait)},
             {"objective_ms", toMillis(route_.objective)},
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -23,7 +23,7 @@
   std::uint64_t answered = 0;
   std::uint64_t refused = 0;
   /// Of these, at their arrival, since no engine would have begun them in time.
-  std::uint64_t turned_back = 0;
+  std::uint64_t rejected_early = 0;
   std::uint64_t failed = 0;
   std::uint64_t caller_left = 0;
   std::uint64_t attempts = 0;
@@ -89,8 +89,8 @@
   std::vector<connection::HttpHeader> callerHeaders() const;
   connection::EngineRequest engineRequest(const request::EngineChoice& choice) const;
   bool mayGoOn(AttemptEnd end) const;
-  /// True if the request was turned back before it was sent to any engine, since it would be late.
-  bool turnsBack(const request::EngineChoice& choice);
+  /// True if the request was rejected early before it was sent to any engine, since it would be late.
+  bool rejectsEarly(const request::EngineChoice& choice);
   bool isDeclined(const connection::EngineExchange& exchange) const;
   std::vector<connection::HttpHeader> answerHeaders(const connection::EngineExchange& exchange) const;
   void logAttempt(const request::EngineChoice& choice) const;
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Changes of what a gateway has under way that are closer together than this are reported together: batch runs follow
+/// Changes of what a gateway has in flight that are closer together than this are reported together: batch runs follow
 /// online load by these reports (50 ms made 617 in place of 431 of 12,952 streams late beside batch, one play each).
 constexpr Duration kLoadReportDelay = fromMillis(10);
 /// How often a gateway looks for what changes by time alone: answers that are overdue, reports to be repeated.
@@ -285,8 +285,8 @@
   requests("refused", counters_.refused);
   requests("failed", counters_.failed);
   requests("caller_left", counters_.caller_left);
-  page.counter("hatchfork_requests_turned_back_total", "Refused at their arrival, since they would be late.",
-               static_cast<double>(counters_.turned_back));
+  page.counter("hatchfork_requests_rejected_early_total", "Refused at their arrival, since they would be late.",
+               static_cast<double>(counters_.rejected_early));
   page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
   page.counter("hatchfork_attempts_declined_total", "Of these, declined by the engine.",
                static_cast<double>(counters_.declined));
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -45,8 +45,7 @@
   Result<const Tenant*> callerOf(const RouteTable& routes, bool allows_anonymous,
                                  const connection::HttpRequest& request) const;
   connection::Awaitable<void> handleJobCall(const JobCall& call, const RouteTable& routes,
-                                            const connection::HttpRequest& request,
-                                            connection::ResponseWriter& writer);
+                                            const connection::HttpRequest& request, connection::ResponseWriter& writer);
   /// When a caller comes back that met no configuration here: once there is one, not all at once.
   Duration comeBackWhenConfigured();
   /// An online request of an identified caller: admitted by the tenant's limit, then run.
@@ -62,7 +61,7 @@
   void fillMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> maintenanceLoop();
   connection::Awaitable<void> loadLoop();
-  /// Reports what is under way here, with other changes of the same moment.
+  /// Reports what is in flight here, with other changes of the same moment.
   void reportLoadSoon();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
--- a/src/process/exchange/placement_client.cpp
+++ b/src/process/exchange/placement_client.cpp
@@ -32,7 +32,7 @@
 }
 
 Awaitable<std::optional<PlacementClient::Place>> PlacementClient::place(const request::EngineQuery& query,
-                                                                       std::vector<EngineId> unreachable) {
+                                                                        std::vector<EngineId> unreachable) {
   const Instant asked_at = monotonicNow();
   if (!isAskable(asked_at)) co_return std::nullopt;
   const std::uint64_t number = ++last_number_;
@@ -56,8 +56,7 @@
   counters_.wait.observe(now - asked_at);
   if (!question.answer) {
     avoided_until_ = now + kAvoidedFor;
-    logEvent(LogLevel::kInfo, "placer_silent",
-             {{"store", placer_.value}, {"waited_ms", toMillis(now - asked_at)}});
+    logEvent(LogLevel::kInfo, "placer_silent", {{"store", placer_.value}, {"waited_ms", toMillis(now - asked_at)}});
     noteEnded(number, request::EngineVerdict::kNeutral);
     co_return std::nullopt;
   }
@@ -124,7 +123,7 @@
   whole.is_whole = true;
   whole.present.clear();
   for (const auto& [number, request] : present_) whole.present.push_back(request);
-  // Requests whose question is under way are not at an engine yet.
+  // Requests whose question is in flight are not at an engine yet.
   for (const auto& [number, question] : questions_) whole.present.push_back(fleet::PlacedRequest{number, {}, 0, false});
   if (send_(placer_, whole)) next_whole_ = now + kWholeInterval;
 }
--- a/src/process/exchange/rate_limit_client.cpp
+++ b/src/process/exchange/rate_limit_client.cpp
@@ -79,8 +79,9 @@
     return okStatus();
   }
   ++counters_.unanswered;
-  return Error{ErrorKind::kUnavailable, "the store that keeps the rate limit of tenant " + tenant.value +
-                                            " does not answer, and this gateway's part of it is used up",
+  return Error{ErrorKind::kUnavailable,
+               "the store that keeps the rate limit of tenant " + tenant.value +
+                   " does not answer, and this gateway's part of it is used up",
                "come back at the given time", Executed::kNo, kComeBackWhenAnswered};
 }
 
@@ -109,9 +110,8 @@
 }
 
 void RateLimitClient::expire(Instant now) {
-  std::erase_if(entries_, [now](const auto& item) {
-    return item.second.waiting.empty() && item.second.account.isIdle(now);
-  });
+  std::erase_if(entries_,
+                [now](const auto& item) { return item.second.waiting.empty() && item.second.account.isIdle(now); });
 }
 
 }  // namespace hatchfork::exchange
--- a/src/process/exchange/rate_limit_client.hpp
+++ b/src/process/exchange/rate_limit_client.hpp
@@ -38,8 +38,8 @@
 
   /// The stores that own limits, as the newest membership names them.
   void setOwners(std::vector<ReplicaId> owners) { owners_ = std::move(owners); }
-  /// Admits a request of the tenant, or tells why not: `kRateLimited` over the limit, `kUnavailable` where that can't be
-  /// told.
+  /// Admits a request of the tenant, or tells why not: `kRateLimited` over the limit, `kUnavailable` where that can't
+  /// be told.
   connection::Awaitable<Status> admit(const Tenant& tenant);
   void take(const fleet::CreditAnswerFrame& answer);
   /// Forgets tenants that sent nothing for long. Call about once a second.
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -44,7 +44,7 @@
 void StoreClient::onLinkState(const ReplicaId& store, bool connected) {
   logEvent(LogLevel::kInfo, connected ? "store_connected" : "store_lost", {{"store", store.value}});
   if (connected) return;
-  // Requests under way there get no answer any more.
+  // Requests in flight there get no answer any more.
   std::vector<ReplyHandler> lost;
   std::erase_if(pending_, [&](auto& entry) {
     if (entry.second.store != store) return false;
@@ -103,13 +103,13 @@
   std::optional<StoreReply> answer;
   ReplicaId answered_by;
   /// Stores that are being asked, and those that were asked in this round.
-  std::set<ReplicaId> under_way;
+  std::set<ReplicaId> in_flight;
   std::set<ReplicaId> asked;
   bool may_apply = false;
   std::string cause = "no store is known";
 
   void end(const ReplicaId& store, StoreReply reply) {
-    under_way.erase(store);
+    in_flight.erase(store);
     changed.cancel();
     if (const auto* unavailable = std::get_if<UnavailableReply>(&reply)) {
       may_apply = may_apply || unavailable->may_apply;
@@ -127,7 +127,7 @@
   const auto link = links_.find(store);
   if (link == links_.end()) return;
   state->asked.insert(store);
-  state->under_way.insert(store);
+  state->in_flight.insert(store);
   const std::uint64_t number = ++last_number_;
   auto timeout = std::make_shared<connection::asio::steady_timer>(context_);
   pending_[number] = Pending{store, [state, store, timeout](StoreReply reply) {
@@ -147,7 +147,7 @@
 
 std::optional<ReplicaId> StoreClient::nextStore(const CallState& state) const {
   for (const ReplicaId& store : order()) {
-    if (!state.asked.contains(store) && !state.under_way.contains(store)) return store;
+    if (!state.asked.contains(store) && !state.in_flight.contains(store)) return store;
   }
   return std::nullopt;
 }
@@ -158,7 +158,7 @@
   while (monotonicNow() < limits.deadline) {
     const std::optional<ReplicaId> store = nextStore(*state);
     if (store) ask(*store, encoded, std::min(limits.patience, limits.deadline - monotonicNow()), state);
-    const bool uncertain = state->may_apply || !state->under_way.empty();
+    const bool uncertain = state->may_apply || !state->in_flight.empty();
     if (!store && !uncertain && monotonicNow() + kPauseBetweenRounds >= limits.refuse_at) break;
     // A new round begins after a pause; within one, an answer or the hedge ends the wait.
     state->changed.expires_after(store ? limits.hedge : kPauseBetweenRounds);
@@ -169,7 +169,7 @@
     preferred_ = state->answered_by;
     co_return std::move(*state->answer);
   }
-  co_return UnavailableReply{state->may_apply || !state->under_way.empty(), state->cause};
+  co_return UnavailableReply{state->may_apply || !state->in_flight.empty(), state->cause};
 }
 
 }  // namespace hatchfork::exchange
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -206,12 +206,12 @@
   if (!group_->isConfirmedLeader()) return;
   noting_members_ = true;
   const std::uint64_t term = directory_.groupTerm();
-  group_->propose(encodeTagged(FleetCommand(NoteStoreMembers{term, members})), fromMillis(2000),
-                  [this, term, count = members.size()](const ProposalOutcome& outcome) {
-                    noting_members_ = false;
-                    logEvent(LogLevel::kInfo, "store_members_noted",
-                             {{"stores", count}, {"term", term}, {"reply", outcome.reply}});
-                  });
+  group_->propose(
+      encodeTagged(FleetCommand(NoteStoreMembers{term, members})), fromMillis(2000),
+      [this, term, count = members.size()](const ProposalOutcome& outcome) {
+        noting_members_ = false;
+        logEvent(LogLevel::kInfo, "store_members_noted", {{"stores", count}, {"term", term}, {"reply", outcome.reply}});
+      });
 }
 
 void ControlProgram::forgetSilentEngines(Instant now) {
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -197,7 +197,7 @@
   kBackground,
 };
 
-/// What a process has under way at engines, for the aggregator that it reports to. Replaces its last report.
+/// What a process has in flight at engines, for the aggregator that it reports to. Replaces its last report.
 struct LoadReportFrame {
   static constexpr std::string_view kKind = "l";
   std::string node;
@@ -216,7 +216,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadTotalsFrame, from, digest, background)
 
-/// What the batch runs have under way at each engine: from the leader of the stores to those that place online
+/// What the batch runs have in flight at each engine: from the leader of the stores to those that place online
 /// requests. A whole `LoadDigestWriter` digest.
 struct BackgroundLoadFrame {
   static constexpr std::string_view kKind = "bl";
@@ -243,10 +243,10 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadDigestFrame, from, is_whole, digest)
 
-using FleetMessage = std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame,
-                                  UpdateFrame, StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame,
-                                  LoadDigestFrame, RunOrder, RunLease, RunReport, RunOffer, CreditQuestionFrame,
-                                  CreditAnswerFrame, PlacementQuestion, PlacementAnswer, PlacementNotes,
-                                  BackgroundLoadFrame, GiveWayFrame>;
+using FleetMessage =
+    std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame, UpdateFrame,
+                 StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame, LoadDigestFrame, RunOrder,
+                 RunLease, RunReport, RunOffer, CreditQuestionFrame, CreditAnswerFrame, PlacementQuestion,
+                 PlacementAnswer, PlacementNotes, BackgroundLoadFrame, GiveWayFrame>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -26,7 +26,8 @@
 };
 /// Snapshots of older programs have no members of the store group.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSnapshot, document_version, document, engines, engines_revision,
-                                                departed, former, store_group, retiring, store_members_term, store_members)
+                                                departed, former, store_group, retiring, store_members_term,
+                                                store_members)
 
 }  // namespace
 
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -128,7 +128,8 @@
   std::deque<EngineId> engine_changes_;
   /// Who is at each address, so that a newcomer there takes its place without a search.
   std::map<std::string, EngineId> engine_at_address_;
-  /// Engines that were at an address and lost it, by the address: silent ones and replaced ones. The oldest are forgotten.
+  /// Engines that were at an address and lost it, by the address: silent ones and replaced ones. The oldest are
+  /// forgotten.
   std::map<std::string, std::set<EngineId>> former_at_address_;
   std::deque<std::pair<std::string, EngineId>> former_order_;
   std::set<EngineId> departed_;
--- a/src/process/fleet/load_reporter.hpp
+++ b/src/process/fleet/load_reporter.hpp
@@ -18,7 +18,7 @@
 /// often another one as there are stores in the zone.
 std::vector<ReplicaId> aggregatorsOf(const std::vector<StoreAddress>& stores, const ZoneId& zone);
 
-/// Tells one aggregator what this process has under way at engines, and takes what all others have. Turns to the next
+/// Tells one aggregator what this process has in flight at engines, and takes what all others have. Turns to the next
 /// aggregator where one is out of reach or silent: those of the own zone first, then those of the next zone. No I/O, no
 /// clock. Belongs to one thread.
 class LoadReporter {
@@ -39,7 +39,7 @@
   void setEngines(const std::vector<EngineRecord>& engines);
   /// Reports at once what differs from the last report, and every so often what does not. Call many times a second.
   void report(Instant now, std::vector<request::EngineShare> shares);
-  /// What all other processes have under way; nothing from a store that is not the aggregator in use.
+  /// What all other processes have in flight; nothing from a store that is not the aggregator in use.
   std::optional<std::vector<request::EngineShare>> take(Instant now, const LoadDigestFrame& digest);
 
  private:
--- a/src/process/fleet/placement_messages.hpp
+++ b/src/process/fleet/placement_messages.hpp
@@ -26,8 +26,8 @@
   std::vector<EngineId> excluded;
 };
 inline void to_json(nlohmann::json& json, const PlacementQuestion& question) {
-  json = nlohmann::json::array({question.node, question.zone, question.number, question.service,
-                                question.prompt_tokens, question.excluded});
+  json = nlohmann::json::array(
+      {question.node, question.zone, question.number, question.service, question.prompt_tokens, question.excluded});
 }
 inline void from_json(const nlohmann::json& json, PlacementQuestion& question) {
   json.at(0).get_to(question.node);
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -123,7 +123,7 @@
   /// Term of the orders.
   std::uint64_t term = 0;
   std::vector<RunNews> news;
-  /// All runs under way; an order that is neither here nor ended was lost.
+  /// All runs in flight; an order that is neither here nor ended was lost.
   std::vector<std::uint64_t> running;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, from, term, news, running)
--- a/src/process/gateway/batch_item_run.hpp
+++ b/src/process/gateway/batch_item_run.hpp
@@ -38,7 +38,7 @@
   /// An unrepeatable item was sent to an engine: never again.
   bool sent = false;
   request::AttemptId attempt_id = 0;
-  /// The router's account of the attempt under way.
+  /// The router's account of the attempt in flight.
   request::RoutedAttempt routed;
   /// The running attempt; null between attempts.
   std::shared_ptr<connection::EngineAttempt> attempt;
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Duration kYieldInterval = fromMillis(50);
-/// A new leader knows little of what else is under way, and callers come back in a crowd after a failure of many
+/// A new leader knows little of what else is in flight, and callers come back in a crowd after a failure of many
 /// processes: it allows itself this share of all slots more a second.
 constexpr double kSlotsStartedPerSecond = 0.2;
 /// Until this long after its start.
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -26,7 +26,7 @@
   ReplicaId self;
   ZoneId zone;
   std::uint64_t seed = 1;
-  /// Most items under way at once at one store.
+  /// Most items in flight at once at one store.
   std::size_t most_running = 400;
   /// Gateways find a new leader and tell it their load within this time; it starts no run before.
   Duration loads_known_after = fromMillis(300);
@@ -42,9 +42,9 @@
 
 /// Decides, while this process leads the store group, which items of the open jobs run, at which engine, and which
 /// store runs them; joins the events of an item's runs to its text, and proposes results. All that it knows of items
-/// under way is soft: a new leader goes on from the progress that the group keeps. Belongs to one thread.
+/// in flight is soft: a new leader goes on from the progress that the group keeps. Belongs to one thread.
 ///
-/// Invariants: an item is under way at one engine at most, as far as reports tell; its text is each event's data
+/// Invariants: an item is in flight at one engine at most, as far as reports tell; its text is each event's data
 /// exactly once, a later run being asked to go on after the last event that was taken; a result is proposed only for a
 /// whole text, or for an item that may be given up.
 class JobExecutor {
@@ -76,7 +76,7 @@
   bool isLeading() const { return leading_; }
   /// Term of the last leadership that was announced here.
   std::uint64_t term() const { return term_; }
-  /// What the runs here have under way, and what all gateways have.
+  /// What the runs here have in flight, and what all gateways have.
   std::vector<request::EngineShare> ownShares(Instant now) { return selector_.ownShares(now); }
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   const JobExecutorCounters& counters() const { return counters_; }
@@ -95,7 +95,7 @@
     /// How much of the text is kept by the group: up to which event, and how many bytes.
     std::uint64_t saved_event = 0;
     std::size_t saved_bytes = 0;
-    /// The run that reported that, and the name of the run that is under way or ended last: its text goes on from the
+    /// The run that reported that, and the name of the run that is in flight or ended last: its text goes on from the
     /// runs before it.
     std::uint64_t saved_chain = 0;
     std::uint64_t chain = 0;
@@ -117,7 +117,7 @@
     std::uint64_t events_before = 0;
     EngineId engine;
     bool stopped = false;
-    /// Names the run under way in reports.
+    /// Names the run in flight in reports.
     std::uint64_t number = 0;
     request::TicketId ticket = 0;
   };
@@ -139,7 +139,7 @@
   void enqueueOpenItems(const StoredJob& job);
   void stopItems(const JobId& job);
   void pump();
-  /// Runs under way that a new leader allows itself; grows until it is of no matter.
+  /// Runs in flight that a new leader allows itself; grows until it is of no matter.
   std::size_t mostRunsNow(Instant now) const;
   /// False if nothing can be started now.
   bool startNext(Instant now);
@@ -159,7 +159,7 @@
   std::vector<ItemPtr> runsToYield(Instant now);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
                 const request::EngineQuery& query);
-  /// The item of an offered run, if it is open and nothing is under way for it.
+  /// The item of an offered run, if it is open and nothing is in flight for it.
   ItemPtr itemWanting(const fleet::OfferedRun& offered) const;
   void adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered);
   void takeNews(const ItemPtr& run, const fleet::RunNews& news);
@@ -210,7 +210,7 @@
   /// Runs that it took up from earlier leaders.
   std::size_t adopted_ = 0;
   request::RunTimeModel run_times_;
-  /// Items under way, by the number of their run.
+  /// Items in flight, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
   std::vector<ProposedResult> results_;
   bool proposing_ = false;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kRetryAfterYield = fromMillis(200);
 /// Chains are drawn below 2^53, so that they stay exact in every reader of JSON.
 constexpr unsigned kChainShift = 11;
-/// A run whose store has fallen silent may still be under way there for the rest of its lease.
+/// A run whose store has fallen silent may still be in flight there for the rest of its lease.
 constexpr Duration kRetryAfterLoss = fromMillis(300);
 
 }  // namespace
@@ -30,7 +30,7 @@
                            const request::EngineQuery& query) {
   const ReplicaId runner = board_.chooseRunner(now, choice.engine.zone).value_or(options_.self);
   run->running = true;
-  // Two runs of an item may be under way at two stores for a moment, so each one's text has a name of its own.
+  // Two runs of an item may be in flight at two stores for a moment, so each one's text has a name of its own.
   run->chain = chains_() >> kChainShift;
   run->first_event_at = Instant{};
   run->events_before = run->events;
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -74,8 +74,8 @@
   std::uint64_t waiting = 0;
   for (const auto& [id, job] : jobs_) {
     const JobSubmission& submission = job.submission;
-    const bool counts = submission.tenant == limit.tenant && submission.host == limit.host &&
-                        submission.path.starts_with(limit.prefix);
+    const bool counts =
+        submission.tenant == limit.tenant && submission.host == limit.host && submission.path.starts_with(limit.prefix);
     if (counts && !job.ended) waiting += job.open_tokens;
   }
   return waiting;
--- a/src/process/store/load_aggregator.cpp
+++ b/src/process/store/load_aggregator.cpp
@@ -61,8 +61,8 @@
   request::LoadDigestReader background;
   reader.setEngines(engines_);
   background.setEngines(engines_);
-  const bool is_readable = reader.take(totals.digest, /*is_whole=*/true) &&
-                           background.take(totals.background, /*is_whole=*/true);
+  const bool is_readable =
+      reader.take(totals.digest, /*is_whole=*/true) && background.take(totals.background, /*is_whole=*/true);
   if (!is_readable) {
     logEvent(LogLevel::kWarning, "load_totals_refused",
              {{"store", totals.from.value}, {"bytes", totals.digest.size()}, {"cause", "malformed"}});
--- a/src/process/store/load_aggregator.hpp
+++ b/src/process/store/load_aggregator.hpp
@@ -19,7 +19,7 @@
   std::function<void(const std::string& frame)> send;
 };
 
-/// Adds up what the processes that report to this store have under way, exchanges the totals with the aggregators of
+/// Adds up what the processes that report to this store have in flight, exchanges the totals with the aggregators of
 /// all zones, and tells the sum to those that report here. Every store can be one; most are not, since nobody reports
 /// to them. Independent of who leads the stores.
 ///
--- a/src/process/store/placement_service.cpp
+++ b/src/process/store/placement_service.cpp
@@ -15,8 +15,8 @@
 /// Notes that an answer has begun come with a delay that is no silence of the engine.
 constexpr Duration kNoteDelay = fromMillis(40);
 
-/// The load of other zones' engines is known late, so one that looks nearly full costs more than a short wait for a slot
-/// of the own zone.
+/// The load of other zones' engines is known late, so one that looks nearly full costs more than a short wait for a
+/// slot of the own zone.
 constexpr double kFullRiskMs = 200;
 
 request::SelectorLimits limitsOfPlacement() {
--- a/src/process/store/placement_service.hpp
+++ b/src/process/store/placement_service.hpp
@@ -26,7 +26,7 @@
 
 /// Places the online requests of all gateways of a zone, so that each slot of the zone's engines is given away once:
 /// many gateways that choose for themselves know each other's choices too late, and queue at an engine while another
-/// one has a free slot. What the other zones and the batch runs have under way comes from the load totals. Its state is
+/// one has a free slot. What the other zones and the batch runs have in flight comes from the load totals. Its state is
 /// soft: gateways tell a new one all that they have. No I/O, no clock. Belongs to one thread.
 class PlacementService {
  public:
@@ -36,14 +36,14 @@
   PlacementService(std::uint64_t seed, GiveWayFunction give_way);
 
   void setEngines(const std::vector<EngineRecord>& engines) { selector_.setEngines(engines); }
-  /// What processes have under way whose requests are not placed here.
+  /// What processes have in flight whose requests are not placed here.
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
-  /// What batch runs have under way.
+  /// What batch runs have in flight.
   void noteBackground(const std::vector<request::EngineShare>& background) { selector_.noteBackground(background); }
   /// `connection`: identity of the connection that the gateway is reached by.
   fleet::PlacementAnswer take(Instant now, const fleet::PlacementQuestion& question, const void* connection);
   void take(Instant now, const fleet::PlacementNotes& notes, const void* connection);
-  /// The connection has ended: so has what its gateway had under way, or it will tell anew.
+  /// The connection has ended: so has what its gateway had in flight, or it will tell anew.
   void drop(Instant now, const void* connection);
   /// Forgets gateways that have told nothing for long.
   void expire(Instant now);
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -41,7 +41,7 @@
   std::vector<std::uint64_t> lost;
 };
 
-/// The leader's table of the runs that it has ordered: at which store each is under way, and which are lost. No I/O, no
+/// The leader's table of the runs that it has ordered: at which store each is in flight, and which are lost. No I/O, no
 /// clock. Belongs to one thread.
 ///
 /// Invariant: news of a run are passed on in their order without a gap, or the run counts as lost.
@@ -49,11 +49,11 @@
  public:
   RunBoard(ReplicaId self, RunBoardLimits limits) : self_(std::move(self)), limits_(limits) {}
 
-  /// A leadership begins: nothing is under way as far as it knows. Numbers of runs differ from all earlier ones.
+  /// A leadership begins: nothing is in flight as far as it knows. Numbers of runs differ from all earlier ones.
   void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
   void setRunners(std::map<ReplicaId, ZoneId> runners);
-  /// Where the next run goes, whose engine is in `zone`: here while few are under way in all; else to the store with
+  /// Where the next run goes, whose engine is in `zone`: here while few are in flight in all; else to the store with
   /// the fewest, one in that zone before others, so that its stream crosses zones once and not twice. Nothing if all
   /// are full.
   std::optional<ReplicaId> chooseRunner(Instant now, const ZoneId& zone) const;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -40,9 +40,9 @@
       links_(context_, settings_.store_port),
       aggregator_(settings_.self(),
                   [this](const ReplicaId& to, const fleet::LoadTotalsFrame& totals) { links_.send(to, totals); }),
-      own_load_(settings_.name, settings_.zone, [this](const ReplicaId& to, const fleet::LoadReportFrame& report) {
-        return sendLoadReport(to, report);
-      }),
+      own_load_(
+          settings_.name, settings_.zone,
+          [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return sendLoadReport(to, report); }),
       placement_(std::random_device()(), [this](const EngineId& engine) { askToGiveWay(engine); }),
       rate_limits_(settings_.rate_limits) {
   own_load_.setKind(fleet::LoadKind::kBackground);
@@ -87,8 +87,8 @@
 
   auto on_close = [this](const ConnectionPtr& closed) { placement_.drop(monotonicNow(), closed.get()); };
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
-  frame_server_ =
-      std::make_unique<connection::FrameServer>(context_, settings_.storeEndpoint(settings_.self()), on_frame, on_close);
+  frame_server_ = std::make_unique<connection::FrameServer>(context_, settings_.storeEndpoint(settings_.self()),
+                                                            on_frame, on_close);
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
 
@@ -225,7 +225,7 @@
   items("errored", counters.errored);
   items("broken", counters.broken);
   items("yielded", counters.yielded);
-  page.gauge("hatchfork_items_running", "Batch items under way, at the leader.",
+  page.gauge("hatchfork_items_running", "Batch items in flight, at the leader.",
              static_cast<double>(executor_->running()));
   page.gauge("hatchfork_items_run_here", "Batch items that this store runs.", static_cast<double>(runner_->running()));
   page.gauge("hatchfork_items_waiting", "Batch items that wait for a slot.", static_cast<double>(executor_->waiting()));
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -69,7 +69,7 @@
   void onCreditQuestion(const fleet::CreditQuestionFrame& frame, const ConnectionPtr& from);
   /// Takes the tenants' limits, and the stores that own them, from the newest view.
   void updateRateLimits(const fleet::FleetView& view);
-  /// At the leader: tells what its runs have under way, and once that they are over.
+  /// At the leader: tells what its runs have in flight, and once that they are over.
   void reportOwnLoad(Instant now);
   void onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from);
   void serve(SubmitJobRequest request, ReplyFunction reply);
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t kMostResultBytes = 700u << 10;
-/// Share of the process's memory that bodies and texts may take; the log's tail, messages under way and their copies
+/// Share of the process's memory that bodies and texts may take; the log's tail, messages in flight and their copies
 /// need the rest.
 constexpr double kHeldShare = 0.38;
 constexpr double kBytesPerMegabyte = 1 << 20;
--- a/src/request/batch/lease_pacer.hpp
+++ b/src/request/batch/lease_pacer.hpp
@@ -36,7 +36,7 @@
   LeasePacerOptions options_;
   std::optional<Instant> sent_at_;
   Instant ask_again_at_{};
-  bool under_way_ = false;
+  bool in_flight_ = false;
   bool asked_ = false;
 };
 
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -108,7 +108,7 @@
   return usable;
 }
 
-void EngineSelector::drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable) {
+void EngineSelector::sampleEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable) {
   double others = 0;
   for (const EngineState* state : usable) {
     if (knowsOthers(now, *state)) others += state->known_others.in_flight;
@@ -117,13 +117,13 @@
   const double blind_choices = others / slotHoldMs(query.service) * toSeconds(blind_for) * 1000;
   if (blind_choices <= limits_.blind_choices_each) return;
   const double share = limits_.blind_choices_each / blind_choices;
-  const auto drawn = static_cast<std::size_t>(std::ceil(share * static_cast<double>(usable.size())));
-  const auto speaking = std::partition(usable.begin(), usable.end(),
-                                       [this, now](const EngineState* state) { return silenceCost(now, *state) == 0; });
-  if (speaking != usable.begin()) usable.erase(speaking, usable.end());
-  if (drawn >= usable.size()) return;
+  const auto sample_size = static_cast<std::size_t>(std::ceil(share * static_cast<double>(usable.size())));
+  const auto first_overdue = std::partition(
+      usable.begin(), usable.end(), [this, now](const EngineState* state) { return silenceCost(now, *state) == 0; });
+  if (first_overdue != usable.begin()) usable.erase(first_overdue, usable.end());
+  if (sample_size >= usable.size()) return;
   std::shuffle(usable.begin(), usable.end(), random_);
-  usable.resize(drawn);
+  usable.resize(sample_size);
 }
 
 std::optional<EngineChoice> EngineSelector::choose(Instant now, const EngineQuery& query) {
@@ -132,7 +132,7 @@
   if (usable.empty()) return std::nullopt;
   const std::uint64_t prefix = prefixIdentity(query.prompt);
   const bool sticky = isSticky(query);
-  if (!sticky && !query.background && !limits_.places_zone) drawEngines(now, query, usable);
+  if (!sticky && !query.background && !limits_.places_zone) sampleEngines(now, query, usable);
   const std::vector<EngineId> homes = sticky ? homesOf(prefix, usable) : std::vector<EngineId>();
   EngineState* best = nullptr;
   double best_cost = 0;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -43,12 +43,12 @@
   /// costs more and more, up to this much.
   double risky_share = 0.65;
   double full_risk_ms = 80;
-  /// A request that has had no byte of its answer for longer than its prompt takes, and this much, speaks against its
+  /// A request that has had no byte of its answer for longer than its prompt takes, and this much, counts against its
   /// engine: it costs as much as the engine is late, up to the most.
   Duration silence_allowed = fromMillis(80);
   double most_silence_ms = 3000;
-  /// What the word of another process against an engine costs at most.
-  double most_hearsay_ms = 600;
+  /// What an engine costs at most that another process reports to avoid.
+  double most_reported_avoid_ms = 600;
   /// Reaching an engine in another zone.
   double other_zone_cost_ms = 4;
   /// Shared prompt parts below this are not worth a detour.
@@ -81,17 +81,17 @@
   Duration blind_for = fromMillis(100);
   /// Weight of the last interval between told loads against all earlier ones.
   double blind_learning_rate = 0.2;
-  /// A choice is made among so many engines drawn by lot that about this many blind choices fall on the least loaded
-  /// one; where each engine gets more than that between two tellings, loads say nothing and one is drawn.
+  /// A choice is made among so many engines sampled at random that about this many blind choices fall on the least
+  /// loaded one; where each engine gets more than that between two tellings, loads say nothing and one is drawn.
   double blind_choices_each = 2;
-  /// True where this process places the requests of its whole zone: what its zone's engines have under way is known, so
+  /// True where this process places the requests of its whole zone: what its zone's engines have in flight is known, so
   /// that neither sampling nor the risk of a nearly full engine counts there.
   bool places_zone = false;
   /// What it costs to wait until a batch run has given its slot up: an order to its store and a cancelled request.
   double give_way_ms = 10;
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
-  /// What the other processes are known to have under way counts for this long.
+  /// What the other processes are known to have in flight counts for this long.
   Duration others_known_for = fromMillis(1000);
   /// Time out of rotation after a failure; doubles with each further one.
   Duration first_ejection = fromMillis(400);
@@ -132,7 +132,7 @@
   bool must_give_way = false;
 };
 
-/// Names one request under way at an engine.
+/// Names one request in flight at an engine.
 using TicketId = std::uint64_t;
 
 /// How a request at an engine ended, as far as the engine's health goes.
@@ -156,7 +156,7 @@
  public:
   explicit EngineSelector(std::uint64_t seed, SelectorLimits limits = {}) : limits_(limits), random_(seed) {}
 
-  /// Called whenever what this process has under way changes.
+  /// Called whenever what this process has in flight changes.
   void setChangeHandler(std::function<void()> on_change) { on_change_ = std::move(on_change); }
   /// Takes the engines that are registered now; what is known of those that stay is kept.
   void setEngines(const std::vector<EngineRecord>& engines);
@@ -167,13 +167,13 @@
   /// The engine has begun to answer: its prompt is read.
   void noteFirstByte(Instant now, TicketId ticket);
   void noteLoad(Instant now, const EngineId& engine, const EngineLoad& load);
-  /// What all other processes have under way; goes before loads that engines report, while it is new.
+  /// What all other processes have in flight; goes before loads that engines report, while it is new.
   void noteOthers(Instant now, const std::vector<EngineShare>& others);
-  /// What batch runs have under way, told apart from the others' requests.
+  /// What batch runs have in flight, told apart from the others' requests.
   void noteBackground(const std::vector<EngineShare>& background);
   /// A batch run at the engine was asked to give way.
   void noteGivingWay(const EngineId& engine);
-  /// What this process has under way, for the others, by engine. Costs what is under way, not what engines there are.
+  /// What this process has in flight, for the others, by engine. Costs what is in flight, not what engines there are.
   std::vector<EngineShare> ownShares(Instant now);
   /// Requests above the engine's slots, of all processes; zero where the others' are not known.
   double excess(Instant now, const EngineId& engine) const;
@@ -190,7 +190,7 @@
   std::size_t engineCount(const ServiceId& service) const;
   /// Slots of all engines that are not leaving.
   std::uint32_t allSlots() const;
-  /// Requests of this process that are under way at the engine.
+  /// Requests of this process that are in flight at the engine.
   std::uint32_t inFlight(const EngineId& engine) const;
   /// Slots of the service that are estimated to be free.
   double freeSlots(Instant now, const ServiceId& service) const;
@@ -259,9 +259,9 @@
   double keptShare(Instant now, const EngineState& state, std::uint64_t prefix,
                    const std::vector<EngineId>& homes) const;
   std::vector<EngineState*> candidates(Instant now, const EngineQuery& query);
-  /// Draws some of the engines, so that processes that know the same loads do not all choose the same engine; among
-  /// those that nothing speaks against, where there are any.
-  void drawEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable);
+  /// Samples some of the engines, so that processes that know the same loads do not all choose the same engine; among
+  /// those whose answers are not overdue, where there are any.
+  void sampleEngines(Instant now, const EngineQuery& query, std::vector<EngineState*>& usable);
   EngineChoice describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms, double kept,
                         std::size_t among) const;
 
--- a/src/request/exchange/engine_selector_background.cpp
+++ b/src/request/exchange/engine_selector_background.cpp
@@ -8,9 +8,9 @@
 void EngineSelector::noteSurges(Instant now) {
   if (now < next_surge_note_) return;
   next_surge_note_ = now + limits_.surge_note_interval;
-  std::map<ServiceId, double> under_way;
-  for (const auto& [id, state] : engines_) under_way[state.record.service] += state.known_others.in_flight;
-  for (const auto& [service, count] : under_way) surges_[service].note(now, count);
+  std::map<ServiceId, double> in_flight;
+  for (const auto& [id, state] : engines_) in_flight[state.record.service] += state.known_others.in_flight;
+  for (const auto& [service, count] : in_flight) surges_[service].note(now, count);
 }
 
 double EngineSelector::keptFreeEach(Instant now, const ServiceId& service) const {
--- a/src/request/exchange/engine_selector_costs.cpp
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -25,7 +25,7 @@
 double EngineSelector::silenceCost(Instant now, const EngineState& state) const {
   const double own = std::min(limits_.most_silence_ms, overdueMs(now, state));
   if (!knowsOthers(now, state)) return own;
-  return std::max(own, std::min(limits_.most_hearsay_ms, static_cast<double>(state.known_others.avoid_ms)));
+  return std::max(own, std::min(limits_.most_reported_avoid_ms, static_cast<double>(state.known_others.avoid_ms)));
 }
 
 void EngineSelector::noteLongPrompt(Instant now, const EngineQuery& query) {
--- a/src/request/exchange/load_board.hpp
+++ b/src/request/exchange/load_board.hpp
@@ -11,7 +11,7 @@
 
 namespace hatchfork::request {
 
-/// What one process, or all of them together, have under way at an engine.
+/// What one process, or all of them together, have in flight at an engine.
 struct EngineShare {
   EngineId engine;
   std::uint32_t in_flight = 0;
@@ -33,7 +33,7 @@
   json.at(3).get_to(share.avoid_ms);
 }
 
-/// Adds up what all processes have under way at each engine, from their reports. A report counts until the next one of
+/// Adds up what all processes have in flight at each engine, from their reports. A report counts until the next one of
 /// the same process, or for a second. No I/O, no clock.
 class LoadBoard {
  public:
@@ -48,7 +48,7 @@
     Instant at{};
     std::vector<EngineShare> shares;
   };
-  /// What all processes together have under way at one engine.
+  /// What all processes together have in flight at one engine.
   struct Total {
     std::uint32_t in_flight = 0;
     std::uint64_t unread_tokens = 0;
--- a/src/request/exchange/surge_meter.cpp
+++ b/src/request/exchange/surge_meter.cpp
@@ -10,13 +10,13 @@
   return largest_ * std::pow(0.5, age);
 }
 
-void SurgeMeter::note(Instant now, double under_way) {
+void SurgeMeter::note(Instant now, double in_flight) {
   if (!samples_.empty() && now < samples_.back().at + limits_.sample_interval) return;
   while (!samples_.empty() && samples_.front().at + limits_.window < now) samples_.pop_front();
-  double least = under_way;
-  for (const Sample& sample : samples_) least = std::min(least, sample.under_way);
-  samples_.push_back({now, under_way});
-  const double rise = under_way - least;
+  double least = in_flight;
+  for (const Sample& sample : samples_) least = std::min(least, sample.in_flight);
+  samples_.push_back({now, in_flight});
+  const double rise = in_flight - least;
   if (rise < surge(now)) return;
   largest_ = rise;
   largest_at_ = now;
--- a/src/request/exchange/surge_meter.hpp
+++ b/src/request/exchange/surge_meter.hpp
@@ -15,20 +15,20 @@
   Duration half_life = std::chrono::seconds(10);
 };
 
-/// Measures how fast the number of online requests under way rises at its worst, so that as many slots can be kept free
+/// Measures how fast the number of online requests in flight rises at its worst, so that as many slots can be kept free
 /// for them. No clock. Belongs to one thread.
 class SurgeMeter {
  public:
   explicit SurgeMeter(SurgeMeterLimits limits = {}) : limits_(limits) {}
 
-  void note(Instant now, double under_way);
+  void note(Instant now, double in_flight);
   /// The largest rise within the window, of late.
   double surge(Instant now) const;
 
  private:
   struct Sample {
     Instant at;
-    double under_way;
+    double in_flight;
   };
 
   SurgeMeterLimits limits_;
--- a/src/request/limits/rate_credit.hpp
+++ b/src/request/limits/rate_credit.hpp
@@ -11,12 +11,13 @@
 struct RateLimitOptions {
   /// Time over which limits are judged.
   Duration window = std::chrono::seconds(5);
-  /// Requests above a limit that are tolerated in a window: half of them are for bursts of small tenants, the other half
-  /// for changes of owner.
+  /// Requests above a limit that are tolerated in a window: half of them are for bursts of small tenants, the other
+  /// half for changes of owner.
   double slack = 0;
 
   /// A credit counts for this long from when it was asked for; what is unused then is lost. It never goes back: the
-  /// bucket may have filled meanwhile, and would hold it twice. It bounds what a limit may be exceeded by, its rate times this: a tenth of what the rate gives in a window.
+  /// bucket may have filled meanwhile, and would hold it twice. It bounds what a limit may be exceeded by, its rate
+  /// times this: a tenth of what the rate gives in a window.
   Duration creditLifetime() const { return window / 10; }
 };
 
--- a/src/request/limits/rate_limit_account.cpp
+++ b/src/request/limits/rate_limit_account.cpp
@@ -7,8 +7,8 @@
 namespace hatchfork::request {
 namespace {
 
-/// Over which time arrivals are averaged that tell how many credits are needed soon. So long that a lone request asks for
-/// no credit but its own.
+/// Over which time arrivals are averaged that tell how many credits are needed soon. So long that a lone request asks
+/// for no credit but its own.
 constexpr Duration kArrivalMemory = fromMillis(1000);
 /// Credits are held for the arrivals of this part of their lifetime.
 constexpr double kAheadPart = 0.6;
--- a/src/request/limits/rate_limit_account.hpp
+++ b/src/request/limits/rate_limit_account.hpp
@@ -26,7 +26,7 @@
   /// way or there are credits enough.
   std::optional<CreditQuestion> nextQuestion(Instant now, std::size_t waiting);
   void noteAnswer(Instant now, const CreditAnswer& answer);
-  /// The question that is under way has found no owner, or no answer in time.
+  /// The question that is in flight has found no owner, or no answer in time.
   void noteNoAnswer(Instant now, const TenantLimits& limits);
   /// True while the owner is known to have no credit.
   bool isOverLimit(Instant now) const { return now < over_limit_until_; }
--- a/src/request/limits/rate_limit_owner.cpp
+++ b/src/request/limits/rate_limit_owner.cpp
@@ -30,7 +30,8 @@
   Bucket& bucket = entry->second;
   if (is_new) {
     const double takeover_seconds = kTakeoverPart * toSeconds(options_.window);
-    const double unsettled = kBurstPartOfSlack * options_.slack / 2 + takeover_seconds * limits.online_requests_per_second;
+    const double unsettled =
+        kBurstPartOfSlack * options_.slack / 2 + takeover_seconds * limits.online_requests_per_second;
     bucket.level = now < settled_at_ ? std::min(capacity, unsettled) : capacity;
     return bucket;
   }
--- a/src/version/gateway_version.cpp
+++ b/src/version/gateway_version.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-
 namespace hatchfork {
 namespace {
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -27,6 +27,7 @@
         self.runs = {}  # request -> how often it began to run
         self.resumed_after = {}  # request -> the events after which it went on
         self.finished = {}
+        self.tenants = {}  # request -> the tenant it was named with
         self.running = 0
         self.state = "ready"
         self.sequence = 0
@@ -81,6 +82,9 @@
         if self.refuse or self.running >= self.slots + 4:
             return await self.answer(writer, "503 Service Unavailable", extra + "X-Not-Executed: 1\r\n", b"")
         self.runs[request] = self.runs.get(request, 0) + 1
+        self.tenants[request] = headers.get("x-tenant")
+        if "key-" in headers.get("authorization", ""):
+            print(f"FAILED: request {request} came with its caller's API key")
         if "X-Time-Remaining-Ms".lower() not in headers:
             print(f"FAILED: request {request} came without its remaining time")
         extra += f"X-Response-Seal: seal-{request}\r\n"
@@ -152,7 +156,7 @@
         writer.close()
 
 
-def document(version, extra_routes=()):
+def document(version, extra_routes=(), tenants=()):
     def route(prefix, kind, **more):
         return {"Name": f"r-{prefix}", "Host": HOST, "PathPrefix": f"/{prefix}/", "Type": kind, "TimeoutMs": 4000,
                 "TargetLatencyMs": 400, "Priority": 0, "Service": "llm", "MaxAttempts": 2, **more}
@@ -162,7 +166,8 @@
     return json.dumps({"Version": version, "Routes": routes,
                        "Services": [{"Name": "llm", "HealthPath": "/healthz", "MaxConnections": 200}],
                        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutMs": 1500,
-                                  "IdleTimeoutMs": 5000}})
+                                  "IdleTimeoutMs": 5000},
+                       "Tenants": list(tenants)})
 
 
 class Check:
@@ -195,5 +200,8 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def request_headers(request=None, remaining=4000):
-    return {"X-Attempt-Id": request or new_id(), "X-Time-Remaining-Ms": str(remaining)}
+def request_headers(request=None, remaining=4000, key=None):
+    headers = {"X-Attempt-Id": request or new_id(), "X-Time-Remaining-Ms": str(remaining)}
+    if key is not None:
+        headers["Authorization"] = f"Bearer {key}"
+    return headers
--- a/tests/platform/whole_path.py
+++ b/tests/platform/whole_path.py
@@ -6,6 +6,7 @@
 import json
 import random
 import sys
+import time
 
 sys.path.insert(0, __file__.rsplit("/", 1)[0])
 from stand_in import Check, Engine, HOST, call, document, eventually, new_id, request_headers  # noqa: E402
@@ -164,6 +165,107 @@
         check.that(runs <= 9, f"an item that fails is given up: {runs} runs")
 
 
+def tenant(name, keys, rate=0, burst=0):
+    return {"Name": name, "ApiKeys": keys, "Priority": 0, "RatePerS": rate, "Burst": burst}
+
+
+async def in_force(check, controls, gateways, version, tenants, key, wanted):
+    """Puts a document with tenants and waits until each gateway answers a request with `key` by `wanted`."""
+    async def taken():
+        status, _, _ = await call(controls[0], "PUT", "/v1/config", document(version, [], tenants))
+        return status == 200
+    await eventually(check, f"version {version} is taken", taken)
+    for gateway in gateways:
+        async def obeyed():
+            status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(key=key))
+            return status == wanted
+        await eventually(check, f"{gateway} answers {wanted} under version {version}", obeyed)
+
+
+async def keys_of_tenants(check, controls, gateways, engines):
+    crew, office = tenant("crew", ["key-crew-1", "key-crew-2"]), tenant("office", ["key-office"])
+    await in_force(check, controls, gateways, 30, [crew, office], "key-crew-1", 200)
+    status, _, _ = await call(controls[0], "PUT", "/v1/config",
+                              document(31, [], [crew, tenant("thief", ["key-crew-1"])]))
+    check.that(status == 400, f"a key of two tenants is refused with 400, not {status}")
+    for gateway in gateways:
+        request = new_id()
+        headers = request_headers(request, key="key-crew-2")
+        headers["X-Tenant"] = "office"
+        status, _, _ = await call(gateway, "POST", "/safe/a", b"x", headers)
+        named = [engine.tenants[request] for engine in engines if request in engine.tenants]
+        check.that(status == 200 and named == ["crew"], f"the engine is told the key's tenant: {status} {named}")
+        for key in (None, "key-unknown"):
+            request = new_id()
+            status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(request, key=key))
+            check.that(status == 401, f"a call with key {key} gets 401, not {status}")
+            check.that(all(request not in engine.runs for engine in engines), "what got 401 has not run")
+        status, _, _ = await call(gateway, "GET", "/nowhere/", headers=request_headers())
+        check.that(status == 404, f"no route goes before no key: {status}")
+    await jobs_of_tenants(check, gateways, engines)
+    await in_force(check, controls, gateways, 32, [tenant("crew", ["key-crew-2"]), office], "key-crew-1", 401)
+    status, _, _ = await call(gateways[0], "POST", "/safe/a", b"x", request_headers(key="key-crew-2"))
+    check.that(status == 200, f"the key that is left still works: {status}")
+
+
+async def jobs_of_tenants(check, gateways, engines):
+    job, item = new_id(), new_id()
+    body = json.dumps({"Requests": [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Tenant": "office"},
+                                     "Body": base64.b64encode(b"stream").decode(), "TokenCount": 5}]})
+    crew = {"Authorization": "Bearer key-crew-1"}
+
+    async def accepted():
+        status, _, _ = await call(gateways[0], "POST", "/batch/new", body, {"X-Attempt-Id": job, **crew})
+        return status == 202
+    await eventually(check, "a job of a tenant is accepted", accepted)
+
+    async def finished():
+        status, _, page = await call(gateways[1], "GET", f"/v1/lots/{job}?SinceRev=0",
+                                     headers={"Authorization": "Bearer key-crew-2"})
+        return status == 200 and len(json.loads(page)["Results"]) == 1
+    await eventually(check, "another key of the tenant reads the job", finished)
+    named = [engine.tenants[item] for engine in engines if item in engine.tenants]
+    check.that(named and set(named) == {"crew"}, f"items carry their tenant's name: {named}")
+    office = {"Authorization": "Bearer key-office"}
+    for method, target in (("GET", f"/v1/lots/{job}?SinceRev=0"), ("GET", f"/v1/items/{job}?Id={item}"),
+                           ("DELETE", f"/v1/lots/{job}")):
+        status, _, _ = await call(gateways[0], method, target, headers=office)
+        check.that(status == 404, f"another tenant's {method} {target} gets 404, not {status}")
+        status, _, _ = await call(gateways[0], method, target)
+        check.that(status == 401, f"{method} {target} without a key gets 401, not {status}")
+
+
+async def limits_of_tenants(check, controls, gateways, engines):
+    limited, free = tenant("crew", ["key-crew-2"], rate=5, burst=5), tenant("office", ["key-office"])
+    await in_force(check, controls, gateways, 40, [limited, free], "key-crew-2", 429)
+    start = time.monotonic()
+    before = {request for engine in engines for request in engine.runs}
+    rejected = 0
+    while time.monotonic() < start + 3:
+        request = new_id()
+        status, fields, _ = await call(random.choice(gateways), "POST", "/safe/a", b"x",
+                                       request_headers(request, key="key-crew-2"))
+        if status == 429:
+            rejected += 1
+            check.that(float(fields.get("retry-after", 0)) > 0, "a rejection says when to come back")
+            check.that(all(request not in engine.runs for engine in engines), "what got 429 has not run")
+        await asyncio.sleep(0.01)
+    spent = time.monotonic() - start
+    ran = len({request for engine in engines for request in engine.runs} - before)
+    check.that(ran <= 5 * (spent + 0.5) + 5, f"{ran} requests ran in {spent:.1f} s of 5 a second with a burst of 5")
+    check.that(ran >= 5, f"a tenant at its limit is still served: {ran}")
+    check.that(rejected > 10, f"what is over the limit gets 429: {rejected}")
+    status, _, _ = await call(gateways[0], "POST", "/safe/a", b"x", request_headers(key="key-office"))
+    check.that(status == 200, f"another tenant is not limited: {status}")
+
+
+async def metrics_hold_no_key(check):
+    for number in (1, 2):
+        _, _, page = await call(f"127.0.1.{20 + number}:{9460 + number}", "GET", "/metrics")
+        check.that(b"hatchfork_rate_limit_total" in page, "limits are counted")
+        check.that(b"key-" not in page, "no API key stands in the metrics")
+
+
 async def main():
     controls, gateways = (argument.split(",") for argument in sys.argv[1:3])
     random.seed(7)
@@ -182,6 +284,9 @@
     await engine_faults(check, gateways, engines)
     await batch(check, gateways, engines)
     await leaving(check, gateways, engines)
+    await keys_of_tenants(check, controls, gateways, engines)
+    await limits_of_tenants(check, controls, gateways, engines)
+    await metrics_hold_no_key(check)
     print("whole path: ok" if check.failed == 0 else f"whole path: {check.failed} checks failed")
     return 1 if check.failed else 0
 
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -239,7 +239,9 @@
   FleetState state;
   apply(state, RegisterEngine{engine("old", "10.0.0.1:80")});
   SECTION("the old one was there until then") {}
-  SECTION("the old one was silent and forgotten before") { apply(state, ForgetEngines{{EngineId("old")}}); }
+  SECTION("the old one was silent and forgotten before") {
+    apply(state, ForgetEngines{{EngineId("old")}});
+  }
   apply(state, RegisterEngine{engine("new", "10.0.0.1:80")});
   REQUIRE(apply(state, RegisterEngine{engine("old", "10.0.0.1:80")}) == "unchanged");
   FleetState restored;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -193,7 +193,7 @@
   REQUIRE(stage.executor().ownShares(connection::monotonicNow()).empty());
 }
 
-TEST_CASE("a new leader starts no run before it can know what the gateways have under way", "[store][executor]") {
+TEST_CASE("a new leader starts no run before it can know what the gateways have in flight", "[store][executor]") {
   ExecutorStage stage(fromMillis(40));
   stage.executor().setLeading(true, 1);
   REQUIRE(stage.orders() == 0);
@@ -266,7 +266,7 @@
   const RunOrder order = stage.lastOrder();
   stage.executor().setLeading(false, 2);
   stage.executor().setLeading(true, 3);
-  // The item is under way again already.
+  // The item is in flight again already.
   REQUIRE(stage.orders() == 2);
   REQUIRE(stage.lastOrder().number != order.number);
   stage.executor().take(offerOf(order, 3, false));
--- a/tests/process/store/placement_service_test.cpp
+++ b/tests/process/store/placement_service_test.cpp
@@ -107,7 +107,7 @@
   for (std::uint64_t number = 1; number <= 4; ++number) {
     whole.present.push_back(fleet::PlacedRequest{number, EngineId("e0"), 100, true});
   }
-  // The question of another request is under way.
+  // The question of another request is in flight.
   whole.present.push_back(fleet::PlacedRequest{5, {}, 0, false});
   service.take(at(0), whole, &kFirst);
   for (std::uint64_t number = 1; number <= 4; ++number) {
@@ -142,11 +142,13 @@
   REQUIRE(service.take(at(0), question("g1", 2), &kFirst).engine == EngineId("remote"));
 }
 
-TEST_CASE("an online request takes a free slot, or else one that a batch run gives up, before it waits", "[placement]") {
+TEST_CASE("an online request takes a free slot, or else one that a batch run gives up, before it waits",
+          "[placement]") {
   std::vector<EngineId> gave_way;
   PlacementService service(1, [&](const EngineId& engine) { gave_way.push_back(engine); });
   service.setEngines(engines(2, 2));
-  service.noteBackground({request::EngineShare{EngineId("e0"), 2, 0, 0}, request::EngineShare{EngineId("e1"), 1, 0, 0}});
+  service.noteBackground(
+      {request::EngineShare{EngineId("e0"), 2, 0, 0}, request::EngineShare{EngineId("e1"), 1, 0, 0}});
   REQUIRE(service.take(at(0), question("g1", 1), &kFirst).engine == EngineId("e1"));
   REQUIRE(gave_way.empty());
   for (std::uint64_t number = 2; number <= 4; ++number) {
--- a/tests/request/exchange/arrival_gate_test.cpp
+++ b/tests/request/exchange/arrival_gate_test.cpp
@@ -36,11 +36,11 @@
   REQUIRE(gate.admits(kObjective, fromMillis(0), fromMillis(290)));
   REQUIRE_FALSE(gate.admits(kObjective, fromMillis(0), fromMillis(400)));
   REQUIRE_FALSE(gate.admits(kObjective, fromMillis(200), fromMillis(200)));
-  // Without an objective nothing is turned back.
+  // Without an objective nothing is rejected early.
   REQUIRE(gate.admits(Duration::zero(), fromMillis(0), fromMillis(9000)));
 }
 
-TEST_CASE("callers that are turned back come back spread and within bounds", "[gate]") {
+TEST_CASE("callers that are rejected early come back spread and within bounds", "[gate]") {
   ArrivalGate gate(1);
   Duration least = std::chrono::seconds(9);
   Duration most{};
@@ -55,7 +55,7 @@
   REQUIRE(gate.comeBackAfter(Duration::zero()) == fromMillis(300));
 }
 
-TEST_CASE("no request is turned back while an engine has a free slot", "[gate][selector]") {
+TEST_CASE("no request is rejected early while an engine has a free slot", "[gate][selector]") {
   EngineSelector selector(1);
   const ArrivalGate gate(1);
   selector.setEngines({engine()});
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -192,7 +192,7 @@
   REQUIRE(later.size() == 9);
 }
 
-TEST_CASE("batch work goes to the lane of long prompts that other processes have under way", "[selector]") {
+TEST_CASE("batch work goes to the lane of long prompts that other processes have in flight", "[selector]") {
   EngineSelector selector(5);
   selector.setEngines(engines(9));
   EngineQuery background = query();
@@ -249,7 +249,7 @@
   REQUIRE(chosen.size() == 5);
 }
 
-TEST_CASE("engines that something speaks against are left out of the draw", "[selector]") {
+TEST_CASE("engines with overdue answers are left out of the sample", "[selector]") {
   for (std::uint64_t process = 1; process <= 50; ++process) {
     EngineSelector selector(process);
     selector.setEngines(engines(10));
--- a/tests/request/exchange/load_board_test.cpp
+++ b/tests/request/exchange/load_board_test.cpp
@@ -15,7 +15,7 @@
 }
 }  // namespace
 
-TEST_CASE("the board adds up what all have under way, by their last reports", "[board]") {
+TEST_CASE("the board adds up what all have in flight, by their last reports", "[board]") {
   LoadBoard board;
   board.report(kStart, "g1", {share("a", 3, 100), share("b", 1, 0)});
   board.report(kStart, "g2", {share("a", 2, 50)});
--- a/tests/request/limits/rate_limit_property_test.cpp
+++ b/tests/request/limits/rate_limit_property_test.cpp
@@ -101,7 +101,8 @@
   REQUIRE(holds);
 }
 
-TEST_CASE("no window sees more than the limit and its tolerance when an owner is replaced", "[limits][rate][property]") {
+TEST_CASE("no window sees more than the limit and its tolerance when an owner is replaced",
+          "[limits][rate][property]") {
   const bool holds = hatchfork::testing::holds([] {
     const RateLimitOptions options{std::chrono::seconds(5), 20};
     const TenantLimits limits = drawLimits();
--- a/tests/request/limits/rate_limit_test.cpp
+++ b/tests/request/limits/rate_limit_test.cpp
@@ -98,7 +98,8 @@
   REQUIRE(account.nextQuestion(at(152), 1));
 }
 
-TEST_CASE("callers over the limit are sent back one after the other, at the rate that is left for them", "[limits][rate]") {
+TEST_CASE("callers over the limit are sent back one after the other, at the rate that is left for them",
+          "[limits][rate]") {
   RateLimitAccount account;
   const TenantLimits limits = limitOf(10, 10);
   for (int index = 0; index < 50; ++index) {
--- a/tests/system/platform_whole_path.sh
+++ b/tests/system/platform_whole_path.sh
@@ -16,6 +16,7 @@
 fleet_write_settings true
 fleet_start_all
 python3 tests/platform/whole_path.py "$FLEET_CONTROLS" "$FLEET_GATEWAYS" || fail "the whole path"
+if grep -l "key-crew\|key-office" "$FLEET_LOGS"/*.log; then fail "an API key stands in a log"; fi
 for name in gateway-1 store-1 control-1; do
   fleet_stop "$name" || fail "the planned stop of $name ended with $? $(tail -n 3 "$FLEET_LOGS/$name.log")"
 done
