--- /dev/null
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -0,0 +1,67 @@
+#include "process/exchange/gateway_program.hpp"
+
+// What a gateway tells of itself.
+namespace hatchfork::exchange {
+
+using connection::monotonicNow;
+
+void GatewayProgram::fillMetrics(metrics::MetricsPage& page) const {
+  const auto requests = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_requests_total", "Online requests by their end.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  requests("answered", counters_.answered);
+  requests("refused", counters_.refused);
+  requests("failed", counters_.failed);
+  requests("caller_left", counters_.caller_left);
+  page.counter("hatchfork_requests_rejected_early_total", "Refused at their arrival, since they would be late.",
+               static_cast<double>(counters_.rejected_early));
+  page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
+  page.counter("hatchfork_attempts_declined_total", "Of these, declined by the engine.",
+               static_cast<double>(counters_.declined));
+  page.counter("hatchfork_streams_resumed_total", "Streams that went on at another engine.",
+               static_cast<double>(counters_.resumed));
+  page.histogram("hatchfork_first_byte_ms", "From receipt to the first byte of the answer.", counters_.first_byte);
+  page.histogram("hatchfork_request_ms", "From receipt to the end of the request.", counters_.whole);
+  page.counter("hatchfork_engine_connections_total", "Connections made to engines.",
+               static_cast<double>(engines_.connectionsMade()));
+  page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
+               static_cast<double>(engines_.connectionsReused()));
+  const PlacementClientCounters& placement = placement_.counters();
+  page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
+               static_cast<double>(placement.placed), {{"by", "store"}});
+  page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
+               static_cast<double>(placement.alone), {{"by", "gateway"}});
+  page.histogram("hatchfork_placement_wait_ms", "Wait for the store that places requests.", placement.wait);
+  const RateLimitCounters& limits = rate_limits_.counters();
+  const auto limited = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_rate_limit_total", "Requests of tenants with a rate limit, by what became of them there.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  limited("admitted", limits.admitted - limits.admitted_alone);
+  limited("admitted_without_owner", limits.admitted_alone);
+  limited("over_limit", limits.over_limit);
+  limited("unanswered", limits.unanswered);
+  page.counter("hatchfork_rate_limit_questions_total", "Questions to the owners of rate limits.",
+               static_cast<double>(limits.questions));
+  page.histogram("hatchfork_rate_limit_wait_ms", "Wait of the requests that found no credit.", limits.wait);
+  page.gauge("hatchfork_rate_limit_tenants", "Tenants with a rate limit that sent requests here lately.",
+             static_cast<double>(rate_limits_.accounts()));
+  const JobApiCounters& jobs = jobs_.counters();
+  page.counter("hatchfork_jobs_submitted_total", "Batch jobs submitted here.", static_cast<double>(jobs.submitted));
+  page.counter("hatchfork_jobs_accepted_total", "Of these, kept.", static_cast<double>(jobs.accepted));
+  page.counter("hatchfork_jobs_refused_total", "Of these, refused as not run.", static_cast<double>(jobs.refused));
+  page.counter("hatchfork_jobs_over_limit_total", "Of these, refused since too many tokens wait on their route.",
+               static_cast<double>(jobs.over_limit));
+  page.counter("hatchfork_jobs_unclear_total", "Of these, without a clear outcome.", static_cast<double>(jobs.unclear));
+  page.gauge("hatchfork_route_version", "Version of the routes in force here.",
+             routes_ ? static_cast<double>(routes_->version()) : 0);
+  const bool proved = feed_->provedAt() != Instant::min();
+  page.gauge("hatchfork_configuration_age_ms", "Time since the configuration was proved the newest.",
+             proved ? static_cast<double>(toMillis(monotonicNow() - feed_->provedAt())) : -1);
+  page.gauge("hatchfork_engines_known", "Engines that are registered.",
+             static_cast<double>(feed_->view().engines->size()));
+  page.gauge("hatchfork_ready", "One while this gateway takes new callers.", isReady() ? 1 : 0);
+}
+
+}  // namespace hatchfork::exchange
