--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -360,6 +360,7 @@
   logEvent(LogLevel::kInfo, "attempt_sent",
            {{"request", id_},
             {"engine", choice.engine.id.value},
+            {"placed_by", place_ == 0 ? "gateway" : "store"},
             {"cost_ms", fmt::format("{:.0f}", choice.cost_ms)},
             {"in_flight", choice.in_flight},
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
