whole_path.py waits for tenants to be in force by a key that only they refuse

Cause: the test waited for 200 to a known key, which gateways without tenants answer as well. It now waits for 401 to an unknown key, which is as strict.

--- a/tests/platform/whole_path.py
+++ b/tests/platform/whole_path.py
@@ -184,7 +184,8 @@
 
 async def keys_of_tenants(check, controls, gateways, engines):
     crew, office = tenant("crew", ["key-crew-1", "key-crew-2"]), tenant("office", ["key-office"])
-    await in_force(check, controls, gateways, 30, [crew, office], "key-crew-1", 200)
+    # An unknown key: without tenants, as before, every key is answered by 200.
+    await in_force(check, controls, gateways, 30, [crew, office], "key-unknown", 401)
     status, _, _ = await call(controls[0], "PUT", "/v1/config",
                               document(31, [], [crew, tenant("thief", ["key-crew-1"])]))
     check.that(status == 400, f"a key of two tenants is refused with 400, not {status}")
