--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -99,6 +99,18 @@
   report_(leader_, std::move(offer));
 }
 
+void ItemRunner::logAnswer(const Run& run) const {
+  if (run.news.end != RunEnd::kFailed && run.news.end != RunEnd::kImpossible) return;
+  logEvent(LogLevel::kInfo, "item_answered",
+           {{"job", run.order.job.value},
+            {"request", run.order.item.id},
+            {"engine", run.order.engine.value},
+            {"run", run.order.number},
+            {"answer", run.news.cause},
+            {"leader", leader_.value},
+            {"term", term_}});
+}
+
 void ItemRunner::keepEnded(const Run& run) {
   const bool is_final = run.news.end == RunEnd::kWhole || run.news.end == RunEnd::kImpossible;
   if (is_final) kept_ended_.push_back(EndedRun{offerOf(run), monotonicNow()});
@@ -303,6 +315,7 @@
   runs_.erase(run->order.number);
   run->news.ended = true;
   ++run->news.sequence;
+  logAnswer(*run);
   keepEnded(*run);
   ended_.push_back(std::move(run->news));
   reportSoon();
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -71,6 +71,8 @@
   void finish(const RunPtr& run);
   /// Adds an event to what is to be reported.
   void takeEvent(Run& run, const connection::StreamEvent& event);
+  /// Tells of an answer that counts against the item.
+  void logAnswer(const Run& run) const;
   /// Keeps a run that has brought a final outcome.
   void keepEnded(const Run& run);
   void forgetEnded(Instant now);
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -79,7 +79,10 @@
   board_.startTerm(now, term);
   learnFromResults();
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
-  logEvent(LogLevel::kInfo, "executor_started", {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}});
+  const auto failing =
+      std::count_if(queue_.begin(), queue_.end(), [](const ItemPtr& run) { return run->failures > 0; });
+  logEvent(LogLevel::kInfo, "executor_started",
+           {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}, {"items_with_failures", failing}});
   sendLeases(now);
   pump();
 }
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/log.hpp"
 #include "process/store/job_executor.hpp"
 
 // What the group keeps of running items, and how results get into it.
@@ -72,7 +73,10 @@
   SaveProgress save;
   save.items.push_back(
       {run.job, run.item, run.saved_event, run.saved_chain, run.saved_event, run.chain, "", run.failures});
-  propose_(std::move(save), [](bool) {});
+  propose_(std::move(save), [job = run.job, item = run.item, failures = run.failures](bool applied) {
+    logEvent(LogLevel::kInfo, "item_failure_kept",
+             {{"job", job.value}, {"request", item}, {"failures", failures}, {"kept", applied}});
+  });
 }
 
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -24,6 +24,19 @@
 /// A run whose store has fallen silent may still be in flight there for the rest of its lease.
 constexpr Duration kRetryAfterLoss = fromMillis(300);
 
+/// Ends of runs that nobody takes: what an engine answered there is known to no leader.
+void logIgnored(const fleet::RunReport& report, const std::vector<fleet::RunNews>& ignored, std::string_view cause) {
+  for (const fleet::RunNews& news : ignored) {
+    if (!news.ended) continue;
+    logEvent(LogLevel::kInfo, "run_end_ignored",
+             {{"runner", report.from.value},
+              {"run", news.number},
+              {"term", report.term},
+              {"answer", news.cause},
+              {"cause", cause}});
+  }
+}
+
 }  // namespace
 
 void JobExecutor::startRun(Instant now, const ItemPtr& run, const StoredJob& job, const EngineChoice& choice,
@@ -60,7 +73,9 @@
             {"request", run->item},
             {"engine", choice.engine.id.value},
             {"runner", runner.value},
+            {"run", run->number},
             {"attempt", run->attempts},
+            {"failures", run->failures},
             {"resume_after", run->last_event.value_or(0)},
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
             {"load_age_ms", choice.load_age_ms},
@@ -88,8 +103,12 @@
 }
 
 void JobExecutor::take(const fleet::RunReport& report) {
-  if (!leading_ || report.term != term_) return;
+  if (!leading_ || report.term != term_) {
+    logIgnored(report, report.news, leading_ ? "older term" : "not leading");
+    return;
+  }
   const CheckedReport checked = board_.check(monotonicNow(), report);
+  logIgnored(report, checked.ignored, "run not held, or a report before it is missing");
   for (const fleet::RunNews& news : checked.news) {
     const auto found = runs_.find(news.number);
     if (found == runs_.end()) continue;
@@ -207,6 +226,7 @@
   logEvent(LogLevel::kInfo, "item_run_ended",
            {{"job", run->job.value},
             {"request", run->item},
+            {"run", run->number},
             {"outcome", kNames[static_cast<std::size_t>(end)]},
             {"cause", cause},
             {"failures", run->failures},
--- a/src/process/store/run_board.cpp
+++ b/src/process/store/run_board.cpp
@@ -86,13 +86,20 @@
     if (run == runs_.end() || run->second.runner != report.from) refuse(report.from, number);
   }
   const auto runner = at_.find(report.from);
-  if (runner == at_.end()) return checked;
+  if (runner == at_.end()) {
+    checked.ignored = report.news;
+    return checked;
+  }
   runner->second.heard_at = now;
   std::set<std::uint64_t> known(report.running.begin(), report.running.end());
   for (const fleet::RunNews& news : report.news) {
     const auto run = runs_.find(news.number);
-    if (run == runs_.end() || run->second.runner != report.from) continue;
+    if (run == runs_.end() || run->second.runner != report.from) {
+      checked.ignored.push_back(news);
+      continue;
+    }
     if (news.sequence != run->second.sequence + 1) {
+      checked.ignored.push_back(news);
       known.erase(news.number);
       continue;
     }
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -37,6 +37,8 @@
 /// What a report says, checked against what was ordered.
 struct CheckedReport {
   std::vector<fleet::RunNews> news;
+  /// News of runs that this table does not hold any more, or that follow on a lost report.
+  std::vector<fleet::RunNews> ignored;
   /// Orders that the store does not know, and runs of which a report was lost.
   std::vector<std::uint64_t> lost;
 };
