An engine's answer against an item outlives runs, leaders and lost reports

Cause: a store told a 500 or 422 once, to the leader that it knew. The answer was lost where the leadership had ended, the report was lost, or the run had been written off (store silent, gap in the reports, slot wanted); ends of 500 were offered to no next leader, and a leader ordered the item again without waiting for the count to be kept. Ruled out by reading: the check of the attempts itself.

Change: the store tells each such answer with every report until a leader says that the group keeps it, whatever became of run and leadership; the group counts each failed run once, by its number, so that an answer told twice does not use up two attempts; an item is ordered again only once its failure is kept. A leader reminds all stores of itself each second, so that one that was cut off tells its answers. A stopping store waits up to 1.5 s until its answers are kept.

Still possible: the store that heard an answer dies before the answer is kept; each such death costs one run.

--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -15,6 +15,9 @@
 /// An order is bound to the term of its leader: a store takes no order of an older term than it has seen. Its runs do
 /// not end with the term: it offers them to the next leader, which takes them up or stops them. A store breaks off what
 /// it runs once no leader has been heard for the time of the lease.
+///
+/// What an engine answered to an item outlives runs, leaders and lost frames: the store that heard it tells it with
+/// each report until a leader says that the group keeps it.
 namespace hatchfork::fleet {
 
 /// How a run of an item ended.
@@ -74,8 +77,10 @@
   ReplicaId from;
   std::uint64_t term = 0;
   std::vector<std::uint64_t> stopped;
+  /// Runs whose answers the group keeps, so that they need not be told again.
+  std::vector<std::uint64_t> kept_answers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunLease, from, term, stopped)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunLease, from, term, stopped, kept_answers)
 
 /// What has come of one run since the last report.
 struct RunNews {
@@ -116,6 +121,16 @@
   json.at(11).get_to(news.events);
 }
 
+/// An engine's answer that counts against an item: a failure, or that it can never be done.
+struct ItemAnswer {
+  /// The run that brought it; unique over all leaders.
+  std::uint64_t number = 0;
+  JobId job;
+  std::string item;
+  RunEnd end = RunEnd::kFailed;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemAnswer, number, job, item, end)
+
 /// What a store has to tell of the runs that it was ordered.
 struct RunReport {
   static constexpr std::string_view kKind = "rr";
@@ -125,8 +140,10 @@
   std::vector<RunNews> news;
   /// All runs in flight; an order that is neither here nor ended was lost.
   std::vector<std::uint64_t> running;
+  /// Answers of which no leader has said yet that they are kept.
+  std::vector<ItemAnswer> answers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, from, term, news, running)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, from, term, news, running, answers)
 
 /// A run that was ordered by an earlier leader, as far as it has got.
 struct OfferedRun {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -32,6 +32,12 @@
 constexpr Duration kLease = fromMillis(2500);
 /// Runs that ended within this time are offered to a new leader: its predecessor may not have listed their results.
 constexpr Duration kEndedKept = std::chrono::seconds(8);
+/// An answer that no leader has kept for this long belongs to a job that is forgotten.
+constexpr Duration kAnswerKept = std::chrono::minutes(10);
+/// Most answers that wait to be kept; the oldest give way. A few hundred bytes each.
+constexpr std::size_t kMostAnswers = 5000;
+/// Most answers of one report; the others follow once these are kept.
+constexpr std::size_t kMostAnswersTold = 200;
 constexpr Duration kReportInterval = fromMillis(200);
 /// First events and ends are reported at once, together with others of the same moment.
 constexpr Duration kReportSoon = fromMillis(15);
@@ -99,8 +105,12 @@
   report_(leader_, std::move(offer));
 }
 
-void ItemRunner::logAnswer(const Run& run) const {
+/// A report may be lost, come after its leader's end or for a run that was written off; the item must not be sent again
+/// for any of these as if it had not been answered.
+void ItemRunner::keepAnswer(const Run& run) {
   if (run.news.end != RunEnd::kFailed && run.news.end != RunEnd::kImpossible) return;
+  fleet::ItemAnswer answer{run.order.number, run.order.job, run.order.item.id, run.news.end};
+  answers_.push_back(UnkeptAnswer{std::move(answer), monotonicNow()});
   logEvent(LogLevel::kInfo, "item_answered",
            {{"job", run.order.job.value},
             {"request", run.order.item.id},
@@ -111,9 +121,23 @@
             {"term", term_}});
 }
 
+void ItemRunner::forgetAnswers(const std::vector<std::uint64_t>& kept) {
+  for (const std::uint64_t number : kept) {
+    std::erase_if(answers_, [number](const UnkeptAnswer& entry) { return entry.answer.number == number; });
+  }
+}
+
+void ItemRunner::forgetOldAnswers(Instant now) {
+  std::size_t forgotten = 0;
+  while (!answers_.empty() && (answers_.size() > kMostAnswers || now > answers_.front().came_at + kAnswerKept)) {
+    answers_.pop_front();
+    ++forgotten;
+  }
+  if (forgotten > 0) logEvent(LogLevel::kWarning, "item_answers_forgotten", {{"count", forgotten}});
+}
+
 void ItemRunner::keepEnded(const Run& run) {
-  const bool is_final = run.news.end == RunEnd::kWhole || run.news.end == RunEnd::kImpossible;
-  if (is_final) kept_ended_.push_back(EndedRun{offerOf(run), monotonicNow()});
+  if (run.news.end == RunEnd::kWhole) kept_ended_.push_back(EndedRun{offerOf(run), monotonicNow()});
 }
 
 void ItemRunner::forgetEnded(Instant now) {
@@ -139,6 +163,7 @@
   if (lease.term < term_) return;
   setLeader(lease.from, lease.term);
   for (const std::uint64_t number : lease.stopped) stop(number);
+  forgetAnswers(lease.kept_answers);
 }
 
 void ItemRunner::stop(std::uint64_t number) {
@@ -175,8 +200,10 @@
 
 void ItemRunner::tick(Instant now) {
   forgetEnded(now);
-  if (runs_.empty() && ended_.empty()) return;
-  if (now > leader_heard_at_ + kLease) {
+  forgetOldAnswers(now);
+  if (runs_.empty() && ended_.empty() && answers_.empty()) return;
+  const bool has_runs = !runs_.empty() || !ended_.empty();
+  if (has_runs && now > leader_heard_at_ + kLease) {
     logEvent(LogLevel::kWarning, "run_lease_ended", {{"leader", leader_.value}, {"running", runs_.size()}});
     stopAll();
     return;
@@ -195,9 +222,13 @@
 }
 
 void ItemRunner::report() {
-  if (runs_.empty() && ended_.empty()) return;
+  if (runs_.empty() && ended_.empty() && answers_.empty()) return;
   next_report_ = monotonicNow() + kReportInterval;
-  fleet::RunReport report{self_, term_, std::exchange(ended_, {}), {}};
+  fleet::RunReport report{self_, term_, std::exchange(ended_, {}), {}, {}};
+  for (const UnkeptAnswer& entry : answers_) {
+    if (report.answers.size() >= kMostAnswersTold) break;
+    report.answers.push_back(entry.answer);
+  }
   for (const auto& [number, run] : runs_) {
     report.running.push_back(number);
     if (!std::exchange(run->has_news, false)) continue;
@@ -315,7 +346,7 @@
   runs_.erase(run->order.number);
   run->news.ended = true;
   ++run->news.sequence;
-  logAnswer(*run);
+  keepAnswer(*run);
   keepEnded(*run);
   ended_.push_back(std::move(run->news));
   reportSoon();
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -40,6 +40,8 @@
   void closeIdle(const std::function<bool(const EngineId&)>& in_use) { engines_.closeIdle(in_use); }
 
   std::size_t running() const { return runs_.size(); }
+  /// Answers of engines that no leader is known to have kept.
+  std::size_t unkeptAnswers() const { return answers_.size(); }
 
  private:
   struct Run {
@@ -59,6 +61,11 @@
     fleet::OfferedRun offer;
     Instant ended_at{};
   };
+  /// An engine's answer that is told until a leader says that the group keeps it.
+  struct UnkeptAnswer {
+    fleet::ItemAnswer answer;
+    Instant came_at{};
+  };
   using RunPtr = std::shared_ptr<Run>;
 
   void setLeader(const ReplicaId& leader, std::uint64_t term);
@@ -71,9 +78,11 @@
   void finish(const RunPtr& run);
   /// Adds an event to what is to be reported.
   void takeEvent(Run& run, const connection::StreamEvent& event);
-  /// Tells of an answer that counts against the item.
-  void logAnswer(const Run& run) const;
-  /// Keeps a run that has brought a final outcome.
+  /// Keeps an answer that counts against the item, and tells of it.
+  void keepAnswer(const Run& run);
+  void forgetAnswers(const std::vector<std::uint64_t>& kept);
+  void forgetOldAnswers(Instant now);
+  /// Keeps a run that has brought a whole text.
   void keepEnded(const Run& run);
   void forgetEnded(Instant now);
   static fleet::OfferedRun offerOf(const Run& run);
@@ -91,6 +100,7 @@
   /// Ended runs that have not been reported.
   std::vector<fleet::RunNews> ended_;
   std::deque<EndedRun> kept_ended_;
+  std::deque<UnkeptAnswer> answers_;
   ReplicaId leader_;
   std::uint64_t term_ = 0;
   Instant leader_heard_at_{};
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -99,6 +99,8 @@
   items_.clear();
   queue_.clear();
   results_.clear();
+  failures_.clear();
+  pending_failures_.clear();
   board_.clear();
 }
 
@@ -146,6 +148,7 @@
   if (!leading_) return;
   breakRuns(board_.takeLost(now));
   yieldSlots(now);
+  proposeFailures();
   saveProgress(now);
   pump();
   sendLeases(now);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -46,7 +46,8 @@
 ///
 /// Invariants: an item is in flight at one engine at most, as far as reports tell; its text is each event's data
 /// exactly once, a later run being asked to go on after the last event that was taken; a result is proposed only for a
-/// whole text, or for an item that may be given up.
+/// whole text, or for an item that may be given up; an item whose last run failed is ordered again only once the group
+/// keeps that failure.
 class JobExecutor {
  public:
   /// Replicates a command; calls back with true once it is applied.
@@ -101,8 +102,10 @@
     std::uint64_t chain = 0;
     /// The group keeps progress of another chain: this one is listed with its whole text.
     bool diverged = false;
-    /// Answers of 500.
+    /// Runs that failed, as the group keeps them.
     std::uint32_t failures = 0;
+    /// Failures of it that are being proposed; it is not ordered before they are kept.
+    std::size_t pending_failures = 0;
     std::uint32_t attempts = 0;
     Instant not_before{};
     /// When the result is due, and what the item's order is decided by.
@@ -129,6 +132,11 @@
     std::uint64_t chain = 0;
     std::uint64_t last_event = 0;
   };
+  /// A failed run that is being proposed, and its item.
+  struct ProposedFailure {
+    ItemPtr run;
+    std::uint64_t number = 0;
+  };
   /// A result that is being proposed, and the item it came from.
   struct ProposedResult {
     JobResult result;
@@ -177,7 +185,18 @@
   void listAgain(const std::vector<ProposedResult>& proposed);
   /// Lets the group keep how far the running items have got.
   void saveProgress(Instant now);
-  void saveFailure(const ItemRun& run);
+  /// What an engine answered in some run, this leader's or an earlier one's, ended or written off.
+  void takeAnswer(const ReplicaId& runner, const fleet::ItemAnswer& answer);
+  /// The item, if it may still get a result.
+  ItemPtr openItem(const JobId& job, const std::string& item) const;
+  /// The item can never be done: whatever runs or waits of it ends.
+  void failForGood(const ItemPtr& run);
+  /// Has the group count a failed run, once.
+  void countFailure(const ItemPtr& run, std::uint64_t number);
+  void proposeFailures();
+  /// After its failure is kept: runs again, or its attempts are used.
+  void settleFailure(const ProposedFailure& failure);
+  void removeFromQueue(const ItemPtr& run);
   void loadSavedProgress(ItemRun& run) const;
   /// `chain` and `last_event`: what was proposed to be kept.
   void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
@@ -212,6 +231,10 @@
   request::RunTimeModel run_times_;
   /// Items in flight, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
+  /// Failures that wait to be proposed, and those that are.
+  std::vector<ProposedFailure> failures_;
+  std::set<std::uint64_t> pending_failures_;
+  bool proposing_failures_ = false;
   std::vector<ProposedResult> results_;
   bool proposing_ = false;
   bool saving_ = false;
--- /dev/null
+++ b/src/process/store/job_executor_failures.cpp
@@ -0,0 +1,116 @@
+#include <algorithm>
+#include <utility>
+
+#include "common/log.hpp"
+#include "connection/asio.hpp"
+#include "process/store/job_executor.hpp"
+
+// What engines answered against items: failures and "can never be done".
+namespace hatchfork::store {
+
+namespace {
+
+constexpr Duration kRetryAfterFailure = fromMillis(150);
+
+}  // namespace
+
+JobExecutor::ItemPtr JobExecutor::openItem(const JobId& id, const std::string& item) const {
+  const auto job = items_.find(id);
+  if (job == items_.end()) return nullptr;
+  const auto found = job->second.find(item);
+  const bool is_open = found != job->second.end() && !found->second->stopped && openJob(*found->second) != nullptr;
+  return is_open ? found->second : nullptr;
+}
+
+void JobExecutor::takeAnswer(const ReplicaId& runner, const fleet::ItemAnswer& answer) {
+  // A job that is not known here may only not be applied yet.
+  if (state_->find(answer.job) == nullptr) return;
+  const ItemPtr run = openItem(answer.job, answer.item);
+  if (!run || state_->isFailureCounted(answer.job, answer.item, answer.number)) {
+    board_.acknowledgeAnswer(runner, answer.number);
+    return;
+  }
+  if (run->has_outcome) return;
+  if (answer.end == fleet::RunEnd::kImpossible) {
+    failForGood(run);
+  } else {
+    countFailure(run, answer.number);
+  }
+}
+
+void JobExecutor::removeFromQueue(const ItemPtr& run) {
+  std::erase(queue_, run);
+}
+
+void JobExecutor::failForGood(const ItemPtr& run) {
+  if (run->running) abandonRun(*run);
+  removeFromQueue(run);
+  finishItem(run, ItemOutcome::kErrored);
+}
+
+void JobExecutor::countFailure(const ItemPtr& run, std::uint64_t number) {
+  if (state_->isFailureCounted(run->job, run->item, number) || !pending_failures_.insert(number).second) return;
+  failures_.push_back(ProposedFailure{run, number});
+  ++run->pending_failures;
+  removeFromQueue(run);
+  proposeFailures();
+}
+
+/// One proposal at a time: what fails meanwhile shares the next one. What is not taken is proposed again, by this
+/// leader from its tick or by the next one, since the stores tell it until it is kept.
+void JobExecutor::proposeFailures() {
+  if (proposing_failures_ || failures_.empty() || !leading_) return;
+  proposing_failures_ = true;
+  SaveProgress save;
+  for (const ProposedFailure& failure : failures_) {
+    ItemProgress entry;
+    entry.job = failure.run->job;
+    entry.item = failure.run->item;
+    entry.failures = failure.run->failures + 1;
+    entry.failed_runs.push_back(failure.number);
+    save.items.push_back(std::move(entry));
+  }
+  auto proposed = std::exchange(failures_, {});
+  propose_(std::move(save), [this, alive = alive_, proposed = std::move(proposed), term = term_](bool applied) {
+    if (!*alive) return;
+    proposing_failures_ = false;
+    if (!leading_ || term != term_) return;
+    if (!applied) {
+      failures_.insert(failures_.begin(), proposed.begin(), proposed.end());
+      return;
+    }
+    for (const ProposedFailure& failure : proposed) settleFailure(failure);
+    proposeFailures();
+    pump();
+  });
+}
+
+void JobExecutor::settleFailure(const ProposedFailure& failure) {
+  const ItemPtr& run = failure.run;
+  pending_failures_.erase(failure.number);
+  --run->pending_failures;
+  const StoredJob* job = openJob(*run);
+  if (job == nullptr || run->stopped || run->has_outcome) return;
+  const auto kept = job->progress.find(run->item);
+  if (kept != job->progress.end()) run->failures = kept->second.failures;
+  const Route* route = routeOf(*job);
+  const std::uint32_t most = route == nullptr ? 1 : std::max<std::uint32_t>(1, route->most_attempts);
+  const bool attempts_used = route != nullptr && run->failures >= most;
+  logEvent(LogLevel::kInfo, "item_failure_kept",
+           {{"job", run->job.value},
+            {"request", run->item},
+            {"run", failure.number},
+            {"failures", run->failures},
+            {"most", most},
+            {"term", term_}});
+  if (attempts_used) {
+    failForGood(run);
+    return;
+  }
+  if (run->running || run->pending_failures > 0) return;
+  run->not_before = std::max(run->not_before, connection::monotonicNow() + kRetryAfterFailure);
+  queue_.push_back(run);
+  next_order_ = Instant{};
+}
+
+}  // namespace hatchfork::store
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -68,17 +68,6 @@
   });
 }
 
-/// A new leader must not give the item as many runs again.
-void JobExecutor::saveFailure(const ItemRun& run) {
-  SaveProgress save;
-  save.items.push_back(
-      {run.job, run.item, run.saved_event, run.saved_chain, run.saved_event, run.chain, "", run.failures});
-  propose_(std::move(save), [job = run.job, item = run.item, failures = run.failures](bool applied) {
-    logEvent(LogLevel::kInfo, "item_failure_kept",
-             {{"job", job.value}, {"request", item}, {"failures", failures}, {"kept", applied}});
-  });
-}
-
 void JobExecutor::finishItem(const ItemPtr& run, ItemOutcome outcome) {
   outcome == ItemOutcome::kCompleted ? ++counters_.completed : ++counters_.errored;
   run->has_outcome = true;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -97,8 +97,9 @@
 }
 
 void JobExecutor::sendLeases(Instant now) {
-  for (auto& [runner, stopped] : board_.takeLeases(now)) {
-    send_(runner, fleet::FleetMessage(fleet::RunLease{options_.self, term_, std::move(stopped)}));
+  for (auto& [runner, content] : board_.takeLeases(now)) {
+    fleet::RunLease lease{options_.self, term_, std::move(content.stopped), std::move(content.kept_answers)};
+    send_(runner, fleet::FleetMessage(std::move(lease)));
   }
 }
 
@@ -116,6 +117,7 @@
     takeNews(run, news);
   }
   breakRuns(checked.lost);
+  for (const fleet::ItemAnswer& answer : report.answers) takeAnswer(report.from, answer);
   pump();
 }
 
@@ -144,7 +146,7 @@
   const auto found = job->second.find(offered.item);
   if (found == job->second.end()) return nullptr;
   const ItemPtr& run = found->second;
-  const bool is_free = !run->running && !run->stopped && !run->has_outcome;
+  const bool is_free = !run->running && !run->stopped && !run->has_outcome && run->pending_failures == 0;
   return is_free && openJob(*run) != nullptr ? run : nullptr;
 }
 
@@ -239,20 +241,11 @@
       finishItem(run, ItemOutcome::kCompleted);
       return;
     case RunEnd::kImpossible:
-      finishItem(run, ItemOutcome::kErrored);
+      failForGood(run);
+      return;
+    case RunEnd::kFailed:
+      countFailure(run, run->number);
       return;
-    case RunEnd::kFailed: {
-      ++run->failures;
-      const Route* route = routeOf(*job);
-      const std::uint32_t most = route == nullptr ? 1 : std::max<std::uint32_t>(1, route->most_attempts);
-      if (route != nullptr && run->failures >= most) {
-        finishItem(run, ItemOutcome::kErrored);
-        return;
-      }
-      run->not_before = now + kRetryAfterFailure;
-      saveFailure(*run);
-      break;
-    }
     case RunEnd::kDeclined:
       run->not_before = now + kRetryAfterDecline;
       break;
@@ -273,6 +266,7 @@
       }
       break;
   }
+  if (run->pending_failures > 0) return;
   queue_.push_back(run);
   next_order_ = Instant{};
 }
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -25,6 +25,16 @@
 /// Snapshots of older programs have no refusals.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts)
 
+/// True if it counts a failure that was not counted before.
+bool noteFailures(StoredJob::Progress& progress, const ItemProgress& entry) {
+  std::uint32_t failures = progress.failures;
+  for (const std::uint64_t run : entry.failed_runs) {
+    if (progress.failed_runs.insert(run).second) ++failures;
+  }
+  failures = std::max(failures, entry.failures);
+  return std::exchange(progress.failures, failures) != failures;
+}
+
 /// Copies of a refused try come within seconds of it.
 constexpr std::size_t kMostRefusalsRemembered = 2000;
 
@@ -147,14 +157,20 @@
   return true;
 }
 
+bool JobState::isFailureCounted(const JobId& job, const std::string& item, std::uint64_t run) const {
+  const StoredJob* stored = find(job);
+  if (stored == nullptr) return false;
+  const auto progress = stored->progress.find(item);
+  return progress != stored->progress.end() && progress->second.failed_runs.contains(run);
+}
+
 bool JobState::applyOne(const SaveProgress& command) {
   bool saved = false;
   for (const ItemProgress& entry : command.items) {
     const auto job = jobs_.find(entry.job);
     if (job == jobs_.end() || !job->second.open_items.contains(entry.item)) continue;
     StoredJob::Progress& progress = job->second.progress[entry.item];
-    saved = saved || entry.failures > progress.failures;
-    progress.failures = std::max(progress.failures, entry.failures);
+    saved = noteFailures(progress, entry) || saved;
     const bool follows = progress.last_event == entry.after_event && progress.chain == entry.after_chain;
     if (!follows || entry.last_event <= entry.after_event) continue;
     progress.last_event = entry.last_event;
@@ -208,8 +224,9 @@
     for (const OpaqueItem& item : job.submission.items) {
       const auto kept = job.progress.find(item.id);
       if (kept != job.progress.end()) {
-        progress.push_back(
-            {id, item.id, 0, 0, kept->second.last_event, kept->second.chain, kept->second.text, kept->second.failures});
+        const StoredJob::Progress& entry = kept->second;
+        progress.push_back({id, item.id, 0, 0, entry.last_event, entry.chain, entry.text, entry.failures,
+                            std::vector<std::uint64_t>(entry.failed_runs.begin(), entry.failed_runs.end())});
       }
     }
     snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
@@ -241,7 +258,8 @@
     for (ItemProgress& progress : entry.progress) {
       held_bytes_ += progress.text.size();
       job.progress[progress.item] =
-          StoredJob::Progress{progress.last_event, progress.chain, std::move(progress.text), progress.failures};
+          StoredJob::Progress{progress.last_event, progress.chain, std::move(progress.text), progress.failures,
+                              std::set<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
     }
     changed(id);
   }
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -59,8 +59,12 @@
   std::string text;
   /// Runs that ended with a failure of the item itself, over all leaders.
   std::uint32_t failures = 0;
+  /// Runs of which that is told here. Each one counts once, however often and by how many leaders it is told.
+  std::vector<std::uint64_t> failed_runs;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemProgress, job, item, after_event, after_chain, last_event, chain, text, failures)
+/// Entries that older programs logged do not name the runs.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ItemProgress, job, item, after_event, after_chain, last_event, chain,
+                                                text, failures, failed_runs)
 
 /// Keeps progress, so that a new leader goes on where the last one was. What does not follow on what is kept is passed
 /// over.
@@ -111,6 +115,7 @@
     std::uint64_t chain = 0;
     std::string text;
     std::uint32_t failures = 0;
+    std::set<std::uint64_t> failed_runs;
   };
   std::unordered_map<std::string, Progress> progress;
   bool ended = false;
@@ -138,6 +143,8 @@
   const std::map<JobId, StoredJob>& jobs() const { return jobs_; }
   /// Null for an unknown job.
   const StoredJob* find(const JobId& job) const;
+  /// Whether a failure of an open item in that run is counted.
+  bool isFailureCounted(const JobId& job, const std::string& item, std::uint64_t run) const;
   /// Tokens of the open items of the tenant's jobs on the limit's route that are not ended.
   std::uint64_t waitingTokens(const WaitingLimit& limit) const;
   /// Tokens of all open items.
--- a/src/process/store/run_board.cpp
+++ b/src/process/store/run_board.cpp
@@ -18,6 +18,7 @@
   last_number_ = std::max(last_number_, term << kTermShift);
   announced_until_ = now + limits_.announced_for;
   next_lease_ = now;
+  next_reminder_ = announced_until_;
 }
 
 void RunBoard::setRunners(std::map<ReplicaId, ZoneId> runners) {
@@ -132,7 +133,7 @@
 void RunBoard::stop(std::uint64_t number) {
   const auto run = runs_.find(number);
   if (run == runs_.end()) return;
-  stopped_[run->second.runner].push_back(number);
+  next_[run->second.runner].stopped.push_back(number);
   forget(number);
 }
 
@@ -147,13 +148,15 @@
   runs_.erase(run);
 }
 
-std::map<ReplicaId, std::vector<std::uint64_t>> RunBoard::takeLeases(Instant now) {
-  std::map<ReplicaId, std::vector<std::uint64_t>> leases = std::exchange(stopped_, {});
+std::map<ReplicaId, LeaseContent> RunBoard::takeLeases(Instant now) {
+  std::map<ReplicaId, LeaseContent> leases = std::exchange(next_, {});
   if (now < next_lease_) return leases;
   const bool announces = now < announced_until_;
+  const bool reminds = now >= next_reminder_;
+  if (reminds) next_reminder_ = now + limits_.reminder_interval;
   next_lease_ = now + (announces ? limits_.announce_interval : limits_.lease_interval);
   for (const auto& [id, runner] : at_) leases.try_emplace(id);
-  if (!announces) return leases;
+  if (!announces && !reminds) return leases;
   for (const auto& [runner, zone] : runners_) leases.try_emplace(runner);
   return leases;
 }
@@ -161,7 +164,7 @@
 void RunBoard::clear() {
   runs_.clear();
   at_.clear();
-  stopped_.clear();
+  next_.clear();
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -32,6 +32,8 @@
   /// A new leader tells all stores of itself for this long, so that they offer it what they run, and this often.
   Duration announced_for = fromMillis(1500);
   Duration announce_interval = fromMillis(50);
+  /// Later it does so more seldom, for a store that was out of reach and has answers to tell.
+  Duration reminder_interval = fromMillis(1000);
 };
 
 /// What a report says, checked against what was ordered.
@@ -43,6 +45,12 @@
   std::vector<std::uint64_t> lost;
 };
 
+/// What a lease tells a store.
+struct LeaseContent {
+  std::vector<std::uint64_t> stopped;
+  std::vector<std::uint64_t> kept_answers;
+};
+
 /// The leader's table of the runs that it has ordered: at which store each is in flight, and which are lost. No I/O, no
 /// clock. Belongs to one thread.
 ///
@@ -64,7 +72,11 @@
   /// Takes up a run that an earlier leader ordered; its news go on after `sequence`.
   void adopt(Instant now, const ReplicaId& runner, std::uint64_t number, std::uint64_t sequence);
   /// Has the store break off a run that is not in this table.
-  void refuse(const ReplicaId& runner, std::uint64_t number) { stopped_[runner].push_back(number); }
+  void refuse(const ReplicaId& runner, std::uint64_t number) { next_[runner].stopped.push_back(number); }
+  /// Tells the store that the group keeps the answer of that run.
+  void acknowledgeAnswer(const ReplicaId& runner, std::uint64_t number) {
+    next_[runner].kept_answers.push_back(number);
+  }
   /// The store can't be reached.
   void avoid(Instant now, const ReplicaId& runner);
   CheckedReport check(Instant now, const fleet::RunReport& report);
@@ -72,9 +84,9 @@
   std::vector<std::uint64_t> takeLost(Instant now);
   /// Nobody waits for this run any more; its store is told with the next lease.
   void stop(std::uint64_t number);
-  /// A sign of life for each store that runs items or is to break some off; empty before the interval is over, unless
-  /// runs are to be broken off.
-  std::map<ReplicaId, std::vector<std::uint64_t>> takeLeases(Instant now);
+  /// A sign of life for each store that runs items or is to be told something; empty before the interval is over,
+  /// unless there is something to tell.
+  std::map<ReplicaId, LeaseContent> takeLeases(Instant now);
   /// The leadership is over: the stores go on for the next leader.
   void clear();
 
@@ -104,10 +116,12 @@
   std::map<std::uint64_t, Run> runs_;
   std::map<ReplicaId, Runner> at_;
   std::map<ReplicaId, Instant> avoided_until_;
-  std::map<ReplicaId, std::vector<std::uint64_t>> stopped_;
+  /// What the next leases say.
+  std::map<ReplicaId, LeaseContent> next_;
   std::uint64_t last_number_ = 0;
   Instant next_lease_{};
   Instant announced_until_{};
+  Instant next_reminder_ = Instant::max();
 };
 
 }  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -23,6 +23,8 @@
 constexpr GroupId kStoreGroup = 1;
 constexpr Duration kTickInterval = fromMillis(50);
 constexpr Duration kLeadershipHandOverTime = fromMillis(1500);
+/// A stopping store waits this long for the next leader to keep what engines answered to its runs.
+constexpr Duration kAnswerHandOverTime = fromMillis(1500);
 /// Each run holds its request, its text and buffers.
 constexpr std::size_t kRunsPerMegabyte = 2;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
@@ -310,6 +312,8 @@
   while (group_->isConfirmedLeader() && monotonicNow() < give_up) co_await connection::sleepFor(fromMillis(20));
   // Answers that the new leader's first entries release still go out.
   co_await connection::sleepFor(fromMillis(100));
+  const Instant answers_until = monotonicNow() + kAnswerHandOverTime;
+  while (runner_->unkeptAnswers() > 0 && monotonicNow() < answers_until) co_await connection::sleepFor(fromMillis(20));
   context_.stop();
 }
 
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -60,6 +60,7 @@
   }
   ItemRunner& runner() { return runner_; }
   const std::vector<std::pair<ReplicaId, fleet::RunOffer>>& offers() const { return offers_; }
+  const std::vector<RunReport>& reports() const { return reports_; }
   const connection::ScriptedEngine& engine() const { return engine_; }
 
   /// Runs, with the runner's ticks at the given time, until that many news have come or five seconds are over.
@@ -168,6 +169,31 @@
   REQUIRE(stage.runner().running() == 1);
 }
 
+TEST_CASE("an answer that counts against its item is told until a leader has it kept", "[store][runner]") {
+  const auto [answer, end] = GENERATE(std::pair<std::string, RunEnd>("500 Failed", RunEnd::kFailed),
+                                      std::pair<std::string, RunEnd>("422 Impossible", RunEnd::kImpossible));
+  RunnerStage stage("HTTP/1.1 " + answer + "\r\nX-Attempt-Id: item\r\nContent-Length: 0\r\n\r\n");
+  stage.order(1, 7, /*last_event=*/0);
+  stage.waitForNews(1);
+  REQUIRE(stage.runner().unkeptAnswers() == 1);
+  // Neither a silent leader nor a new one makes the store forget it.
+  stage.runner().tick(monotonicNow() + fromMillis(9000));
+  const std::size_t before = stage.reports().size();
+  stage.runner().take(RunLease{ReplicaId("10.0.0.3"), 2, {}, {}});
+  stage.runner().tick(monotonicNow() + fromMillis(9300));
+  REQUIRE(stage.reports().size() == before + 1);
+  const RunReport& told = stage.reports().back();
+  REQUIRE(told.term == 2);
+  REQUIRE(told.answers.size() == 1);
+  REQUIRE(told.answers.front().number == 7);
+  REQUIRE(told.answers.front().item == "item");
+  REQUIRE(told.answers.front().end == end);
+  stage.runner().take(RunLease{ReplicaId("10.0.0.3"), 2, {}, {7}});
+  REQUIRE(stage.runner().unkeptAnswers() == 0);
+  stage.runner().tick(monotonicNow() + fromMillis(9600));
+  REQUIRE(stage.reports().size() == before + 1);
+}
+
 TEST_CASE("a run that has ended lately is offered too, since its leader may not have listed it", "[store][runner]") {
   RunnerStage stage(eventStream(/*whole=*/true));
   stage.order(1, 7, /*last_event=*/0);
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -112,6 +112,26 @@
   REQUIRE(state.find(JobId("j"))->progress.at("item-0").failures == 2);
 }
 
+TEST_CASE("a failed run counts once, whoever tells it, also after a snapshot", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 1)});
+  SaveProgress failed = progress("j", 0, 0, 0, "");
+  failed.items[0].failed_runs = {7};
+  failed.items[0].failures = 1;
+  REQUIRE(apply(state, failed) == "changed");
+  REQUIRE(apply(state, failed) == "unchanged");
+  // Another leader tells it beside one more, and knows of none before.
+  failed.items[0].failed_runs = {7, 9};
+  REQUIRE(apply(state, failed) == "changed");
+  REQUIRE(state.find(JobId("j"))->progress.at("item-0").failures == 2);
+  JobState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(apply(restored, failed) == "unchanged");
+  REQUIRE(restored.find(JobId("j"))->progress.at("item-0").failures == 2);
+  REQUIRE(restored.isFailureCounted(JobId("j"), "item-0", 9));
+  REQUIRE_FALSE(restored.isFailureCounted(JobId("j"), "item-0", 8));
+}
+
 TEST_CASE("a whole text goes before kept progress", "[store]") {
   JobState state;
   apply(state, SubmitJob{job("j", 1)});
--- a/tests/process/store/run_board_test.cpp
+++ b/tests/process/store/run_board_test.cpp
@@ -81,7 +81,7 @@
   REQUIRE(gap.news.front().number == second);
   REQUIRE(gap.lost == std::vector<std::uint64_t>{first});
   // The store is told to break it off, and what it says of it later is not taken.
-  REQUIRE(runs.takeLeases(at(300)).at(kThere) == std::vector<std::uint64_t>{first});
+  REQUIRE(runs.takeLeases(at(300)).at(kThere).stopped == std::vector<std::uint64_t>{first});
   REQUIRE(runs.check(at(400), RunReport{kThere, 1, {news(first, 4, true)}, {}}).news.empty());
   REQUIRE(runs.running() == 0);
 }
@@ -111,7 +111,7 @@
   REQUIRE(runs.takeLeases(at(300)).size() == 1);
   REQUIRE(runs.takeLeases(at(400)).empty());
   runs.stop(number);
-  REQUIRE(runs.takeLeases(at(410)).at(kThere) == std::vector<std::uint64_t>{number});
+  REQUIRE(runs.takeLeases(at(410)).at(kThere).stopped == std::vector<std::uint64_t>{number});
   REQUIRE(runs.takeLeases(at(900)).empty());
 }
 
@@ -144,13 +144,27 @@
   RunBoard runs = board(0, 100);
   runs.startTerm(at(0), 2);
   runs.check(at(100), RunReport{kThere, 2, {}, {77}});
-  REQUIRE(runs.takeLeases(at(100)).at(kThere) == std::vector<std::uint64_t>{77});
+  REQUIRE(runs.takeLeases(at(100)).at(kThere).stopped == std::vector<std::uint64_t>{77});
 }
 
-TEST_CASE("a new leader tells all stores of itself for a while", "[store][runs]") {
+TEST_CASE("a store is told which of its answers are kept", "[store][runs]") {
+  RunBoard runs = board(0, 100);
+  runs.startTerm(at(0), 2);
+  runs.takeLeases(at(5000));
+  runs.acknowledgeAnswer(kThere, 77);
+  REQUIRE(runs.takeLeases(at(5010)).at(kThere).kept_answers == std::vector<std::uint64_t>{77});
+  REQUIRE(runs.takeLeases(at(5020)).empty());
+}
+
+TEST_CASE("a new leader tells all stores of itself for a while, and once a second later on", "[store][runs]") {
   RunBoard runs = board(0, 100);
   runs.startTerm(at(0), 2);
   REQUIRE(runs.takeLeases(at(0)).size() == 3);
   REQUIRE(runs.takeLeases(at(60)).size() == 3);
-  REQUIRE(runs.takeLeases(at(5000)).empty());
+  REQUIRE(runs.takeLeases(at(1450)).size() == 3);
+  REQUIRE(runs.takeLeases(at(1500)).size() == 3);
+  REQUIRE(runs.takeLeases(at(2200)).empty());
+  REQUIRE(runs.takeLeases(at(2500)).size() == 3);
+  REQUIRE(runs.takeLeases(at(3200)).empty());
+  REQUIRE(runs.takeLeases(at(3500)).size() == 3);
 }
