The progress of running items is kept in pieces

Cause: once a second the stores' leader proposed the progress of all running items as one entry. Ruled out: lost links and stores (none at those moments), the bound of an append request and of a slice of applying (256 and 128 kB: one entry can't be cut).

Change: a proposal holds at most 128 kB of text, one at a time, from each tick; each item once a second, in turn.

--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -96,6 +96,7 @@
     /// How much of the text is kept by the group: up to which event, and how many bytes.
     std::uint64_t saved_event = 0;
     std::size_t saved_bytes = 0;
+    Instant next_save{};
     /// The run that reported that, and the name of the run that is in flight or ended last: its text goes on from the
     /// runs before it.
     std::uint64_t saved_chain = 0;
@@ -238,7 +239,8 @@
   std::vector<ProposedResult> results_;
   bool proposing_ = false;
   bool saving_ = false;
-  Instant next_save_{};
+  /// The run whose progress was looked at last, to be saved.
+  std::uint64_t last_saved_run_ = 0;
   std::mt19937_64 chains_;
   std::map<JobId, Instant> route_missing_since_;
   Instant next_cleanup_{};
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// How often the progress of running items is kept.
+/// How often the progress of a running item is kept.
 constexpr Duration kSaveInterval = fromMillis(1000);
+/// Text of one proposal, in bytes: as much as replicas apply in one go. Heartbeats wait while an entry is encoded, sent
+/// and applied: with the progress of a thousand items in one entry, leaders lost their quorum every 1 to 4 s.
+constexpr std::size_t kMostSavedBytes = 128 * 1024;
 
 }  // namespace
 
@@ -46,18 +49,30 @@
 }
 
 void JobExecutor::saveProgress(Instant now) {
-  if (saving_ || now < next_save_) return;
-  next_save_ = now + kSaveInterval;
+  if (saving_) return;
   SaveProgress save;
   std::vector<ProposedProgress> saved;
-  for (const auto& [id, runs] : items_) {
-    for (const auto& [item, run] : runs) {
-      const bool has_news = run->running && !run->diverged && run->last_event && *run->last_event > run->saved_event;
-      if (!has_news) continue;
-      save.items.push_back({id, item, run->saved_event, run->saved_chain, *run->last_event, run->chain,
-                            run->text.substr(run->saved_bytes), run->failures});
-      saved.push_back({run, run->chain, *run->last_event});
-    }
+  std::size_t bytes = 0;
+  // Goes on after the run that was looked at last, so that none is passed over for long.
+  auto next = runs_.upper_bound(last_saved_run_);
+  for (std::size_t looked_at = 0; looked_at < runs_.size() && bytes < kMostSavedBytes; ++looked_at, ++next) {
+    if (next == runs_.end()) next = runs_.begin();
+    last_saved_run_ = next->first;
+    const ItemPtr& run = next->second;
+    const bool has_news = !run->diverged && run->last_event && *run->last_event > run->saved_event;
+    if (!has_news || now < run->next_save) continue;
+    run->next_save = now + kSaveInterval;
+    save.items.push_back({run->job,
+                          run->item,
+                          run->saved_event,
+                          run->saved_chain,
+                          *run->last_event,
+                          run->chain,
+                          run->text.substr(run->saved_bytes),
+                          run->failures,
+                          {}});
+    saved.push_back({run, run->chain, *run->last_event});
+    bytes += save.items.back().text.size();
   }
   if (save.items.empty()) return;
   saving_ = true;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "connection/asio.hpp"
 #include "platform/platform_dialect.hpp"
@@ -24,7 +25,8 @@
 /// An executor whose group and stores are played by the test.
 class ExecutorStage {
  public:
-  explicit ExecutorStage(Duration loads_known_after = Duration::zero()) : dialect_(platform::makePlatformDialect()) {
+  explicit ExecutorStage(Duration loads_known_after = Duration::zero(), std::size_t more_items = 0)
+      : dialect_(platform::makePlatformDialect()) {
     JobExecutorOptions options;
     options.self = kSelf;
     options.loads_known_after = loads_known_after;
@@ -57,6 +59,9 @@
     job.path = "/x/";
     job.submitted_at = connection::wallNow();
     job.items.push_back(OpaqueItem{"i", "/x/1", {}, "body", 10});
+    for (std::size_t i = 0; i < more_items; ++i) {
+      job.items.push_back(OpaqueItem{"i" + std::to_string(i), "/x/1", {}, "body", 10});
+    }
     apply(SubmitJob{job});
   }
 
@@ -97,6 +102,10 @@
     proposal.done(applied);
   }
   std::size_t proposals() const { return proposals_.size(); }
+  /// The items whose progress the oldest proposal saves.
+  std::vector<ItemProgress> proposedProgress() const {
+    return std::get<SaveProgress>(proposals_.front().command).items;
+  }
 
   /// The group has no leader and says so at once.
   bool refuses_proposals = false;
@@ -319,3 +328,37 @@
   REQUIRE(stage.job().results.size() == 1);
   REQUIRE(stage.job().results.front().text == "one\ntwo\nthree");
 }
+
+TEST_CASE("the progress of many items is proposed in pieces of a bounded size, each item in its turn",
+          "[store][executor]") {
+  constexpr std::size_t kItems = 5;
+  ExecutorStage stage(fromMillis(40), kItems);
+  stage.executor().setLeading(true, 1);
+  fleet::RunOffer offer{kSelf, 1, {}};
+  for (std::size_t i = 0; i < kItems; ++i) {
+    fleet::OfferedRun run;
+    run.number = 100 + i;
+    run.job = JobId("j");
+    run.item = "i" + std::to_string(i);
+    run.engine = EngineId("e");
+    run.chain = 10 + i;
+    run.text = std::string(50 * 1024, 'x');
+    run.has_text = true;
+    run.last_event = 1;
+    offer.runs.push_back(run);
+  }
+  stage.executor().take(offer);
+  REQUIRE(stage.executor().running() == kItems);
+  std::vector<std::size_t> pieces;
+  std::set<std::string> saved;
+  const Instant now = connection::monotonicNow();
+  for (int tick = 0; tick < 4; ++tick) {
+    stage.executor().tick(now);
+    if (stage.proposals() == 0) continue;
+    pieces.push_back(stage.proposedProgress().size());
+    for (const ItemProgress& entry : stage.proposedProgress()) saved.insert(entry.item);
+    stage.endProposal(true);
+  }
+  REQUIRE(pieces == std::vector<std::size_t>{3, 2});
+  REQUIRE(saved.size() == kItems);
+}
