Metrics of answers against items

hatchfork_item_failures_kept_total at the leader, hatchfork_item_answers_unkept at the store that heard them: an operator sees answers that no leader hears.

--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -38,6 +38,8 @@
   std::uint64_t errored = 0;
   std::uint64_t broken = 0;
   std::uint64_t yielded = 0;
+  /// Failed runs that were counted for their items.
+  std::uint64_t failures_kept = 0;
 };
 
 /// Decides, while this process leads the store group, which items of the open jobs run, at which engine, and which
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -227,6 +227,10 @@
   items("errored", counters.errored);
   items("broken", counters.broken);
   items("yielded", counters.yielded);
+  page.counter("hatchfork_item_failures_kept_total", "Failed runs counted for their items, at the leader.",
+               static_cast<double>(counters.failures_kept));
+  page.gauge("hatchfork_item_answers_unkept", "Answers against items heard here that no leader is known to have kept.",
+             static_cast<double>(runner_->unkeptAnswers()));
   page.gauge("hatchfork_items_running", "Batch items in flight, at the leader.",
              static_cast<double>(executor_->running()));
   page.gauge("hatchfork_items_run_here", "Batch items that this store runs.", static_cast<double>(runner_->running()));
