Split the older fleet's batch runner: leases in a file of their own

A pure move of functions; two constants that both parts need stand in the class, one that nobody used is gone.

--- a/src/process/gateway/batch_runner.hpp
+++ b/src/process/gateway/batch_runner.hpp
@@ -49,6 +49,10 @@
  private:
   using ItemPtr = std::shared_ptr<BatchItemRun>;
 
+  static constexpr Duration kControlTimeout = fromMillis(3000);
+  /// Before a call that failed is made again.
+  static constexpr Duration kRetryPause = fromMillis(200);
+
   /// One batch group's leases and the ends that wait to be committed.
   struct GroupState {
     Instant lease_until{};
