The soak's engines lose one answer in twenty

Streams break in their middle and plain answers are cut off, so that the checks on repeats, resumed streams and told time have something to see.

--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -33,6 +33,8 @@
         self.state = "ready"
         self.sequence = 0
         self.break_after = None  # events after which streams are cut
+        self.lost_share = 0.0  # of answers: the connection is cut, a stream in its middle
+        self.random = random.Random(number)
         self.mute = False
         self.refuse = False
         self.server = None
@@ -96,9 +98,15 @@
             return await self.answer(writer, "422 Unprocessable", extra, b"")
         if b"failing" in body:
             return await self.answer(writer, "500 Internal", extra, b"")
+        if b"stream" not in body and self.random.random() < self.lost_share:
+            writer.transport.abort()
+            return False
         if b"stream" not in body:
             return await self.answer(writer, "200 OK", extra, b"echo:" + body)
         first = int(headers.get("last-event-id", 0)) + 1
+        break_after = self.break_after
+        if break_after is None and self.random.random() < self.lost_share:
+            break_after = self.random.randrange(first, 12)
         self.resumed_after.setdefault(request, []).append(first - 1)
         self.running += 1
         try:
@@ -107,7 +115,7 @@
             for number in range(first, 11):
                 await asyncio.sleep(self.event_delay)
                 event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
-                if self.break_after is not None and number > self.break_after:
+                if break_after is not None and number > break_after:
                     writer.write(b"%x\r\n" % len(event) + event[:9])
                     await writer.drain()
                     writer.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 MAX_ATTEMPTS_SAFE = 2
 MOST_FAILURES = 3 * MAX_ATTEMPTS_BATCH  # answers of 500 after which an item must not be sent again
 MOST_IMPOSSIBLE = 3
+LOST_ANSWERS = 0.05  # share of answers that engines cut off, streams in their middle
 TOLD_TIME_SLACK_S = 0.5
 FINISH_S = 40
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
@@ -70,6 +71,7 @@
         await eventually(self.check, "the first configuration is taken", taken, seconds=30)
         for engine in self.engines:
             await engine.start()
+            engine.lost_share = LOST_ANSWERS
         for gateway in self.fleet.gateways:
             async def serves():
                 status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
