--- a/tests/process/store/item_answers_test.cpp
+++ b/tests/process/store/item_answers_test.cpp
@@ -187,3 +187,17 @@
   REQUIRE(stores.runUntil([&] { return stores.isListed(); }));
   REQUIRE(stores.runsAtEngine() == 1);
 }
+
+TEST_CASE("a new leader orders no item anew before each store has told what its engines answered", "[store][answers]") {
+  StorePair stores(422);
+  stores.changeLeader();
+  stores.loseReports(true);
+  REQUIRE(stores.runUntil([&] { return stores.isAnswered(1); }));
+  stores.changeLeader();
+  // Longer than a new leader waits to know the loads.
+  const Instant later = monotonicNow() + fromMillis(400);
+  stores.runUntil([&] { return monotonicNow() > later; });
+  stores.loseReports(false);
+  REQUIRE(stores.runUntil([&] { return stores.isListed(); }));
+  REQUIRE(stores.runsAtEngine() == 1);
+}
