A new leader hears the stores before it orders items that earlier leaders may have run

Cause: a new leader ordered open items 0.3 s after its start, though stores that had answers to them had not told these yet, and each leadership that ended before the commit left the next one in the same place. Proposals of an ended leadership also held up those of the next one at the same store for up to 2 s. Not ruled out: a store that is silent for longer than the wait; a store that dies.

Change: a store reports to a new leader at once, and for 1.5 s even with nothing to tell; the leader orders inherited items once it has heard each store, or after 1 s. Proposals belong to the leadership that made them.

--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -39,6 +39,8 @@
 /// Most answers of one report; the others follow once these are kept.
 constexpr std::size_t kMostAnswersTold = 200;
 constexpr Duration kReportInterval = fromMillis(200);
+/// A new leader is told for this long even that there is nothing to tell: it waits to hear each store.
+constexpr Duration kReportsToNewLeader = fromMillis(1500);
 /// First events and ends are reported at once, together with others of the same moment.
 constexpr Duration kReportSoon = fromMillis(15);
 constexpr unsigned kUnprocessable = 422;
@@ -65,7 +67,9 @@
   if (term == term_ && leader == leader_) return;
   leader_ = leader;
   term_ = term;
+  reports_until_ = leader_heard_at_ + kReportsToNewLeader;
   offerRuns();
+  report();
 }
 
 fleet::OfferedRun ItemRunner::offerOf(const Run& run) {
@@ -201,7 +205,7 @@
 void ItemRunner::tick(Instant now) {
   forgetEnded(now);
   forgetOldAnswers(now);
-  if (runs_.empty() && ended_.empty() && answers_.empty()) return;
+  if (!hasReport(now)) return;
   const bool has_runs = !runs_.empty() || !ended_.empty();
   if (has_runs && now > leader_heard_at_ + kLease) {
     logEvent(LogLevel::kWarning, "run_lease_ended", {{"leader", leader_.value}, {"running", runs_.size()}});
@@ -221,8 +225,12 @@
   });
 }
 
+bool ItemRunner::hasReport(Instant now) const {
+  return !runs_.empty() || !ended_.empty() || !answers_.empty() || now < reports_until_;
+}
+
 void ItemRunner::report() {
-  if (runs_.empty() && ended_.empty() && answers_.empty()) return;
+  if (!hasReport(monotonicNow())) return;
   next_report_ = monotonicNow() + kReportInterval;
   fleet::RunReport report{self_, term_, std::exchange(ended_, {}), {}, {}};
   for (const UnkeptAnswer& entry : answers_) {
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -89,6 +89,7 @@
   /// Tells a new leader what runs here.
   void offerRuns();
   void reportSoon();
+  bool hasReport(Instant now) const;
   void report();
 
   connection::asio::io_context& context_;
@@ -105,6 +106,8 @@
   std::uint64_t term_ = 0;
   Instant leader_heard_at_{};
   Instant next_report_{};
+  /// Until then there is a report even with nothing in it.
+  Instant reports_until_{};
   connection::asio::steady_timer soon_;
   bool soon_armed_ = false;
   /// Coroutines of runs outlive this object.
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -17,6 +17,9 @@
 /// A new leader knows little of what else is in flight, and callers come back in a crowd after a failure of many
 /// processes: it allows itself this share of all slots more a second.
 constexpr double kSlotsStartedPerSecond = 0.2;
+/// It orders no item that earlier leaders may have run before each store has told its answers, but waits no longer than
+/// this for stores that are down: an item that was answered 422 was sent again by one leader after the other.
+constexpr Duration kStoresHeardWithin = std::chrono::seconds(1);
 /// Until this long after its start.
 constexpr Duration kSlowStart = std::chrono::seconds(3);
 /// How often the waiting items are put in order.
@@ -76,9 +79,11 @@
   const Instant now = monotonicNow();
   starts_from_ = now + options_.loads_known_after;
   adopted_ = 0;
+  heard_stores_.clear();
   board_.startTerm(now, term);
   learnFromResults();
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
+  for (const ItemPtr& run : queue_) run->is_inherited = true;
   const auto failing =
       std::count_if(queue_.begin(), queue_.end(), [](const ItemPtr& run) { return run->failures > 0; });
   logEvent(LogLevel::kInfo, "executor_started",
@@ -101,6 +106,10 @@
   results_.clear();
   failures_.clear();
   pending_failures_.clear();
+  // What is still being proposed belongs to this leadership alone; the next one here must not wait for it.
+  proposing_ = false;
+  proposing_failures_ = false;
+  saving_ = false;
   board_.clear();
 }
 
@@ -219,12 +228,20 @@
   return adopted_ + 1 + static_cast<std::size_t>(more_each_second * toSeconds(now - starts_from_));
 }
 
+bool JobExecutor::hasHeardStores(Instant now) const {
+  if (now >= starts_from_ + kStoresHeardWithin) return true;
+  const auto& runners = board_.runners();
+  return std::all_of(runners.begin(), runners.end(),
+                     [this](const auto& runner) { return heard_stores_.contains(runner.first); });
+}
+
 bool JobExecutor::startNext(Instant now) {
   if (runs_.size() >= mostRunsNow(now)) return false;
+  const bool starts_inherited = hasHeardStores(now);
   const std::size_t looked_at = std::min(queue_.size(), kMostLookedAt);
   for (std::size_t i = 0; i < looked_at; ++i) {
     const ItemPtr run = queue_[i];
-    if (run->not_before > now) continue;
+    if (run->not_before > now || (run->is_inherited && !starts_inherited)) continue;
     const StoredJob* job = openJob(*run);
     const Route* route = job == nullptr ? nullptr : routeOf(*job);
     if (job == nullptr || run->stopped) {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -115,6 +115,8 @@
     Instant due = Instant::max();
     request::DueItem order{};
     bool running = false;
+    /// Earlier leaders may have run it, with answers that are not kept yet.
+    bool is_inherited = false;
     /// Its outcome is being proposed.
     bool has_outcome = false;
     /// Events that all runs have brought, and when this run brought its first one and how many there were then.
@@ -170,6 +172,8 @@
   std::vector<ItemPtr> runsToYield(Instant now);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
                 const request::EngineQuery& query);
+  /// Whether each store has told what it has run for earlier leaders, or has had the time to.
+  bool hasHeardStores(Instant now) const;
   /// The item of an offered run, if it is open and nothing is in flight for it.
   ItemPtr itemWanting(const fleet::OfferedRun& offered) const;
   void adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered);
@@ -229,6 +233,8 @@
   Instant next_order_{};
   /// A new leader starts no run before.
   Instant starts_from_{};
+  /// Stores that have reported to this leadership.
+  std::set<ReplicaId> heard_stores_;
   /// Runs that it took up from earlier leaders.
   std::size_t adopted_ = 0;
   request::RunTimeModel run_times_;
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -72,9 +72,8 @@
   }
   auto proposed = std::exchange(failures_, {});
   propose_(std::move(save), [this, alive = alive_, proposed = std::move(proposed), term = term_](bool applied) {
-    if (!*alive) return;
+    if (!*alive || !leading_ || term != term_) return;
     proposing_failures_ = false;
-    if (!leading_ || term != term_) return;
     if (!applied) {
       failures_.insert(failures_.begin(), proposed.begin(), proposed.end());
       return;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -76,8 +76,8 @@
   }
   if (save.items.empty()) return;
   saving_ = true;
-  propose_(std::move(save), [this, alive = alive_, saved = std::move(saved)](bool) {
-    if (!*alive) return;
+  propose_(std::move(save), [this, alive = alive_, saved = std::move(saved), term = term_](bool) {
+    if (!*alive || !leading_ || term != term_) return;
     saving_ = false;
     for (const ProposedProgress& entry : saved) noteSavedProgress(*entry.run, entry.chain, entry.last_event);
   });
@@ -123,13 +123,13 @@
   ListResults command;
   for (const ProposedResult& entry : *proposed) command.results.push_back(entry.result);
   propose_(std::move(command), [this, alive = alive_, proposed, term = term_](bool applied) {
-    if (!*alive) return;
+    // What was proposed in an earlier leadership is left to the runs of this one.
+    if (!*alive || !leading_ || term != term_) return;
     proposing_ = false;
-    if (!leading_) return;
     // A result that was not taken is proposed again later, since this may be called from within the proposal; one that
-    // was taken after all is passed over. What was proposed in an earlier leadership is left to the runs of this one.
+    // was taken after all is passed over.
     if (!applied) {
-      if (term == term_) results_.insert(results_.begin(), proposed->begin(), proposed->end());
+      results_.insert(results_.begin(), proposed->begin(), proposed->end());
       return;
     }
     listAgain(*proposed);
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -108,6 +108,7 @@
     logIgnored(report, report.news, leading_ ? "older term" : "not leading");
     return;
   }
+  heard_stores_.insert(report.from);
   const CheckedReport checked = board_.check(monotonicNow(), report);
   logIgnored(report, checked.ignored, "run not held, or a report before it is missing");
   for (const fleet::RunNews& news : checked.news) {
--- a/src/process/store/run_board.hpp
+++ b/src/process/store/run_board.hpp
@@ -63,6 +63,7 @@
   void startTerm(Instant now, std::uint64_t term);
   /// Stores that may run items, this one included or not.
   void setRunners(std::map<ReplicaId, ZoneId> runners);
+  const std::map<ReplicaId, ZoneId>& runners() const { return runners_; }
   /// Where the next run goes, whose engine is in `zone`: here while few are in flight in all; else to the store with
   /// the fewest, one in that zone before others, so that its stream crosses zones once and not twice. Nothing if all
   /// are full.
