Logs of online requests tell what the caller has and what it was given

Cause: of a resumed stream no line named the caller's own event, nor the first and last event that it was given, nor repeats that were left out, so that the three hypotheses of the incident looked the same. No change of logic.

An engine that repeats itself (2) would show one attempt with a first event below the caller's; two gateways (3) would each show caller_has equal to what the caller had, with first_event above it.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -65,6 +65,7 @@
   come_back_after_ = kComeBackAfter;
   deadline_ = received_at_ + route_.timeout;
   id_ = std::string(request_.header(names.request_id));
+  caller_has_ = std::string(request_.header(names.last_event_id));
   fingerprint_ = request::fingerprintOf({tenant_ == nullptr ? std::string_view() : tenant_->id.value, request_.method,
                                          request_.header("Host"), request_.target, request_.body});
   if (const auto remaining = readMilliseconds(request_.header(names.remaining_ms))) {
@@ -284,7 +285,11 @@
     std::string events;
     while (std::optional<connection::StreamEvent> event = splitter.next()) {
       // After a resume an engine may repeat what was passed on.
-      if (event->id && last_event_ && *event->id <= *last_event_) continue;
+      if (event->id && last_event_ && *event->id <= *last_event_) {
+        ++repeated_;
+        continue;
+      }
+      if (!first_event_) first_event_ = event->id;
       if (event->id) last_event_ = event->id;
       ++events_;
       events += event->bytes;
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -102,6 +102,8 @@
   std::vector<connection::HttpHeader> answerHeaders(const connection::EngineExchange& exchange) const;
   /// After an engine ended the connection: looks whether the engine itself has ended.
   connection::Awaitable<void> probeEngine(const connection::Endpoint& endpoint);
+  std::string_view callerHas() const;
+  std::string resumeAfter() const;
   void logAttempt(const request::EngineChoice& choice) const;
   void logAttemptEnd(AttemptEnd end, const std::string& cause) const;
   void logEnd(std::string_view outcome, unsigned status) const;
@@ -136,8 +138,13 @@
   bool closed_by_engine_ = false;
   connection::EngineReachability engine_state_ = connection::EngineReachability::kUnknown;
   bool stream_started_ = false;
+  /// Event that the caller named as the last one it has, as it stands in the request; empty if it named none.
+  std::string caller_has_;
+  std::optional<std::uint64_t> first_event_;
   std::optional<std::uint64_t> last_event_;
   std::uint32_t events_ = 0;
+  /// Events of engines that were left out since the caller had them.
+  std::uint32_t repeated_ = 0;
   std::optional<Instant> first_byte_at_;
 };
 
--- a/src/process/exchange/exchange_run_log.cpp
+++ b/src/process/exchange/exchange_run_log.cpp
@@ -13,6 +13,17 @@
   return toMillis(monotonicNow() - received_at_);
 }
 
+std::string_view ExchangeRun::callerHas() const {
+  constexpr std::size_t kMostShown = 24;
+  return caller_has_.empty() ? std::string_view("-") : std::string_view(caller_has_).substr(0, kMostShown);
+}
+
+/// The event that the attempt names to its engine: the caller's own, until the answer has begun.
+std::string ExchangeRun::resumeAfter() const {
+  if (!stream_started_) return std::string(callerHas());
+  return last_event_ ? std::to_string(*last_event_) : "-";
+}
+
 void ExchangeRun::logAttempt(const EngineChoice& choice) const {
   logEvent(LogLevel::kInfo, "attempt_sent",
            {{"request", id_},
@@ -24,7 +35,8 @@
             {"load_age_ms", choice.load_age_ms},
             {"cached", choice.expects_cached_prefix},
             {"candidates", choice.candidates},
-            {"resume_after", last_event_.value_or(0)},
+            {"caller_has", callerHas()},
+            {"resume_after", resumeAfter()},
             {"left_ms", toMillis(deadline_ - monotonicNow())}});
 }
 
@@ -41,6 +53,8 @@
             {"content", fingerprint_.value},
             {"caller", request_.peer},
             {"events", events_},
+            {"last_event", last_event_.value_or(0)},
+            {"repeated", repeated_},
             {"after_ms", elapsedMs()}});
 }
 
@@ -60,7 +74,11 @@
             {"runs", runs_},
             {"refusals", refusals_},
             {"prompt_tokens", query_.prompt.prompt_tokens},
+            {"caller_has", callerHas()},
+            {"first_event", first_event_.value_or(0)},
+            {"last_event", last_event_.value_or(0)},
             {"events", events_},
+            {"repeated", repeated_},
             {"first_ms", first},
             {"after_ms", elapsedMs()}});
 }
