Failing test: what the caller of a stream has is forgotten when the first engine breaks off

tests/soak/resumed_streams.py, real processes: engines that break 3 in 10 streams at a chosen place, callers that go on by themselves at any gateway.

--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -104,11 +104,16 @@
             return False
         if b"stream" not in body:
             return await self.answer(writer, "200 OK", extra, b"echo:" + body)
-        first = int(headers.get("last-event-id", 0)) + 1
+        named = headers.get("last-event-id", "0")
+        return await self.stream(writer, request, body, int(named) if named.isdigit() else 0, extra)
+
+    async def stream(self, writer, request, body, after, extra):
+        """Answers with the events that follow event `after`; true if the connection can be used again."""
+        first = after + 1
         break_after = self.break_after
         if break_after is None and self.random.random() < self.lost_share:
             break_after = self.random.randrange(first, 12)
-        self.resumed_after.setdefault(request, []).append(first - 1)
+        self.resumed_after.setdefault(request, []).append(after)
         self.running += 1
         try:
             writer.write(f"HTTP/1.1 200 OK\r\n{extra}Content-Type: text/event-stream\r\n"
--- /dev/null
+++ b/tests/soak/breaking_engine.py
@@ -0,0 +1,61 @@
+"""Engines that break a share of their streams at a chosen place, and note what each attempt asked for."""
+import asyncio
+import socket
+import struct
+
+from stand_in import Engine
+
+EVENTS = 10  # of a whole text
+# Where a stream breaks: after the head and before any event; inside an event; between two events; an answer without
+# chunks or a length that is reset between two events; one that is closed there without a reset.
+PLACES = ("head", "inside", "between", "unframed", "closed")
+
+
+def reset(writer):
+    """Ends the connection with a reset in place of a proper close."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class BreakingEngine(Engine):
+    """`asked` is shared by all engines: for each request the event that each attempt went on after, in order."""
+
+    def __init__(self, number, port, controls, asked, places, share, **more):
+        super().__init__(number, port, controls, **more)
+        self.asked = asked
+        self.places = places
+        self.share = share
+
+    async def stream(self, writer, request, body, after, extra):
+        self.asked.setdefault(request, []).append(after)
+        after = min(after, EVENTS)
+        text = body.decode()
+        place = self.random.choice(self.places) if self.random.random() < self.share else None
+        is_framed = place not in ("unframed", "closed")
+        last = EVENTS if place is None else self.random.randint(min(after, EVENTS - 1), EVENTS - 1)
+        if place == "head":
+            last = after
+        framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
+        writer.write(f"HTTP/1.1 200 OK\r\n{extra}Content-Type: text/event-stream\r\n{framing}\r\n\r\n".encode())
+        self.running += 1
+        try:
+            for number in range(after + 1, last + 1):
+                await asyncio.sleep(self.event_delay)
+                await self.write(writer, f"id: {number}\ndata: {text}-{number}\n\n".encode(), is_framed)
+            if place is None:
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
+                return True
+            if place == "inside":
+                await self.write(writer, f"id: {last + 1}\nda".encode(), is_framed)
+            # What was written must be on its way before a reset, which would overtake it.
+            await asyncio.sleep(self.event_delay)
+            if place != "closed":
+                reset(writer)
+            return False
+        finally:
+            self.running -= 1
+
+    async def write(self, writer, piece, is_framed):
+        writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n" if is_framed else piece)
+        await writer.drain()
--- /dev/null
+++ b/tests/soak/resumed_streams.py
@@ -0,0 +1,180 @@
+#!/usr/bin/env python3
+"""A caller whose answer had broken asked for the rest of it: it named the last event that it had. The engine that took the
+request sent the head of its answer and broke off before any event, and the gateway sent the request to a further engine
+without the caller's event, from the beginning. The caller got the events that it had a second time, in one answer that was
+closed as whole. On a recorded day one request of a resumable kind got a piece that came again after an engine had ended by a reset.
+The gateway's log of such a request in a run of this test:
+
+    event=attempt_sent engine=i-0004 caller_has=1 resume_after=1 ...
+    event=attempt_ended engine=i-0004 outcome=stream_broken cause="stream: Connection reset by peer" events=0 repeated=0
+    event=attempt_sent engine=i-0007 caller_has=1 resume_after=- ...
+    event=request_ended outcome=answered status=200 caller_has=1 first_event=1 last_event=10 events=10
+
+Real processes on loopback; engines that break a share of their streams at a chosen place; callers that go on by themselves
+at any gateway after a break, half of them with a part in hand from the start.
+
+    python3 tests/soak/resumed_streams.py --scenario head|anywhere|kills|unframed|closed [--seed 1] [--seconds 8]
+"""
+import argparse
+import asyncio
+import random
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from breaking_engine import EVENTS, BreakingEngine  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from resuming_caller import StreamReader  # noqa: E402
+from stand_in import Check, call, document, eventually, new_id, request_headers  # noqa: E402
+
+CALLERS = 10
+BREAKS = 0.3  # share of the engines' streams
+MOST_TRIES = 8  # of a caller for one text
+LEAST_WHOLE = 0.97  # of all texts, where no gateway is killed
+PLACES = {"head": ("head",), "anywhere": ("head", "inside", "between"), "kills": ("head", "inside", "between"),
+          "unframed": ("unframed",), "closed": ("closed",)}
+
+
+class ResumedStreams:
+    """Callers, engines and checks of one run."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.fleet = Fleet(folder, controls=5, stores=5, gateways=3, network=options.network)
+        self.check = Check()
+        self.asked = {}  # request -> the event that each attempt at an engine went on after
+        self.named = {}  # request -> the event that its caller named
+        self.engines = [BreakingEngine(number, options.engine_port + number, self.fleet.controls, self.asked,
+                                       PLACES[options.scenario], BREAKS, event_delay=0.01) for number in range(8)]
+        self.answers = 0
+        self.resumed = 0
+        self.texts = [0, 0]  # whole, all
+        self.loading = True
+
+    async def form(self):
+        self.fleet.start_all()
+
+        async def taken():
+            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", document(5), timeout=2)
+            return status == 200
+        await eventually(self.check, "the first configuration is taken", taken, seconds=30)
+        for engine in self.engines:
+            await engine.start()
+        for gateway in self.fleet.gateways:
+            async def serves():
+                status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
+                return status == 200
+            await eventually(self.check, f"{gateway} serves", serves, seconds=30)
+        self.fleet.mark_formed()
+
+    async def read_texts(self, number):
+        while self.loading:
+            begins_with_part = self.options.scenario != "kills" and self.random.random() < 0.5
+            position = self.random.randint(1, EVENTS - 1) if begins_with_part else 0
+            whole = await self.read_text(f"stream-{new_id()}", position)
+            self.texts[0] += whole
+            self.texts[1] += 1
+
+    async def read_text(self, text, position):
+        """Goes on after each break until the answer is closed as whole; true if that happened at the last event."""
+        for _ in range(MOST_TRIES):
+            request = new_id()
+            headers = request_headers(request)
+            if position > 0:
+                headers["Last-Event-Id"] = str(position)
+                self.named[request] = position
+                self.resumed += 1
+            reader = StreamReader()
+            await reader.read(self.random.choice(self.fleet.gateways), "/talk/a", text.encode(), headers)
+            self.answers += 1
+            reached = self.check_events(request, text, position, reader)
+            if reader.status == 200 and reader.is_whole:
+                is_complete = reached == EVENTS
+                self.check.that(is_complete, f"{request} was closed as whole after event {reached} of {EVENTS}")
+                return is_complete
+            position = reached
+            await asyncio.sleep(0.02)
+        return False
+
+    def check_events(self, request, text, position, reader):
+        """The events follow each other and what the caller had; gives the last one that it has now."""
+        for number, data in reader.events:
+            self.check.that(number == position + 1, f"{request} got event {number} after event {position}")
+            self.check.that(data == f"{text}-{number}", f"{request} got {data!r}, which is not its own")
+            position = max(position, number)
+        return position
+
+    def check_attempts(self):
+        """No engine was asked to begin before what the caller had named."""
+        for request, named in self.named.items():
+            asked = self.asked.get(request, [])
+            self.check.that(all(after >= named for after in asked),
+                            f"{request} named event {named}, engines were asked to go on after {asked}")
+
+    async def kill_gateways(self, started):
+        while time.monotonic() < started + self.options.seconds - 3:
+            await asyncio.sleep(0.8)
+            process = self.random.choice(self.fleet.of_role("gateway"))
+            print(f"{time.monotonic() - started:6.2f} s  kill {process.name}", flush=True)
+            process.kill()
+            await asyncio.sleep(0.3)
+            process.start()
+
+    async def check_refusals(self):
+        """A caller that names no event, or a route that allows no resume, is told so, and no engine runs it."""
+        for target, named in (("/talk/a", "nine"), ("/talk/a", "-1"), ("/talk/a", "9x"), ("/talk/a", "99999999999999999999"),
+                              ("/speech/a", "4")):
+            request = new_id()
+            headers = {**request_headers(request), "Last-Event-Id": named}
+            reader = StreamReader()
+            await reader.read(self.fleet.gateways[0], target, b"stream-refused", headers)
+            self.check.that(reader.status == 400 and b"Last-Event-Id" in reader.body,
+                            f"{target} with Last-Event-Id {named!r} is answered {reader.status} {reader.body[:80]!r}")
+            self.check.that(request not in self.asked, f"{target} with Last-Event-Id {named!r} reached an engine")
+
+    async def run(self):
+        await self.form()
+        await self.check_refusals()
+        started = time.monotonic()
+        work = [asyncio.create_task(self.read_texts(number)) for number in range(CALLERS)]
+        if self.options.scenario == "kills":
+            work.append(asyncio.create_task(self.kill_gateways(started)))
+        await asyncio.sleep(self.options.seconds)
+        self.loading = False
+        await asyncio.gather(*work)
+        self.check_attempts()
+        whole, texts = self.texts
+        if self.options.scenario != "kills":
+            self.check.that(whole >= LEAST_WHOLE * texts, f"only {whole} of {texts} texts were read to their end")
+        print(f"answers={self.answers} resumed_by_callers={self.resumed} texts_whole={whole} texts={texts}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--scenario", choices=list(PLACES), required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--network", default="127.0.7", help="first three numbers of the fleet's loopback addresses")
+    parser.add_argument("--engine-port", type=int, default=8900, help="first port of the engines at 127.0.0.1")
+    parser.add_argument("--keep", help="folder for settings, data and logs, kept")
+    options = parser.parse_args()
+    folder = Path(options.keep or tempfile.mkdtemp(prefix="resumed-streams-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    run = ResumedStreams(options, folder)
+    try:
+        asyncio.run(run.run())
+    finally:
+        run.fleet.kill_all()
+    if run.check.failed == 0 and options.keep is None:
+        shutil.rmtree(folder, ignore_errors=True)
+    print(f"{options.scenario}: seed={options.seed} broken={run.check.failed} logs={folder}")
+    sys.exit(1 if run.check.failed else 0)
+
+
+if __name__ == "__main__":
+    main()
