A stream has one position: what its caller had before the first attempt, then what it was given

Cause: the event that a caller named was one of its headers, passed on with the first attempt; what was passed on since stood in another place. An attempt that broke after the head and before any event left the second one empty and dropped the first, so the next engine was asked from the beginning. The class: two places for one fact, of which one is forgotten. Ruled out by the logs of the failing plays: engines that repeat themselves (repeated=0, each wrong answer has two attempts), two gateways for one answer.

Change: StreamPosition is known before the first attempt; every attempt starts from it, every event and the end of the answer are checked against it, online and for batch items (where a gap or an event without a place was appended). Events that were missing or can't be placed break the attempt. An answer without a length that is closed between events is asked for once more; where that proves nothing, its caller sees a break and can go on (batch: a further run; it took no close for whole before, and never ended for engines that always close). A Last-Event-Id that names no event, or on a route without resume: 400 that says so.

--- a/src/connection/event_stream.cpp
+++ b/src/connection/event_stream.cpp
@@ -1,6 +1,6 @@
 #include "connection/event_stream.hpp"
 
-#include <charconv>
+#include "request/exchange/stream_position.hpp"
 
 namespace hatchfork::connection {
 namespace {
@@ -18,20 +18,17 @@
 /// Reads the lines of one event.
 void readFields(StreamEvent& event) {
   std::string_view rest = event.bytes;
-  bool has_data = false;
   while (!rest.empty()) {
     const std::size_t end = rest.find('\n');
     std::string_view line = rest.substr(0, end);
     rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
     if (line.ends_with('\r')) line.remove_suffix(1);
     if (const auto data = fieldValue(line, "data")) {
-      if (has_data) event.data += '\n';
+      if (event.has_data) event.data += '\n';
       event.data.append(*data);
-      has_data = true;
+      event.has_data = true;
     } else if (const auto id = fieldValue(line, "id")) {
-      std::uint64_t number = 0;
-      const auto [parsed, error] = std::from_chars(id->data(), id->data() + id->size(), number);
-      if (error == std::errc() && parsed == id->data() + id->size()) event.id = number;
+      if (const auto number = request::parseEventId(*id)) event.id = number;
     }
   }
 }
--- a/src/connection/event_stream.hpp
+++ b/src/connection/event_stream.hpp
@@ -12,8 +12,9 @@
   /// As received, with the empty line that ends it.
   std::string bytes;
   std::optional<std::uint64_t> id;
-  /// Its data lines, joined by line feeds.
+  /// Its data lines, joined by line feeds; without any, the event is part of no text.
   std::string data;
+  bool has_data = false;
 };
 
 /// Cuts a stream of bytes into whole events. Bytes of an event that has not ended stay inside.
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "common/log.hpp"
-#include "connection/event_stream.hpp"
 #include "process/exchange/header_rules.hpp"
 
 namespace hatchfork::exchange {
@@ -82,6 +81,10 @@
     caller_left_ = true;
     if (control_->cancel) control_->cancel();
   });
+  if (std::optional<Error> refusal = readResume()) {
+    co_await refuseResume(std::move(*refusal));
+    co_return;
+  }
   AttemptEnd end = AttemptEnd::kNotSent;
   cause_ = "no_engine";
   while (mayGoOn(end) && !isKeptFromEngines()) {
@@ -103,7 +106,7 @@
   const bool may_have_run = end == AttemptEnd::kBroken || end == AttemptEnd::kStreamBroken;
   if (may_have_run && !route_.isRepeatable()) return false;
   // A stream that was passed on in part goes on only from an event that the next engine can name.
-  if (stream_started_ && events_ > 0 && !last_event_) return false;
+  if (stream_started_ && !position_.canGoOn()) return false;
   return runs_ < std::max<std::uint32_t>(1, route_.most_attempts);
 }
 
@@ -114,7 +117,7 @@
   std::erase_if(headers, [&](const HttpHeader& header) {
     return isSameHeader(header.name, names.remaining_ms) || isSameHeader(header.name, names.expected_engine) ||
            (has_tenants && (isSameHeader(header.name, kKeyHeader) || isSameHeader(header.name, names.tenant))) ||
-           (stream_started_ && isSameHeader(header.name, names.last_event_id));
+           (route_.kind == RouteKind::kStream && isSameHeader(header.name, names.last_event_id));
   });
   return headers;
 }
@@ -134,7 +137,8 @@
   const auto remaining = std::max<std::int64_t>(1, toMillis(deadline_ - monotonicNow()));
   out.headers.push_back({names.remaining_ms, std::to_string(remaining)});
   out.headers.push_back({names.expected_engine, choice.engine.id.value});
-  if (stream_started_ && last_event_) out.headers.push_back({names.last_event_id, std::to_string(*last_event_)});
+  // The caller's own event as well, until something was passed on: an attempt may break before it brings any.
+  if (position_.last()) out.headers.push_back({names.last_event_id, std::to_string(*position_.last())});
   return out;
 }
 
@@ -260,58 +264,6 @@
   co_return AttemptEnd::kAnswered;
 }
 
-Awaitable<bool> ExchangeRun::passOn(std::string events) {
-  if (events.empty()) co_return true;
-  co_return co_await writer_.writeChunk(std::move(events));
-}
-
-Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayStream(EngineExchange& exchange) {
-  if (!stream_started_) {
-    stream_started_ = true;
-    const bool begun = co_await writer_.startStream(exchange.status(), answerHeaders(exchange));
-    if (!begun) co_return AttemptEnd::kCallerLeft;
-  }
-  connection::EventSplitter splitter;
-  while (true) {
-    AnswerPiece piece = co_await exchange.read(deadline_);
-    if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
-      cause_ = "stream: " + failure->cause;
-      closed_by_engine_ = failure->closed_by_engine;
-      if (!caller_left_ && monotonicNow() < deadline_) verdict_ = EngineVerdict::kFailed;
-      co_return AttemptEnd::kStreamBroken;
-    }
-    if (std::holds_alternative<EndOfAnswer>(piece)) break;
-    splitter.append(std::get<std::string>(piece));
-    std::string events;
-    while (std::optional<connection::StreamEvent> event = splitter.next()) {
-      // After a resume an engine may repeat what was passed on.
-      if (event->id && last_event_ && *event->id <= *last_event_) {
-        ++repeated_;
-        continue;
-      }
-      if (!first_event_) first_event_ = event->id;
-      if (event->id) last_event_ = event->id;
-      ++events_;
-      events += event->bytes;
-    }
-    const bool passed = co_await passOn(std::move(events));
-    if (!passed) co_return AttemptEnd::kCallerLeft;
-  }
-  if (splitter.hasPartial()) {
-    cause_ = "stream: ended inside an event";
-    closed_by_engine_ = true;
-    verdict_ = EngineVerdict::kFailed;
-    co_return AttemptEnd::kStreamBroken;
-  }
-  verdict_ = EngineVerdict::kGood;
-  const bool finished = co_await writer_.finishStream();
-  if (!finished) co_return AttemptEnd::kCallerLeft;
-  ++tools_.counters.answered;
-  tools_.crashes.noteAnswered(monotonicNow(), fingerprint_);
-  logEnd("answered", exchange.status());
-  co_return AttemptEnd::kAnswered;
-}
-
 /// Gives the final answer where no attempt has given one.
 Awaitable<void> ExchangeRun::conclude(AttemptEnd last) {
   if (last == AttemptEnd::kAnswered) co_return;
@@ -321,6 +273,11 @@
     logEnd("caller_left", 0);
     co_return;
   }
+  if (stream_started_ && position_.mayBeWhole()) {
+    // No other engine could tell whether the close came at the end of the text; it was a proper one.
+    const AttemptEnd end = co_await finishStream(answer_status_);
+    if (end == AttemptEnd::kAnswered) co_return;
+  }
   if (stream_started_) {
     ++tools_.counters.failed;
     writer_.abort();
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "connection/engine_exchange.hpp"
+#include "connection/event_stream.hpp"
 #include "connection/http_server.hpp"
 #include "process/exchange/placement_client.hpp"
 #include "process/fleet/crash_watch.hpp"
@@ -14,6 +15,7 @@
 #include "request/crash/request_fingerprint.hpp"
 #include "request/exchange/arrival_gate.hpp"
 #include "request/exchange/engine_selector.hpp"
+#include "request/exchange/stream_position.hpp"
 #include "version/dialect.hpp"
 #include "version/route_table.hpp"
 
@@ -31,6 +33,9 @@
   std::uint64_t attempts = 0;
   std::uint64_t declined = 0;
   std::uint64_t resumed = 0;
+  /// Events of engines that were left out since the caller had them, and that others were missing before.
+  std::uint64_t repeated_events = 0;
+  std::uint64_t misplaced_events = 0;
   /// From the receipt of a request to the first byte of its answer, and to its end.
   metrics::LatencyHistogram first_byte;
   metrics::LatencyHistogram whole;
@@ -46,6 +51,8 @@
   request::ArrivalGate& gate;
   PlacementClient& placement;
   fleet::CrashWatch& crashes;
+  /// Of the request's service.
+  request::AnswerFraming& framing;
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
@@ -53,8 +60,8 @@
 ///
 /// Invariants: a request that is not repeatable is sent again only after the engine declined it or could not be
 /// reached; a refusal that promises "not run" goes out only if that holds for every attempt; nothing of an answer is
-/// passed on before its identifier matched; a content under which engines have ended is not sent while it is refused
-/// for that, whoever saw these ends.
+/// passed on before its identifier matched; every attempt goes on after what the caller has, whoever it got that from;
+/// a content under which engines have ended is not sent while it is refused for that, whoever saw these ends.
 class ExchangeRun {
  public:
   /// `route` and `tenant` belong to `routes`; no tenant where the caller needs no key and has none.
@@ -90,6 +97,17 @@
   connection::Awaitable<AttemptEnd> relay(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayWhole(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayStream(connection::EngineExchange& exchange);
+  /// Reads events until the answer ends; fails the attempt where an event's place is not known or others are missing.
+  connection::Awaitable<AttemptEnd> relayEvents(connection::EngineExchange& exchange);
+  /// Judges the next event of an engine; the caller gets it if it is added to `events`. False if the attempt has
+  /// failed.
+  bool takeEvent(const connection::StreamEvent& event, std::string& events);
+  connection::Awaitable<AttemptEnd> endStream(const connection::EngineExchange& exchange, bool is_framed);
+  connection::Awaitable<AttemptEnd> finishStream(unsigned status);
+  /// Reads the event that the caller goes on after. A refusal to be sent if it names none or the route allows no
+  /// resume.
+  std::optional<Error> readResume();
+  connection::Awaitable<void> refuseResume(Error error);
   connection::Awaitable<bool> passOn(std::string events);
   connection::Awaitable<void> conclude(AttemptEnd last);
   /// Headers of the caller that engines get: neither its key nor what the gateway tells itself.
@@ -103,7 +121,6 @@
   /// After an engine ended the connection: looks whether the engine itself has ended.
   connection::Awaitable<void> probeEngine(const connection::Endpoint& endpoint);
   std::string_view callerHas() const;
-  std::string resumeAfter() const;
   void logAttempt(const request::EngineChoice& choice) const;
   void logAttemptEnd(AttemptEnd end, const std::string& cause) const;
   void logEnd(std::string_view outcome, unsigned status) const;
@@ -138,10 +155,13 @@
   bool closed_by_engine_ = false;
   connection::EngineReachability engine_state_ = connection::EngineReachability::kUnknown;
   bool stream_started_ = false;
+  /// Status of the answer that was begun.
+  unsigned answer_status_ = 0;
   /// Event that the caller named as the last one it has, as it stands in the request; empty if it named none.
   std::string caller_has_;
   std::optional<std::uint64_t> first_event_;
-  std::optional<std::uint64_t> last_event_;
+  /// What the caller has: its own event at first, then what was passed on.
+  request::StreamPosition position_;
   std::uint32_t events_ = 0;
   /// Events of engines that were left out since the caller had them.
   std::uint32_t repeated_ = 0;
--- a/src/process/exchange/exchange_run_log.cpp
+++ b/src/process/exchange/exchange_run_log.cpp
@@ -18,12 +18,6 @@
   return caller_has_.empty() ? std::string_view("-") : std::string_view(caller_has_).substr(0, kMostShown);
 }
 
-/// The event that the attempt names to its engine: the caller's own, until the answer has begun.
-std::string ExchangeRun::resumeAfter() const {
-  if (!stream_started_) return std::string(callerHas());
-  return last_event_ ? std::to_string(*last_event_) : "-";
-}
-
 void ExchangeRun::logAttempt(const EngineChoice& choice) const {
   logEvent(LogLevel::kInfo, "attempt_sent",
            {{"request", id_},
@@ -36,7 +30,7 @@
             {"cached", choice.expects_cached_prefix},
             {"candidates", choice.candidates},
             {"caller_has", callerHas()},
-            {"resume_after", resumeAfter()},
+            {"resume_after", position_.last().value_or(0)},
             {"left_ms", toMillis(deadline_ - monotonicNow())}});
 }
 
@@ -53,7 +47,7 @@
             {"content", fingerprint_.value},
             {"caller", request_.peer},
             {"events", events_},
-            {"last_event", last_event_.value_or(0)},
+            {"last_event", position_.last().value_or(0)},
             {"repeated", repeated_},
             {"after_ms", elapsedMs()}});
 }
@@ -76,7 +70,7 @@
             {"prompt_tokens", query_.prompt.prompt_tokens},
             {"caller_has", callerHas()},
             {"first_event", first_event_.value_or(0)},
-            {"last_event", last_event_.value_or(0)},
+            {"last_event", position_.last().value_or(0)},
             {"events", events_},
             {"repeated", repeated_},
             {"first_ms", first},
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -280,8 +280,10 @@
       co_return;
     }
   }
-  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_, placement_, crashes_};
-  ExchangeRun run(tools, routes, route, tenant, split_.choose(route), request, writer);
+  ServiceId service = split_.choose(route);
+  request::AnswerFraming& framing = framing_[service];
+  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_, placement_, crashes_, framing};
+  ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
 
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -94,6 +95,8 @@
   bool crash_timer_armed_ = false;
   JobApi jobs_;
   ExchangeCounters counters_;
+  /// Entries stay, since running requests refer to them; there are as many as services were ever routed to.
+  std::map<ServiceId, request::AnswerFraming> framing_;
   connection::Timer load_timer_;
   bool load_timer_armed_ = false;
   std::unique_ptr<fleet::FeedClient> feed_;
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -21,6 +21,10 @@
                static_cast<double>(counters_.declined));
   page.counter("hatchfork_streams_resumed_total", "Streams that went on at another engine.",
                static_cast<double>(counters_.resumed));
+  page.counter("hatchfork_events_repeated_total", "Events of engines left out since the caller had them.",
+               static_cast<double>(counters_.repeated_events));
+  page.counter("hatchfork_events_misplaced_total", "Events of engines that do not follow what the caller has.",
+               static_cast<double>(counters_.misplaced_events));
   page.histogram("hatchfork_first_byte_ms", "From receipt to the first byte of the answer.", counters_.first_byte);
   page.histogram("hatchfork_request_ms", "From receipt to the end of the request.", counters_.whole);
   page.counter("hatchfork_engine_connections_total", "Connections made to engines.",
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -40,6 +40,8 @@
   kYielded,
   /// Broken off since nobody wants it any more.
   kStopped,
+  /// The engine closed an answer without a length; another run tells whether that was the end of the text.
+  kClosed,
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(RunEnd, {{RunEnd::kBroken, 4},
                                       {RunEnd::kWhole, 0},
@@ -47,7 +49,8 @@
                                       {RunEnd::kImpossible, 2},
                                       {RunEnd::kDeclined, 3},
                                       {RunEnd::kYielded, 5},
-                                      {RunEnd::kStopped, 6}})
+                                      {RunEnd::kStopped, 6},
+                                      {RunEnd::kClosed, 7}})
 
 /// Run this item at this engine.
 struct RunOrder {
@@ -66,6 +69,8 @@
   std::string engine_address;
   /// The engine is asked to go on after this event; zero for a run from the start.
   std::uint64_t last_event = 0;
+  /// The run before ended there by a close that proves nothing.
+  bool after_close = false;
   /// There is text already, so that what comes next follows on a line feed; and that text, for an offer.
   bool has_text = false;
   std::string text;
@@ -76,7 +81,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunOrder, from, term, number, job, item, host, tenant, engine,
                                                 engine_address, last_event, has_text, text, chain, saved_event,
-                                                saved_chain)
+                                                saved_chain, after_close)
 
 /// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
 struct RunLease {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -85,7 +85,7 @@
   offer.saved_chain = run.order.saved_chain;
   offer.text = run.text;
   offer.has_text = run.has_text;
-  offer.last_event = run.last_event;
+  offer.last_event = run.position.last().value_or(0);
   offer.ended = run.news.ended;
   offer.end = run.news.end;
   offer.verdict = run.news.verdict;
@@ -156,7 +156,7 @@
   auto run = std::make_shared<Run>();
   run->news.number = order.number;
   run->has_text = order.has_text;
-  run->last_event = order.last_event;
+  if (order.last_event > 0) run->position = request::StreamPosition(order.last_event, order.after_close);
   run->text = std::move(order.text);
   run->news.last_event = order.last_event;
   run->order = std::move(order);
@@ -311,7 +311,7 @@
             {"engine", run->order.engine.value},
             {"run", run->order.number},
             {"content", run->fingerprint.value},
-            {"last_event", run->last_event}});
+            {"last_event", run->position.last().value_or(0)}});
 }
 
 void ItemRunner::noteLoad(Run& run, EngineExchange& exchange) const {
@@ -346,31 +346,52 @@
       co_return;
     }
     if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
-      const bool whole = end->framed && !splitter.hasPartial();
-      news.cause = whole ? "whole" : "stream: ended without its frame";
-      news.verdict = whole ? EngineVerdict::kGood : EngineVerdict::kFailed;
-      news.end = whole ? RunEnd::kWhole : RunEnd::kBroken;
+      takeEnd(run, end->framed, splitter.hasPartial());
       co_return;
     }
     const bool first = news.sequence == 0 && !run.has_news;
     splitter.append(std::get<std::string>(piece));
-    while (std::optional<connection::StreamEvent> event = splitter.next()) {
-      takeEvent(run, *event);
+    bool is_sound = true;
+    for (auto event = splitter.next(); event && is_sound; event = is_sound ? splitter.next() : std::nullopt) {
+      is_sound = takeEvent(run, *event);
     }
     if (first && run.has_news) reportSoon();
+    if (!is_sound) co_return;
   }
 }
 
-void ItemRunner::takeEvent(Run& run, const connection::StreamEvent& event) {
-  if (event.id && *event.id <= run.last_event) return;
+void ItemRunner::takeEnd(Run& run, bool is_framed, bool has_partial) {
+  fleet::RunNews& news = run.news;
+  news.verdict = EngineVerdict::kFailed;
+  news.cause = "stream: ended inside an event";
+  if (has_partial) return;
+  const request::AnswerEnd answer = is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed;
+  const request::TextEnd end = run.position.judgeEnd(answer, framing_);
+  framing_.note(answer);
+  if (end != request::TextEnd::kBroken) news.verdict = EngineVerdict::kGood;
+  news.end = end == request::TextEnd::kWhole      ? RunEnd::kWhole
+             : end == request::TextEnd::kUnproved ? RunEnd::kClosed
+                                                  : RunEnd::kBroken;
+  news.cause = end == request::TextEnd::kWhole ? "whole" : "stream: closed without its length";
+}
+
+bool ItemRunner::takeEvent(Run& run, const connection::StreamEvent& event) {
+  const request::EventPlace place = run.position.take(event.id, event.has_data);
+  if (place == request::EventPlace::kRepeated || !event.has_data) return true;
+  if (place != request::EventPlace::kNext) {
+    run.news.verdict = EngineVerdict::kFailed;
+    run.news.cause =
+        place == request::EventPlace::kGap ? "stream: events are missing" : "stream: an event without an identifier";
+    return false;
+  }
   const std::string addition = (run.has_text ? "\n" : "") + event.data;
   run.news.text += addition;
   run.text += addition;
   run.has_text = true;
   run.has_news = true;
   ++run.news.events;
-  if (event.id) run.last_event = *event.id;
-  run.news.last_event = run.last_event;
+  run.news.last_event = run.position.canGoOn() ? run.position.last().value_or(0) : 0;
+  return true;
 }
 
 void ItemRunner::finish(const RunPtr& run) {
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -15,6 +15,7 @@
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/fleet_messages.hpp"
 #include "request/crash/request_fingerprint.hpp"
+#include "request/exchange/stream_position.hpp"
 #include "version/dialect.hpp"
 
 namespace hatchfork::store {
@@ -60,7 +61,8 @@
     Instant began_at{};
     /// The engine ended the connection.
     bool closed_by_engine = false;
-    std::uint64_t last_event = 0;
+    /// How far the item's text has got, that of earlier runs included.
+    request::StreamPosition position;
     /// The item's whole text, that of earlier runs included.
     std::string text;
   };
@@ -86,8 +88,10 @@
   connection::EngineRequest engineRequest(Run& run) const;
   void noteLoad(Run& run, connection::EngineExchange& exchange) const;
   void finish(const RunPtr& run);
-  /// Adds an event to what is to be reported.
-  void takeEvent(Run& run, const connection::StreamEvent& event);
+  /// Adds the next event to what is to be reported. False if others are missing before it or its place is not known.
+  static bool takeEvent(Run& run, const connection::StreamEvent& event);
+  /// What the end of an answer says of the item.
+  void takeEnd(Run& run, bool is_framed, bool has_partial);
   /// Keeps an answer that counts against the item, and tells of it.
   void keepAnswer(const Run& run);
   void forgetAnswers(const std::vector<std::uint64_t>& kept);
@@ -107,6 +111,8 @@
   ReplicaId self_;
   ReportFunction report_;
   fleet::CrashWatch& crashes_;
+  /// Of all engines that run items here.
+  request::AnswerFraming framing_;
   connection::EngineClient engines_;
   std::map<std::uint64_t, RunPtr> runs_;
   /// Ended runs that have not been reported.
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -98,6 +98,8 @@
     std::string text;
     bool has_text = false;
     std::optional<std::uint64_t> last_event;
+    /// The last run ended there by a close that proves nothing.
+    bool after_close = false;
     /// How much of the text is kept by the group: up to which event, and how many bytes.
     std::uint64_t saved_event = 0;
     std::size_t saved_bytes = 0;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -64,6 +64,7 @@
   order.engine = choice.engine.id;
   order.engine_address = choice.engine.address;
   order.last_event = run->last_event.value_or(0);
+  order.after_close = run->after_close;
   order.has_text = run->has_text;
   order.text = run->text;
   order.chain = run->chain;
@@ -231,7 +232,8 @@
 }
 
 void JobExecutor::finishRun(const ItemPtr& run, RunEnd end, const std::string& cause) {
-  constexpr std::string_view kNames[] = {"whole", "failed", "impossible", "declined", "broken", "yielded", "stopped"};
+  constexpr std::string_view kNames[] = {"whole",  "failed",  "impossible", "declined",
+                                         "broken", "yielded", "stopped",    "closed"};
   logEvent(LogLevel::kInfo, "item_run_ended",
            {{"job", run->job.value},
             {"request", run->item},
@@ -240,6 +242,8 @@
             {"cause", cause},
             {"failures", run->failures},
             {"last_event", run->last_event.value_or(0)}});
+  // A declined run says nothing of the close before it.
+  if (end != RunEnd::kDeclined) run->after_close = end == RunEnd::kClosed;
   const StoredJob* job = openJob(*run);
   if (end == RunEnd::kStopped || run->stopped || job == nullptr || !leading_) return;
   const Instant now = monotonicNow();
@@ -261,6 +265,7 @@
       run->not_before = now + kRetryAfterYield;
       break;
     case RunEnd::kBroken:
+    case RunEnd::kClosed:
     case RunEnd::kStopped:
       ++counters_.broken;
       run->not_before = now + kRetryAfterFailure;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -178,6 +178,26 @@
   REQUIRE(stage.executor().waiting() + stage.executor().running() == 1);
 }
 
+TEST_CASE("an answer that an engine closed is no result; the next run is asked for the rest", "[store][executor]") {
+  ExecutorStage stage;
+  stage.executor().setLeading(true, 1);
+  RunNews news;
+  news.number = stage.lastOrder().number;
+  news.sequence = 1;
+  news.text = "one";
+  news.last_event = 1;
+  news.ended = true;
+  news.end = fleet::RunEnd::kClosed;
+  REQUIRE_FALSE(stage.lastOrder().after_close);
+  stage.executor().take(RunReport{kSelf, 1, {news}, {}});
+  REQUIRE(stage.proposals() == 0);
+  ExecutorStage::waitUntil(connection::monotonicNow() + fromMillis(200));
+  stage.executor().tick(connection::monotonicNow());
+  REQUIRE(stage.orders() == 2);
+  REQUIRE(stage.lastOrder().last_event == 1);
+  REQUIRE(stage.lastOrder().after_close);
+}
+
 TEST_CASE("a result that is refused at once is proposed again later, not from within the refusal",
           "[store][executor]") {
   ExecutorStage stage;
--- /dev/null
+++ b/tests/request/exchange/stream_position_test.cpp
@@ -0,0 +1,105 @@
+#include "request/exchange/stream_position.hpp"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace hatchfork::request;
+
+TEST_CASE("an event identifier is a decimal number and nothing else", "[stream]") {
+  REQUIRE(parseEventId("0") == 0u);
+  REQUIRE(parseEventId("18446744073709551615") == 18446744073709551615u);
+  for (const char* text : {"", "nine", "-1", "+1", "9x", " 9", "9 ", "18446744073709551616"}) {
+    CAPTURE(text);
+    REQUIRE_FALSE(parseEventId(text).has_value());
+  }
+}
+
+TEST_CASE("events are checked against what the reader had before the first attempt", "[stream]") {
+  StreamPosition position(8);
+  REQUIRE(position.last() == 8u);
+  REQUIRE(position.take(1, true) == EventPlace::kRepeated);
+  REQUIRE(position.take(8, true) == EventPlace::kRepeated);
+  REQUIRE(position.take(10, true) == EventPlace::kGap);
+  REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
+  REQUIRE(position.take(std::nullopt, false) == EventPlace::kNext);
+  REQUIRE(position.last() == 8u);
+  REQUIRE(position.take(9, true) == EventPlace::kNext);
+  REQUIRE(position.last() == 9u);
+  REQUIRE(position.canGoOn());
+}
+
+TEST_CASE("a text without identifiers can't go on elsewhere", "[stream]") {
+  StreamPosition position;
+  REQUIRE(position.take(std::nullopt, false) == EventPlace::kNext);
+  REQUIRE(position.canGoOn());
+  REQUIRE(position.take(std::nullopt, true) == EventPlace::kNext);
+  REQUIRE_FALSE(position.canGoOn());
+  REQUIRE(position.take(1, true) == EventPlace::kNext);
+  REQUIRE_FALSE(position.canGoOn());
+}
+
+namespace {
+
+AnswerFraming alwaysClosing() {
+  AnswerFraming framing;
+  for (int answer = 0; answer < 8; ++answer) framing.note(AnswerEnd::kClosed);
+  return framing;
+}
+
+}  // namespace
+
+TEST_CASE("engines always close only if many answers had no frame and none had one", "[stream]") {
+  REQUIRE_FALSE(AnswerFraming().closesProve());
+  AnswerFraming framing = alwaysClosing();
+  REQUIRE(framing.closesProve());
+  framing.note(AnswerEnd::kFramed);
+  REQUIRE_FALSE(framing.closesProve());
+}
+
+TEST_CASE("a close alone proves no text", "[stream]") {
+  const AnswerFraming framing;
+  StreamPosition position;
+  position.take(1, true);
+  REQUIRE_FALSE(position.mayBeWhole());
+  REQUIRE(position.judgeEnd(AnswerEnd::kClosed, framing) == TextEnd::kUnproved);
+  REQUIRE(position.mayBeWhole());
+  SECTION("another answer has a frame") {
+    position.take(1, true);
+    REQUIRE(position.judgeEnd(AnswerEnd::kFramed, framing) == TextEnd::kWhole);
+  }
+  SECTION("another answer is closed in the same place") {
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed, framing) == TextEnd::kBroken);
+    REQUIRE_FALSE(position.mayBeWhole());
+  }
+  SECTION("another answer is closed in the same place, by engines that always close") {
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed, alwaysClosing()) == TextEnd::kWhole);
+  }
+  SECTION("another answer goes on") {
+    REQUIRE(position.take(2, true) == EventPlace::kNext);
+    REQUIRE_FALSE(position.mayBeWhole());
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed, framing) == TextEnd::kBroken);
+    REQUIRE(position.judgeEnd(AnswerEnd::kFramed, framing) == TextEnd::kWhole);
+  }
+  SECTION("the close is known from a run before") {
+    StreamPosition later(1, /*ended_by_close=*/true);
+    REQUIRE(later.judgeEnd(AnswerEnd::kClosed, alwaysClosing()) == TextEnd::kWhole);
+  }
+}
+
+TEST_CASE("whatever attempts bring, the reader gets each event once and in order", "[stream][property]") {
+  rc::check([](std::uint8_t had, const std::vector<std::vector<std::uint8_t>>& attempts) {
+    StreamPosition position(had);
+    std::uint64_t last = had;
+    for (const std::vector<std::uint8_t>& attempt : attempts) {
+      RC_ASSERT(position.last() == last);
+      for (const std::uint8_t id : attempt) {
+        const bool is_next = id == last + 1;
+        RC_ASSERT((position.take(id, true) == EventPlace::kNext) == is_next);
+        if (is_next) ++last;
+      }
+    }
+    RC_ASSERT(position.last() == last);
+  });
+}
