--- a/tests/platform/ending_engine.py
+++ b/tests/platform/ending_engine.py
@@ -17,16 +17,8 @@
         self.number = number
         self.begun = begun
         self.starts = 1
-        self.writers = set()
         self.ending = None
 
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            await super().serve(reader, writer)
-        finally:
-            self.writers.discard(writer)
-
     async def begin_run(self, request, target, body, writer):
         if MARK not in body:
             return
@@ -40,10 +32,7 @@
 
     async def end_and_return(self):
         await asyncio.sleep(ENDS_AFTER_S)
-        self.beats.cancel()
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        await self.stop()
         await asyncio.sleep(BACK_AFTER_S)
         self.starts += 1
         self.id = f"i-{self.number:04x}-{self.starts}"
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -32,6 +32,9 @@
         self.running = 0
         self.state = "ready"
         self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.refused = 0  # requests meant for another engine
+        self.writers = set()
         self.break_after = None  # events after which streams are cut
         self.lost_share = 0.0  # of answers: the connection is cut, a stream in its middle
         self.random = random.Random(number)
@@ -43,11 +46,31 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.beats = asyncio.create_task(self.beat_loop())
 
+    def entry(self, **fields):
+        """What the engine says of itself; `fields` differ."""
+        return {"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": "v1",
+                "Slots": self.slots, "State": self.state, "ColdRemainingMs": 0, "Sequence": self.sequence, "born": self.born,
+                "UnknownField": [1], **fields}
+
+    async def stop(self):
+        """Ends without a word."""
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def start_again(self, port):
+        """A new life under the same identifier, which knows nothing of the one before."""
+        self.port = port
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.running = 0
+        self.runs = {}
+        await self.start()
+
     async def beat(self):
         self.sequence += 1
-        body = json.dumps({"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": "v1",
-                           "Slots": self.slots, "State": self.state, "ColdRemainingMs": 0, "Sequence": self.sequence,
-                           "UnknownField": [1]})
+        body = json.dumps(self.entry())
         for control in random.sample(self.controls, len(self.controls)):
             try:
                 status, _, _ = await call(control, "PUT", f"/v1/instances/{self.id}", body, timeout=2)
@@ -63,11 +86,13 @@
             await asyncio.sleep(0.4)
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while await self.serve_one(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
     async def serve_one(self, reader, writer):
@@ -81,6 +106,7 @@
             await asyncio.sleep(60)
         extra = f"X-Attempt-Id: {request}\r\nX-Server-Load: {self.running},0,{self.slots}\r\n"
         if headers.get("x-expect-instance") != self.id:
+            self.refused += 1
             return await self.answer(writer, "421 Misdirected Request", extra, b"")
         if self.refuse or self.running >= self.slots + 4:
             return await self.answer(writer, "503 Service Unavailable", extra + "X-Not-Executed: 1\r\n", b"")
