--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -27,6 +27,8 @@
 struct EngineConnection {
   explicit EngineConnection(asio::io_context& context) : socket(context) {}
   tcp::socket socket;
+  /// Where it leads: an engine may start again at another address.
+  Endpoint endpoint;
   beast::flat_buffer buffer;
   std::uint32_t served = 0;
   Instant idle_since{};
@@ -72,12 +74,12 @@
 struct EngineClient::Pool {
   explicit Pool(asio::io_context& io_context) : context(io_context) {}
 
-  ConnectionPtr takeIdle(const EngineId& engine, Instant now) {
+  ConnectionPtr takeIdle(const EngineId& engine, const Endpoint& endpoint, Instant now) {
     std::vector<ConnectionPtr>& list = idle[engine];
     while (!list.empty()) {
       ConnectionPtr connection = std::move(list.back());
       list.pop_back();
-      if (isUsable(*connection, now)) return connection;
+      if (connection->endpoint == endpoint && isUsable(*connection, now)) return connection;
     }
     return nullptr;
   }
@@ -105,7 +107,7 @@
   ~PooledExchange() override { close(); }
 
   Awaitable<std::optional<ExchangeFailure>> start(Instant deadline) {
-    connection_ = pool_->takeIdle(request_.engine, monotonicNow());
+    connection_ = pool_->takeIdle(request_.engine, request_.endpoint, monotonicNow());
     if (connection_) {
       ++pool_->reused;
     } else {
@@ -162,6 +164,7 @@
 
   Awaitable<std::optional<ExchangeFailure>> connect(Instant deadline) {
     connection_ = std::make_shared<EngineConnection>(pool_->context);
+    connection_->endpoint = request_.endpoint;
     boost::system::error_code error;
     const tcp::endpoint target(asio::ip::make_address(request_.endpoint.host, error), request_.endpoint.port);
     if (!error) {
@@ -345,6 +348,7 @@
 Awaitable<EngineReachability> EngineClient::probe(EngineId engine, Endpoint endpoint) {
   const std::shared_ptr<Pool> pool = pool_;
   auto connection = std::make_shared<EngineConnection>(pool->context);
+  connection->endpoint = endpoint;
   auto timer = std::make_shared<Timer>(pool->context);
   timer->expires_after(kConnectTimeout);
   timer->async_wait([connection](boost::system::error_code error) {
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -148,6 +148,7 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::attempt(const EngineChoice& choice) {
   engine_ = choice.engine.id;
+  engine_born_ = choice.engine.born;
   verdict_ = EngineVerdict::kNeutral;
   cause_.clear();
   attempt_began_at_ = monotonicNow();
@@ -193,7 +194,7 @@
   engine_state_ = co_await tools_.engines.probe(std::move(engine), endpoint);
   // The caller comes again with the same content at any gateway, which must know by then under what engines ended.
   const bool has_ended = engine_state_ == connection::EngineReachability::kEnded;
-  if (has_ended) tools_.crashes.noteCrash(monotonicNow(), attempt_began_at_, fingerprint_, engine_);
+  if (has_ended) tools_.crashes.noteCrash(monotonicNow(), attempt_began_at_, fingerprint_, engine_, engine_born_);
 }
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relay(EngineExchange& exchange) {
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -145,6 +145,7 @@
   /// Engines that declined it or could not be reached.
   std::uint32_t refusals_ = 0;
   EngineId engine_;
+  WallMillis engine_born_ = 0;
   request::TicketId ticket_ = 0;
   /// Names the attempt at the store that places requests; zero before one is placed.
   std::uint64_t place_ = 0;
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -274,6 +274,8 @@
   page.gauge("hatchfork_engines_known", "Engines that are registered.", static_cast<double>(state_->engines().size()));
   page.gauge("hatchfork_engines_revision", "Rises whenever the engines change.",
              static_cast<double>(state_->enginesRevision()));
+  page.counter("hatchfork_engine_entries_refused_total", "Entries and beats that could not be read as an engine's.",
+               static_cast<double>(operators_->entriesRefused()));
   page.gauge("hatchfork_feed_subscribers", "Gateways and stores that are told by this process.",
              static_cast<double>(feed_->subscribers()));
   page.gauge("hatchfork_feed_fresh", "One while the state here is proved the newest.",
--- a/src/process/fleet/crash_watch.cpp
+++ b/src/process/fleet/crash_watch.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "common/log.hpp"
+#include "version/engine_record.hpp"
 
 namespace hatchfork::fleet {
 
@@ -83,9 +84,11 @@
   return true;
 }
 
-void CrashWatch::noteCrash(Instant now, Instant began_at, const RequestFingerprint& content, const EngineId& engine) {
+void CrashWatch::noteCrash(Instant now, Instant began_at, const RequestFingerprint& content, const EngineId& engine,
+                           WallMillis born) {
   const bool is_serving = !is_serving_ || is_serving_(engine);
-  const bool is_new = is_serving && ledger_.noteCrash(now, now - began_at, content, engine);
+  const EngineId life = nameOfLife(engine, born);
+  const bool is_new = is_serving && ledger_.noteCrash(now, now - began_at, content, life);
   const CrashVerdict verdict = judge(content);
   logEvent(LogLevel::kInfo, "crash_noted",
            {{"content", content.value},
@@ -96,7 +99,7 @@
             {"refused_for_ms", verdict.isRefused(now) ? toMillis(verdict.refused_until - now) : 0}});
   if (!is_new) return;
   ++counters_.crashes_seen;
-  news_.crashes.push_back({content, engine, 0, toMillis(now - began_at)});
+  news_.crashes.push_back({content, life, 0, toMillis(now - began_at)});
   tell();
 }
 
--- a/src/process/fleet/crash_watch.hpp
+++ b/src/process/fleet/crash_watch.hpp
@@ -46,8 +46,9 @@
   /// A suspect begins to run, or its run is over.
   void noteBegun(Instant now, const request::RequestFingerprint& content, const EngineId& engine);
   void noteEnded(Instant now, const request::RequestFingerprint& content, const EngineId& engine);
-  /// The engine ended while the request was in flight there, since `began_at`.
-  void noteCrash(Instant now, Instant began_at, const request::RequestFingerprint& content, const EngineId& engine);
+  /// A life of the engine ended while the request was in flight there, since `began_at`.
+  void noteCrash(Instant now, Instant began_at, const request::RequestFingerprint& content, const EngineId& engine,
+                 WallMillis born = 0);
   /// The request got a whole answer.
   void noteAnswered(Instant now, const request::RequestFingerprint& content);
   void noteRefused(Instant now, const request::RequestFingerprint& content, std::string_view request);
--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -11,17 +11,25 @@
 }  // namespace
 
 std::optional<FleetCommand> EngineWatch::take(Instant now, const EngineBeat& beat, const FleetState& state) {
-  if (state.hasDeparted(beat.engine.id)) return std::nullopt;
-  Heard& heard = heard_[beat.engine.id];
-  const bool late = heard.sequence > beat.sequence;
-  if (!late) heard = Heard{now, now, beat.sequence};
+  if (state.hasDeparted(beat.engine.id, beat.engine.born)) return std::nullopt;
   const auto known = state.engines().find(beat.engine.id);
+  const WallMillis known_born = known == state.engines().end() ? 0 : known->second.born;
+  // A late beat of a life that is over changes nothing; which life is the newest one is agreed on, not what was heard
+  // here.
+  if (compareLives(beat.engine.born, known_born) == LifeOrder::kOlder) return std::nullopt;
+  Heard& heard = heard_[beat.engine.id];
+  const LifeOrder order = compareLives(beat.engine.born, heard.born);
+  if (order == LifeOrder::kOlder) return std::nullopt;
+  const bool late = order == LifeOrder::kSame && heard.sequence > beat.sequence;
+  if (!late) heard = Heard{now, now, beat.engine.born, beat.sequence};
   if (known == state.engines().end()) {
     if (!beat.engine.leaving && isAddressTaken(now, beat.engine, state)) return std::nullopt;
     return RegisterEngine{beat.engine};
   }
+  if (compareLives(beat.engine.born, known_born) == LifeOrder::kNewer) return RegisterEngine{beat.engine};
   const bool starts_leaving = beat.engine.leaving && !known->second.leaving;
   EngineRecord as_known = beat.engine;
+  if (as_known.born == 0) as_known.born = known_born;
   as_known.leaving = known->second.leaving;
   const bool changed = !late && as_known != known->second;
   if (starts_leaving || changed) return RegisterEngine{beat.engine};
--- a/src/process/fleet/engine_watch.hpp
+++ b/src/process/fleet/engine_watch.hpp
@@ -32,6 +32,8 @@
     Instant at = Instant::min();
     /// Last beat that this process had itself; only these are passed on, so that no sign of life goes round for ever.
     Instant direct_at = Instant::min();
+    /// Of the newest life that was heard here; counts of a newer life begin anew.
+    WallMillis born = 0;
     std::uint64_t sequence = 0;
   };
   /// True if another engine at the same address was heard so lately that a first beat must be a late one.
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/fleet_state.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace hatchfork::fleet {
 namespace {
@@ -19,6 +20,9 @@
   std::uint64_t engines_revision = 0;
   std::vector<EngineId> departed;
   std::vector<std::pair<std::string, EngineId>> former;
+  /// Births of these, in the same order; none in snapshots of older programs.
+  std::vector<WallMillis> departed_born;
+  std::vector<WallMillis> former_born;
   consensus::Membership store_group;
   std::map<std::string, ReplicaId> retiring;
   std::uint64_t store_members_term = 0;
@@ -26,8 +30,11 @@
 };
 /// Snapshots of older programs have no members of the store group.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSnapshot, document_version, document, engines, engines_revision,
-                                                departed, former, store_group, retiring, store_members_term,
-                                                store_members)
+                                                departed, former, departed_born, former_born, store_group, retiring,
+                                                store_members_term, store_members)
+
+/// A departed life that told no birth stands for every one of its engine.
+constexpr WallMillis kEveryLife = std::numeric_limits<WallMillis>::max();
 
 }  // namespace
 
@@ -48,18 +55,22 @@
 
 bool FleetState::applyOne(const RegisterEngine& command) {
   const EngineRecord& engine = command.engine;
-  if (departed_.contains(engine.id) || isSuperseded(engine)) return false;
+  if (hasDeparted(engine.id, engine.born) || isSuperseded(engine)) return false;
   const auto known = engines_.find(engine.id);
   EngineRecord next = engine;
   if (known != engines_.end()) {
-    next.leaving = next.leaving || known->second.leaving;
+    const LifeOrder order = compareLives(engine.born, known->second.born);
+    if (order == LifeOrder::kOlder) return false;
+    // A newer life has not said that it leaves.
+    if (order == LifeOrder::kSame) next.leaving = next.leaving || known->second.leaving;
+    if (next.born == 0) next.born = known->second.born;
     if (known->second == next) return false;
   }
   const auto at_address = engine_at_address_.find(engine.address);
   if (at_address != engine_at_address_.end() && at_address->second != engine.id) {
-    const EngineId former = at_address->second;
-    removeEngine(former);
-    noteFormer({former, engine.service, engine.address});
+    const EngineRecord former = engines_.at(at_address->second);
+    removeEngine(former.id);
+    noteFormer(former);
   }
   // An engine that has moved leaves its former address.
   if (known != engines_.end() && known->second.address != engine.address) {
@@ -72,8 +83,11 @@
 }
 
 bool FleetState::applyOne(const DepartEngine& command) {
-  if (departed_.contains(command.engine)) return false;
-  noteDeparted(command.engine);
+  const auto known = engines_.find(command.engine);
+  if (known == engines_.end() && departed_.contains(command.engine)) return false;
+  WallMillis born = known == engines_.end() ? command.received_at : known->second.born;
+  if (born == 0) born = kEveryLife;
+  noteDeparted(command.engine, born);
   removeEngine(command.engine);
   return true;
 }
@@ -94,11 +108,15 @@
   const auto holder = engine_at_address_.find(engine.address);
   if (holder == engine_at_address_.end() || holder->second == engine.id) return false;
   const auto former = former_at_address_.find(engine.address);
-  return former != former_at_address_.end() && former->second.contains(engine.id);
+  if (former == former_at_address_.end()) return false;
+  const auto life = former->second.find(engine.id);
+  return life != former->second.end() && compareLives(engine.born, life->second) != LifeOrder::kNewer;
 }
 
 void FleetState::noteFormer(const EngineRecord& engine) {
-  if (!former_at_address_[engine.address].insert(engine.id).second) return;
+  const auto [life, is_new] = former_at_address_[engine.address].emplace(engine.id, engine.born);
+  life->second = std::max(life->second, engine.born);
+  if (!is_new) return;
   former_order_.emplace_back(engine.address, engine.id);
   if (former_order_.size() <= kMostFormer) return;
   const auto& [address, oldest] = former_order_.front();
@@ -149,8 +167,15 @@
   return true;
 }
 
-void FleetState::noteDeparted(const EngineId& engine) {
-  departed_.insert(engine);
+bool FleetState::hasDeparted(const EngineId& engine, WallMillis born) const {
+  const auto departed = departed_.find(engine);
+  return departed != departed_.end() && (born == 0 || born <= departed->second);
+}
+
+void FleetState::noteDeparted(const EngineId& engine, WallMillis born) {
+  const auto [departed, is_new] = departed_.emplace(engine, born);
+  departed->second = std::max(departed->second, born);
+  if (!is_new) return;
   departed_order_.push_back(engine);
   if (departed_order_.size() <= kMostDeparted) return;
   departed_.erase(departed_order_.front());
@@ -164,7 +189,11 @@
   for (const auto& [id, engine] : engines_) snapshot.engines.push_back(engine);
   snapshot.engines_revision = engines_revision_;
   snapshot.departed.assign(departed_order_.begin(), departed_order_.end());
+  for (const EngineId& engine : departed_order_) snapshot.departed_born.push_back(departed_.at(engine));
   snapshot.former.assign(former_order_.begin(), former_order_.end());
+  for (const auto& [address, engine] : former_order_) {
+    snapshot.former_born.push_back(former_at_address_.at(address).at(engine));
+  }
   snapshot.store_group = store_group_;
   snapshot.retiring = retiring_;
   snapshot.store_members_term = store_members_term_;
@@ -189,9 +218,15 @@
   engines_revision_ = snapshot.engines_revision;
   former_order_.assign(snapshot.former.begin(), snapshot.former.end());
   former_at_address_.clear();
-  for (const auto& [address, engine] : former_order_) former_at_address_[address].insert(engine);
+  for (std::size_t i = 0; i < former_order_.size(); ++i) {
+    const auto& [address, engine] = former_order_[i];
+    former_at_address_[address][engine] = i < snapshot.former_born.size() ? snapshot.former_born[i] : 0;
+  }
   departed_order_.assign(snapshot.departed.begin(), snapshot.departed.end());
-  departed_ = std::set<EngineId>(departed_order_.begin(), departed_order_.end());
+  departed_.clear();
+  for (std::size_t i = 0; i < departed_order_.size(); ++i) {
+    departed_[departed_order_[i]] = i < snapshot.departed_born.size() ? snapshot.departed_born[i] : kEveryLife;
+  }
   store_group_ = std::move(snapshot.store_group);
   retiring_ = std::move(snapshot.retiring);
   store_members_term_ = snapshot.store_members_term;
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -27,20 +27,23 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PutDocument, version, document)
 
-/// Adds an engine, or marks it as leaving. A departed engine is never added again; one at the address of another takes
-/// its place, unless it was there before that one: then its heartbeat was delayed.
+/// Adds an engine, or marks it as leaving. A newer life takes the place of an older one, which is never added again,
+/// nor is a departed life. An engine at the address of another takes its place, unless it was there before that one:
+/// then its heartbeat was delayed.
 struct RegisterEngine {
   static constexpr std::string_view kKind = "register_engine";
   EngineRecord engine;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterEngine, engine)
 
-/// The engine has said that it is gone, also where it never registered.
+/// The engine has said that it is gone, also where it never registered. The life that is registered ends; where none
+/// is, every life that began before `received_at`.
 struct DepartEngine {
   static constexpr std::string_view kKind = "depart_engine";
   EngineId engine;
+  WallMillis received_at = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DepartEngine, engine)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DepartEngine, engine, received_at)
 
 /// Forgets engines that have been silent for long. They are added again by their next beat.
 struct ForgetEngines {
@@ -96,7 +99,10 @@
   std::uint64_t enginesRevision() const { return engines_revision_; }
   /// Engines added, changed or removed since that revision; nothing where that is no longer remembered.
   std::optional<std::set<EngineId>> enginesChangedSince(std::uint64_t revision) const;
-  bool hasDeparted(const EngineId& engine) const { return departed_.contains(engine); }
+  /// True if that life has departed; any life without a birth once one of the engine has.
+  bool hasDeparted(const EngineId& engine, WallMillis born = 0) const;
+  /// True if no life of the engine is registered and one has departed.
+  bool isGone(const EngineId& engine) const { return departed_.contains(engine) && !engines_.contains(engine); }
   const consensus::Membership& storeGroup() const { return store_group_; }
   /// Stores that hold the jobs, as far as a leader of their group has told; none before the first one did.
   const std::vector<ReplicaId>& storeMembers() const { return store_members_; }
@@ -111,7 +117,7 @@
   bool applyOne(const FormStoreGroup& command);
   bool applyOne(const RetireStore& command);
   bool applyOne(const NoteStoreMembers& command);
-  void noteDeparted(const EngineId& engine);
+  void noteDeparted(const EngineId& engine, WallMillis born);
   void noteEngineChange(const EngineId& engine);
   void removeEngine(const EngineId& engine);
   /// True if the engine was at the address before the one that is there now.
@@ -130,9 +136,11 @@
   std::map<std::string, EngineId> engine_at_address_;
   /// Engines that were at an address and lost it, by the address: silent ones and replaced ones. The oldest are
   /// forgotten.
-  std::map<std::string, std::set<EngineId>> former_at_address_;
+  std::map<std::string, std::map<EngineId, WallMillis>> former_at_address_;
   std::deque<std::pair<std::string, EngineId>> former_order_;
-  std::set<EngineId> departed_;
+  /// Engines of which a life has departed, and when the newest such life began; the highest time for one that told no
+  /// birth.
+  std::map<EngineId, WallMillis> departed_;
   /// The same in the order in which they left; the oldest are forgotten.
   std::deque<EngineId> departed_order_;
   consensus::Membership store_group_;
--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -102,7 +102,12 @@
 
 Awaitable<HttpResponse> OperatorApi::takeBeat(const EngineBeatCall& call, const connection::HttpRequest& request) {
   const Result<EngineBeat> beat = context_.dialect.parseBeat(call.engine, request.body);
-  if (!isOk(beat)) co_return connection::errorResponse(errorOf(beat));
+  if (!isOk(beat)) {
+    ++context_.entries_refused;
+    logEvent(LogLevel::kWarning, "engine_entry_refused",
+             {{"engine", call.engine.value}, {"caller", request.peer}, {"cause", errorOf(beat).message}});
+    co_return connection::errorResponse(errorOf(beat));
+  }
   const std::optional<FleetCommand> command =
       context_.engines.take(connection::monotonicNow(), valueOf(beat), context_.state());
   if (command) {
@@ -113,6 +118,7 @@
               {"service", engine.service.value},
               {"address", engine.address},
               {"leaving", engine.leaving},
+              {"born", engine.born},
               {"sequence", valueOf(beat).sequence},
               {"outcome", resultName(outcome.result)}});
     if (outcome.result != ProposalResult::kApplied) co_return notCertain("no quorum has confirmed the beat yet");
@@ -121,8 +127,8 @@
 }
 
 Awaitable<HttpResponse> OperatorApi::engineGone(const EngineGoneCall& call) {
-  if (!context_.state().hasDeparted(call.engine)) {
-    const FleetCommand command = DepartEngine{call.engine};
+  if (!context_.state().isGone(call.engine)) {
+    const FleetCommand command = DepartEngine{call.engine, connection::wallNow()};
     const ProposalOutcome outcome = co_await propose(command);
     logEvent(LogLevel::kInfo, "engine_departed",
              {{"engine", call.engine.value}, {"outcome", resultName(outcome.result)}});
--- a/src/process/fleet/operator_api.hpp
+++ b/src/process/fleet/operator_api.hpp
@@ -23,6 +23,8 @@
   std::function<const FleetState&()> state;
   /// True once this process has run long enough to have heard of every store.
   std::function<bool()> knows_stores;
+  /// Beats that could not be read as an engine's.
+  std::uint64_t entries_refused = 0;
 };
 
 /// The calls of operators and engines to a control process. An acknowledgement means committed by a quorum; an order
@@ -32,6 +34,7 @@
   explicit OperatorApi(OperatorApiContext context) : context_(std::move(context)) {}
 
   connection::Awaitable<void> handle(const connection::HttpRequest& request, connection::ResponseWriter& writer);
+  std::uint64_t entriesRefused() const { return context_.entries_refused; }
 
  private:
   connection::Awaitable<connection::HttpResponse> respond(const connection::HttpRequest& request);
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -66,6 +66,7 @@
   /// Whose job it is; empty where there are no tenants.
   TenantId tenant;
   EngineId engine;
+  WallMillis engine_born = 0;
   std::string engine_address;
   /// The engine is asked to go on after this event; zero for a run from the start.
   std::uint64_t last_event = 0;
@@ -81,7 +82,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunOrder, from, term, number, job, item, host, tenant, engine,
                                                 engine_address, last_event, has_text, text, chain, saved_event,
-                                                saved_chain, after_close)
+                                                saved_chain, after_close, engine_born)
 
 /// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
 struct RunLease {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -304,7 +304,7 @@
       connection::parseEndpoint(run->order.engine_address).value_or(connection::Endpoint{});
   const connection::EngineReachability state = co_await engines_.probe(std::move(engine), endpoint);
   if (state != connection::EngineReachability::kEnded) co_return;
-  crashes_.noteCrash(monotonicNow(), run->began_at, run->fingerprint, run->order.engine);
+  crashes_.noteCrash(monotonicNow(), run->began_at, run->fingerprint, run->order.engine, run->order.engine_born);
   logEvent(LogLevel::kInfo, "item_engine_ended",
            {{"job", run->order.job.value},
             {"request", run->order.item.id},
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -62,6 +62,7 @@
   order.host = job.submission.host;
   order.tenant = job.submission.tenant;
   order.engine = choice.engine.id;
+  order.engine_born = choice.engine.born;
   order.engine_address = choice.engine.address;
   order.last_event = run->last_event.value_or(0);
   order.after_close = run->after_close;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -57,7 +57,10 @@
   std::map<EngineId, EngineState> next;
   for (const EngineRecord& engine : engines) {
     const auto known = engines_.find(engine.id);
-    EngineState state = known == engines_.end() ? EngineState{} : std::move(known->second);
+    // A new life has none of the requests, loads, prefixes and verdicts of the one before.
+    const bool is_known =
+        known != engines_.end() && compareLives(engine.born, known->second.record.born) == LifeOrder::kSame;
+    EngineState state = is_known ? std::move(known->second) : EngineState{};
     state.record = engine;
     next.emplace(engine.id, std::move(state));
   }
@@ -218,6 +221,12 @@
   return choice;
 }
 
+EngineSelector::EngineState* EngineSelector::engineOf(const Ticket& ticket) {
+  const auto found = engines_.find(ticket.engine);
+  if (found == engines_.end()) return nullptr;
+  return compareLives(ticket.born, found->second.record.born) == LifeOrder::kSame ? &found->second : nullptr;
+}
+
 TicketId EngineSelector::begin(Instant now, const EngineId& engine, const EngineQuery& query) {
   const TicketId ticket = ++last_ticket_;
   const auto found = engines_.find(engine);
@@ -240,7 +249,8 @@
     due = now + limits_.silence_allowed + Duration(static_cast<Duration::rep>(reading_ms * 1000));
     state.due.insert(due);
   }
-  tickets_[ticket] = Ticket{engine, unread, due, false, query.background, Instant{}};
+  const WallMillis born = found == engines_.end() ? 0 : found->second.record.born;
+  tickets_[ticket] = Ticket{engine, born, unread, due, false, query.background, Instant{}};
   noteChange();
   return ticket;
 }
@@ -250,9 +260,9 @@
   if (found == tickets_.end() || found->second.answering) return;
   found->second.answering = true;
   found->second.answering_at = now;
-  const auto engine = engines_.find(found->second.engine);
-  if (engine == engines_.end()) return;
-  EngineState& state = engine->second;
+  EngineState* const engine = engineOf(found->second);
+  if (engine == nullptr) return;
+  EngineState& state = *engine;
   state.unread_tokens -= std::min(state.unread_tokens, found->second.unread_tokens);
   const auto due = state.due.find(found->second.due);
   if (due != state.due.end()) state.due.erase(due);
@@ -330,9 +340,9 @@
   const Ticket ended = found->second;
   tickets_.erase(found);
   noteChange();
-  const auto engine = engines_.find(ended.engine);
-  if (engine == engines_.end()) return;
-  EngineState& state = engine->second;
+  EngineState* const engine = engineOf(ended);
+  if (engine == nullptr) return;
+  EngineState& state = *engine;
   if (verdict == EngineVerdict::kGood) learnHold(now, ended, state);
   if (state.in_flight > 0) --state.in_flight;
   if (verdict == EngineVerdict::kGood) state.failures = 0;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -222,6 +222,8 @@
   };
   struct Ticket {
     EngineId engine;
+    /// Birth of the life that it was begun at.
+    WallMillis born = 0;
     std::uint64_t unread_tokens = 0;
     Instant due{};
     bool answering = false;
@@ -230,6 +232,8 @@
     Instant answering_at{};
   };
 
+  /// The engine of a ticket; null once it is gone or has started again.
+  EngineState* engineOf(const Ticket& ticket);
   void assignLanes();
   /// Notes a long prompt, which makes or keeps the long lane of its service.
   void noteLongPrompt(Instant now, const EngineQuery& query);
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -343,3 +343,25 @@
   REQUIRE_FALSE(parseEngineLoad("3,x,8"));
   REQUIRE_FALSE(parseEngineLoad("3"));
 }
+
+TEST_CASE("a new life of an engine has none of the requests and verdicts of the one before", "[selector][life]") {
+  EngineSelector selector(1);
+  std::vector<EngineRecord> known = engines(2);
+  known[0].born = 100;
+  selector.setEngines(known);
+  const EngineId engine = known[0].id;
+  const TicketId gone = selector.begin(kStart, engine, query());
+  const TicketId former = selector.begin(kStart, engine, query());
+  selector.end(kStart, gone, EngineVerdict::kGone);
+  known[0].born = 200;
+  selector.setEngines(known);
+  EngineQuery apart = query();
+  apart.excluded.insert(known[1].id);
+  REQUIRE(selector.choose(kStart, apart)->engine.born == 200);
+  REQUIRE(selector.choose(kStart, apart)->in_flight == 0);
+  const TicketId own = selector.begin(kStart, engine, query());
+  selector.end(kStart, former, EngineVerdict::kFailed);
+  REQUIRE(selector.choose(kStart, apart)->in_flight == 1);
+  REQUIRE(selector.ejectedEngines(kStart, ServiceId("llm")).empty());
+  selector.end(kStart, own, EngineVerdict::kGood);
+}
