The soak's callers go on with broken streams, its engines break before the first event and start again under their id

What was ruled out before the incident by no check: callers of the soak never resumed by themselves and its engines never broke off before an event, nor started again under their identifier.

--- a/tests/platform/ending_engine.py
+++ b/tests/platform/ending_engine.py
@@ -1,4 +1,5 @@
-"""Engines that end under a request whose body says so, and come back some seconds later under another identifier."""
+"""Engines that end under a request whose body says so, and come back some seconds later: every second one under the
+identifier that it had, the others under another one."""
 import asyncio
 import time
 
@@ -35,8 +36,9 @@
         await self.stop()
         await asyncio.sleep(BACK_AFTER_S)
         self.starts += 1
-        self.id = f"i-{self.number:04x}-{self.starts}"
-        self.sequence = 0
-        self.running = 0
+        if self.number % 2 == 0:
+            self.id = f"i-{self.number:04x}-{self.starts}"
+        runs = self.runs
         self.ending = None
-        await self.start()
+        await self.start_again(self.port)
+        self.runs = runs  # what the checks count of all lives
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -138,7 +138,7 @@
         first = after + 1
         break_after = self.break_after
         if break_after is None and self.random.random() < self.lost_share:
-            break_after = self.random.randrange(first, 12)
+            break_after = self.random.randrange(first - 1, 12)
         self.resumed_after.setdefault(request, []).append(after)
         self.running += 1
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 import faults  # noqa: E402
 from ending_engine import MARK, EndingEngine  # noqa: E402
 from fleet import SUSPENDED_CLOCK, Fleet  # noqa: E402
+from resuming_caller import StreamReader  # noqa: E402
 from stand_in import Check, call, document, eventually, new_id, request_headers  # noqa: E402
 
 MAX_ATTEMPTS_BATCH = 3
@@ -35,6 +36,8 @@
 MOST_ENDING_LATER = 3  # times that such a request may be sent after that
 MOST_AFTER_KILL_ALL = 2  # and until the stores lead again after all processes were killed
 ENGINES_ALLOWED = 3
+EVENTS = 10  # of a whole text
+MOST_RESUMES = 20  # of a caller for one text
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
 
 
@@ -60,6 +63,8 @@
         self.acknowledged = 5
         self.loading = True
         self.most_ending = 0
+        self.texts = 0  # streams that their callers read to the end
+        self.resumed = 0  # answers that a caller asked to go on
         self.batch_items = set()  # of all jobs, those included whose submission got no clear answer
 
     async def put_configuration(self):
@@ -161,6 +166,29 @@
                 continue
             self.check_answer(request, target, body, status, fields, answer)
 
+    async def read_streams(self):
+        """Callers that read event by event and go on by themselves, at any gateway, until a text is whole."""
+        while self.loading:
+            position = 0
+            for _ in range(MOST_RESUMES):
+                request = new_id()
+                headers = request_headers(request)
+                if position > 0:
+                    headers["Last-Event-Id"] = str(position)
+                    self.resumed += 1
+                reader = StreamReader()
+                await reader.read(self.random.choice(self.fleet.gateways), "/talk/a", b"stream", headers)
+                for number, data in reader.events:
+                    self.check.that(number == position + 1, f"{request} got event {number} after event {position}")
+                    self.check.that(data == f"{request}-{number}", f"{request} got {data!r}, which is not its own")
+                    position = max(position, number)
+                if reader.status == 200 and reader.is_whole:
+                    self.check.that(position == EVENTS, f"{request} was closed as whole after event {position}")
+                    self.texts += 1
+                    break
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.02)
+
     def check_answer(self, request, target, body, status, fields, answer):
         if status == 200:
             self.online["served"] += 1
@@ -278,7 +306,7 @@
         drawn = faults.draw(self.options.seed, self.options.seconds, self.fleet)
         work = [asyncio.create_task(task) for task in
                 (self.submit_jobs(), self.read_jobs(), self.read_configuration(), self.send_ending("/talk/e", "127.0.9.1"), self.send_ending("/once/e", "127.0.9.2"),
-                 *(self.ask_online() for _ in range(4)))]
+                 *(self.ask_online() for _ in range(4)), *(self.read_streams() for _ in range(3)))]
         await self.play_faults(drawn)
         await asyncio.sleep(faults.QUIET_AT_END_S)
         self.loading = False
@@ -295,7 +323,7 @@
         print(f"soak: seed={self.options.seed} faults={faults_played} jobs={len(self.jobs)} "
               f"most_runs_failing={max(failing, default=0)} most_runs_impossible={max(impossible, default=0)} "
               f"served={self.online['served']} refused={self.online['refused']} failed={self.online['failed']} "
-              f"most_runs_ending={self.most_ending} broken={self.check.failed}")
+              f"texts={self.texts} resumed={self.resumed} most_runs_ending={self.most_ending} broken={self.check.failed}")
 
 
 def main():
