--- a/tests/process/fleet/engine_lives_test.cpp
+++ b/tests/process/fleet/engine_lives_test.cpp
@@ -100,3 +100,21 @@
   REQUIRE(watch.silent(now, kStart, state).size() == 1);
   REQUIRE(other.heardLately(now).empty());
 }
+
+TEST_CASE("an engine that another control process has registered is not silent at once", "[fleet][life]") {
+  // Its registration, a former life that was heard long ago, and the next beat that is still on its way.
+  FleetState state;
+  EngineWatch leader(fromMillis(400));
+  const Instant long_ago = kStart - std::chrono::seconds(60);
+  const bool is_known = GENERATE(true, false);
+  if (is_known) leader.take(kStart - std::chrono::seconds(8), {life(0), 7}, state);
+  apply(state, RegisterEngine{life(0)});
+  REQUIRE(leader.silent(kStart, long_ago, state).size() == (is_known ? 1 : 0));
+  if (is_known) {
+    apply(state, ForgetEngines{{kEngine}});
+    apply(state, RegisterEngine{life(0)});
+  }
+  REQUIRE(leader.silent(kStart + fromMillis(200), long_ago, state).empty());
+  REQUIRE(leader.silent(kStart + fromMillis(3500), long_ago, state).empty());
+  REQUIRE(leader.silent(kStart + fromMillis(4000), long_ago, state).size() == 1);
+}
