An engine's silence counts from when the leader first saw it registered

Cause: the leader counted the silence of an engine that it had never heard itself from the start of its leadership, and that of one that was registered again from its former life. A beat that another control process had committed 0.23 s before was no sign of life to it. Ruled out: late news between control processes alone (an engine that was heard there is passed on within a beat; this one was new). Change: silence counts from when the leader first sees the registration; what is forgotten is seen anew when it returns.

--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -60,14 +60,17 @@
   return engines;
 }
 
-std::vector<EngineId> EngineWatch::silent(Instant now, Instant leading_since, const FleetState& state) const {
+std::vector<EngineId> EngineWatch::silent(Instant now, Instant leading_since, const FleetState& state) {
   std::vector<EngineId> silent;
   const Duration limit = kForgottenAfterBeats * beat_interval_;
   for (const auto& [id, engine] : state.engines()) {
-    const auto heard = heard_.find(id);
-    const Instant last = heard == heard_.end() ? leading_since : std::max(heard->second.at, leading_since);
-    if (now - last > limit) silent.push_back(id);
+    // Another process may have registered it just now: the time before it was seen here is no silence.
+    const auto [heard, is_new] = heard_.try_emplace(id);
+    if (is_new) heard->second.at = now;
+    if (now - std::max(heard->second.at, leading_since) > limit) silent.push_back(id);
   }
+  // One that is registered again has a silence of its own.
+  for (const EngineId& id : silent) heard_.erase(id);
   return silent;
 }
 
--- a/src/process/fleet/engine_watch.hpp
+++ b/src/process/fleet/engine_watch.hpp
@@ -22,8 +22,9 @@
   void hearOf(Instant now, const std::vector<EngineId>& engines);
   /// Engines that this process heard lately itself.
   std::vector<EngineId> heardLately(Instant now) const;
-  /// Engines of the state that nobody has heard for long, counted from `leading_since` at the earliest.
-  std::vector<EngineId> silent(Instant now, Instant leading_since, const FleetState& state) const;
+  /// Engines of the state that nobody has heard for long, counted from `leading_since` and from when they were first
+  /// seen here at the earliest. They are taken for forgotten from then on.
+  std::vector<EngineId> silent(Instant now, Instant leading_since, const FleetState& state);
   void expire(Instant now);
 
  private:
