An event without an identifier belongs after the events of its own answer

Cause: any such event after a numbered one broke the attempt, so that a stream with an unnumbered end mark could be served on no route that allows a resume, and no item so answered would end. Found by reading the change again; no play showed it. Change: it is out of place only before an answer has reached what the reader has; once passed on, nothing goes on after it, and an item that breaks then begins anew. Before: the new case fails (broken).

--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -55,6 +55,7 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayEvents(EngineExchange& exchange) {
   connection::EventSplitter splitter;
+  position_.beginAnswer();
   while (true) {
     AnswerPiece piece = co_await exchange.read(deadline_);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
@@ -91,10 +92,7 @@
     ++tools_.counters.repeated_events;
     return true;
   }
-  // A stream that never goes on elsewhere may leave identifiers out.
-  const bool is_passed =
-      place == request::EventPlace::kNext || (place == request::EventPlace::kUnknown && !route_.isRepeatable());
-  if (!is_passed) {
+  if (place != request::EventPlace::kNext) {
     const bool is_gap = place == request::EventPlace::kGap;
     cause_ = fmt::format("stream: {} after event {}", is_gap ? "events are missing" : "an event without an identifier",
                          position_.last().value_or(0));
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -196,6 +196,8 @@
     selector_.noteFirstByte(now, run->ticket);
     run->text += news.text;
     run->has_text = true;
+    // Text that no event names can't be gone on from: a run that breaks begins anew.
+    run->last_event.reset();
   }
   if (news.last_event > 0) run->last_event = news.last_event;
   if (news.events > 0 && run->first_event_at == Instant{}) {
--- a/src/request/exchange/stream_position.cpp
+++ b/src/request/exchange/stream_position.cpp
@@ -21,10 +21,17 @@
 
 EventPlace StreamPosition::take(std::optional<std::uint64_t> id, bool has_data) {
   if (!id && !has_data) return EventPlace::kNext;
-  if (!id && last_) return EventPlace::kUnknown;
-  if (id && last_ && *id <= *last_) return EventPlace::kRepeated;
-  if (id && last_ && *id > *last_ + 1) return EventPlace::kGap;
+  if (!id && last_ && !is_placed_) return EventPlace::kUnknown;
+  if (id && last_ && *id <= *last_) {
+    is_placed_ = id == last_;
+    return EventPlace::kRepeated;
+  }
+  if (id && last_ && *id > *last_ + 1) {
+    is_placed_ = false;
+    return EventPlace::kGap;
+  }
   if (id) last_ = id;
+  if (id) is_placed_ = true;
   if (!id) is_nameable_ = false;
   if (std::exchange(close_is_open_, false)) was_asked_again_ = true;
   return EventPlace::kNext;
--- a/src/request/exchange/stream_position.hpp
+++ b/src/request/exchange/stream_position.hpp
@@ -17,7 +17,7 @@
   kRepeated,
   /// Events between it and what the reader has are missing.
   kGap,
-  /// It has no identifier although the events before it had one, so that nothing tells where it belongs.
+  /// It has no identifier, and no event of this answer before it tells where it belongs.
   kUnknown,
 };
 
@@ -62,6 +62,8 @@
   explicit StreamPosition(std::optional<std::uint64_t> reader_has = std::nullopt, bool ended_by_close = false)
       : last_(reader_has), close_is_open_(ended_by_close) {}
 
+  /// The next events come from another answer, which was asked to go on after `last`.
+  void beginAnswer() { is_placed_ = false; }
   /// Judges an event, and counts it as read if it is the next one. An event without data is part of no text.
   EventPlace take(std::optional<std::uint64_t> id, bool has_data);
   /// Judges the end of an answer. The end of a frame proves a whole text; so does a close at the event where another
@@ -77,6 +79,8 @@
 
  private:
   std::optional<std::uint64_t> last_;
+  /// An event of this answer was the last one that the reader has: what follows it without an identifier is next.
+  bool is_placed_ = false;
   bool is_nameable_ = true;
   bool close_is_open_ = false;
   bool was_asked_again_ = false;
--- a/tests/request/exchange/stream_position_test.cpp
+++ b/tests/request/exchange/stream_position_test.cpp
@@ -30,6 +30,27 @@
   REQUIRE(position.canGoOn());
 }
 
+TEST_CASE("an event without an identifier belongs after the events of its own answer", "[stream]") {
+  StreamPosition position(2);
+  position.beginAnswer();
+  REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
+  // An engine that repeats what the reader has: what follows on event 1 is event 2, with an identifier or without.
+  REQUIRE(position.take(1, true) == EventPlace::kRepeated);
+  REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
+  REQUIRE(position.take(2, true) == EventPlace::kRepeated);
+  SECTION("right after what the reader has") {
+    REQUIRE(position.take(std::nullopt, true) == EventPlace::kNext);
+  }
+  SECTION("at the end, as an end mark") {
+    REQUIRE(position.take(3, true) == EventPlace::kNext);
+    REQUIRE(position.canGoOn());
+    REQUIRE(position.take(std::nullopt, true) == EventPlace::kNext);
+  }
+  REQUIRE_FALSE(position.canGoOn());
+  position.beginAnswer();
+  REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
+}
+
 TEST_CASE("a text without identifiers can't go on elsewhere", "[stream]") {
   StreamPosition position;
   REQUIRE(position.take(std::nullopt, false) == EventPlace::kNext);
