A gateway that starts is told first which requests end engines

Cause: a gateway served from its first view on and was told some hundred milliseconds later at the earliest; each restart of one gateway sent refused requests once or twice more. Ruled out: a clearing of that content (no request_cleared line). Change: it asks stores every 10 ms from its first view on, refuses online requests and is not ready until one has answered, for 300 ms at most.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kLoadReportDelay = fromMillis(10);
 /// How often a gateway looks for what changes by time alone: answers that are overdue, reports to be repeated.
 constexpr Duration kLoadInterval = fromMillis(100);
+/// How long a gateway that has just started waits to be told which requests end engines; a store answers within some
+/// 20 ms, unless none is in reach.
+constexpr Duration kCrashNotesWait = fromMillis(300);
+constexpr Duration kAskAgain = fromMillis(10);
 /// Ends of engines that are seen closer together than this are told together: one end breaks many streams at once.
 constexpr Duration kCrashNewsDelay = fromMillis(3);
 constexpr std::size_t kStoresToldOfCrashes = 2;
@@ -152,6 +156,9 @@
   }
   selector_.setEngines(*view.engines);
   loads_.setEngines(*view.engines);
+  if (first_view_at_ != Instant{}) return;
+  first_view_at_ = monotonicNow();
+  connection::asio::co_spawn(context_, learnCrashes(), connection::asio::detached);
 }
 
 void GatewayProgram::linkStores(const fleet::FleetView& view) {
@@ -167,7 +174,7 @@
 }
 
 bool GatewayProgram::isReady() const {
-  return !stopping_ && routes_ != nullptr;
+  return !stopping_ && routes_ != nullptr && knows_crashes_;
 }
 
 Awaitable<void> GatewayProgram::handleReadiness(const connection::HttpRequest& request,
@@ -272,6 +279,12 @@
 Awaitable<void> GatewayProgram::handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
                                              const Tenant* tenant, const connection::HttpRequest& request,
                                              connection::ResponseWriter& writer) {
+  if (!knows_crashes_) {
+    Error error{ErrorKind::kUnavailable, "this gateway has not been told yet which requests end engines",
+                "come back at the given time", Executed::kNo, kShortestComeBack};
+    co_await refuse(request, writer, std::move(error));
+    co_return;
+  }
   if (tenant != nullptr) {
     const Status admitted = co_await rate_limits_.admit(*tenant);
     if (!isOk(admitted)) {
@@ -300,6 +313,8 @@
 void GatewayProgram::onCrashNotes(const ReplicaId& from, const fleet::CrashNotesFrame& notes) {
   const Instant now = monotonicNow();
   crashes_.take(now, notes);
+  // Only the answer to a question holds all that a store knows.
+  knows_crashes_ = knows_crashes_ || notes.wants_all;
   if (notes.wants_all && notes.digest != crashes_.digest()) stores_.send(from, crashes_.everything(now));
 }
 
@@ -318,6 +333,23 @@
   });
 }
 
+/// A gateway that sends at once after its start sends what all others refuse: up to two engines were ended at each
+/// restart.
+Awaitable<void> GatewayProgram::learnCrashes() {
+  fleet::CrashNotesFrame hello = crashes_.hello();
+  hello.wants_all = true;
+  while (!knows_crashes_ && monotonicNow() < first_view_at_ + kCrashNotesWait) {
+    for (const ReplicaId& store : loads_.aggregators()) {
+      if (stores_.send(store, hello)) break;
+    }
+    co_await connection::sleepFor(kAskAgain);
+  }
+  const Duration waited = monotonicNow() - first_view_at_;
+  logEvent(knows_crashes_ ? LogLevel::kInfo : LogLevel::kWarning, "crash_notes_awaited",
+           {{"told", knows_crashes_}, {"after_ms", toMillis(waited)}, {"requests_known", crashes_.requestsKnown()}});
+  knows_crashes_ = true;
+}
+
 void GatewayProgram::askForCrashes() {
   crash_hub_ = loads_.current();
   if (!crash_hub_.empty() && !stores_.send(crash_hub_, crashes_.hello())) crash_hub_ = ReplicaId();
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -68,6 +68,8 @@
   void onCrashNotes(const ReplicaId& from, const fleet::CrashNotesFrame& notes);
   /// Tells the stores of this zone what this gateway has seen of them, with other news of the same moment.
   void tellCrashesSoon();
+  /// Asks stores until one has told which requests end engines, for a short while after the first view.
+  connection::Awaitable<void> learnCrashes();
   void askForCrashes();
   /// Reports what is in flight here, with other changes of the same moment.
   void reportLoadSoon();
@@ -91,6 +93,9 @@
   fleet::CrashWatch crashes_;
   /// The store that tells this gateway of crashes.
   ReplicaId crash_hub_;
+  /// When the first view came; and whether this gateway has been told which requests end engines, or waits no longer.
+  Instant first_view_at_{};
+  bool knows_crashes_ = false;
   connection::Timer crash_timer_;
   bool crash_timer_armed_ = false;
   JobApi jobs_;
--- a/src/process/store/crash_relay.cpp
+++ b/src/process/store/crash_relay.cpp
@@ -27,7 +27,8 @@
 void CrashRelay::take(Instant now, const fleet::CrashNotesFrame& notes, const Receiver& from) {
   if (notes.is_hello) receivers_[from.connection] = Listener{from, now};
   keep(watch_.take(now, notes), notes.is_relayed ? told_by_hubs_ : told_here_);
-  if (!notes.is_hello || notes.digest == watch_.digest()) return;
+  const bool is_told_all = notes.digest == watch_.digest() && !notes.wants_all;
+  if (!notes.is_hello || is_told_all) return;
   fleet::CrashNotesFrame all = watch_.everything(now);
   all.wants_all = true;
   from.send(encodeTagged(fleet::FleetMessage(std::move(all))));
--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -8,7 +8,7 @@
 Real processes on loopback; engines that end 30 ms after they begin such a request and are back after 3 s; callers that
 send it again 0.2 to 0.8 s after it failed; other callers beside them, who must be served.
 
-    python3 tests/soak/ending_requests.py --scenario online|kills|batch|restarts [--seed 1] [--seconds 20]
+    python3 tests/soak/ending_requests.py --scenario online|kills|batch|restarts|gateways [--seed 1] [--seconds 20]
 """
 import argparse
 import asyncio
@@ -77,6 +77,31 @@
                 pass
             await asyncio.sleep(self.random.uniform(0.2, 0.8))
 
+    async def restart_gateways(self, started):
+        """One gateway after the other; the refused requests come to it until it has taken them or refused them for good."""
+        await asyncio.sleep(6)
+        while time.monotonic() < started + self.options.seconds - 3:
+            number = self.random.randrange(len(self.fleet.gateways))
+            process = self.fleet.processes[f"gateway-{number + 1}"]
+            print(f"{time.monotonic() - started:6.2f} s  kill {process.name}", flush=True)
+            process.kill()
+            process.start()
+            await asyncio.gather(*(self.meet_at_start(self.fleet.gateways[number], body) for body in TARGETS))
+            await asyncio.sleep(0.5)
+
+    async def meet_at_start(self, gateway, body):
+        """The request again and again at a gateway that starts, until it was sent to an engine or refused for long."""
+        for _ in range(400):
+            begun = len(self.begun)
+            try:
+                status, fields, _ = await call(gateway, "POST", TARGETS[body], body, request_headers(), timeout=6)
+            except CALL_ERRORS:
+                status, fields = 0, {}
+            is_refused_for_long = status == 503 and float(fields.get("retry-after", 0)) > 3
+            if is_refused_for_long or len(self.begun) > begun:
+                return
+            await asyncio.sleep(0.003)
+
     async def submit_ending(self):
         items = {new_id(): body for body in [b"stream"] * 9 + [MARK + b"-item"]}
         requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Token-Usage": "10,10"},
@@ -160,6 +185,8 @@
                      for number, body in enumerate(TARGETS)]
         if scenario == "restarts":
             work.append(asyncio.create_task(self.kill_all_twice(started)))
+        if scenario == "gateways":
+            work.append(asyncio.create_task(self.restart_gateways(started)))
         if scenario == "kills":
             work.append(asyncio.create_task(self.kill_by_turns(started)))
         await asyncio.sleep(self.options.seconds)
@@ -167,12 +194,12 @@
             await self.read_results(job)
         self.loading = False
         await asyncio.gather(*work)
-        self.check_ends(scenario in ("kills", "restarts"))
+        self.check_ends(scenario in ("kills", "restarts", "gateways"))
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts"], required=True)
+    parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts", "gateways"], required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--network", default="127.0.5", help="first three numbers of the fleet's loopback addresses")
