--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -25,7 +25,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from ending_engine import MARK, EndingEngine  # noqa: E402
 from fleet import Fleet  # noqa: E402
-from stand_in import Check, call, document, eventually, new_id, request_headers  # noqa: E402
+from stand_in import Check, call, eventually, new_id, request_headers  # noqa: E402
 
 CONTACT_S = 3.0  # knowledge of the third end reaches every machine in this time
 MOST_LATER = 3  # times that such a request may be sent after that
@@ -51,22 +51,6 @@
         self.settled = [0, 0]  # requests of others from the tenth second on: served whole, all
         self.loading = True
 
-    async def form(self):
-        self.fleet.start_all()
-
-        async def taken():
-            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", document(5), timeout=2)
-            return status == 200
-        await eventually(self.check, "the first configuration is taken", taken, seconds=30)
-        for engine in self.engines:
-            await engine.start()
-        for gateway in self.fleet.gateways:
-            async def serves():
-                status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
-                return status == 200
-            await eventually(self.check, f"{gateway} serves", serves, seconds=30)
-        self.fleet.mark_formed()
-
     async def send_ending(self, body, source):
         """The same request again and again, at changing gateways."""
         while self.loading:
@@ -173,7 +157,7 @@
             self.check.that(served >= LEAST_SERVED * asked, f"only {served} of {asked} requests of others were served")
 
     async def run(self):
-        await self.form()
+        await self.fleet.form(self.check, self.engines)
         scenario = self.options.scenario
         started = time.monotonic()
         work = [asyncio.create_task(self.ask_others(number, started)) for number in range(OTHERS)]
--- a/tests/soak/engine_lives.py
+++ b/tests/soak/engine_lives.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from fleet import Fleet  # noqa: E402
-from stand_in import Check, Engine, call, document, eventually, request_headers  # noqa: E402
+from stand_in import Check, Engine, call, request_headers  # noqa: E402
 
 BEAT_S = 0.4
 SERVES_AGAIN_S = 3 * BEAT_S
@@ -48,21 +48,6 @@
         self.check = Check()
         self.engines = [Engine(number, 8960 + number, self.fleet.controls, event_delay=0.01) for number in range(2)]
 
-    async def form(self):
-        self.fleet.start_all()
-
-        async def taken():
-            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", document(5), timeout=2)
-            return status == 200
-        await eventually(self.check, "the first configuration is taken", taken, seconds=30)
-        for engine in self.engines:
-            await engine.start()
-        for gateway in self.fleet.gateways:
-            async def serves():
-                status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
-                return status == 200
-            await eventually(self.check, f"{gateway} serves", serves, seconds=30)
-
     async def ask(self, seconds):
         """Requests of callers for that long; gives how many were served whole."""
         served = asked = 0
@@ -128,7 +113,7 @@
             self.check.that(not stranger.runs and not stranger.refused, f"{stranger.id} got {len(stranger.runs)} requests")
 
     async def run(self):
-        await self.form()
+        await self.fleet.form(self.check, self.engines)
         first, second = self.engines
         born = first.born
         await self.ask(1)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,8 +2,12 @@
 import os
 import signal
 import subprocess
+import sys
 from pathlib import Path
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from stand_in import call, document, eventually, request_headers  # noqa: E402
+
 PROGRAM = Path("build/bin/hatchfork")
 SUSPENDED_CLOCK = Path("build/lib/libsuspended-clock.so").resolve()  # see tests/suspension
 FIRST_CONTROLS = 3  # named as seeds in the settings
@@ -83,3 +87,20 @@
             process.send(signal.SIGCONT)
             process.kill()
             process.log.close()
+
+    async def form(self, check, engines):
+        """Starts everything, puts a first configuration, starts the engines and waits until each gateway serves."""
+        self.start_all()
+
+        async def taken():
+            status, _, _ = await call(self.controls[0], "PUT", "/v1/config", document(5), timeout=2)
+            return status == 200
+        await eventually(check, "the first configuration is taken", taken, seconds=30)
+        for engine in engines:
+            await engine.start()
+        for gateway in self.gateways:
+            async def serves():
+                status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
+                return status == 200
+            await eventually(check, f"{gateway} serves", serves, seconds=30)
+        self.mark_formed()
--- a/tests/soak/resumed_streams.py
+++ b/tests/soak/resumed_streams.py
@@ -29,7 +29,7 @@
 from breaking_engine import EVENTS, BreakingEngine  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from resuming_caller import StreamReader  # noqa: E402
-from stand_in import Check, call, document, eventually, new_id, request_headers  # noqa: E402
+from stand_in import Check, new_id, request_headers  # noqa: E402
 
 CALLERS = 10
 BREAKS = 0.3  # share of the engines' streams
@@ -56,23 +56,7 @@
         self.texts = [0, 0]  # whole, all
         self.loading = True
 
-    async def form(self):
-        self.fleet.start_all()
-
-        async def taken():
-            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", document(5), timeout=2)
-            return status == 200
-        await eventually(self.check, "the first configuration is taken", taken, seconds=30)
-        for engine in self.engines:
-            await engine.start()
-        for gateway in self.fleet.gateways:
-            async def serves():
-                status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
-                return status == 200
-            await eventually(self.check, f"{gateway} serves", serves, seconds=30)
-        self.fleet.mark_formed()
-
-    async def read_texts(self, number):
+    async def read_texts(self):
         while self.loading:
             begins_with_part = self.options.scenario != "kills" and self.random.random() < 0.5
             position = self.random.randint(1, EVENTS - 1) if begins_with_part else 0
@@ -138,10 +122,10 @@
             self.check.that(request not in self.asked, f"{target} with Last-Event-Id {named!r} reached an engine")
 
     async def run(self):
-        await self.form()
+        await self.fleet.form(self.check, self.engines)
         await self.check_refusals()
         started = time.monotonic()
-        work = [asyncio.create_task(self.read_texts(number)) for number in range(CALLERS)]
+        work = [asyncio.create_task(self.read_texts()) for _ in range(CALLERS)]
         if self.options.scenario == "kills":
             work.append(asyncio.create_task(self.kill_gateways(started)))
         await asyncio.sleep(self.options.seconds)
