--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -146,6 +146,7 @@
 
 void GatewayProgram::onView(const fleet::FleetView& view, bool changed) {
   linkStores(view);
+  selector_.setEvacuated(monotonicNow(), view.evacuated.zones);
   if (!changed) return;
   if (view.routes != routes_) {
     routes_ = view.routes;
@@ -154,7 +155,8 @@
     callers_->setBounds(limits.most_header_bytes + 1024, limits.most_body_bytes, limits.header_timeout,
                         limits.idle_timeout + std::chrono::seconds(1));
   }
-  selector_.setEngines(*view.engines);
+  selector_.setServices(routes_ ? routes_->services() : std::map<ServiceId, RoutedService>());
+  selector_.setEngines(monotonicNow(), *view.engines);
   loads_.setEngines(*view.engines);
   if (first_view_at_ != Instant{}) return;
   first_view_at_ = monotonicNow();
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -82,6 +82,7 @@
                          directory_,
                          engines_,
                          settings_.tolerated_losses,
+                         settings_.zones,
                          [this]() -> const FleetState& { return *state_; },
                          [this] { return monotonicNow() > started_at_ + kStoresKnownAfter; }};
   operators_ = std::make_unique<OperatorApi>(std::move(api));
@@ -276,6 +277,10 @@
              static_cast<double>(state_->enginesRevision()));
   page.counter("hatchfork_engine_entries_refused_total", "Entries and beats that could not be read as an engine's.",
                static_cast<double>(operators_->entriesRefused()));
+  for (const ZoneId& zone : state_->evacuated().zones) {
+    page.gauge("hatchfork_zone_evacuated", "One for each zone whose engines are to get no work.", 1,
+               {{"zone", zone.value}});
+  }
   page.gauge("hatchfork_feed_subscribers", "Gateways and stores that are told by this process.",
              static_cast<double>(feed_->subscribers()));
   page.gauge("hatchfork_feed_fresh", "One while the state here is proved the newest.",
--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -31,6 +31,9 @@
   EngineRecord as_known = beat.engine;
   if (as_known.born == 0) as_known.born = known_born;
   as_known.leaving = known->second.leaving;
+  // The time left shrinks with each beat; only turning cold and being warm again is news.
+  const bool same_temperature = (beat.engine.cold_ms > 0) == (known->second.cold_ms > 0);
+  if (same_temperature) as_known.cold_ms = known->second.cold_ms;
   const bool changed = !late && as_known != known->second;
   if (starts_leaving || changed) return RegisterEngine{beat.engine};
   return std::nullopt;
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -1,5 +1,8 @@
 #include "process/fleet/feed_client.hpp"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <functional>
 
@@ -171,6 +174,17 @@
   view_.store_group = std::move(update.store_group);
   // As above: a control process that has just started has heard of no leader yet.
   if (!update.store_members.empty()) view_.store_members = std::move(update.store_members);
+  takeEvacuated(std::move(update.evacuated));
+}
+
+/// The next control process may lag a little behind the one before.
+void FeedClient::takeEvacuated(EvacuatedZones evacuated) {
+  if (evacuated.revision <= view_.evacuated.revision) return;
+  view_.evacuated = std::move(evacuated);
+  std::vector<std::string_view> names;
+  for (const ZoneId& zone : view_.evacuated.zones) names.push_back(zone.value);
+  logEvent(LogLevel::kInfo, "evacuated_zones_changed",
+           {{"revision", view_.evacuated.revision}, {"zones", fmt::format("{}", fmt::join(names, ","))}});
 }
 
 std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores) {
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -16,7 +16,7 @@
 namespace hatchfork::fleet {
 
 /// The fleet's state as a subscriber holds it. Immutable once published; a later view never holds an older document or
-/// an older list of engines.
+/// an older list of engines or of evacuated zones.
 struct FleetView {
   std::shared_ptr<const RouteTable> routes;
   std::uint64_t engines_revision = 0;
@@ -26,6 +26,7 @@
   consensus::Membership store_group;
   /// Stores that hold the jobs now; none before they are known.
   std::vector<ReplicaId> store_members;
+  EvacuatedZones evacuated;
 };
 
 /// The addresses alone.
@@ -64,6 +65,7 @@
   bool takeDocument(std::uint64_t version, const std::string& document);
   void takeEngines(std::uint64_t revision, EngineUpdate update);
   void takeDirectory(DirectoryUpdate update);
+  void takeEvacuated(EvacuatedZones evacuated);
   std::string subscription() const;
   std::vector<ReplicaId> order();
 
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -62,7 +62,8 @@
 }
 
 void FeedServer::refreshDirectory() {
-  DirectoryUpdate now{controls_, stores_.addresses(), {}, state_->storeGroup(), stores_.groupMembers()};
+  DirectoryUpdate now{controls_,          stores_.addresses(), {}, state_->storeGroup(), stores_.groupMembers(),
+                      state_->evacuated()};
   // After a start no leader of the stores has been heard yet; what was committed is the newest there is.
   if (now.store_members.empty()) now.store_members = state_->storeMembers();
   for (const auto& [node, address] : state_->retiring()) now.retiring.push_back(address);
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -16,6 +16,7 @@
 #include "process/fleet/run_messages.hpp"
 #include "request/exchange/load_board.hpp"
 #include "version/engine_record.hpp"
+#include "version/evacuated_zones.hpp"
 
 /// The frames between the processes of a fleet that forms itself: CBOR of `FleetMessage`, one for each frame. A process
 /// is named by the IP number of its machine, so a name is also the way to it.
@@ -144,9 +145,12 @@
   consensus::Membership store_group;
   /// Stores that hold the jobs now, as the newest leader of the group told; none before one was heard.
   std::vector<ReplicaId> store_members;
+  EvacuatedZones evacuated;
   bool operator==(const DirectoryUpdate&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryUpdate, controls, stores, retiring, store_group, store_members)
+/// Control processes of older releases tell nothing of evacuated zones.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DirectoryUpdate, controls, stores, retiring, store_group, store_members,
+                                                evacuated)
 
 /// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it
 /// names were the newest at some moment shortly before.
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -53,7 +53,10 @@
   values.dialect = reader.text("dialect", "platform");
   readPorts(reader, values);
   for (const connection::Endpoint& seed : reader.endpointList("seeds")) values.seeds.emplace_back(seed.host);
-  if (role == ProcessRole::kControl) values.operators = reader.endpoint("operators");
+  if (role == ProcessRole::kControl) {
+    values.operators = reader.endpoint("operators");
+    for (std::string& zone : reader.textList("zones")) values.zones.emplace_back(std::move(zone));
+  }
   if (role == ProcessRole::kGateway) {
     values.callers = reader.endpoint("callers");
     values.readiness = reader.endpoint("readiness");
--- a/src/process/fleet/fleet_settings.hpp
+++ b/src/process/fleet/fleet_settings.hpp
@@ -36,6 +36,8 @@
   std::uint16_t store_port = 0;
   /// Addresses of some control processes.
   std::vector<ReplicaId> seeds;
+  /// Control: all zones of the fleet, so that an order for any other is refused; may be empty.
+  std::vector<ZoneId> zones;
   /// Control: operators and engines call here.
   connection::Endpoint operators;
   /// Gateway: callers call here.
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -27,11 +27,12 @@
   std::map<std::string, ReplicaId> retiring;
   std::uint64_t store_members_term = 0;
   std::vector<ReplicaId> store_members;
+  EvacuatedZones evacuated;
 };
 /// Snapshots of older programs have no members of the store group.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSnapshot, document_version, document, engines, engines_revision,
                                                 departed, former, departed_born, former_born, store_group, retiring,
-                                                store_members_term, store_members)
+                                                store_members_term, store_members, evacuated)
 
 /// A departed life that told no birth stands for every one of its engine.
 constexpr WallMillis kEveryLife = std::numeric_limits<WallMillis>::max();
@@ -167,6 +168,13 @@
   return true;
 }
 
+bool FleetState::applyOne(const SetZoneEvacuated& command) {
+  const bool changed =
+      command.evacuated ? evacuated_.zones.insert(command.zone).second : evacuated_.zones.erase(command.zone) > 0;
+  if (changed) ++evacuated_.revision;
+  return changed;
+}
+
 bool FleetState::hasDeparted(const EngineId& engine, WallMillis born) const {
   const auto departed = departed_.find(engine);
   return departed != departed_.end() && (born == 0 || born <= departed->second);
@@ -198,6 +206,7 @@
   snapshot.retiring = retiring_;
   snapshot.store_members_term = store_members_term_;
   snapshot.store_members = store_members_;
+  snapshot.evacuated = evacuated_;
   return encodeStruct(snapshot);
 }
 
@@ -231,6 +240,7 @@
   retiring_ = std::move(snapshot.retiring);
   store_members_term_ = snapshot.store_members_term;
   store_members_ = std::move(snapshot.store_members);
+  evacuated_ = std::move(snapshot.evacuated);
   if (on_change_) on_change_();
   return okStatus();
 }
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -16,6 +16,7 @@
 #include "process/consensus/replicated_group.hpp"
 #include "process/consensus/state_machine.hpp"
 #include "version/engine_record.hpp"
+#include "version/evacuated_zones.hpp"
 
 namespace hatchfork::fleet {
 
@@ -76,8 +77,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(NoteStoreMembers, term, members)
 
+/// Keeps all work from the engines of a zone, or lets it go there again. The last order of a zone holds.
+struct SetZoneEvacuated {
+  static constexpr std::string_view kKind = "set_zone_evacuated";
+  ZoneId zone;
+  bool evacuated = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetZoneEvacuated, zone, evacuated)
+
 using FleetCommand = std::variant<PutDocument, RegisterEngine, DepartEngine, ForgetEngines, FormStoreGroup, RetireStore,
-                                  NoteStoreMembers>;
+                                  NoteStoreMembers, SetZoneEvacuated>;
 
 /// Replicated state of the control group of a fleet that forms itself: the document of routes, the engines, the first
 /// members of the store group and the stores to be emptied. Threading: control thread only.
@@ -106,6 +115,7 @@
   const consensus::Membership& storeGroup() const { return store_group_; }
   /// Stores that hold the jobs, as far as a leader of their group has told; none before the first one did.
   const std::vector<ReplicaId>& storeMembers() const { return store_members_; }
+  const EvacuatedZones& evacuated() const { return evacuated_; }
   /// Stores to be emptied, by node name.
   const std::map<std::string, ReplicaId>& retiring() const { return retiring_; }
 
@@ -117,6 +127,7 @@
   bool applyOne(const FormStoreGroup& command);
   bool applyOne(const RetireStore& command);
   bool applyOne(const NoteStoreMembers& command);
+  bool applyOne(const SetZoneEvacuated& command);
   void noteDeparted(const EngineId& engine, WallMillis born);
   void noteEngineChange(const EngineId& engine);
   void removeEngine(const EngineId& engine);
@@ -147,6 +158,7 @@
   std::map<std::string, ReplicaId> retiring_;
   std::uint64_t store_members_term_ = 0;
   std::vector<ReplicaId> store_members_;
+  EvacuatedZones evacuated_;
 };
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -54,6 +54,12 @@
   if (const auto* gone = std::get_if<EngineGoneCall>(&call)) co_return co_await engineGone(*gone);
   if (const auto* start = std::get_if<StartRetirementCall>(&call)) co_return co_await startRetirement(*start);
   if (const auto* get = std::get_if<GetRetirementCall>(&call)) co_return co_await getRetirement(*get);
+  if (const auto* evacuation = std::get_if<StartEvacuationCall>(&call)) {
+    co_return co_await evacuate(evacuation->zone, /*evacuated=*/true);
+  }
+  if (const auto* evacuation = std::get_if<EndEvacuationCall>(&call)) {
+    co_return co_await evacuate(evacuation->zone, /*evacuated=*/false);
+  }
   co_return notFound("no such call: " + request.method + " " + request.path);
 }
 
@@ -178,4 +184,35 @@
   co_return connection::jsonResponse(200, context_.dialect.retirementAnswer(complete));
 }
 
+bool OperatorApi::isKnownZone(const ZoneId& zone) const {
+  const FleetState& state = context_.state();
+  if (std::find(context_.zones.begin(), context_.zones.end(), zone) != context_.zones.end()) return true;
+  if (state.evacuated().zones.contains(zone)) return true;
+  const auto& stores = context_.directory.stores();
+  const auto& engines = state.engines();
+  return std::any_of(stores.begin(), stores.end(), [&](const auto& entry) { return entry.second.zone == zone; }) ||
+         std::any_of(engines.begin(), engines.end(), [&](const auto& entry) { return entry.second.zone == zone; });
+}
+
+/// Committed even where this replica holds the same already: it may not know yet that an order since took it back.
+Awaitable<HttpResponse> OperatorApi::evacuate(const ZoneId& zone, bool evacuated) {
+  if (!isKnownZone(zone)) {
+    if (context_.zones.empty() && !context_.knows_stores()) {
+      co_return notCertain("this control process has not heard of all zones yet");
+    }
+    logEvent(LogLevel::kInfo, "evacuation_refused", {{"zone", zone.value}, {"cause", "unknown"}});
+    co_return notFound("no zone is named " + zone.value);
+  }
+  const FleetCommand command = SetZoneEvacuated{zone, evacuated};
+  const ProposalOutcome outcome = co_await propose(command);
+  logEvent(LogLevel::kInfo, "zone_evacuation_set",
+           {{"zone", zone.value},
+            {"evacuated", evacuated},
+            {"revision", context_.state().evacuated().revision},
+            {"outcome", resultName(outcome.result)},
+            {"reply", outcome.reply}});
+  if (outcome.result != ProposalResult::kApplied) co_return notCertain("no quorum has confirmed the order yet");
+  co_return connection::jsonResponse(200, "{}");
+}
+
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/operator_api.hpp
+++ b/src/process/fleet/operator_api.hpp
@@ -19,6 +19,8 @@
   StoreDirectory& directory;
   EngineWatch& engines;
   std::uint32_t tolerated_losses = 1;
+  /// All zones that the settings name; none where they name none.
+  std::vector<ZoneId> zones;
   /// The state changes its place when the replica is opened anew.
   std::function<const FleetState&()> state;
   /// True once this process has run long enough to have heard of every store.
@@ -45,6 +47,9 @@
   connection::Awaitable<connection::HttpResponse> engineGone(const EngineGoneCall& call);
   connection::Awaitable<connection::HttpResponse> startRetirement(const StartRetirementCall& call);
   connection::Awaitable<connection::HttpResponse> getRetirement(const GetRetirementCall& call);
+  connection::Awaitable<connection::HttpResponse> evacuate(const ZoneId& zone, bool evacuated);
+  /// True if engines or stores are in the zone, or the settings name it.
+  bool isKnownZone(const ZoneId& zone) const;
   connection::Awaitable<ProposalOutcome> propose(const FleetCommand& command);
   connection::Awaitable<bool> readFresh();
 
--- a/src/process/settings/settings_reader.cpp
+++ b/src/process/settings/settings_reader.cpp
@@ -128,6 +128,28 @@
   return list;
 }
 
+std::vector<std::string> SettingsReader::textList(std::string_view key) {
+  known_.emplace_back(key);
+  std::vector<std::string> list;
+  const toml::node* node = parsed_->table.get(key);
+  if (node == nullptr) return list;
+  const toml::array* array = node->as_array();
+  const std::string remedy = fmt::format("write it as {} = [\"text\", ...]", key);
+  if (array == nullptr) {
+    fail(key, "is no list", remedy);
+    return list;
+  }
+  for (const toml::node& entry : *array) {
+    const auto* value = entry.as_string();
+    if (value == nullptr) {
+      fail(key, "has an entry that is no text", remedy);
+      continue;
+    }
+    list.push_back(value->get());
+  }
+  return list;
+}
+
 bool SettingsReader::has(std::string_view key) const {
   return parsed_->table.contains(key);
 }
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -68,7 +68,8 @@
   for (const fleet::StoreAddress& store : view.stores) runners.emplace(store.address, store.zone);
   for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
   board_.setRunners(std::move(runners));
-  if (engines_changed) selector_.setEngines(*view.engines);
+  if (routes_) selector_.setServices(routes_->services());
+  if (engines_changed) selector_.setEngines(monotonicNow(), *view.engines);
   if (leading_) pump();
 }
 
--- a/src/process/store/placement_service.cpp
+++ b/src/process/store/placement_service.cpp
@@ -19,9 +19,10 @@
 /// slot of the own zone.
 constexpr double kFullRiskMs = 200;
 
-request::SelectorLimits limitsOfPlacement() {
+request::SelectorLimits limitsOfPlacement(ZoneId zone) {
   request::SelectorLimits limits;
   limits.places_zone = true;
+  limits.cold_zone = std::move(zone);
   limits.silence_allowed += kNoteDelay;
   limits.full_risk_ms = kFullRiskMs;
   return limits;
@@ -37,8 +38,8 @@
 
 }  // namespace
 
-PlacementService::PlacementService(std::uint64_t seed, GiveWayFunction give_way)
-    : give_way_(std::move(give_way)), selector_(seed, limitsOfPlacement()) {}
+PlacementService::PlacementService(std::uint64_t seed, ZoneId zone, GiveWayFunction give_way)
+    : give_way_(std::move(give_way)), selector_(seed, limitsOfPlacement(std::move(zone))) {}
 
 PlacementService::Gateway& PlacementService::gatewayOf(Instant now, const std::string& node, const void* connection) {
   Gateway& gateway = gateways_[node];
--- a/src/process/store/placement_service.hpp
+++ b/src/process/store/placement_service.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,9 +34,12 @@
   /// Asks that a batch run at an engine gives way now.
   using GiveWayFunction = std::function<void(const EngineId& engine)>;
 
-  PlacementService(std::uint64_t seed, GiveWayFunction give_way);
+  /// `zone`: this store's own, whose cold engines it alone sends to.
+  PlacementService(std::uint64_t seed, ZoneId zone, GiveWayFunction give_way);
 
-  void setEngines(const std::vector<EngineRecord>& engines) { selector_.setEngines(engines); }
+  void setEngines(Instant now, const std::vector<EngineRecord>& engines) { selector_.setEngines(now, engines); }
+  void setEvacuated(Instant now, const std::set<ZoneId>& zones) { selector_.setEvacuated(now, zones); }
+  void setServices(const std::map<ServiceId, RoutedService>& services) { selector_.setServices(services); }
   /// What processes have in flight whose requests are not placed here.
   void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
   /// What batch runs have in flight.
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -49,7 +49,7 @@
       own_load_(
           settings_.name, settings_.zone,
           [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return sendLoadReport(to, report); }),
-      placement_(std::random_device()(), [this](const EngineId& engine) { askToGiveWay(engine); }),
+      placement_(std::random_device()(), settings_.zone, [this](const EngineId& engine) { askToGiveWay(engine); }),
       rate_limits_(settings_.rate_limits) {
   own_load_.setKind(fleet::LoadKind::kBackground);
   crashes_.setNewsHandler([this] { tellCrashesSoon(); });
@@ -154,9 +154,13 @@
   crash_relay_.setHubs(aggregator_.peers());
   own_load_.setStores(view.stores);
   updateRateLimits(view);
+  const Instant now = monotonicNow();
+  placement_.setEvacuated(now, view.evacuated.zones);
+  executor_->setEvacuated(now, view.evacuated.zones);
   if (!changed) return;
+  if (view.routes) placement_.setServices(view.routes->services());
   aggregator_.setEngines(*view.engines);
-  placement_.setEngines(*view.engines);
+  placement_.setEngines(now, *view.engines);
   engine_ids_.clear();
   for (const EngineRecord& engine : *view.engines) engine_ids_.push_back(engine.id);
   own_load_.setEngines(*view.engines);
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -53,7 +53,7 @@
   return load;
 }
 
-void EngineSelector::setEngines(const std::vector<EngineRecord>& engines) {
+void EngineSelector::setEngines(Instant now, const std::vector<EngineRecord>& engines) {
   std::map<EngineId, EngineState> next;
   for (const EngineRecord& engine : engines) {
     const auto known = engines_.find(engine.id);
@@ -61,15 +61,49 @@
     const bool is_known =
         known != engines_.end() && compareLives(engine.born, known->second.record.born) == LifeOrder::kSame;
     EngineState state = is_known ? std::move(known->second) : EngineState{};
+    if (engine.cold_ms != state.record.cold_ms) state.cold_until = now + fromMillis(engine.cold_ms);
     state.record = engine;
+    state.evacuated = evacuated_.contains(engine.zone);
     next.emplace(engine.id, std::move(state));
   }
   engines_ = std::move(next);
+  countEngines();
+  assignLanes();
+}
+
+void EngineSelector::setEvacuated(Instant now, const std::set<ZoneId>& zones) {
+  if (zones == evacuated_) return;
+  evacuated_ = zones;
+  for (auto& [id, state] : engines_) {
+    const bool was_evacuated = std::exchange(state.evacuated, evacuated_.contains(state.record.zone));
+    const auto service = services_.find(state.record.service);
+    if (!was_evacuated || state.evacuated || service == services_.end()) continue;
+    state.cold_until = std::max(state.cold_until, now + service->second.cold_time);
+  }
+  countEngines();
+  assignLanes();
+}
+
+void EngineSelector::setServices(const std::map<ServiceId, RoutedService>& services) {
+  services_ = services;
+}
+
+double EngineSelector::coldRate(const EngineState& state) const {
+  const auto service = services_.find(state.record.service);
+  return service == services_.end() ? 0 : limits_.cold_share_used * service->second.cold_requests_per_second;
+}
+
+bool EngineSelector::bearsAnother(Instant now, const EngineState& state, const EngineQuery& query) const {
+  if (!isCold(now, state)) return true;
+  const bool is_owner = !query.background && state.record.zone == limits_.cold_zone;
+  return is_owner && now >= state.next_when_cold;
+}
+
+void EngineSelector::countEngines() {
   engine_counts_.clear();
   for (const auto& [id, state] : engines_) {
-    if (!state.record.leaving) ++engine_counts_[state.record.service];
+    if (state.isOpen()) ++engine_counts_[state.record.service];
   }
-  assignLanes();
 }
 
 /// The long lane of a service is the part of its engines that hashing ranks first, so all processes agree on it.
@@ -77,8 +111,7 @@
   std::map<ServiceId, std::vector<std::pair<std::uint64_t, EngineState*>>> services;
   for (auto& [id, state] : engines_) {
     state.in_long_lane = false;
-    if (!state.record.leaving && !state.gone)
-      services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
+    if (state.isOpen()) services[state.record.service].emplace_back(mix(hashText(id.value)), &state);
   }
   for (auto& [service, ranked] : services) {
     std::sort(ranked.begin(), ranked.end());
@@ -94,8 +127,8 @@
   bool any_in_rotation = false;
   const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
   for (auto& [id, state] : engines_) {
-    if (state.record.service != query.service || state.record.leaving || state.gone) continue;
-    if (query.excluded.contains(id)) continue;
+    if (state.record.service != query.service || !state.isOpen()) continue;
+    if (query.excluded.contains(id) || !bearsAnother(now, state, query)) continue;
     any_in_rotation = any_in_rotation || now >= state.ejected_until;
     if (query.background && !hasBackgroundRoom(now, state, kept_free)) continue;
     (now < state.ejected_until ? ejected : usable).push_back(&state);
@@ -165,7 +198,7 @@
                                                            const EngineQuery& query, double expected_first_ms,
                                                            double running) const {
   const auto found = engines_.find(engine);
-  if (found == engines_.end() || found->second.record.leaving || found->second.gone) return std::nullopt;
+  if (found == engines_.end() || !found->second.isOpen()) return std::nullopt;
   EngineChoice choice = describe(now, found->second, query, expected_first_ms, 0, 1);
   choice.expected_first_ms = expected_first_ms;
   choice.estimated_running = running;
@@ -236,6 +269,10 @@
     EngineState& state = found->second;
     engaged_.insert(engine);
     ++state.in_flight;
+    if (isCold(now, state)) {
+      const Duration apart(static_cast<Duration::rep>(1e6 / coldRate(state)));
+      state.next_when_cold = std::max(now, state.next_when_cold) + apart;
+    }
     if (isSticky(query)) {
       const std::uint64_t prefix = prefixIdentity(query.prompt);
       const auto sent = state.prefixes.find(prefix);
@@ -362,7 +399,7 @@
 
 std::uint32_t EngineSelector::allSlots() const {
   std::uint32_t slots = 0;
-  for (const auto& [id, state] : engines_) slots += state.record.leaving ? 0 : state.record.slots;
+  for (const auto& [id, state] : engines_) slots += state.isOpen() ? state.record.slots : 0;
   return slots;
 }
 
@@ -374,7 +411,7 @@
 double EngineSelector::freeSlots(Instant now, const ServiceId& service) const {
   double free = 0;
   for (const auto& [id, state] : engines_) {
-    if (state.record.service != service || state.record.leaving || now < state.ejected_until) continue;
+    if (state.record.service != service || !state.isOpen() || now < state.ejected_until) continue;
     free += std::max(0.0, state.record.slots - estimatedRunning(now, state));
   }
   return free;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -17,6 +17,7 @@
 #include "request/exchange/prompt_shape.hpp"
 #include "request/exchange/surge_meter.hpp"
 #include "version/engine_record.hpp"
+#include "version/route_table.hpp"
 
 namespace hatchfork::request {
 
@@ -87,6 +88,11 @@
   /// True where this process places the requests of its whole zone: what its zone's engines have in flight is known, so
   /// that neither sampling nor the risk of a nearly full engine counts there.
   bool places_zone = false;
+  /// The zone whose cold engines this process alone sends to, since one bound over the whole fleet is kept best by one
+  /// process; empty for all others, which leave cold engines alone.
+  ZoneId cold_zone;
+  /// Share of a cold engine's bound that is used: for a moment two processes may take each other's place.
+  double cold_share_used = 0.9;
   /// What it costs to wait until a batch run has given its slot up: an order to its store and a cancelled request.
   double give_way_ms = 10;
   /// The others' requests are counted this often at the most.
@@ -159,7 +165,12 @@
   /// Called whenever what this process has in flight changes.
   void setChangeHandler(std::function<void()> on_change) { on_change_ = std::move(on_change); }
   /// Takes the engines that are registered now; what is known of those that stay is kept.
-  void setEngines(const std::vector<EngineRecord>& engines);
+  void setEngines(Instant now, const std::vector<EngineRecord>& engines);
+  /// Engines of these zones are chosen for nothing; what they run already is not touched. Engines of a zone that is
+  /// taken back may have turned cold, so they count as cold until they have told.
+  void setEvacuated(Instant now, const std::set<ZoneId>& zones);
+  /// Takes how much cold engines of each service bear.
+  void setServices(const std::map<ServiceId, RoutedService>& services);
   std::optional<EngineChoice> choose(Instant now, const EngineQuery& query);
 
   /// A request is sent to the engine.
@@ -180,9 +191,9 @@
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
 
   bool knows(const EngineId& engine) const { return engines_.contains(engine); }
-  /// True if the engine is registered and has not said that it is about to end.
+  /// True if the engine is registered and has not said that it is about to end, also in an evacuated zone.
   bool isServing(const EngineId& engine) const;
-  /// The choice of an engine that another process made; nothing if the engine is not known here, or is leaving.
+  /// The choice of an engine that another process made; nothing if the engine is not known here, or gets no more work.
   std::optional<EngineChoice> describeChosen(Instant now, const EngineId& engine, const EngineQuery& query,
                                              double expected_first_ms, double running) const;
   /// Engines of the service that this process keeps out of rotation.
@@ -190,7 +201,7 @@
   /// True if the prompt is to go to the engines at home for its prefix.
   bool isSticky(const EngineQuery& query) const;
   std::size_t engineCount(const ServiceId& service) const;
-  /// Slots of all engines that are not leaving.
+  /// Slots of all open engines.
   std::uint32_t allSlots() const;
   /// Requests of this process that are in flight at the engine.
   std::uint32_t inFlight(const EngineId& engine) const;
@@ -215,10 +226,17 @@
     std::uint32_t background = 0;
     bool in_long_lane = false;
     bool gone = false;
+    bool evacuated = false;
+    /// Until when it is cold, and from when on it bears the next request while it is.
+    Instant cold_until = Instant::min();
+    Instant next_when_cold = Instant::min();
     std::uint32_t failures = 0;
     Instant ejected_until = Instant::min();
     /// When requests that share a prefix were last sent here, by the identity of the prefix.
     std::unordered_map<std::uint64_t, Instant> prefixes;
+
+    /// False if nothing more may be sent to it.
+    bool isOpen() const { return !record.leaving && !gone && !evacuated; }
   };
   struct Ticket {
     EngineId engine;
@@ -234,6 +252,12 @@
 
   /// The engine of a ticket; null once it is gone or has started again.
   EngineState* engineOf(const Ticket& ticket);
+  void countEngines();
+  /// Requests a second that this process may send to the engine while it is cold; zero without a bound.
+  double coldRate(const EngineState& state) const;
+  bool isCold(Instant now, const EngineState& state) const { return now < state.cold_until && coldRate(state) > 0; }
+  /// False for a cold engine that another process sends to, or that had its share of this moment.
+  bool bearsAnother(Instant now, const EngineState& state, const EngineQuery& query) const;
   void assignLanes();
   /// Notes a long prompt, which makes or keeps the long lane of its service.
   void noteLongPrompt(Instant now, const EngineQuery& query);
@@ -283,7 +307,9 @@
   std::set<EngineId> engaged_;
   /// Mean time that an online request of a service holds its slot.
   std::map<ServiceId, double> hold_ms_;
-  /// Engines of each service that are not leaving.
+  std::set<ZoneId> evacuated_;
+  std::map<ServiceId, RoutedService> services_;
+  /// Open engines of each service.
   std::map<ServiceId, std::size_t> engine_counts_;
   /// When the others' loads were last told, and the mean time between that.
   Instant others_noted_at_ = Instant::min();
--- a/src/version/dialect.hpp
+++ b/src/version/dialect.hpp
@@ -57,9 +57,16 @@
 struct GetRetirementCall {
   std::string node;
 };
+/// Nothing more is to be sent to the engines of the zone.
+struct StartEvacuationCall {
+  ZoneId zone;
+};
+struct EndEvacuationCall {
+  ZoneId zone;
+};
 struct UnknownCall {};
 using ControlCall = std::variant<UnknownCall, PutDocumentCall, GetDocumentCall, EngineBeatCall, EngineGoneCall,
-                                 StartRetirementCall, GetRetirementCall>;
+                                 StartRetirementCall, GetRetirementCall, StartEvacuationCall, EndEvacuationCall>;
 
 // Calls of job owners to a gateway, besides the submission.
 struct ReadResultsCall {
--- a/src/version/engine_record.hpp
+++ b/src/version/engine_record.hpp
@@ -23,12 +23,15 @@
   bool leaving = false;
   /// When this life began by the engine's own wall clock; zero where it does not tell.
   WallMillis born = 0;
+  /// How much longer it stays cold, as it told when it became so; zero while it is warm. A cold engine bears few
+  /// requests a second.
+  std::int64_t cold_ms = 0;
   bool operator==(const EngineRecord&) const = default;
 };
 /// An array without field names: every process of a fleet is sent all of them.
 inline void to_json(nlohmann::json& json, const EngineRecord& engine) {
-  json = nlohmann::json::array(
-      {engine.id, engine.service, engine.address, engine.zone, engine.slots, engine.leaving, engine.born});
+  json = nlohmann::json::array({engine.id, engine.service, engine.address, engine.zone, engine.slots, engine.leaving,
+                                engine.born, engine.cold_ms});
 }
 /// Logs and snapshots of older releases hold them with field names.
 inline void from_json(const nlohmann::json& json, EngineRecord& engine) {
@@ -41,6 +44,7 @@
   (is_array ? json.at(5) : json.at("leaving")).get_to(engine.leaving);
   // Engines of older releases tell no birth.
   engine.born = is_array && json.size() > 6 ? json.at(6).get<WallMillis>() : 0;
+  engine.cold_ms = is_array && json.size() > 7 ? json.at(7).get<std::int64_t>() : 0;
 }
 
 /// How one life of an engine stands to another one under the same identifier.
--- a/src/version/route_table.hpp
+++ b/src/version/route_table.hpp
@@ -78,6 +78,10 @@
   std::uint32_t slots = 0;
   /// Tokens of key-value memory of one engine; zero for services that run no model.
   std::uint64_t memory_tokens = 0;
+  /// How long an engine stays cold after its start.
+  Duration cold_time{};
+  /// Requests a second that a cold engine bears from all callers together; zero without a bound.
+  double cold_requests_per_second = 0;
 };
 
 /// Bounds on what callers may send.
@@ -109,6 +113,7 @@
   const Route* find(std::string_view host, std::string_view path) const;
   /// True if some batch route of the host needs no API key.
   bool allowsAnonymousJobs(std::string_view host) const;
+  const std::map<ServiceId, RoutedService>& services() const { return services_; }
   /// Null for an unknown service.
   const RoutedService* service(const ServiceId& id) const;
 
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -68,6 +68,8 @@
   REQUIRE(std::get<EngineGoneCall>(call("DELETE", "/v1/instances/i-1")).engine == EngineId("i-1"));
   REQUIRE(std::get<StartRetirementCall>(call("POST", "/v1/retire/n")).node == "n");
   REQUIRE(std::get<GetRetirementCall>(call("GET", "/v1/retire/n")).node == "n");
+  REQUIRE(std::get<StartEvacuationCall>(call("POST", "/v1/evacuations/z1")).zone == ZoneId("z1"));
+  REQUIRE(std::get<EndEvacuationCall>(call("DELETE", "/v1/evacuations/z1")).zone == ZoneId("z1"));
   for (const auto& [method, target] : std::vector<std::pair<const char*, const char*>>{
            {"POST", "/v1/config"}, {"PUT", "/v1/instances/"}, {"PUT", "/v1/instances/a/b"}, {"GET", "/"}}) {
     REQUIRE(std::holds_alternative<UnknownCall>(call(method, target)));
@@ -82,6 +84,10 @@
   REQUIRE(valueOf(beat).engine.leaving);
   REQUIRE(valueOf(beat).engine.slots == 12);
   REQUIRE(valueOf(beat).sequence == 4);
+  const auto cold = dialect()->parseBeat(
+      EngineId("i-1"),
+      R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"ready","Sequence":4,"ColdRemainingMs":850.5})");
+  REQUIRE(valueOf(cold).engine.cold_ms == 850);
   REQUIRE_FALSE(isOk(dialect()->parseBeat(EngineId("i-1"), R"({"Service":"s"})")));
   REQUIRE_FALSE(isOk(dialect()->parseBeat(EngineId("i-1"), "{")));
 }
--- a/tests/platform/whole_path.py
+++ b/tests/platform/whole_path.py
@@ -111,6 +111,29 @@
     check.that(len(engine.runs) == before, "a leaving engine gets nothing more")
 
 
+async def evacuation(check, controls, gateways, engines):
+    async def order(method, zone, control):
+        status, _, _ = await call(control, method, f"/v1/evacuations/{zone}")
+        return status
+
+    check.that(await order("POST", "nowhere", controls[0]) == 404, "a zone that isn't known is refused with 404")
+    check.that(await order("POST", "z1", controls[0]) == 200, "an evacuation is acknowledged")
+    check.that(await order("POST", "z1", controls[1]) == 200, "the same order again is acknowledged")
+    await asyncio.sleep(1)
+    before = sum(len(engine.runs) for engine in engines)
+    for gateway in gateways:
+        status, fields, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers())
+        check.that(status == 503 and float(fields.get("retry-after", 0)) > 0, f"no engine is left: {status}")
+    check.that(sum(len(engine.runs) for engine in engines) == before, "an evacuated zone runs nothing")
+    check.that(await order("DELETE", "z1", controls[2]) == 200, "the zone is taken back")
+    check.that(await order("DELETE", "z1", controls[0]) == 200, "and once more")
+    for gateway in gateways:
+        async def served():
+            status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers())
+            return status == 200
+        await eventually(check, f"{gateway} serves again", served)
+
+
 async def batch(check, gateways, engines):
     async def submit(job, items, gateway):
         requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Model": "m", "X-Token-Usage": "10,10"},
@@ -283,6 +306,7 @@
     await online(check, gateways, engines)
     await bad_bytes(check, gateways[0])
     await engine_faults(check, gateways, engines)
+    await evacuation(check, controls, gateways, engines)
     await batch(check, gateways, engines)
     await leaving(check, gateways, engines)
     await keys_of_tenants(check, controls, gateways, engines)
--- a/tests/process/fleet/feed_test.cpp
+++ b/tests/process/fleet/feed_test.cpp
@@ -100,3 +100,14 @@
   REQUIRE(stage.bytesOfUpdate(RegisterEngine{engine(7)}) < 60);
   REQUIRE(stage.changes == changes);
 }
+
+TEST_CASE("subscribers hear which zones are evacuated, and no older state of them", "[fleet][feed][evacuation]") {
+  FeedStage stage;
+  stage.apply(SetZoneEvacuated{ZoneId("z1"), true});
+  stage.prove();
+  stage.runUntil([&] { return stage.view().evacuated.zones.contains(ZoneId("z1")); });
+  stage.apply(SetZoneEvacuated{ZoneId("z1"), false});
+  stage.prove();
+  stage.runUntil([&] { return stage.view().evacuated.revision == 2; });
+  REQUIRE(stage.view().evacuated.zones.empty());
+}
--- a/tests/process/fleet/fleet_state_test.cpp
+++ b/tests/process/fleet/fleet_state_test.cpp
@@ -253,3 +253,35 @@
   apply(restored, ForgetEngines{{EngineId("new")}});
   REQUIRE(apply(restored, RegisterEngine{engine("old", "10.0.0.1:80")}) == "changed");
 }
+
+TEST_CASE("the last order for a zone holds, also after a restart", "[fleet][evacuation]") {
+  FleetState state;
+  REQUIRE(apply(state, SetZoneEvacuated{ZoneId("z1"), true}) == "changed");
+  REQUIRE(apply(state, SetZoneEvacuated{ZoneId("z1"), true}) == "unchanged");
+  REQUIRE(apply(state, SetZoneEvacuated{ZoneId("z2"), true}) == "changed");
+  REQUIRE(apply(state, SetZoneEvacuated{ZoneId("z1"), false}) == "changed");
+  REQUIRE(apply(state, SetZoneEvacuated{ZoneId("z1"), false}) == "unchanged");
+  FleetState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(restored.evacuated() == EvacuatedZones{3, {ZoneId("z2")}});
+}
+
+TEST_CASE("only turning cold and being warm again is news of a beat", "[fleet][cold]") {
+  FleetState state;
+  EngineWatch watch(fromMillis(1200));
+  EngineRecord record = engine("e1", "10.0.0.1:80");
+  std::uint64_t sequence = 0;
+  const auto isNews = [&](std::int64_t cold_ms) {
+    record.cold_ms = cold_ms;
+    const auto command = watch.take(kStart, beat(record, ++sequence), state);
+    if (command) apply(state, *command);
+    return command.has_value();
+  };
+  REQUIRE(isNews(3000));
+  REQUIRE_FALSE(isNews(1800));
+  REQUIRE_FALSE(isNews(600));
+  REQUIRE(isNews(0));
+  REQUIRE_FALSE(isNews(0));
+  REQUIRE(isNews(2500));
+  REQUIRE(state.engines().at(EngineId("e1")).cold_ms == 2500);
+}
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -38,7 +38,7 @@
 
 TEST_CASE("work spreads over the engines of the service", "[selector]") {
   EngineSelector selector(1);
-  selector.setEngines(engines(4));
+  selector.setEngines(kStart, engines(4));
   std::map<EngineId, int> chosen;
   for (int i = 0; i < 40; ++i) {
     const auto choice = selector.choose(kStart, query());
@@ -54,7 +54,7 @@
   std::map<std::uint64_t, std::set<EngineId>> homes;
   for (std::uint64_t gateway = 1; gateway <= 8; ++gateway) {
     EngineSelector selector(gateway);
-    selector.setEngines(engines(12));
+    selector.setEngines(kStart, engines(12));
     for (std::uint64_t prefix = 1; prefix <= 20; ++prefix) {
       const auto choice = selector.choose(kStart, query(prefix * 1000, 13000));
       REQUIRE(choice->expects_cached_prefix);
@@ -70,7 +70,7 @@
     std::set<EngineId> loaded;
     for (std::uint64_t gateway = 1; gateway <= 8; ++gateway) {
       EngineSelector selector(gateway);
-      selector.setEngines(engines(12));
+      selector.setEngines(kStart, engines(12));
       const EngineQuery wanted = query(prefix * 1000, 13000);
       const EngineId home = selector.choose(kStart, wanted)->engine.id;
       idle.insert(home);
@@ -86,7 +86,7 @@
 
 TEST_CASE("a loaded home loses a prompt to an engine where it starts sooner", "[selector]") {
   EngineSelector selector(3);
-  selector.setEngines(engines(6));
+  selector.setEngines(kStart, engines(6));
   const EngineQuery wanted = query(4242, 13000);
   const auto home = selector.choose(kStart, wanted);
   for (int i = 0; i < 40; ++i) {
@@ -101,7 +101,7 @@
 
 TEST_CASE("a failing engine leaves the rotation and comes back", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   const EngineId bad("engine-0");
   selector.end(kStart, selector.begin(kStart, bad, query()), EngineVerdict::kFailed);
   for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart + fromMillis(i), query())->engine.id != bad);
@@ -112,7 +112,7 @@
 
 TEST_CASE("an engine whose address another one has is never chosen again", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   const EngineId gone("engine-0");
   selector.end(kStart, selector.begin(kStart, gone, query()), EngineVerdict::kGone);
   for (int i = 0; i < 50; ++i) {
@@ -122,7 +122,7 @@
 
 TEST_CASE("background work fills the slots where no surge of online requests was seen", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(6));
+  selector.setEngines(kStart, engines(6));
   EngineQuery background = query();
   background.background = true;
   std::map<EngineId, int> held;
@@ -138,7 +138,7 @@
 
 TEST_CASE("background work keeps slots free for surges of online requests", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   EngineQuery background = query();
   background.background = true;
   selector.noteOthers(kStart, {});
@@ -164,7 +164,7 @@
 
 TEST_CASE("long and short prompts keep apart while there is room", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(9));
+  selector.setEngines(kStart, engines(9));
   std::set<EngineId> with_long;
   std::set<EngineId> with_short;
   for (std::uint64_t i = 1; i <= 30; ++i) {
@@ -177,7 +177,7 @@
 
 TEST_CASE("without long prompts no engine is kept apart for them", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(9));
+  selector.setEngines(kStart, engines(9));
   std::set<EngineId> with_short;
   for (int i = 0; i < 200; ++i) with_short.insert(selector.choose(kStart, query())->engine.id);
   REQUIRE(with_short.size() == 9);
@@ -194,7 +194,7 @@
 
 TEST_CASE("batch work goes to the lane of long prompts that other processes have in flight", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(9));
+  selector.setEngines(kStart, engines(9));
   EngineQuery background = query();
   background.background = true;
   const auto chosen = [&](Instant now) {
@@ -216,7 +216,7 @@
   std::map<EngineId, int> chosen;
   for (std::uint64_t process = 1; process <= 300; ++process) {
     EngineSelector selector(process);
-    selector.setEngines(engines(40));
+    selector.setEngines(kStart, engines(40));
     selector.noteOthers(kStart, others);
     ++chosen[selector.choose(kStart, query())->engine.id];
   }
@@ -231,7 +231,7 @@
   std::map<EngineId, int> chosen;
   for (std::uint64_t process = 1; process <= kProcesses; ++process) {
     EngineSelector selector(process);
-    selector.setEngines(engines(5));
+    selector.setEngines(kStart, engines(5));
     // Requests hold their slots for 60 ms; loads are told every 100 ms at best.
     for (int i = 0; i < 20; ++i) {
       const TicketId ticket = selector.begin(kStart, EngineId("engine-0"), query());
@@ -252,7 +252,7 @@
 TEST_CASE("engines with overdue answers are left out of the sample", "[selector]") {
   for (std::uint64_t process = 1; process <= 50; ++process) {
     EngineSelector selector(process);
-    selector.setEngines(engines(10));
+    selector.setEngines(kStart, engines(10));
     std::vector<EngineShare> others;
     for (int i = 0; i < 10; ++i) {
       const std::uint32_t avoid_ms = i == 7 ? 0 : 500;
@@ -265,7 +265,7 @@
 
 TEST_CASE("an engine that is silent for longer than a prompt takes is avoided until it speaks", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   const TicketId ticket = selector.begin(kStart, EngineId("engine-0"), query());
   const Instant later = kStart + fromMillis(250);
   for (int i = 0; i < 30; ++i) REQUIRE(selector.choose(later, query())->engine.id == EngineId("engine-1"));
@@ -278,8 +278,8 @@
 TEST_CASE("an engine that another process finds silent is avoided too", "[selector]") {
   EngineSelector first(5);
   EngineSelector second(6);
-  first.setEngines(engines(2));
-  second.setEngines(engines(2));
+  first.setEngines(kStart, engines(2));
+  second.setEngines(kStart, engines(2));
   first.begin(kStart, EngineId("engine-0"), query());
   const Instant later = kStart + fromMillis(300);
   second.noteOthers(later, first.ownShares(later));
@@ -288,7 +288,7 @@
 
 TEST_CASE("at most half of a service is out of rotation", "[selector]") {
   EngineSelector selector(5);
-  selector.setEngines(engines(4));
+  selector.setEngines(kStart, engines(4));
   for (const EngineRecord& engine : engines(4)) {
     selector.end(kStart, selector.begin(kStart, engine.id, query()), EngineVerdict::kFailed);
   }
@@ -297,7 +297,7 @@
 
 TEST_CASE("batch work waits for room rather than going to an engine that has just failed", "[selector]") {
   EngineSelector selector(1);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   const EngineId full("engine-0");
   const EngineId failed("engine-1");
   for (int i = 0; i < 10; ++i) selector.begin(kStart, full, query());
@@ -316,7 +316,7 @@
   std::vector<EngineRecord> list = engines(3);
   list[0].leaving = true;
   list[1].service = ServiceId("other");
-  selector.setEngines(list);
+  selector.setEngines(kStart, list);
   for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart, query())->engine.id == list[2].id);
   EngineQuery excluding = query();
   excluding.excluded.insert(list[2].id);
@@ -325,7 +325,7 @@
 
 TEST_CASE("reported load is weighed and grows old", "[selector]") {
   EngineSelector selector(9);
-  selector.setEngines(engines(2));
+  selector.setEngines(kStart, engines(2));
   selector.noteLoad(kStart, EngineId("engine-0"), EngineLoad{10, 30, 10});
   for (int i = 0; i < 20; ++i) REQUIRE(selector.choose(kStart, query())->engine.id == EngineId("engine-1"));
   std::set<EngineId> later;
@@ -348,13 +348,13 @@
   EngineSelector selector(1);
   std::vector<EngineRecord> known = engines(2);
   known[0].born = 100;
-  selector.setEngines(known);
+  selector.setEngines(kStart, known);
   const EngineId engine = known[0].id;
   const TicketId gone = selector.begin(kStart, engine, query());
   const TicketId former = selector.begin(kStart, engine, query());
   selector.end(kStart, gone, EngineVerdict::kGone);
   known[0].born = 200;
-  selector.setEngines(known);
+  selector.setEngines(kStart, known);
   EngineQuery apart = query();
   apart.excluded.insert(known[1].id);
   REQUIRE(selector.choose(kStart, apart)->engine.born == 200);
@@ -365,3 +365,119 @@
   REQUIRE(selector.ejectedEngines(kStart, ServiceId("llm")).empty());
   selector.end(kStart, own, EngineVerdict::kGood);
 }
+
+TEST_CASE("engines of an evacuated zone get nothing until the zone is taken back", "[selector][evacuation]") {
+  EngineSelector selector(1);
+  std::vector<EngineRecord> all = engines(2, "z1");
+  std::vector<EngineRecord> others = engines(4, "z2");
+  all.insert(all.end(), others.begin() + 2, others.end());
+  selector.setEngines(kStart, all);
+  selector.setEvacuated(kStart, {ZoneId("z1")});
+  EngineQuery background = query();
+  background.background = true;
+  EngineQuery sticky = query(7, 9000);
+  for (int i = 0; i < 30; ++i) {
+    for (const EngineQuery& asked : {query(), background, sticky}) {
+      REQUIRE(selector.choose(kStart, asked)->engine.zone == ZoneId("z2"));
+    }
+  }
+  // What a store placed before it knew.
+  REQUIRE_FALSE(selector.describeChosen(kStart, EngineId("engine-0"), query(), 0, 0));
+  REQUIRE(selector.allSlots() == 20);
+  // An engine that registers there meanwhile.
+  all.push_back(engines(9, "z1").back());
+  selector.setEngines(kStart, all);
+  REQUIRE_FALSE(selector.describeChosen(kStart, EngineId("engine-8"), query(), 0, 0));
+  selector.setEvacuated(kStart, {});
+  REQUIRE(selector.choose(kStart, query())->engine.zone == ZoneId("z1"));
+}
+
+TEST_CASE("where all zones are evacuated nothing is chosen", "[selector][evacuation]") {
+  EngineSelector selector(1);
+  selector.setEngines(kStart, engines(3, "z1"));
+  selector.setEvacuated(kStart, {ZoneId("z1")});
+  REQUIRE_FALSE(selector.choose(kStart, query()));
+}
+
+namespace {
+
+/// A service whose cold engines bear ten requests a second, and stay cold for three seconds.
+std::map<ServiceId, RoutedService> coldServices() {
+  RoutedService service;
+  service.id = ServiceId("llm");
+  service.cold_time = std::chrono::seconds(3);
+  service.cold_requests_per_second = 10;
+  return {{service.id, service}};
+}
+
+SelectorLimits coldZoneOwner(const char* zone) {
+  SelectorLimits limits;
+  limits.places_zone = true;
+  limits.cold_zone = ZoneId(zone);
+  return limits;
+}
+
+/// Requests that one second of many questions brings to each engine.
+std::map<EngineId, int> chosenInASecond(EngineSelector& selector, Instant from, const EngineQuery& asked) {
+  std::map<EngineId, int> chosen;
+  for (int i = 0; i < 500; ++i) {
+    const Instant now = from + i * fromMillis(2);
+    const auto choice = selector.choose(now, asked);
+    if (!choice) continue;
+    ++chosen[choice->engine.id];
+    selector.end(now, selector.begin(now, choice->engine.id, asked), EngineVerdict::kGood);
+  }
+  return chosen;
+}
+
+}  // namespace
+
+TEST_CASE("a zone that comes back cold fills at its bound while warm engines carry the rest", "[selector][cold]") {
+  EngineSelector selector(1, coldZoneOwner("z1"));
+  selector.setServices(coldServices());
+  std::vector<EngineRecord> all = engines(4, "z1");
+  for (EngineRecord& engine : all) engine.cold_ms = 5000;
+  std::vector<EngineRecord> warm = engines(6, "z2");
+  all.insert(all.end(), warm.begin() + 4, warm.end());
+  selector.setEngines(kStart, all);
+  const std::map<EngineId, int> cold = chosenInASecond(selector, kStart, query());
+  for (int i = 0; i < 4; ++i) {
+    const int count = cold.at(EngineId("engine-" + std::to_string(i)));
+    REQUIRE(count >= 8);
+    REQUIRE(count <= 10);
+  }
+  int all_chosen = 0;
+  for (const auto& [engine, count] : cold) all_chosen += count;
+  REQUIRE(all_chosen == 500);
+  // Warm again by the clock, or since an engine has told so.
+  const std::map<EngineId, int> later = chosenInASecond(selector, kStart + std::chrono::seconds(6), query());
+  REQUIRE(later.at(EngineId("engine-0")) > 50);
+}
+
+TEST_CASE("cold engines are left alone by all processes but one", "[selector][cold]") {
+  std::vector<EngineRecord> all = engines(2, "z1");
+  all[0].cold_ms = 5000;
+  const auto choicesOfCold = [&](SelectorLimits limits, EngineQuery asked) {
+    EngineSelector selector(1, limits);
+    selector.setServices(coldServices());
+    selector.setEngines(kStart, all);
+    return chosenInASecond(selector, kStart, asked).count(EngineId("engine-0"));
+  };
+  EngineQuery background = query();
+  background.background = true;
+  REQUIRE(choicesOfCold(coldZoneOwner("z1"), query()) == 1);
+  REQUIRE(choicesOfCold(coldZoneOwner("z1"), background) == 0);
+  REQUIRE(choicesOfCold(coldZoneOwner("z2"), query()) == 0);
+  REQUIRE(choicesOfCold(SelectorLimits(), query()) == 0);
+}
+
+TEST_CASE("engines of a zone that is taken back count as cold until they have told", "[selector][cold]") {
+  EngineSelector selector(1, coldZoneOwner("z1"));
+  selector.setServices(coldServices());
+  selector.setEngines(kStart, engines(2, "z1"));
+  selector.setEvacuated(kStart, {ZoneId("z1")});
+  selector.setEvacuated(kStart, {});
+  for (const auto& [engine, count] : chosenInASecond(selector, kStart, query())) REQUIRE(count <= 10);
+  const auto warm = chosenInASecond(selector, kStart + std::chrono::seconds(4), query());
+  REQUIRE(warm.at(EngineId("engine-0")) > 100);
+}
