Routes and tenants are served in their allowed regions alone

Cause: the allowed regions of routes and tenants were read nowhere. Ruled out: regions in the placement's question: the asking process names the zones, so that one rule decides. Change: the settings name the region of each zone; a request that is bound asks for engines of the allowed zones only, at the placing store, in its own choice, in repeats and resumed streams, for batch items too. Where no engine is left it is refused as not run, with the regions by name. A job is taken only where every store lies in allowed regions, since any of them may come to keep it or run its items. Left: a store that is added in another region later still becomes a member of the group (docs/design).

--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -38,6 +38,8 @@
 using JobId = StringId<struct JobIdTag>;
 /// A site with its own failure and delay domain.
 using ZoneId = StringId<struct ZoneIdTag>;
+/// Zones that lie together, with a law of its own.
+using RegionId = StringId<struct RegionIdTag>;
 /// An operator's change of configuration, chosen by the operator and kept on a resend.
 using ChangeId = StringId<struct ChangeIdTag>;
 
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -71,6 +71,7 @@
     deadline_ = std::min(deadline_, received_at_ + *remaining);
   }
   query_.zone = tools_.zone;
+  query_.zones = request::allowedZones(route_, tenant_, tools_.regions);
   query_.prefix_affinity = route_.prefix_affinity;
   query_.prompt = request::parsePromptShape(request_.header(names.prompt_parts), request_.header(names.token_usage));
 }
@@ -87,6 +88,7 @@
   }
   AttemptEnd end = AttemptEnd::kNotSent;
   cause_ = "no_engine";
+  if (query_.zones) cause_ += " in the allowed regions: " + request::namesOfAllowedRegions(route_, tenant_);
   while (mayGoOn(end) && !isKeptFromEngines()) {
     const std::optional<EngineChoice> choice = co_await chooseEngine();
     if (caller_left_ || !choice || rejectsEarly(*choice)) {
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -12,6 +12,7 @@
 #include "process/exchange/placement_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/metrics/metrics_page.hpp"
+#include "request/access/allowed_zones.hpp"
 #include "request/crash/request_fingerprint.hpp"
 #include "request/exchange/arrival_gate.hpp"
 #include "request/exchange/engine_selector.hpp"
@@ -48,6 +49,7 @@
   request::EngineSelector& selector;
   ExchangeCounters& counters;
   ZoneId zone;
+  const request::ZoneRegions& regions;
   request::ArrivalGate& gate;
   PlacementClient& placement;
   fleet::CrashWatch& crashes;
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -40,6 +40,8 @@
 /// Least time in which a caller comes back that met no configuration, and over how much more returns are spread.
 constexpr Duration kShortestComeBack = fromMillis(250);
 constexpr Duration kComeBackSpread = fromMillis(500);
+/// When a job comes back whose regions lack some store: operators move stores or change the regions, which takes long.
+constexpr Duration kComeBackForStores = std::chrono::seconds(2);
 /// A configuration that was proved the newest within this time is taken for it. Proofs come every 300 ms.
 constexpr Duration kCurrentFor = fromMillis(1500);
 /// When a caller comes back whose refusal could not be shown to follow from the newest configuration.
@@ -276,6 +278,14 @@
     co_return;
   }
   if (route->kind == RouteKind::kBatch) {
+    if (!mayKeepJobsOf(*route, tenant)) {
+      Error error{ErrorKind::kUnavailable,
+                  "stores lie outside of the allowed regions: " + request::namesOfAllowedRegions(*route, tenant),
+                  "send the job again at the given time, or allow the regions of all stores", Executed::kNo,
+                  kComeBackForStores};
+      co_await refuse(request, writer, std::move(error));
+      co_return;
+    }
     const TenantId submitter = tenant == nullptr ? TenantId() : tenant->id;
     HttpResponse response = co_await jobs_.submit(*route, submitter, request);
     co_await writer.send(std::move(response));
@@ -284,6 +294,14 @@
   co_await handleOnline(routes, *route, tenant, request, writer);
 }
 
+/// Any store may come to keep or run the items of a job.
+bool GatewayProgram::mayKeepJobsOf(const Route& route, const Tenant* tenant) const {
+  const auto zones = request::allowedZones(route, tenant, settings_.zones);
+  const auto& stores = feed_->view().stores;
+  return !zones || std::all_of(stores.begin(), stores.end(),
+                               [&](const fleet::StoreAddress& store) { return zones->contains(store.zone); });
+}
+
 Awaitable<void> GatewayProgram::handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
                                              const Tenant* tenant, const connection::HttpRequest& request,
                                              connection::ResponseWriter& writer) {
@@ -303,7 +321,8 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_, engines_, selector_, counters_, settings_.zone, gate_, placement_, crashes_, framing};
+  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
+                      settings_.zones, gate_,    placement_, crashes_,  framing};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -38,6 +38,7 @@
  private:
   Status start();
   void onView(const fleet::FleetView& view, const fleet::FleetChange& change);
+  bool mayKeepJobsOf(const Route& route, const Tenant* tenant) const;
   void takeRoutes(std::shared_ptr<const RouteTable> routes);
   /// Links to the stores that answer requests and to those that aggregate loads, not to all of them: a link from every
   /// gateway to every store would grow with their product.
--- a/src/process/exchange/placement_client.cpp
+++ b/src/process/exchange/placement_client.cpp
@@ -44,6 +44,7 @@
   message.prompt_tokens = query.prompt.prompt_tokens;
   message.excluded = std::move(unreachable);
   message.excluded.insert(message.excluded.end(), query.excluded.begin(), query.excluded.end());
+  message.zones = query.zones;
   if (!send_(placer_, message)) co_return std::nullopt;
   connection::Timer timer(context_);
   timer.expires_after(kPatience);
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -53,16 +53,14 @@
   values.dialect = reader.text("dialect", "platform");
   readPorts(reader, values);
   for (const connection::Endpoint& seed : reader.endpointList("seeds")) values.seeds.emplace_back(seed.host);
-  if (role == ProcessRole::kControl) {
-    values.operators = reader.endpoint("operators");
-    for (std::string& zone : reader.textList("zones")) values.zones.emplace_back(std::move(zone));
-  }
+  if (role == ProcessRole::kControl) values.operators = reader.endpoint("operators");
   if (role == ProcessRole::kGateway) {
     values.callers = reader.endpoint("callers");
     values.readiness = reader.endpoint("readiness");
   } else {
     values.data_folder = reader.text("data_folder");
   }
+  for (const auto& [zone, region] : reader.textTable("zones")) values.zones.emplace(ZoneId(zone), RegionId(region));
   values.first_start = reader.boolean("first_start", false);
   values.tolerated_losses = static_cast<std::uint32_t>(reader.integer("tolerated_losses", 0, kMostToleratedLosses, 1));
   values.engine_beat = reader.milliseconds("engine_beat_ms", 100, 60000, fromMillis(1200));
--- a/src/process/fleet/fleet_settings.hpp
+++ b/src/process/fleet/fleet_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,8 +37,8 @@
   std::uint16_t store_port = 0;
   /// Addresses of some control processes.
   std::vector<ReplicaId> seeds;
-  /// Control: all zones of the fleet, so that an order for any other is refused; may be empty.
-  std::vector<ZoneId> zones;
+  /// The region of each zone of the fleet; may be empty. Control processes refuse orders for any other zone.
+  std::map<ZoneId, RegionId> zones;
   /// Control: operators and engines call here.
   connection::Endpoint operators;
   /// Gateway: callers call here.
--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -191,7 +191,7 @@
 
 bool OperatorApi::isKnownZone(const ZoneId& zone) const {
   const FleetState& state = context_.state();
-  if (std::find(context_.zones.begin(), context_.zones.end(), zone) != context_.zones.end()) return true;
+  if (context_.zones.contains(zone)) return true;
   if (state.evacuated().zones.contains(zone)) return true;
   const auto& stores = context_.directory.stores();
   const auto& engines = state.engines();
--- a/src/process/fleet/operator_api.hpp
+++ b/src/process/fleet/operator_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "connection/http_server.hpp"
@@ -25,7 +26,7 @@
   EngineRegistrar& registrar;
   std::uint32_t tolerated_losses = 1;
   /// All zones that the settings name; none where they name none.
-  std::vector<ZoneId> zones;
+  std::map<ZoneId, RegionId> zones;
   /// The state changes its place when the replica is opened anew.
   std::function<const FleetState&()> state;
   /// True once this process has run long enough to have heard of every store.
--- a/src/process/fleet/placement_messages.hpp
+++ b/src/process/fleet/placement_messages.hpp
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,10 +26,13 @@
   std::uint64_t prompt_tokens = 0;
   /// Engines that were tried for it, or that this gateway can't reach.
   std::vector<EngineId> excluded;
+  /// Zones whose engines may run it; nothing for all.
+  std::optional<std::set<ZoneId>> zones;
 };
 inline void to_json(nlohmann::json& json, const PlacementQuestion& question) {
   json = nlohmann::json::array(
       {question.node, question.zone, question.number, question.service, question.prompt_tokens, question.excluded});
+  if (question.zones) json.push_back(*question.zones);
 }
 inline void from_json(const nlohmann::json& json, PlacementQuestion& question) {
   json.at(0).get_to(question.node);
@@ -36,6 +41,8 @@
   json.at(3).get_to(question.service);
   json.at(4).get_to(question.prompt_tokens);
   json.at(5).get_to(question.excluded);
+  question.zones.reset();
+  if (json.size() > 6) question.zones = json.at(6).get<std::set<ZoneId>>();
 }
 
 /// The engine, whose slot now counts as taken; empty if there is none.
--- a/src/process/settings/settings_reader.cpp
+++ b/src/process/settings/settings_reader.cpp
@@ -128,26 +128,25 @@
   return list;
 }
 
-std::vector<std::string> SettingsReader::textList(std::string_view key) {
+std::map<std::string, std::string> SettingsReader::textTable(std::string_view key) {
   known_.emplace_back(key);
-  std::vector<std::string> list;
+  std::map<std::string, std::string> texts;
   const toml::node* node = parsed_->table.get(key);
-  if (node == nullptr) return list;
-  const toml::array* array = node->as_array();
-  const std::string remedy = fmt::format("write it as {} = [\"text\", ...]", key);
-  if (array == nullptr) {
-    fail(key, "is no list", remedy);
-    return list;
+  if (node == nullptr) return texts;
+  const toml::table* table = node->as_table();
+  if (table == nullptr) {
+    fail(key, "is no table", fmt::format("add a table [{}] of name = \"text\"", key));
+    return texts;
   }
-  for (const toml::node& entry : *array) {
+  for (const auto& [name, entry] : *table) {
     const auto* value = entry.as_string();
     if (value == nullptr) {
-      fail(key, "has an entry that is no text", remedy);
+      fail(fmt::format("{}.{}", key, name.str()), "is no text", "write it in quotes");
       continue;
     }
-    list.push_back(value->get());
+    texts.emplace(std::string(name.str()), value->get());
   }
-  return list;
+  return texts;
 }
 
 bool SettingsReader::has(std::string_view key) const {
--- a/src/process/settings/settings_reader.hpp
+++ b/src/process/settings/settings_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,8 +32,8 @@
   bool boolean(std::string_view key, bool fallback);
   /// A list of "host:port", not empty.
   std::vector<connection::Endpoint> endpointList(std::string_view key);
-  /// A list of texts; empty where the key is missing.
-  std::vector<std::string> textList(std::string_view key);
+  /// A table of texts; empty where the key is missing.
+  std::map<std::string, std::string> textTable(std::string_view key);
   /// True if the file has the key; does not count as asking for it.
   bool has(std::string_view key) const;
   /// Notes an error of a key, as the getters do.
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -262,7 +262,7 @@
       return true;
     }
     if (route == nullptr) continue;
-    request::EngineQuery query = queryOf(*run, job->submission.items[job->open_items.at(run->item)], *route);
+    request::EngineQuery query = queryOf(*run, *job, *route);
     const std::optional<EngineChoice> choice = chooseEngine(now, run, *job, query);
     // It was taken out of the queue.
     if (!choice && run->not_before > now) return true;
@@ -274,10 +274,12 @@
   return false;
 }
 
-request::EngineQuery JobExecutor::queryOf(const ItemRun& run, const OpaqueItem& item, const Route& route) {
+request::EngineQuery JobExecutor::queryOf(const ItemRun& run, const StoredJob& job, const Route& route) {
+  const OpaqueItem& item = job.submission.items[job.open_items.at(run.item)];
   request::EngineQuery query;
   query.service = split_.choose(route);
   query.zone = options_.zone;
+  query.zones = request::allowedZones(route, routes_->tenants().find(job.submission.tenant), options_.regions);
   query.prefix_affinity = route.prefix_affinity;
   query.background = true;
   query.urgency = urgencyOf(monotonicNow(), run);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -15,6 +15,7 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_board.hpp"
+#include "request/access/allowed_zones.hpp"
 #include "request/batch/due_order.hpp"
 #include "request/batch/run_time_model.hpp"
 #include "request/exchange/engine_selector.hpp"
@@ -26,6 +27,7 @@
 struct JobExecutorOptions {
   ReplicaId self;
   ZoneId zone;
+  request::ZoneRegions regions;
   std::uint64_t seed = 1;
   /// Most items in flight at once at one store.
   std::size_t most_running = 400;
@@ -172,7 +174,7 @@
   void hold(const ItemPtr& run, Instant until);
   /// Puts items back whose time has come.
   void releaseHeld(Instant now);
-  request::EngineQuery queryOf(const ItemRun& run, const OpaqueItem& item, const Route& route);
+  request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
   /// When the job's results are due.
   Instant dueTimeOf(Instant now, const StoredJob& job);
   request::DueItem dueItemOf(const ItemRun& run) const;
--- a/src/process/store/placement_service.cpp
+++ b/src/process/store/placement_service.cpp
@@ -53,6 +53,7 @@
   Gateway& gateway = gatewayOf(now, question.node, connection);
   request::EngineQuery query = queryOf(question.service, question.zone, question.prompt_tokens);
   query.excluded.insert(question.excluded.begin(), question.excluded.end());
+  query.zones = question.zones;
   fleet::PlacementAnswer answer{question.number, {}, 0, 0};
   const std::optional<EngineChoice> choice = selector_.choose(now, query);
   if (!choice) {
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -63,6 +63,7 @@
   JobExecutorOptions executor_options;
   executor_options.self = settings_.self();
   executor_options.zone = settings_.zone;
+  executor_options.regions = settings_.zones;
   executor_options.seed = std::random_device()();
   executor_options.most_running =
       std::min<std::size_t>(executor_options.most_running, settings_.memory_mb * kRunsPerMegabyte);
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -134,6 +134,11 @@
   return service == services_.end() ? 0 : limits_.cold_share_used * service->second.cold_requests_per_second;
 }
 
+bool EngineSelector::isAllowed(const EngineState& state, const EngineQuery& query) {
+  if (query.zones && !query.zones->contains(state.record.zone)) return false;
+  return !query.excluded.contains(state.record.id);
+}
+
 bool EngineSelector::bearsAnother(Instant now, const EngineState& state, const EngineQuery& query) const {
   if (!isCold(now, state)) return true;
   const bool is_owner = !query.background && state.record.zone == limits_.cold_zone;
@@ -147,7 +152,7 @@
   const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
   const std::size_t looked_at = isSticky(query) ? pool.size() : limits_.looked_at_most;
   for (EngineState* const state : drawNeighbours(pool.all(), looked_at, random_)) {
-    if (query.excluded.contains(state->record.id) || !bearsAnother(now, *state, query)) continue;
+    if (!isAllowed(*state, query) || !bearsAnother(now, *state, query)) continue;
     any_in_rotation = any_in_rotation || now >= state->ejected_until;
     if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
     (now < state->ejected_until ? ejected : usable).push_back(state);
@@ -230,7 +235,7 @@
   const EngineState* best = nullptr;
   std::uniform_real_distribution<double> jitter(0.0, kMostJitterMs);
   for (const EngineState* const state : drawn) {
-    if (now < state->ejected_until || query.excluded.contains(state->record.id)) continue;
+    if (now < state->ejected_until || !isAllowed(*state, query)) continue;
     if (!bearsAnother(now, *state, query)) continue;
     if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
     const double total = cost(now, *state, query, 0) + jitter(random_);
@@ -255,7 +260,7 @@
                                                            const EngineQuery& query, double expected_first_ms,
                                                            double running) const {
   const auto found = engines_.find(engine);
-  if (found == engines_.end() || !found->second.isOpen()) return std::nullopt;
+  if (found == engines_.end() || !found->second.isOpen() || !isAllowed(found->second, query)) return std::nullopt;
   EngineChoice choice = describe(now, found->second, query, expected_first_ms, 0, 1);
   choice.expected_first_ms = expected_first_ms;
   choice.estimated_running = running;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -130,6 +130,8 @@
   double urgency = 0;
   /// Engines that were tried for this request.
   std::set<EngineId> excluded;
+  /// Zones whose engines may run it; nothing for all.
+  std::optional<std::set<ZoneId>> zones;
 };
 
 /// The choice and what it was made from, for the log.
@@ -246,6 +248,8 @@
   /// Requests a second that this process may send to the engine while it is cold; zero without a bound.
   double coldRate(const EngineState& state) const;
   bool isCold(Instant now, const EngineState& state) const { return now < state.cold_until && coldRate(state) > 0; }
+  /// False if the engine was tried for the request, or may not run it.
+  static bool isAllowed(const EngineState& state, const EngineQuery& query);
   /// False for a cold engine that another process sends to, or that had its share of this moment.
   bool bearsAnother(Instant now, const EngineState& state, const EngineQuery& query) const;
   /// Notes a long prompt, which makes or keeps the long lane of its service.
--- a/src/version/configuration_objects.hpp
+++ b/src/version/configuration_objects.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,8 +70,10 @@
   TenantLimits limits;
   /// Rank of the tenant's requests, which goes before that of the route; zero is the most urgent.
   std::uint32_t priority = 0;
+  /// Regions whose machines may serve, run or keep its requests; empty for all.
+  std::set<RegionId> allowed_regions;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Tenant, id, role, key_hashes, limits, priority)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Tenant, id, role, key_hashes, limits, priority, allowed_regions)
 
 /// A policy program in Lua.
 struct Policy {
--- a/src/version/route_table.hpp
+++ b/src/version/route_table.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,8 @@
   Duration retention{};
   /// Batch only: the most tokens of open items that may wait on the route, for each tenant; zero without a limit.
   std::uint64_t most_waiting_tokens = 0;
+  /// Regions whose machines may serve, run or keep its requests; empty for all.
+  std::set<RegionId> allowed_regions;
 
   /// True if a request may run at a second engine after it may have run at a first.
   bool isRepeatable() const { return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable); }
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -142,3 +142,15 @@
   REQUIRE_FALSE(isOk(shared));
   REQUIRE(describe(errorOf(shared)).find("k-1") == std::string::npos);
 }
+
+TEST_CASE("regions and cold engines stand in the document of routes", "[platform]") {
+  const auto parsed = dialect()->parseRoutes(R"({"Version":3,"Routes":[{"Host":"h","PathPrefix":"/a/","TimeoutMs":5,
+      "Service":"s","AllowedRegions":["north"]}],"Services":[{"Name":"s","ColdStartS":3.0,"ColdPerS":9.2}],
+      "Tenants":[{"Name":"t","ApiKeys":["k"],"AllowedRegions":["north","south"]}]})");
+  REQUIRE(isOk(parsed));
+  const RouteTable& routes = *valueOf(parsed);
+  REQUIRE(routes.routes()[0].allowed_regions == std::set<RegionId>{RegionId("north")});
+  REQUIRE(routes.service(ServiceId("s"))->cold_time == std::chrono::seconds(3));
+  REQUIRE(routes.service(ServiceId("s"))->cold_requests_per_second == 9.2);
+  REQUIRE(routes.tenants().find(TenantId("t"))->allowed_regions.size() == 2);
+}
