A store announces itself to the members of its group, not to all stores

Cause: a store that belongs to no group announced itself to every store each 150 ms and was answered by each. On the fleet 145 of 150 stores belong to no group: 145 x 149 x 2 frames each 150 ms, 288,000 a second, stores x stores. Change: contacts are the members of the group, or those it is to form with; the interval grows with the number of announcers, so that a contact hears 250 a second at any size, and announcements count for three intervals.

--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -40,7 +40,7 @@
   void read(Instant now, RequestNumber request) override;
   void changeMembership(Instant now, RequestNumber request, const Membership& target) override;
   void transferLeadership(Instant now) override;
-  void setContacts(std::vector<ReplicaId> contacts) override;
+  void setContacts(std::vector<ReplicaId> contacts, std::size_t announcers) override;
   void formWith(Instant now, const Membership& initial) override;
   std::vector<Candidate> candidates(Instant now) const override;
   std::vector<PeerHealth> peerHealth(Instant now) const override;
@@ -184,6 +184,8 @@
   // Membership (replica_membership.cpp).
   void tickFormation();
   void tickOrphaned();
+  /// How often a replica without a cluster announces itself.
+  Duration helloInterval() const;
   void announceToContacts();
   void handle(const Identity& from, const Envelope& envelope, const Hello& hello);
   void announce(const ReplicaId& to, bool answer_wanted);
@@ -251,6 +253,7 @@
   std::optional<IncomingSnapshot> incoming_;
 
   std::vector<ReplicaId> contacts_;
+  std::size_t announcers_ = 0;
   std::map<ReplicaId, Announcement> announcements_;
   Instant next_hello_{};
 };
--- a/src/process/consensus/replica_membership.cpp
+++ b/src/process/consensus/replica_membership.cpp
@@ -11,10 +11,14 @@
 
 /// A replica without a cluster announces itself every so many heartbeat intervals.
 constexpr int kHelloIntervals = 2;
+/// A contact hears one announcement in this time on the mean, however many replicas announce themselves.
+constexpr Duration kHelloSpacing = fromMillis(4);
 /// A member without a leader announces itself every so many election timeouts.
 constexpr int kOrphanedHelloTimeouts = 2;
 /// An announcement counts for this many election timeouts.
 constexpr int kCandidateTimeouts = 6;
+/// And at least for the time of so many of them.
+constexpr int kHellosOfCandidate = 3;
 
 Error changeRefused(std::string message, std::string remedy) {
   return Error{ErrorKind::kUnavailable, std::move(message), std::move(remedy), Executed::kNo, fromMillis(1000)};
@@ -24,7 +28,7 @@
 
 void Replica::tickFormation() {
   if (now_ >= next_hello_) {
-    next_hello_ = now_ + kHelloIntervals * options_.timing.heartbeat_interval;
+    next_hello_ = now_ + helloInterval();
     announceToContacts();
   }
   pinInitialMembership();
@@ -44,8 +48,14 @@
   }
 }
 
-void Replica::setContacts(std::vector<ReplicaId> contacts) {
+void Replica::setContacts(std::vector<ReplicaId> contacts, std::size_t announcers) {
   contacts_ = std::move(contacts);
+  announcers_ = announcers;
+}
+
+Duration Replica::helloInterval() const {
+  return std::max(kHelloIntervals * options_.timing.heartbeat_interval,
+                  static_cast<Duration::rep>(announcers_) * kHelloSpacing);
 }
 
 void Replica::formWith(Instant now, const Membership& initial) {
@@ -59,7 +69,9 @@
 std::vector<Candidate> Replica::candidates(Instant now) const {
   std::vector<Candidate> candidates;
   for (const auto& [id, heard] : announcements_) {
-    const bool recent = now < heard.heard_at + kCandidateTimeouts * options_.timing.election_timeout;
+    const Duration lifetime =
+        std::max(kCandidateTimeouts * options_.timing.election_timeout, kHellosOfCandidate * helloInterval());
+    const bool recent = now < heard.heard_at + lifetime;
     const bool is_member = findMember(membership(), Identity{id, heard.incarnation}) != nullptr;
     if (recent && !is_member) candidates.push_back(Candidate{id, heard.incarnation, heard.formed});
   }
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -165,7 +165,9 @@
   virtual void transferLeadership(Instant now) = 0;
 
   /// Names the replicas that this one announces itself to while it belongs to no cluster or sees no leader.
-  virtual void setContacts(std::vector<ReplicaId> contacts) = 0;
+  /// `announcers`: how many replicas may announce themselves to them, so that a contact hears no more each second where
+  /// there are more.
+  virtual void setContacts(std::vector<ReplicaId> contacts, std::size_t announcers) = 0;
   /// Forms the cluster with exactly these members, which an authority outside of the group has fixed once and for all.
   /// Does nothing at a replica that has joined, that agreed to another membership, or that is not named.
   virtual void formWith(Instant now, const Membership& initial) = 0;
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -154,7 +154,7 @@
 
 void ControlProgram::updateContacts() {
   const std::vector<ReplicaId> known = knownControls();
-  group_->setContacts(known);
+  group_->setContacts(known, known.size());
   feed_->setControls(known);
   rememberControls();
 }
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -98,7 +98,7 @@
   if (!isOk(opened)) return errorOf(opened);
   adopt_machine_(*in_use);
   replica_ = std::move(valueOf(opened));
-  replica_->setContacts(contacts_);
+  replica_->setContacts(contacts_, announcers_);
   if (!initial_.members.empty()) replica_->formWith(monotonicNow(), initial_);
   const GroupStatus opened_status = replica_->status();
   logEvent(LogLevel::kInfo, "replica_opened",
@@ -319,9 +319,10 @@
   for (ProposalHandler& done : late_forwards) done(ProposalOutcome{ProposalResult::kUnknown, ""});
 }
 
-void GroupHost::setContacts(std::vector<ReplicaId> contacts) {
+void GroupHost::setContacts(std::vector<ReplicaId> contacts, std::size_t announcers) {
   contacts_ = std::move(contacts);
-  if (replica_) replica_->setContacts(contacts_);
+  announcers_ = announcers;
+  if (replica_) replica_->setContacts(contacts_, announcers_);
 }
 
 void GroupHost::formWith(const consensus::Membership& initial) {
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -69,7 +69,7 @@
     if (replica_) replica_->visitUnapplied(visit);
   }
 
-  void setContacts(std::vector<ReplicaId> contacts);
+  void setContacts(std::vector<ReplicaId> contacts, std::size_t announcers);
   void setRetiring(std::set<ReplicaId> retiring) { retiring_ = std::move(retiring); }
   void formWith(const consensus::Membership& initial);
   /// Hands leadership to another voter; for planned stops.
@@ -121,6 +121,7 @@
   std::unique_ptr<consensus::ReplicatedGroup> replica_;
   connection::Timer tick_timer_;
   std::vector<ReplicaId> contacts_;
+  std::size_t announcers_ = 0;
   std::set<ReplicaId> retiring_;
   consensus::Membership initial_;
   std::map<consensus::RequestNumber, Pending> pending_;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -8,6 +8,7 @@
 
 #include "common/log.hpp"
 #include "connection/stop_signal.hpp"
+#include "process/store/group_contacts.hpp"
 
 namespace hatchfork::store {
 
@@ -162,7 +163,7 @@
 }
 
 void StoreProgram::takeDirectory(Instant now, const fleet::FleetView& view) {
-  group_->setContacts(fleet::addressesOf(view.stores));
+  group_->setContacts(groupContacts(view), view.stores.size());
   group_->setRetiring(std::set<ReplicaId>(view.retiring.begin(), view.retiring.end()));
   if (!view.store_group.members.empty()) group_->formWith(view.store_group);
   aggregator_.setStores(view.stores);
--- a/src/request/exchange/engine_selector_costs.cpp
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -81,6 +81,7 @@
 double EngineSelector::slotWaitMs(Instant now, const EngineState& state) const {
   const double slots = std::max<double>(1, state.record.slots);
   const double waiting = std::max(0.0, estimatedRunning(now, state) + 1 - slots);
+  if (waiting == 0) return 0;
   return waiting * slotHoldMs(state.record.service) / slots;
 }
 
