Selector: which engines there are, which one is chosen, and identities of prefixes in files of their own

Change: moved as they stood; the pool counts what others have in flight behind functions. No behaviour changes.

--- a/src/request/exchange/engine_pool.hpp
+++ b/src/request/exchange/engine_pool.hpp
@@ -29,7 +29,9 @@
   std::size_t size() const { return all_.size(); }
   std::uint32_t slots() const { return slots_; }
   /// What the other processes have in flight at all of them, as was told last.
-  double others_in_flight = 0;
+  double othersInFlight() const { return others_in_flight_; }
+  void addOthers(std::uint32_t in_flight) { others_in_flight_ += in_flight; }
+  void forgetOthers() { others_in_flight_ = 0; }
 
  private:
   using Ranked = std::set<std::pair<std::uint64_t, EngineState*>>;
@@ -43,6 +45,7 @@
   std::vector<EngineState*> all_;
   std::map<ZoneId, std::vector<EngineState*>> zones_;
   std::uint32_t slots_ = 0;
+  double others_in_flight_ = 0;
   /// By rank: the lane has the lowest ones, so that all processes agree on it.
   Ranked lane_;
   Ranked rest_;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -2,43 +2,14 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
-#include <functional>
-#include <tuple>
 #include <utility>
 
+#include "request/exchange/prefix_identity.hpp"
+
 namespace hatchfork::request {
 namespace {
 
-/// Chance in a choice, so that processes with the same view do not all choose the same engine.
-constexpr double kMostJitterMs = 3;
 constexpr std::size_t kMostPrefixesRemembered = 4096;
-/// An engine is taken to keep a prefix for this long after it was last sent there.
-constexpr Duration kPrefixKept = std::chrono::seconds(12);
-
-std::uint64_t mix(std::uint64_t value) {
-  value ^= value >> 33;
-  value *= 0xff51afd7ed558ccdULL;
-  value ^= value >> 33;
-  value *= 0xc4ceb9fe1a85ec53ULL;
-  return value ^ (value >> 33);
-}
-
-std::uint64_t hashText(const std::string& text) {
-  std::uint64_t hash = 1469598103934665603ULL;
-  for (const char character : text) {
-    hash ^= static_cast<unsigned char>(character);
-    hash *= 1099511628211ULL;
-  }
-  return hash;
-}
-
-/// Identity of all shared parts in their order; zero without any.
-std::uint64_t prefixIdentity(const PromptShape& prompt) {
-  std::uint64_t identity = 0;
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) identity = mix(identity ^ mix(prompt.parts[i].id + i + 1));
-  return identity;
-}
 
 }  // namespace
 
@@ -55,218 +26,11 @@
   return load;
 }
 
-void EngineSelector::takeEngines(Instant now, const EngineChanges& changes) {
-  if (changes.is_whole) {
-    std::set<EngineId> present;
-    for (const EngineRecord& engine : changes.present) present.insert(engine.id);
-    std::vector<EngineId> gone;
-    for (const auto& [id, state] : engines_) {
-      if (!present.contains(id)) gone.push_back(id);
-    }
-    for (const EngineId& engine : gone) dropEngine(engine);
-  }
-  for (const EngineId& engine : changes.removed) dropEngine(engine);
-  for (const EngineRecord& engine : changes.present) takeEngine(now, engine);
-}
-
-void EngineSelector::takeEngine(Instant now, const EngineRecord& record) {
-  const auto [entry, is_new] = engines_.try_emplace(record.id);
-  EngineState& state = entry->second;
-  if (!is_new) {
-    removeFromPool(state);
-    // A new life has none of the requests, loads, prefixes and verdicts of the one before.
-    if (compareLives(record.born, state.record.born) != LifeOrder::kSame) state = EngineState{};
-  }
-  if (record.cold_ms != state.record.cold_ms) state.cold_until = now + fromMillis(record.cold_ms);
-  state.record = record;
-  state.id_hash = mix(hashText(record.id.value));
-  state.evacuated = evacuated_.contains(record.zone);
-  addToPool(state);
-}
-
-void EngineSelector::dropEngine(const EngineId& engine) {
-  const auto found = engines_.find(engine);
-  if (found == engines_.end()) return;
-  removeFromPool(found->second);
-  engines_.erase(found);
-}
-
-void EngineSelector::addToPool(EngineState& state) {
-  if (!state.isOpen()) return;
-  pools_.try_emplace(state.record.service, limits_.long_lane_share).first->second.add(state);
-}
-
-void EngineSelector::removeFromPool(EngineState& state) {
-  if (state.isOpen()) pools_.at(state.record.service).remove(state);
-}
-
-EnginePool* EngineSelector::poolOf(const ServiceId& service) {
-  const auto found = pools_.find(service);
-  return found == pools_.end() ? nullptr : &found->second;
-}
-
-const EnginePool* EngineSelector::poolOf(const ServiceId& service) const {
-  const auto found = pools_.find(service);
-  return found == pools_.end() ? nullptr : &found->second;
-}
-
-void EngineSelector::setEvacuated(Instant now, const std::set<ZoneId>& zones) {
-  if (zones == evacuated_) return;
-  evacuated_ = zones;
-  for (auto& [id, state] : engines_) {
-    const bool is_evacuated = evacuated_.contains(state.record.zone);
-    if (is_evacuated == state.evacuated) continue;
-    removeFromPool(state);
-    state.evacuated = is_evacuated;
-    addToPool(state);
-    const auto service = services_.find(state.record.service);
-    if (is_evacuated || service == services_.end()) continue;
-    state.cold_until = std::max(state.cold_until, now + service->second.cold_time);
-  }
-}
-
-void EngineSelector::setServices(const std::map<ServiceId, RoutedService>& services) {
-  services_ = services;
-}
-
-double EngineSelector::coldRate(const EngineState& state) const {
-  const auto service = services_.find(state.record.service);
-  return service == services_.end() ? 0 : limits_.cold_share_used * service->second.cold_requests_per_second;
-}
-
-bool EngineSelector::isAllowed(const EngineState& state, const EngineQuery& query) {
-  if (query.zones && !query.zones->contains(state.record.zone)) return false;
-  return !query.excluded.contains(state.record.id);
-}
-
-bool EngineSelector::bearsAnother(Instant now, const EngineState& state, const EngineQuery& query) const {
-  if (!isCold(now, state)) return true;
-  const bool is_owner = !query.background && state.record.zone == limits_.cold_zone;
-  return is_owner && now >= state.next_when_cold;
-}
-
-std::vector<EngineState*> EngineSelector::candidates(Instant now, const EngineQuery& query, const EnginePool& pool) {
-  std::vector<EngineState*> usable;
-  std::vector<EngineState*> ejected;
-  bool any_in_rotation = false;
-  const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
-  const std::size_t looked_at = isSticky(query) ? pool.size() : limits_.looked_at_most;
-  for (EngineState* const state : drawNeighbours(pool.all(), looked_at, random_)) {
-    if (!isAllowed(*state, query) || !bearsAnother(now, *state, query)) continue;
-    any_in_rotation = any_in_rotation || now >= state->ejected_until;
-    if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
-    (now < state->ejected_until ? ejected : usable).push_back(state);
-  }
-  // Batch work waits for room at an engine in rotation.
-  if (query.background && any_in_rotation) return usable;
-  const std::size_t all = usable.size() + ejected.size();
-  const auto least = static_cast<std::size_t>(std::ceil(static_cast<double>(all) * (1 - limits_.most_ejected_share)));
-  std::sort(ejected.begin(), ejected.end(), [](const EngineState* left, const EngineState* right) {
-    return left->ejected_until < right->ejected_until;
-  });
-  for (std::size_t i = 0; usable.size() < least && i < ejected.size(); ++i) usable.push_back(ejected[i]);
-  return usable;
-}
-
-std::size_t EngineSelector::sampleSize(Instant now, const EngineQuery& query, const EnginePool& pool,
-                                       std::size_t usable) const {
-  if (!knowsOthers(now)) return usable;
-  const Duration blind_for = std::max(limits_.blind_for, told_every_);
-  const double blind_choices = pool.others_in_flight / slotHoldMs(query.service) * toSeconds(blind_for) * 1000;
-  if (blind_choices <= limits_.blind_choices_each) return usable;
-  const double share = limits_.blind_choices_each / blind_choices;
-  return static_cast<std::size_t>(std::ceil(share * static_cast<double>(usable)));
-}
-
-void EngineSelector::sampleEngines(Instant now, const EngineQuery& query, const EnginePool& pool,
-                                   std::vector<EngineState*>& usable) {
-  const std::size_t sample_size = sampleSize(now, query, pool, usable.size());
-  if (sample_size >= usable.size()) return;
-  const auto first_overdue = std::partition(
-      usable.begin(), usable.end(), [this, now](const EngineState* state) { return silenceCost(now, *state) == 0; });
-  if (first_overdue != usable.begin()) usable.erase(first_overdue, usable.end());
-  if (sample_size >= usable.size()) return;
-  std::shuffle(usable.begin(), usable.end(), random_);
-  usable.resize(sample_size);
-}
-
-std::optional<EngineChoice> EngineSelector::choose(Instant now, const EngineQuery& query) {
-  noteLongPrompt(now, query);
-  const EnginePool* const pool = poolOf(query.service);
-  if (pool == nullptr) return std::nullopt;
-  const bool sticky = isSticky(query);
-  if (!sticky && pool->size() > limits_.drawn_from) {
-    if (std::optional<EngineChoice> drawn = chooseAmongDrawn(now, query, *pool)) return drawn;
-  }
-  std::vector<EngineState*> usable = candidates(now, query, *pool);
-  if (usable.empty()) return std::nullopt;
-  const std::uint64_t prefix = prefixIdentity(query.prompt);
-  if (!sticky && !query.background && !limits_.places_zone) sampleEngines(now, query, *pool, usable);
-  const std::vector<EngineId> homes = sticky ? homesOf(prefix, usable) : std::vector<EngineId>();
-  EngineState* best = nullptr;
-  double best_cost = 0;
-  double best_kept = 0;
-  std::uniform_real_distribution<double> jitter(0.0, kMostJitterMs);
-  for (EngineState* state : usable) {
-    const double kept = sticky ? keptShare(now, *state, prefix, homes) : 0;
-    const double total = cost(now, *state, query, kept) + jitter(random_);
-    if (best != nullptr && total >= best_cost) continue;
-    best = state;
-    best_cost = total;
-    best_kept = kept;
-  }
-  return describe(now, *best, query, best_cost, best_kept, usable.size());
-}
-
-std::optional<EngineChoice> EngineSelector::chooseAmongDrawn(Instant now, const EngineQuery& query,
-                                                             const EnginePool& pool) {
-  std::size_t most = limits_.drawn_first;
-  const bool is_blind = !query.background && !limits_.places_zone;
-  if (is_blind) most = std::min(most, sampleSize(now, query, pool, pool.size()));
-  std::optional<EngineChoice> near = cheapestDrawn(now, query, drawNeighbours(pool.ofZone(query.zone), most, random_));
-  return near ? near : cheapestDrawn(now, query, drawNeighbours(pool.all(), most, random_));
-}
-
-std::optional<EngineChoice> EngineSelector::cheapestDrawn(Instant now, const EngineQuery& query,
-                                                          const std::vector<EngineState*>& drawn) {
-  const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
-  const double reading_ms = static_cast<double>(query.prompt.prompt_tokens) / limits_.prompt_tokens_per_ms;
-  double best_cost = reading_ms + limits_.good_enough_ms;
-  const EngineState* best = nullptr;
-  std::uniform_real_distribution<double> jitter(0.0, kMostJitterMs);
-  for (const EngineState* const state : drawn) {
-    if (now < state->ejected_until || !isAllowed(*state, query)) continue;
-    if (!bearsAnother(now, *state, query)) continue;
-    if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
-    const double total = cost(now, *state, query, 0) + jitter(random_);
-    if (total >= best_cost) continue;
-    best = state;
-    best_cost = total;
-  }
-  if (best == nullptr) return std::nullopt;
-  return describe(now, *best, query, best_cost, 0, drawn.size());
-}
-
-bool EngineSelector::isSticky(const EngineQuery& query) const {
-  return query.prefix_affinity && query.prompt.sharedTokens() >= limits_.affinity_tokens;
-}
-
 bool EngineSelector::isServing(const EngineId& engine) const {
   const auto found = engines_.find(engine);
   return found != engines_.end() && !found->second.record.leaving;
 }
 
-std::optional<EngineChoice> EngineSelector::describeChosen(Instant now, const EngineId& engine,
-                                                           const EngineQuery& query, double expected_first_ms,
-                                                           double running) const {
-  const auto found = engines_.find(engine);
-  if (found == engines_.end() || !found->second.isOpen() || !isAllowed(found->second, query)) return std::nullopt;
-  EngineChoice choice = describe(now, found->second, query, expected_first_ms, 0, 1);
-  choice.expected_first_ms = expected_first_ms;
-  choice.estimated_running = running;
-  return choice;
-}
-
 std::vector<EngineId> EngineSelector::ejectedEngines(Instant now, const ServiceId& service) const {
   std::vector<EngineId> ejected;
   for (const EngineId& id : engaged_) {
@@ -277,45 +41,6 @@
   return ejected;
 }
 
-std::vector<EngineId> EngineSelector::homesOf(std::uint64_t prefix, const std::vector<EngineState*>& usable) const {
-  std::vector<std::tuple<bool, std::uint64_t, EngineId>> ranked;
-  for (const EngineState* state : usable) {
-    ranked.emplace_back(state->in_long_lane, mix(prefix ^ hashText(state->record.id.value)), state->record.id);
-  }
-  const auto wanted = static_cast<std::ptrdiff_t>(std::min(ranked.size(), limits_.home_engines));
-  std::partial_sort(ranked.begin(), ranked.begin() + wanted, ranked.end(), std::greater<>());
-  std::vector<EngineId> homes;
-  for (std::ptrdiff_t i = 0; i < wanted; ++i) homes.push_back(std::get<EngineId>(ranked[static_cast<std::size_t>(i)]));
-  return homes;
-}
-
-double EngineSelector::keptShare(Instant now, const EngineState& state, std::uint64_t prefix,
-                                 const std::vector<EngineId>& homes) const {
-  const auto sent = state.prefixes.find(prefix);
-  const bool sent_lately = sent != state.prefixes.end() && now - sent->second < kPrefixKept;
-  if (sent_lately || (!homes.empty() && homes.front() == state.record.id)) return 1;
-  const bool at_home = std::find(homes.begin(), homes.end(), state.record.id) != homes.end();
-  return at_home ? limits_.kept_at_other_homes : 0;
-}
-
-EngineChoice EngineSelector::describe(Instant now, const EngineState& state, const EngineQuery& query, double cost_ms,
-                                      double kept, std::size_t among) const {
-  EngineChoice choice;
-  choice.engine = state.record;
-  choice.cost_ms = cost_ms;
-  choice.expected_first_ms = readingMs(now, state, query, kept);
-  // A guessed time would turn callers back just when processes have started anew.
-  if (hold_ms_.contains(state.record.service)) choice.expected_first_ms += slotWaitMs(now, state);
-  choice.in_flight = state.in_flight;
-  choice.estimated_running = estimatedRunning(now, state);
-  choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
-  choice.expects_cached_prefix = kept > 0;
-  choice.in_long_lane = state.in_long_lane;
-  choice.candidates = among;
-  choice.must_give_way = mustGiveWay(now, state);
-  return choice;
-}
-
 EngineState* EngineSelector::engineOf(const Ticket& ticket) {
   const auto found = engines_.find(ticket.engine);
   if (found == engines_.end()) return nullptr;
@@ -387,14 +112,14 @@
 void EngineSelector::noteOthers(Instant now, const std::vector<EngineShare>& others) {
   noteTelling(now);
   ++others_telling_;
-  for (auto& [service, pool] : pools_) pool.others_in_flight = 0;
+  for (auto& [service, pool] : pools_) pool.forgetOthers();
   for (const EngineShare& share : others) {
     const auto found = engines_.find(share.engine);
     if (found == engines_.end()) continue;
     EngineState& state = found->second;
     state.known_others = KnownLoad{share.in_flight, share.unread_tokens, share.avoid_ms};
     state.known_telling = others_telling_;
-    if (EnginePool* const pool = poolOf(state.record.service)) pool->others_in_flight += share.in_flight;
+    if (EnginePool* const pool = poolOf(state.record.service)) pool->addOthers(share.in_flight);
     if (share.unread_tokens >= limits_.long_prompt_tokens) long_prompt_heard_at_[state.record.service] = now;
   }
   noteSurges(now);
--- a/src/request/exchange/engine_selector_background.cpp
+++ b/src/request/exchange/engine_selector_background.cpp
@@ -8,7 +8,7 @@
 void EngineSelector::noteSurges(Instant now) {
   if (now < next_surge_note_) return;
   next_surge_note_ = now + limits_.surge_note_interval;
-  for (const auto& [service, pool] : pools_) surges_[service].note(now, pool.others_in_flight);
+  for (const auto& [service, pool] : pools_) surges_[service].note(now, pool.othersInFlight());
 }
 
 double EngineSelector::keptFreeEach(Instant now, const ServiceId& service) const {
