--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -130,6 +130,7 @@
               {"address", engine.address},
               {"leaving", engine.leaving},
               {"born", engine.born},
+              {"cold_ms", engine.cold_ms},
               {"sequence", valueOf(beat).sequence},
               {"outcome", resultName(outcome.result)}});
     if (outcome.result != ProposalResult::kApplied) co_return notCertain("no quorum has confirmed the beat yet");
--- a/tests/process/fleet/feed_test.cpp
+++ b/tests/process/fleet/feed_test.cpp
@@ -21,7 +21,8 @@
 /// A control process's feed on loopback, and one subscriber.
 class FeedStage {
  public:
-  FeedStage()
+  /// `is_restored`: the control process has just read its snapshot and remembers no changes.
+  explicit FeedStage(bool is_restored = false)
       : dialect_(platform::makePlatformDialect()),
         feed_(state_, stores_),
         server_(
@@ -33,6 +34,7 @@
             },
             [this](const connection::FrameServer::ConnectionPtr& closed) { feed_.unsubscribe(closed); }) {
     for (int i = 0; i < kEngines; ++i) apply(RegisterEngine{engine(i)});
+    if (is_restored) REQUIRE(isOk(state_.restore(state_.snapshot())));
     feed_.setControls({ReplicaId("127.0.0.1")});
     REQUIRE(isOk(server_.start()));
     client_ = std::make_unique<FeedClient>(
@@ -60,19 +62,39 @@
     return connection_->bytesSent() - before;
   }
   const FleetView& view() const { return client_->view(); }
+  /// Another subscriber joins, and knows as many engines as the first one.
+  void joinLate() {
+    late_client_ = std::make_unique<FeedClient>(
+        context_, FeedClientOptions{"g2", kPort, {ReplicaId("127.0.0.1")}}, *dialect_,
+        [this](const FleetView&, const FleetChange& change) {
+          late_got_whole_list = late_got_whole_list || change.engines.is_whole;
+          applyTo(late_engines, change.engines);
+        },
+        nullptr);
+    late_client_->start();
+    runUntil([this] {
+      prove();
+      return late_engines.size() == engines.size();
+    });
+  }
 
   int changes = 0;
   /// What the subscriber's engines are by all that it was told, and how many records that took.
   std::map<EngineId, EngineRecord> engines;
   std::size_t engines_told = 0;
+  std::map<EngineId, EngineRecord> late_engines;
+  bool late_got_whole_list = false;
 
  private:
+  static void applyTo(std::map<EngineId, EngineRecord>& engines, const EngineChanges& changes) {
+    if (changes.is_whole) engines.clear();
+    for (const EngineId& engine : changes.removed) engines.erase(engine);
+    for (const EngineRecord& engine : changes.present) engines[engine.id] = engine;
+  }
   void take(const FleetChange& change) {
     changes += change.isEmpty() ? 0 : 1;
     engines_told += change.engines.present.size();
-    if (change.engines.is_whole) engines.clear();
-    for (const EngineId& engine : change.engines.removed) engines.erase(engine);
-    for (const EngineRecord& engine : change.engines.present) engines[engine.id] = engine;
+    applyTo(engines, change.engines);
   }
 
   connection::asio::io_context context_;
@@ -82,6 +104,7 @@
   FeedServer feed_;
   connection::FrameServer server_;
   std::unique_ptr<FeedClient> client_;
+  std::unique_ptr<FeedClient> late_client_;
   connection::FrameServer::ConnectionPtr connection_;
 };
 
