Settings: decisions under load can be switched off one by one

Cause: each new decision has to be measured by itself, and an operator has to be able to take one out of service. Ruled out: a switch for each in the top level of the file, which hides that they belong together. Change: a checked table `load` of true and false; unknown names are refused with their full name.

--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -35,6 +35,23 @@
   if (values.store_port == 0) reader.reject("store_port", "is missing", "add the line store_port = PORT");
 }
 
+request::LoadFeatures readLoadFeatures(settings::SettingsReader& reader) {
+  request::LoadFeatures features;
+  const std::map<std::string, bool> values = reader.booleanTable("load", {{"return_appointments", true},
+                                                                          {"ordered_waiting", true},
+                                                                          {"engine_pace", true},
+                                                                          {"zone_line", true},
+                                                                          {"fair_shares", true},
+                                                                          {"batch_by_slack", true}});
+  features.return_appointments = values.at("return_appointments");
+  features.ordered_waiting = values.at("ordered_waiting");
+  features.engine_pace = values.at("engine_pace");
+  features.zone_line = values.at("zone_line");
+  features.fair_shares = values.at("fair_shares");
+  features.batch_by_slack = values.at("batch_by_slack");
+  return features;
+}
+
 }  // namespace
 
 bool isFleetSettings(const std::string& file) {
@@ -66,6 +83,7 @@
   values.engine_beat = reader.milliseconds("engine_beat_ms", 100, 60000, fromMillis(1200));
   values.rate_limits.window = reader.seconds("rate_limit_window_s", 1, 600, values.rate_limits.window);
   values.rate_limits.slack = static_cast<double>(reader.integer("rate_limit_slack", 0, kMostRateLimitSlack, 0));
+  values.load = readLoadFeatures(reader);
   values.memory_mb = static_cast<std::uint32_t>(reader.integer("memory_mb", 16, kLargestMemory, 256));
   values.grace = reader.seconds("grace_s", 0.5, 600, std::chrono::seconds(8));
   values.metrics = readMetrics(reader);
--- a/src/process/fleet/fleet_settings.hpp
+++ b/src/process/fleet/fleet_settings.hpp
@@ -10,6 +10,7 @@
 #include "common/result.hpp"
 #include "common/time.hpp"
 #include "connection/http_types.hpp"
+#include "request/admission/load_features.hpp"
 #include "request/limits/rate_credit.hpp"
 
 namespace hatchfork::fleet {
@@ -55,6 +56,8 @@
   Duration engine_beat{};
   /// How exactly the rate limits of tenants are held. Equal on all machines.
   request::RateLimitOptions rate_limits;
+  /// Decisions under load that this process makes.
+  request::LoadFeatures load;
   /// Memory that the process may use, in megabytes.
   std::uint32_t memory_mb = 256;
   /// Time a planned stop may take.
--- a/src/process/settings/settings_reader.cpp
+++ b/src/process/settings/settings_reader.cpp
@@ -149,6 +149,31 @@
   return texts;
 }
 
+std::map<std::string, bool> SettingsReader::booleanTable(std::string_view key, std::map<std::string, bool> fallback) {
+  known_.emplace_back(key);
+  const toml::node* node = parsed_->table.get(key);
+  if (node == nullptr) return fallback;
+  const toml::table* table = node->as_table();
+  if (table == nullptr) {
+    fail(key, "is no table", fmt::format("add a table [{}] of name = true or false", key));
+    return fallback;
+  }
+  for (const auto& [name, entry] : *table) {
+    const auto known = fallback.find(std::string(name.str()));
+    const std::string full_name = fmt::format("{}.{}", key, name.str());
+    if (known == fallback.end()) {
+      fail(full_name, "is unknown", "remove it or mend its spelling");
+      continue;
+    }
+    if (!entry.is_boolean()) {
+      fail(full_name, "is neither true nor false", "write true or false without quotes");
+      continue;
+    }
+    known->second = entry.as_boolean()->get();
+  }
+  return fallback;
+}
+
 bool SettingsReader::has(std::string_view key) const {
   return parsed_->table.contains(key);
 }
--- a/src/process/settings/settings_reader.hpp
+++ b/src/process/settings/settings_reader.hpp
@@ -34,6 +34,8 @@
   std::vector<connection::Endpoint> endpointList(std::string_view key);
   /// A table of texts; empty where the key is missing.
   std::map<std::string, std::string> textTable(std::string_view key);
+  /// A table of true and false whose names are those of `fallback`; names that the file leaves out keep its value.
+  std::map<std::string, bool> booleanTable(std::string_view key, std::map<std::string, bool> fallback);
   /// True if the file has the key; does not count as asking for it.
   bool has(std::string_view key) const;
   /// Notes an error of a key, as the getters do.
