Fair shares: the order key stays as it is while a request waits

Change: enter, serve and leave for a line whose order is fixed at entry (the zone's line keeps a map). What a tenant usually sends is covered by a bucket and goes first, all alike; its surplus goes by start-time fair queueing. Usual work is learned from what was served.

--- a/src/request/admission/fair_share.cpp
+++ b/src/request/admission/fair_share.cpp
@@ -11,6 +11,12 @@
 /// Weight of a request's work in the typical work.
 constexpr double kTypicalWorkRate = 0.02;
 constexpr double kLeastWeight = 1e-6;
+/// Start of requests that their tenant's bucket covers; virtual time begins after it.
+constexpr double kStartOfUsual = 0;
+
+double secondOf(Instant now) {
+  return toSeconds(now.time_since_epoch());
+}
 
 }  // namespace
 
@@ -73,20 +79,21 @@
   return std::max(kLeastWeight, configured_weight * base);
 }
 
-double FairShare::allowanceOf(const Tenant& tenant, double weight) const {
-  return std::max(toSeconds(limits_.allowance), limits_.allowed_requests * tenant.last_work / weight);
-}
-
-double FairShare::boundedTime(const Tenant& tenant, double allowance) const {
-  return std::min(tenant.virtual_time, virtual_time_ + allowance + toSeconds(limits_.most_ahead));
+bool FairShare::covers(Instant now, const Tenant& tenant, double weight, double all_work, double work) const {
+  const double second = secondOf(now);
+  const double paid = std::max(tenant.paid_until, second) + all_work / weight / limits_.usual_margin;
+  const double allowance = std::max(toSeconds(limits_.allowance), limits_.allowed_requests * work / weight);
+  return paid - second <= allowance;
 }
 
-double FairShare::ahead(Instant now, const TenantId& id, double configured_weight) const {
+double FairShare::startAfter(Instant now, const TenantId& id, double more_work, double work,
+                             double configured_weight) const {
+  static const Tenant kUnknown;
   const auto found = tenants_.find(id.value);
-  if (found == tenants_.end()) return 0;
-  const double weight = weightOf(usualAt(found->second, windowOf(now)), configured_weight);
-  const double allowance = allowanceOf(found->second, weight);
-  return std::max(0.0, boundedTime(found->second, allowance) - virtual_time_ - allowance);
+  const Tenant& tenant = found == tenants_.end() ? kUnknown : found->second;
+  const double weight = weightOf(usualAt(tenant, windowOf(now)), configured_weight);
+  if (covers(now, tenant, weight, more_work + work, work)) return kStartOfUsual;
+  return std::max(tenant.virtual_time, virtual_time_) + more_work / weight;
 }
 
 FairShare::Tenant& FairShare::touch(Instant now, const TenantId& id) {
@@ -104,29 +111,47 @@
   return tenant;
 }
 
-void FairShare::begin(Instant now, const TenantId& id, double work, double configured_weight) {
+Turn FairShare::enter(Instant now, const TenantId& id, double work, double configured_weight) {
   Tenant& tenant = touch(now, id);
   typical_work_ += (typical_work_ == 0 ? 1 : kTypicalWorkRate) * (work - typical_work_);
-  if (tenant.in_window == 0) in_window_.push_back(id.value);
   tenant.configured_weight = std::max(configured_weight, kLeastWeight);
-  tenant.in_window += std::max(work, kLeastWeight) / tenant.configured_weight;
-  tenant.last_work = work;
   tenant.weight = weightOf(tenant.usual, configured_weight);
-  const double allowance = allowanceOf(tenant, tenant.weight);
-  const double start = std::max(boundedTime(tenant, allowance), virtual_time_);
-  virtual_time_ = std::max(virtual_time_, start - allowance);
-  tenant.virtual_time = start + work / tenant.weight;
+  Turn turn;
+  turn.work = work;
+  if (covers(now, tenant, tenant.weight, work, work)) {
+    turn.charged = work / tenant.weight / limits_.usual_margin;
+    tenant.paid_until = std::max(tenant.paid_until, secondOf(now)) + turn.charged;
+  } else {
+    turn.charged = work / tenant.weight;
+    turn.start = std::max(tenant.virtual_time, virtual_time_);
+    tenant.virtual_time = turn.start + turn.charged;
+  }
   forget(now);
+  return turn;
+}
+
+void FairShare::serve(Instant now, const TenantId& id, const Turn& turn) {
+  virtual_time_ = std::max(virtual_time_, turn.start);
+  Tenant& tenant = touch(now, id);
+  if (tenant.in_window == 0) in_window_.push_back(id.value);
+  tenant.in_window += std::max(turn.work, kLeastWeight) / tenant.configured_weight;
+}
+
+void FairShare::leave(const TenantId& id, const Turn& turn) {
+  const auto found = tenants_.find(id.value);
+  if (found == tenants_.end()) return;
+  double& time = turn.start == kStartOfUsual ? found->second.paid_until : found->second.virtual_time;
+  time -= turn.charged;
 }
 
 void FairShare::correct(const TenantId& id, double more_work) {
   const auto found = tenants_.find(id.value);
   if (found == tenants_.end()) return;
   Tenant& tenant = found->second;
-  tenant.virtual_time += more_work / tenant.weight;
-  // What is in the window stays above zero, so that it is listed once.
-  if (tenant.in_window > 0)
-    tenant.in_window = std::max(kLeastWeight, tenant.in_window + more_work / tenant.configured_weight);
+  tenant.paid_until += more_work / tenant.weight / limits_.usual_margin;
+  // What is in the window stays above zero, so that the tenant is listed once.
+  if (tenant.in_window == 0) return;
+  tenant.in_window = std::max(kLeastWeight, tenant.in_window + more_work / tenant.configured_weight);
 }
 
 double FairShare::usual(Instant now, const TenantId& id) const {
--- a/src/request/admission/fair_share.hpp
+++ b/src/request/admission/fair_share.hpp
@@ -31,35 +31,54 @@
   /// What one window shows counts for no more than so many times the usual: a surge doesn't become the usual while it
   /// lasts.
   double most_surprise = 2;
-  /// A tenant may run ahead of its share by this much of its usual work, and by so many requests, before it goes behind
-  /// others: requests of one tenant come in clumps.
+  /// A tenant is at its usual up to so many times its usual work, with so much of it, or so many requests, at once:
+  /// requests of one tenant come in clumps.
+  double usual_margin = 1.25;
   Duration allowance = std::chrono::seconds(1);
   double allowed_requests = 4;
-  /// No tenant is further ahead of its allowance than this much of its usual work.
-  Duration most_ahead = std::chrono::seconds(4);
   /// A tenant that sent nothing for this long is forgotten, and so are the longest silent ones above this many.
   Duration forgotten_after = std::chrono::minutes(3);
   std::size_t most_tenants = 65536;
 };
 
+/// Where a request stands between those of all tenants.
+struct Turn {
+  /// Who has less goes first; zero for what its tenant usually sends. Stays as it is while the request waits;
+  /// comparable between all requests of one `FairShare`.
+  double start = 0;
+  /// What it added to its tenant's time, and the work that it asked for.
+  double charged = 0;
+  double work = 0;
+};
+
 /// Whose turn it is when room is short. Answers the load of one tenant that sends many times its usual, maybe while
-/// engines are lost: those who stay at their usual go before it.
+/// engines are lost: those who stay at their usual go before its surplus.
+///
+/// Each tenant has a bucket that fills at its weight: requests that it covers go first, all alike. The others go by
+/// start-time fair queueing: their tenant's virtual time grows by the work they ask for over its weight, and who is
+/// behind goes first, so that what is left is shared by weight. The weight is the tenant's configured weight times its
+/// usual work, and at least times the mean usual work of all tenants; usual work counts over the configured weight, so
+/// that tenants that always wait come to be served by their configured weights. A tenant that was idle has a full
+/// bucket and starts at the common virtual time: no other credit for the past. Says only who goes first, never that a
+/// free place stays empty. What is known is soft: it starts with nothing, and then all tenants are equal. No I/O, no
+/// clock. Belongs to one thread.
 ///
-/// Weighted max-min by start-time fair queueing: each tenant has a virtual time that grows by the work it is given over
-/// its weight; who is behind goes first. The weight is the tenant's configured weight times its usual work, and at
-/// least times the mean usual work of all tenants. A tenant that was idle starts at the common virtual time, so it has
-/// no credit for the past. Says only who goes first, never that a free place stays empty. What is known is soft: it
-/// starts with nothing, and then all tenants are equal. No I/O, no clock. Belongs to one thread.
+/// Use: `enter` each request, also one that finds a place at once; order those who wait by `Turn::start`; `serve` the
+/// one that gets a place; `leave` for one that goes without.
 class FairShare {
  public:
   explicit FairShare(FairShareLimits limits = {});
 
-  /// How far the tenant is ahead of its share: zero within it, and the greater the later its turn. Comparable between
-  /// tenants at one moment. Among equals the order is the caller's.
-  double ahead(Instant now, const TenantId& tenant, double configured_weight = 1) const;
-  /// A request of the tenant is given a place. `work` in milliseconds, of `workOf`.
-  void begin(Instant now, const TenantId& tenant, double work, double configured_weight = 1);
-  /// The request took so much more, or less if negative, than was expected at its begin.
+  /// A request of the tenant asks for a place. `work` in milliseconds, of `workOf`.
+  Turn enter(Instant now, const TenantId& tenant, double work, double configured_weight = 1);
+  /// It has got a place.
+  void serve(Instant now, const TenantId& tenant, const Turn& turn);
+  /// It has left without a place: its tenant has not used what it asked for.
+  void leave(const TenantId& tenant, const Turn& turn);
+  /// The start that a request of this work would have now, after so much more of its tenant.
+  double startAfter(Instant now, const TenantId& tenant, double more_work, double work,
+                    double configured_weight = 1) const;
+  /// A served request took so much more, or less if negative, than was expected.
   void correct(const TenantId& tenant, double more_work);
 
   double workOf(const ExpectedWork& expected) const;
@@ -69,10 +88,12 @@
 
  private:
   struct Tenant {
+    /// Of its surplus.
     double virtual_time = 0;
-    /// Weight of the last request, and its work.
+    /// Until when its bucket is used up, in seconds of the time line.
+    double paid_until = 0;
+    /// Of the last request.
     double weight = 1;
-    double last_work = 0;
     double configured_weight = 1;
     /// Work a second over the configured weight, up to the begin of `window`.
     double usual = 0;
@@ -91,9 +112,8 @@
   void closeWindows(Instant now);
   void learnUsual(Tenant& tenant, double mean) const;
   double weightOf(double usual, double configured_weight) const;
-  double allowanceOf(const Tenant& tenant, double weight) const;
-  /// The tenant's virtual time, which no change of its weight leaves far ahead of all others.
-  double boundedTime(const Tenant& tenant, double allowance) const;
+  /// Whether the bucket covers so much work, the last piece of it a request of `work`.
+  bool covers(Instant now, const Tenant& tenant, double weight, double all_work, double work) const;
   Tenant& touch(Instant now, const TenantId& id);
   void forget(Instant now);
 
@@ -106,7 +126,7 @@
   std::int64_t window_ = 0;
   /// Share of a window's work in the usual.
   double learning_rate_ = 0;
-  double virtual_time_ = 0;
+  double virtual_time_ = 1;
   double usual_sum_ = 0;
   /// Mean work of a request.
   double typical_work_ = 0;
--- a/tests/request/admission/fair_share_test.cpp
+++ b/tests/request/admission/fair_share_test.cpp
@@ -22,6 +22,11 @@
   return Instant{} + std::chrono::hours(1) + Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
 
+/// A request that finds a place at once.
+void take(FairShare& share, Instant now, const TenantId& tenant, double work) {
+  share.serve(now, tenant, share.enter(now, tenant, work));
+}
+
 /// What became of a tenant's requests.
 struct Outcome {
   int asked = 0;
@@ -41,13 +46,18 @@
   void setWeight(const std::string& tenant, double weight) { weights_[tenant] = weight; }
   /// `counts`: the outcome is of interest.
   void arrive(Instant now, const std::string& tenant, Duration place_time, bool counts) {
-    line_.push_back({tenant, now, place_time, counts});
+    const double work = share_.workOf({0, 0, place_time});
+    line_.push_back({tenant, now, place_time, counts, share_.enter(now, TenantId(tenant), work, weightOf(tenant))});
     if (counts) ++outcomes_[tenant].asked;
   }
 
   void step(Instant now) {
     std::erase_if(ends_, [now](Instant end) { return end <= now; });
-    std::erase_if(line_, [&](const Waiting& waiting) { return now - waiting.arrived > objective_; });
+    std::erase_if(line_, [&](const Waiting& waiting) {
+      if (now - waiting.arrived <= objective_) return false;
+      share_.leave(TenantId(waiting.tenant), waiting.turn);
+      return true;
+    });
     while (ends_.size() < places_ && !line_.empty()) begin(now);
     idle_while_waiting_ = idle_while_waiting_ || (ends_.size() < places_ && !line_.empty());
   }
@@ -62,6 +72,7 @@
     Instant arrived;
     Duration place_time;
     bool counts;
+    Turn turn;
   };
 
   double weightOf(const std::string& tenant) const {
@@ -70,23 +81,17 @@
   }
 
   void begin(Instant now) {
-    std::map<std::string, double> ahead;
     std::size_t next = 0;
-    if (by_share_) {
-      for (std::size_t i = 0; i < line_.size(); ++i) {
-        const std::string& tenant = line_[i].tenant;
-        if (!ahead.contains(tenant)) ahead[tenant] = share_.ahead(now, TenantId(tenant), weightOf(tenant));
-        if (ahead[tenant] < ahead[line_[next].tenant]) next = i;
-      }
+    for (std::size_t i = 1; by_share_ && i < line_.size(); ++i) {
+      if (line_[i].turn.start < line_[next].turn.start) next = i;
     }
     const Waiting chosen = line_[next];
     line_.erase(line_.begin() + static_cast<std::ptrdiff_t>(next));
-    const double work = share_.workOf({0, 0, chosen.place_time});
-    share_.begin(now, TenantId(chosen.tenant), work, weightOf(chosen.tenant));
+    share_.serve(now, TenantId(chosen.tenant), chosen.turn);
     ends_.push_back(now + chosen.place_time);
     if (!chosen.counts) return;
     ++outcomes_[chosen.tenant].in_time;
-    outcomes_[chosen.tenant].work_done_ms += work;
+    outcomes_[chosen.tenant].work_done_ms += toSeconds(chosen.place_time) * 1000;
   }
 
   std::size_t places_;
@@ -224,14 +229,15 @@
 TEST_CASE("who was idle gets no credit for it", "[admission][share]") {
   FairShare share;
   for (int i = 0; i < 100; ++i) {
-    share.begin(at(i * 0.1), TenantId("a"), 100);
-    share.begin(at(i * 0.1), TenantId("b"), 100);
+    take(share, at(i * 0.1), TenantId("a"), 100);
+    take(share, at(i * 0.1), TenantId("b"), 100);
   }
   // "b" is silent for 20 s, then both send as much as they can: "b" goes first by no more than its allowance.
-  for (int i = 0; i < 200; ++i) share.begin(at(10 + i * 0.1), TenantId("a"), 100);
+  for (int i = 0; i < 200; ++i) take(share, at(10 + i * 0.1), TenantId("a"), 100);
   int b_in_a_row = 0;
-  while (share.ahead(at(30), TenantId("b")) <= share.ahead(at(30), TenantId("a")) && b_in_a_row < 1000) {
-    share.begin(at(30), TenantId("b"), 100);
+  while (share.startAfter(at(30), TenantId("b"), 0, 100) <= share.startAfter(at(30), TenantId("a"), 0, 100) &&
+         b_in_a_row < 1000) {
+    take(share, at(30), TenantId("b"), 100);
     ++b_in_a_row;
   }
   REQUIRE(b_in_a_row < 30);
@@ -240,8 +246,8 @@
 TEST_CASE("a surge does not become usual while it lasts, and steady growth does", "[admission][share]") {
   FairShare share;
   const auto send = [&](double from, double to, int each_second) {
-    for (double second = from; second < to; second += 1.0 / each_second) share.begin(at(second), TenantId("a"), 100);
-    for (double second = from; second < to; second += 0.1) share.begin(at(second), TenantId("b"), 100);
+    for (double second = from; second < to; second += 1.0 / each_second) take(share, at(second), TenantId("a"), 100);
+    for (double second = from; second < to; second += 0.1) take(share, at(second), TenantId("b"), 100);
   };
   send(0, 60, 10);
   const double before = share.usual(at(60), TenantId("a"));
@@ -256,9 +262,9 @@
   FairShareLimits limits;
   limits.most_tenants = 1000;
   FairShare share(limits);
-  for (int i = 0; i < 5000; ++i) share.begin(at(i * 0.001), TenantId("t" + std::to_string(i)), 10);
+  for (int i = 0; i < 5000; ++i) take(share, at(i * 0.001), TenantId("t" + std::to_string(i)), 10);
   REQUIRE(share.tenants() == 1000);
-  share.begin(at(1000), TenantId("last"), 10);
+  take(share, at(1000), TenantId("last"), 10);
   REQUIRE(share.tenants() == 1);
   REQUIRE(share.usual(at(1000), TenantId("t4999")) == 0);
 }
@@ -282,10 +288,11 @@
     double second = 0;
     for (const auto& [tenant, work] : sends) {
       second += 0.3;
-      left.begin(at(second), left_name(tenant), work);
-      right.begin(at(second), right_name(tenant), work);
+      take(left, at(second), left_name(tenant), work);
+      take(right, at(second), right_name(tenant), work);
       for (int other = 0; other < tenants; ++other) {
-        RC_ASSERT(left.ahead(at(second), left_name(other)) == right.ahead(at(second), right_name(other)));
+        RC_ASSERT(left.startAfter(at(second), left_name(other), 0, 100) ==
+                  right.startAfter(at(second), right_name(other), 0, 100));
       }
     }
   });
@@ -310,14 +317,16 @@
       TenantId next("o0");
       for (int other = 1; other < others; ++other) {
         const TenantId candidate("o" + std::to_string(other));
-        if (share.ahead(at(second), candidate) < share.ahead(at(second), next)) next = candidate;
+        if (share.startAfter(at(second), candidate, 0, work) < share.startAfter(at(second), next, 0, work))
+          next = candidate;
       }
-      if (small_waiting > 0 && share.ahead(at(second), small) <= share.ahead(at(second), next)) {
+      if (small_waiting > 0 &&
+          share.startAfter(at(second), small, 0, work) <= share.startAfter(at(second), next, 0, work)) {
         --small_waiting;
         ++served_small;
         next = small;
       }
-      share.begin(at(second), next, work);
+      take(share, at(second), next, work);
       RC_ASSERT(small_waiting <= 2);
     }
     RC_ASSERT(served_small >= 38);
