Batch begins where its place stays free, and the run with the least done gives way

Cause: batch runs fill every free place in a trough of online load and are cut by the next wave: work done twice, while nothing of batch is late. Change (flag batch_by_slack): the store that orders runs learns the shape of online load in each zone (rise, period if there is one) and begins a run where its place stays free over the time it will take; the less slack the waiting items have at that pace, the less is kept, down to nothing. Who gives way: the least done of those with slack enough, and none that ends in the time the place is needed. Flag fair_shares: where not all can be in time, items of tenants begin by share.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr Duration kYieldInterval = fromMillis(50);
 /// A new leader knows little of what else is in flight, and callers come back in a crowd after a failure of many
 /// processes: it allows itself this share of all slots more a second.
 constexpr double kSlotsStartedPerSecond = 0.2;
@@ -22,8 +21,6 @@
 constexpr Duration kStoresHeardWithin = std::chrono::seconds(1);
 /// Until this long after its start.
 constexpr Duration kSlowStart = std::chrono::seconds(3);
-/// How often the waiting items are put in order.
-constexpr Duration kOrderInterval = fromMillis(100);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
 /// Wall clocks may differ by this much; an item is given up only so much later than its retention.
 constexpr Duration kClockMargin = fromMillis(2500);
@@ -68,6 +65,7 @@
   if (change.routes) {
     routes_ = view.routes;
     selector_.setServices(routes_->services());
+    findBatchServices();
   }
   if (change.directory) {
     std::map<ReplicaId, ZoneId> runners;
@@ -89,6 +87,8 @@
   const Instant now = monotonicNow();
   starts_from_ = now + options_.loads_known_after;
   adopted_ = 0;
+  // What was learned in an earlier leadership is old.
+  trough_ = request::BatchTrough();
   heard_stores_.clear();
   board_.startTerm(now, term);
   learnFromResults();
@@ -139,12 +139,16 @@
   if (job.isFinished()) return;
   std::map<std::string, ItemPtr>& runs = items_[job.submission.id];
   const Instant due = dueTimeOf(monotonicNow(), job);
+  const Route* route = routeOf(job);
+  const ServiceId service = route == nullptr || route->split.empty() ? ServiceId() : route->split.front().service;
   for (const OpaqueItem& item : job.submission.items) {
     if (!job.open_items.contains(item.id) || runs.contains(item.id)) continue;
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
     run->due = due;
+    run->tenant = job.submission.tenant;
+    run->service = service;
     loadSavedProgress(*run);
     runs.emplace(item.id, run);
     queue_.push_back(run);
@@ -185,6 +189,7 @@
   const Instant now = monotonicNow();
   if (now < starts_from_) return;
   orderQueue(now);
+  planTrough(now);
   while (startNext(now)) {
   }
 }
@@ -226,15 +231,6 @@
   }
 }
 
-void JobExecutor::orderQueue(Instant now) {
-  if (now < next_order_) return;
-  next_order_ = now + kOrderInterval;
-  for (const ItemPtr& run : queue_) run->order = dueItemOf(*run);
-  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
-    return request::goesBefore(now, left->order, right->order);
-  });
-}
-
 std::size_t JobExecutor::mostRunsNow(Instant now) const {
   if (now >= starts_from_ + kSlowStart) return std::numeric_limits<std::size_t>::max();
   const double more_each_second = kSlotsStartedPerSecond * selector_.allSlots();
@@ -263,12 +259,15 @@
     }
     if (route == nullptr) continue;
     request::EngineQuery query = queryOf(*run, *job, *route);
+    request::TroughVerdict verdict;
+    // A later one may need its place for less time.
+    if (!fitsTrough(now, *run, query, verdict)) continue;
     const std::optional<EngineChoice> choice = chooseEngine(now, run, *job, query);
     // It was taken out of the queue.
     if (!choice && run->not_before > now) return true;
     if (!choice || !board_.chooseRunner(now, choice->engine.zone)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
-    startRun(now, run, *job, *choice, query);
+    startRun(now, run, *job, *choice, query, verdict);
     return true;
   }
   return false;
@@ -294,68 +293,6 @@
   return query;
 }
 
-std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) {
-  std::map<EngineId, double> excess;
-  for (const request::EngineShare& share : selector_.ownShares(now)) {
-    const double above = selector_.excess(now, share.engine);
-    if (above >= 1) excess[share.engine] = above;
-  }
-  return excess;
-}
-
-std::vector<JobExecutor::ItemPtr> JobExecutor::runsToYield(Instant now) {
-  std::map<EngineId, double> excess = runsTooMany(now);
-  std::vector<ItemPtr> candidates;
-  for (const auto& [number, run] : runs_) {
-    // Only a run that can go on after an event loses nothing but the reading of its prompt.
-    if (!run->last_event || !excess.contains(run->engine)) continue;
-    run->order = dueItemOf(*run);
-    candidates.push_back(run);
-  }
-  std::sort(candidates.begin(), candidates.end(), [now](const ItemPtr& left, const ItemPtr& right) {
-    return request::goesBefore(now, right->order, left->order);
-  });
-  std::vector<ItemPtr> chosen;
-  for (const ItemPtr& run : candidates) {
-    double& above = excess[run->engine];
-    if (above < 1) continue;
-    above -= 1;
-    chosen.push_back(run);
-  }
-  return chosen;
-}
-
-void JobExecutor::yieldSlots(Instant now) {
-  if (now < next_yield_) return;
-  next_yield_ = now + kYieldInterval;
-  for (const ItemPtr& run : runsToYield(now)) {
-    yieldRun(run, "engine above its slots");
-  }
-}
-
-void JobExecutor::yieldRun(const ItemPtr& run, const std::string& cause) {
-  board_.stop(run->number);
-  endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, cause);
-}
-
-void JobExecutor::giveWay(const EngineId& engine) {
-  if (!leading_) return;
-  const Instant now = monotonicNow();
-  ItemPtr chosen;
-  for (const auto& [number, run] : runs_) {
-    if (run->engine != engine) continue;
-    run->order = dueItemOf(*run);
-    // A run without an event would begin anew.
-    const bool loses_less = chosen && run->last_event.has_value() != chosen->last_event.has_value()
-                                ? run->last_event.has_value()
-                                : chosen && request::goesBefore(now, chosen->order, run->order);
-    if (!chosen || loses_less) chosen = run;
-  }
-  if (!chosen) return;
-  yieldRun(chosen, "online request placed");
-  sendLeases(now);
-}
-
 void JobExecutor::giveUpExpired(Instant now) {
   proposeResults();
   const WallMillis wall = connection::wallNow();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -16,6 +16,10 @@
 #include "process/store/job_state.hpp"
 #include "process/store/run_board.hpp"
 #include "request/access/allowed_zones.hpp"
+#include "request/admission/batch_trough.hpp"
+#include "request/admission/fair_share.hpp"
+#include "request/admission/load_features.hpp"
+#include "request/admission/yield_choice.hpp"
 #include "request/batch/due_order.hpp"
 #include "request/batch/run_time_model.hpp"
 #include "request/exchange/engine_selector.hpp"
@@ -29,6 +33,7 @@
   ZoneId zone;
   request::ZoneRegions regions;
   std::uint64_t seed = 1;
+  request::LoadFeatures load;
   /// Most items in flight at once at one store.
   std::size_t most_running = 400;
   /// Gateways find a new leader and tell it their load within this time; it starts no run before.
@@ -75,7 +80,7 @@
   void take(const fleet::RunReport& report);
   /// What a store runs for earlier leaders: open items go on there, anything else is stopped.
   void take(const fleet::RunOffer& offer);
-  /// An online request wants the slot of a run at this engine: the one with the most slack gives way at once.
+  /// An online request wants the slot of a run at this engine: one gives way at once.
   void giveWay(const EngineId& engine);
   /// Drives retries, leases and retention; call several times a second.
   void tick(Instant now);
@@ -85,14 +90,22 @@
   std::uint64_t term() const { return term_; }
   /// What the runs here have in flight, and what all gateways have.
   std::vector<request::EngineShare> ownShares(Instant now) { return selector_.ownShares(now); }
-  void noteOthers(Instant now, const std::vector<request::EngineShare>& others) { selector_.noteOthers(now, others); }
+  void noteOthers(Instant now, const std::vector<request::EngineShare>& others);
   const JobExecutorCounters& counters() const { return counters_; }
   bool knowsEngine(const EngineId& engine) const { return selector_.knows(engine); }
   bool isServing(const EngineId& engine) const { return selector_.isServing(engine); }
   std::size_t running() const { return runs_.size(); }
   std::size_t waiting() const { return queue_.size() + held_.size(); }
+  const request::BatchTrough& trough() const { return trough_; }
+  const std::set<ServiceId>& batchServices() const { return batch_services_; }
+  Duration wholeRunTime() const { return run_times_.wholeTime(); }
 
  private:
+  static constexpr Duration kYieldInterval = fromMillis(50);
+  /// How often the waiting items are put in order.
+  static constexpr Duration kOrderInterval = fromMillis(100);
+  /// An order to a store and a cancelled request take this long.
+  static constexpr Duration kGiveWayTime = fromMillis(10);
   /// An item that is open, as far as it has got.
   struct ItemRun {
     JobId job;
@@ -121,6 +134,12 @@
     /// When the result is due, and what the item's order is decided by.
     Instant due = Instant::max();
     request::DueItem order{};
+    TenantId tenant;
+    ServiceId service;
+    /// Its place between tenants, where room is short, and its tenant's turn once it runs.
+    double turn = 0;
+    request::Turn share;
+    Instant begun_at{};
     bool running = false;
     /// Earlier leaders may have run it, with answers that are not kept yet.
     bool is_inherited = false;
@@ -184,12 +203,23 @@
   void notePace(Instant now, const ItemRun& run);
   /// Learns how many events items have from results that the group keeps.
   void learnFromResults();
+  /// What the order of items and their places is decided by is kept up to date.
+  bool plansTrough() const;
+  bool sharesFairly() const;
+  void findBatchServices();
+  void planTrough(Instant now);
+  void orderByShare(Instant now);
+  std::optional<request::RunInFlight> flightOf(const ItemRun& run) const;
+  /// False if the item is to wait for room that lasts; else the query asks for engines of the zone that has it.
+  bool fitsTrough(Instant now, const ItemRun& run, request::EngineQuery& query, request::TroughVerdict& verdict);
+  void logWaiting(Instant now, const ItemRun& run, const request::EngineQuery& query,
+                  const request::TroughVerdict& verdict);
   /// How many runs each crowded engine should lose now.
   std::map<EngineId, double> runsTooMany(Instant now);
-  /// Runs at engines with too many requests, those with the most slack first.
-  std::vector<ItemPtr> runsToYield(Instant now);
+  /// Which of the runs gives way; null if each of them ends in time by itself.
+  ItemPtr runToYield(Instant now, const std::vector<ItemPtr>& runs, Duration needed_within);
   void startRun(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineChoice& choice,
-                const request::EngineQuery& query);
+                const request::EngineQuery& query, const request::TroughVerdict& verdict);
   /// Whether each store has told what it has run for earlier leaders, or has had the time to.
   bool hasHeardStores(Instant now) const;
   /// The item of an offered run, if it is open and nothing is in flight for it.
@@ -259,6 +289,12 @@
   /// Runs that it took up from earlier leaders.
   std::size_t adopted_ = 0;
   request::RunTimeModel run_times_;
+  std::set<ServiceId> batch_services_;
+  request::BatchTrough trough_;
+  request::FairShare shares_;
+  Instant trough_noted_at_{};
+  Instant next_plan_{};
+  Instant next_wait_log_{};
   /// Items in flight, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
   /// Failures that wait to be proposed, and those that are.
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -40,7 +40,7 @@
 }  // namespace
 
 void JobExecutor::startRun(Instant now, const ItemPtr& run, const StoredJob& job, const EngineChoice& choice,
-                           const request::EngineQuery& query) {
+                           const request::EngineQuery& query, const request::TroughVerdict& verdict) {
   const ReplicaId runner = board_.chooseRunner(now, choice.engine.zone).value_or(options_.self);
   run->running = true;
   // Two runs of an item may be in flight at two stores for a moment, so each one's text has a name of its own.
@@ -50,6 +50,13 @@
   run->engine = choice.engine.id;
   run->number = board_.begin(now, runner);
   run->ticket = selector_.begin(now, choice.engine.id, query);
+  run->begun_at = now;
+  const Duration time_left = run_times_.timeLeft(run->events);
+  trough_.noteBegun({choice.engine.service, choice.engine.zone, time_left});
+  if (sharesFairly()) {
+    run->share = shares_.enter(now, run->tenant, toSeconds(time_left) * 1000);
+    shares_.serve(now, run->tenant, run->share);
+  }
   ++run->attempts;
   ++counters_.attempts;
   runs_[run->number] = run;
@@ -84,8 +91,14 @@
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
             {"load_age_ms", choice.load_age_ms},
             {"due_in_ms", toMillis(run->due - now)},
-            {"time_left_ms", toMillis(run_times_.timeLeft(run->events))},
+            {"time_left_ms", toMillis(time_left)},
             {"urgency", fmt::format("{:.2f}", query.urgency)},
+            {"pressing", fmt::format("{:.2f}", trough_.urgency(query.service))},
+            {"room", fmt::format("{:.1f}", verdict.room)},
+            {"online_now", fmt::format("{:.0f}", verdict.online_now)},
+            {"online_expected", fmt::format("{:.0f}", verdict.online_expected)},
+            {"wave_period_ms", verdict.period ? toMillis(*verdict.period) : 0},
+            {"turn", fmt::format("{:.2f}", run->turn)},
             {"version", routes_->version()}});
   if (send_(runner, fleet::FleetMessage(std::move(order)))) return;
   board_.avoid(now, runner);
@@ -228,6 +241,10 @@
   selector_.end(now, run->ticket, verdict);
   if (run->is_suspect) crashes_.noteEnded(now, run->content, run->engine);
   notePace(now, *run);
+  if (run->share.work > 0) {
+    shares_.correct(run->tenant, toSeconds(now - run->begun_at) * 1000 - run->share.work);
+    run->share = request::Turn{};
+  }
   if (end == RunEnd::kWhole) run_times_.noteWhole(run->events);
   runs_.erase(run->number);
   run->running = false;
--- /dev/null
+++ b/src/process/store/job_executor_trough.cpp
@@ -0,0 +1,211 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "common/log.hpp"
+#include "process/store/job_executor.hpp"
+
+// Which item begins next and where its place stays free, and which run gives way.
+namespace hatchfork::store {
+
+using request::EngineQuery;
+
+namespace {
+
+constexpr Duration kPlanInterval = fromMillis(50);
+/// What is told of online load counts for this long.
+constexpr Duration kLoadsKnownFor = fromMillis(1000);
+constexpr Duration kWaitLogInterval = std::chrono::seconds(1);
+
+std::int64_t periodOf(const request::TroughVerdict& verdict) {
+  return verdict.period ? toMillis(*verdict.period) : 0;
+}
+
+}  // namespace
+
+bool JobExecutor::plansTrough() const {
+  return options_.load.batch_by_slack || sharesFairly();
+}
+
+bool JobExecutor::sharesFairly() const {
+  return options_.load.fair_shares && routes_ && routes_->tenants().size() > 1;
+}
+
+void JobExecutor::findBatchServices() {
+  batch_services_.clear();
+  for (const Route& route : routes_->routes()) {
+    if (route.kind != RouteKind::kBatch) continue;
+    for (const WeightedService& service : route.split) batch_services_.insert(service.service);
+  }
+}
+
+void JobExecutor::noteOthers(Instant now, const std::vector<request::EngineShare>& others) {
+  selector_.noteOthers(now, others);
+  if (!plansTrough()) return;
+  trough_noted_at_ = now;
+  for (const ServiceId& service : batch_services_) trough_.noteLoad(now, service, selector_.zoneLoads(now, service));
+}
+
+std::optional<request::RunInFlight> JobExecutor::flightOf(const ItemRun& run) const {
+  const EngineRecord* engine = selector_.recordOf(run.engine);
+  if (engine == nullptr) return std::nullopt;
+  return request::RunInFlight{engine->service, engine->zone, run_times_.timeLeft(run.events)};
+}
+
+void JobExecutor::planTrough(Instant now) {
+  if (!plansTrough() || now < next_plan_) return;
+  next_plan_ = now + kPlanInterval;
+  std::vector<request::RunInFlight> runs;
+  for (const auto& [number, run] : runs_) {
+    if (const auto flight = flightOf(*run)) runs.push_back(*flight);
+  }
+  std::vector<request::WaitingItem> waiting;
+  for (const ItemPtr& run : queue_) {
+    // An item that is due at no time waits for none, and presses none.
+    if (run->due != Instant::max()) waiting.push_back({run->service, run->order});
+  }
+  trough_.plan(now, runs, waiting, run_times_.wholeTime());
+}
+
+void JobExecutor::orderQueue(Instant now) {
+  if (now < next_order_) return;
+  next_order_ = now + kOrderInterval;
+  for (const ItemPtr& run : queue_) run->order = dueItemOf(*run);
+  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
+    return request::goesBefore(now, left->order, right->order);
+  });
+  if (sharesFairly()) orderByShare(now);
+}
+
+/// Items keep the order of their due times within a tenant, and where their service has room for all of them.
+void JobExecutor::orderByShare(Instant now) {
+  std::map<TenantId, double> work_before;
+  for (const ItemPtr& run : queue_) {
+    run->turn = 0;
+    if (request::isHopeless(now, run->order) || !trough_.isShort(run->service)) continue;
+    const double work = toSeconds(run->order.time_left) * 1000;
+    double& before = work_before[run->tenant];
+    run->turn = shares_.startAfter(now, run->tenant, before, work);
+    before += work;
+  }
+  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
+    const bool left_hopeless = request::isHopeless(now, left->order);
+    const bool right_hopeless = request::isHopeless(now, right->order);
+    if (left_hopeless != right_hopeless) return right_hopeless;
+    return left->turn < right->turn;
+  });
+}
+
+bool JobExecutor::fitsTrough(Instant now, const ItemRun& run, EngineQuery& query, request::TroughVerdict& verdict) {
+  const bool is_planned = options_.load.batch_by_slack && run.due != Instant::max() && trough_.knows(query.service);
+  // Old news hold nothing back, and the most pressing items take what is free now, wherever that is.
+  const bool is_old = now > trough_noted_at_ + kLoadsKnownFor;
+  if (!is_planned || is_old || trough_.urgency(query.service) >= 1) return true;
+  verdict = trough_.judge(query.service, run_times_.timeLeft(run.events), query.zones);
+  if (!verdict.begins) {
+    logWaiting(now, run, query, verdict);
+    return false;
+  }
+  query.zone = verdict.zone;
+  query.zones = std::set<ZoneId>{verdict.zone};
+  return true;
+}
+
+void JobExecutor::logWaiting(Instant now, const ItemRun& run, const EngineQuery& query,
+                             const request::TroughVerdict& verdict) {
+  if (now < next_wait_log_) return;
+  next_wait_log_ = now + kWaitLogInterval;
+  logEvent(LogLevel::kInfo, "items_wait_for_room",
+           {{"service", query.service.value},
+            {"waiting", queue_.size()},
+            {"running", runs_.size()},
+            {"first", run.item},
+            {"slack_ms", toMillis(request::slackOf(now, run.order))},
+            {"time_left_ms", toMillis(run.order.time_left)},
+            {"best_zone", verdict.zone.value},
+            {"room", fmt::format("{:.1f}", verdict.room)},
+            {"online_now", fmt::format("{:.0f}", verdict.online_now)},
+            {"online_expected", fmt::format("{:.0f}", verdict.online_expected)},
+            {"wave_period_ms", periodOf(verdict)},
+            {"pressing", fmt::format("{:.2f}", trough_.urgency(query.service))}});
+}
+
+std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) {
+  std::map<EngineId, double> excess;
+  for (const request::EngineShare& share : selector_.ownShares(now)) {
+    const double above = selector_.excess(now, share.engine);
+    if (above >= 1) excess[share.engine] = above;
+  }
+  return excess;
+}
+
+JobExecutor::ItemPtr JobExecutor::runToYield(Instant now, const std::vector<ItemPtr>& runs, Duration needed_within) {
+  std::vector<request::YieldCandidate> candidates;
+  for (const ItemPtr& run : runs) {
+    run->order = dueItemOf(*run);
+    candidates.push_back({run->events, run->last_event.has_value(), run->order});
+  }
+  if (options_.load.batch_by_slack) {
+    const auto chosen = request::chooseYield(now, candidates, needed_within, run_times_.wholeTime());
+    return chosen ? runs[*chosen] : nullptr;
+  }
+  ItemPtr chosen;
+  for (const ItemPtr& run : runs) {
+    // A run without an event would begin anew.
+    const bool loses_less = chosen && run->last_event.has_value() != chosen->last_event.has_value()
+                                ? run->last_event.has_value()
+                                : chosen && request::goesBefore(now, chosen->order, run->order);
+    if (!chosen || loses_less) chosen = run;
+  }
+  return chosen;
+}
+
+void JobExecutor::yieldSlots(Instant now) {
+  if (now < next_yield_) return;
+  next_yield_ = now + kYieldInterval;
+  const std::map<EngineId, double> excess = runsTooMany(now);
+  if (excess.empty()) return;
+  std::map<EngineId, std::vector<ItemPtr>> candidates;
+  for (const auto& [number, run] : runs_) {
+    // Only a run that can go on after an event loses nothing but the reading of its prompt.
+    if (run->last_event && excess.contains(run->engine)) candidates[run->engine].push_back(run);
+  }
+  for (auto& [engine, runs] : candidates) {
+    for (double above = excess.at(engine); above >= 1; above -= 1) {
+      const ItemPtr chosen = runToYield(now, runs, kYieldInterval);
+      if (!chosen) break;
+      std::erase(runs, chosen);
+      yieldRun(chosen, "engine above its slots");
+    }
+  }
+}
+
+void JobExecutor::yieldRun(const ItemPtr& run, const std::string& cause) {
+  const Instant now = connection::monotonicNow();
+  logEvent(LogLevel::kInfo, "run_gave_way",
+           {{"job", run->job.value},
+            {"request", run->item},
+            {"run", run->number},
+            {"engine", run->engine.value},
+            {"cause", cause},
+            {"events", run->events},
+            {"slack_ms", toMillis(request::slackOf(now, run->order))},
+            {"time_left_ms", toMillis(run->order.time_left)}});
+  board_.stop(run->number);
+  endRun(run, RunEnd::kYielded, request::EngineVerdict::kNeutral, cause);
+}
+
+void JobExecutor::giveWay(const EngineId& engine) {
+  if (!leading_) return;
+  const Instant now = connection::monotonicNow();
+  std::vector<ItemPtr> runs;
+  for (const auto& [number, run] : runs_) {
+    if (run->engine == engine) runs.push_back(run);
+  }
+  const ItemPtr chosen = runToYield(now, runs, kGiveWayTime);
+  if (!chosen) return;
+  yieldRun(chosen, "online request placed");
+  sendLeases(now);
+}
+
+}  // namespace hatchfork::store
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -66,6 +66,7 @@
   executor_options.zone = settings_.zone;
   executor_options.regions = settings_.zones;
   executor_options.seed = std::random_device()();
+  executor_options.load = settings_.load;
   executor_options.most_running =
       std::min<std::size_t>(executor_options.most_running, settings_.memory_mb * kRunsPerMegabyte);
   auto propose_command = [this](JobCommand command, std::function<void(bool)> done) {
@@ -261,6 +262,14 @@
              static_cast<double>(executor_->running()));
   page.gauge("hatchfork_items_run_here", "Batch items that this store runs.", static_cast<double>(runner_->running()));
   page.gauge("hatchfork_items_waiting", "Batch items that wait for a slot.", static_cast<double>(executor_->waiting()));
+  for (const ServiceId& service : executor_->batchServices()) {
+    const request::BatchTrough& trough = executor_->trough();
+    page.gauge("hatchfork_batch_lasting_places",
+               "Places that no expected rise of online requests takes, at the leader.",
+               trough.lastingPlaces(service, executor_->wholeRunTime()), {{"service", service.value}});
+    page.gauge("hatchfork_batch_pressing", "How little slack waiting items have, from 0 to 1, at the leader.",
+               trough.urgency(service), {{"service", service.value}});
+  }
   page.gauge("hatchfork_waiting_tokens", "Tokens of open batch items, of all jobs.",
              static_cast<double>(state_->waitingTokens()));
   page.counter("hatchfork_jobs_over_limit_total", "Job submissions refused here by the limit of waiting tokens.",
--- /dev/null
+++ b/src/request/admission/load_wave.cpp
@@ -0,0 +1,164 @@
+#include "request/admission/load_wave.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace hatchfork::request {
+namespace {
+
+/// The search for a period costs more than a bin, so it is made seldom.
+constexpr std::size_t kBinsBetweenSearches = 5;
+
+}  // namespace
+
+std::size_t LoadForecast::spansWithin(Duration ahead) {
+  std::size_t spans = 1;
+  while (spans < kSpans && kEnds[spans - 1] < ahead) ++spans;
+  return spans;
+}
+
+double LoadForecast::mostWithin(Duration ahead) const {
+  return *std::max_element(most.begin(), most.begin() + static_cast<std::ptrdiff_t>(spansWithin(ahead)));
+}
+
+std::size_t LoadWave::binsIn(Duration duration) const {
+  return static_cast<std::size_t>((duration + limits_.bin - Duration(1)) / limits_.bin);
+}
+
+double LoadWave::peak() const {
+  return bins_.empty() ? 0 : *std::max_element(bins_.begin(), bins_.end());
+}
+
+std::optional<Duration> LoadWave::period() const {
+  if (!isTrusted()) return std::nullopt;
+  return limits_.bin * static_cast<Duration::rep>(period_bins_);
+}
+
+bool LoadWave::isTrusted() const {
+  return period_bins_ > 0 && distrusted_bins_ == 0;
+}
+
+void LoadWave::note(Instant now, double in_flight) {
+  const std::int64_t bin = now.time_since_epoch() / limits_.bin;
+  if (bin == open_bin_ && !bins_.empty()) {
+    bins_.back() = std::max(bins_.back(), in_flight);
+    // A rise within the bin counts at once.
+    forecast_.most[0] = std::max(forecast_.most[0], in_flight);
+    return;
+  }
+  const std::int64_t passed = open_bin_ < 0 ? 1 : std::max<std::int64_t>(1, bin - open_bin_);
+  const auto silent =
+      static_cast<std::size_t>(std::min<std::int64_t>(passed - 1, static_cast<std::int64_t>(mostBins())));
+  // Nothing was told meanwhile: the count stayed as it was, as far as is known.
+  for (std::size_t i = 0; i < silent; ++i) closeBin(level());
+  closeBin(in_flight);
+  open_bin_ = bin;
+  if (bins_until_search_ == 0) {
+    findPeriod();
+    bins_until_search_ = kBinsBetweenSearches;
+  }
+  --bins_until_search_;
+  makeForecast();
+}
+
+void LoadWave::closeBin(double value) {
+  if (distrusted_bins_ > 0) --distrusted_bins_;
+  if (isTrusted() && value > periodicMost(0, 0) + limits_.surprise * swing_) {
+    distrusted_bins_ = binsIn(limits_.distrusted_for);
+  }
+  bins_.push_back(value);
+  if (bins_.size() > mostBins()) bins_.pop_front();
+  noteRises();
+}
+
+void LoadWave::noteRises() {
+  Rises rises{};
+  double least = bins_.back();
+  std::size_t back = 0;
+  for (std::size_t span = 0; span < LoadForecast::kSpans; ++span) {
+    const std::size_t reach = std::min(binsIn(LoadForecast::kEnds[span]), bins_.size() - 1);
+    for (; back <= reach; ++back) least = std::min(least, bins_[bins_.size() - 1 - back]);
+    rises[span] = bins_.back() - least;
+  }
+  rises_.push_back(rises);
+  if (rises_.size() > mostBins()) rises_.pop_front();
+}
+
+double LoadWave::likeness(std::size_t lag) const {
+  const std::size_t count = bins_.size() - lag;
+  double sum_early = 0;
+  double sum_late = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    sum_early += bins_[i];
+    sum_late += bins_[i + lag];
+  }
+  const double mean_early = sum_early / static_cast<double>(count);
+  const double mean_late = sum_late / static_cast<double>(count);
+  double both = 0;
+  double early = 0;
+  double late = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const double left = bins_[i] - mean_early;
+    const double right = bins_[i + lag] - mean_late;
+    both += left * right;
+    early += left * left;
+    late += right * right;
+  }
+  return early <= 0 || late <= 0 ? 0 : both / std::sqrt(early * late);
+}
+
+void LoadWave::findPeriod() {
+  period_bins_ = 0;
+  const std::size_t shortest = binsIn(limits_.shortest_period);
+  if (bins_.size() < 4 * shortest) return;
+  const auto [least, most] = std::minmax_element(bins_.begin(), bins_.end());
+  swing_ = *most - *least;
+  const double mean = std::accumulate(bins_.begin(), bins_.end(), 0.0) / static_cast<double>(bins_.size());
+  if (swing_ < limits_.least_swing * mean) return;
+  // Neighbouring counts are alike anyway: a period begins to count where likeness has gone below zero in between.
+  bool was_unlike = false;
+  double best = limits_.least_likeness;
+  for (std::size_t lag = 1; lag <= bins_.size() / 2; ++lag) {
+    const double alike = likeness(lag);
+    was_unlike = was_unlike || alike < 0;
+    if (!was_unlike || lag < shortest || alike <= best) continue;
+    // The shortest of those that are about as good: its multiples are periods as well.
+    if (period_bins_ > 0 && lag > period_bins_ + period_bins_ / 2) break;
+    best = alike;
+    period_bins_ = lag;
+  }
+}
+
+double LoadWave::periodicMost(std::size_t from, std::size_t to) const {
+  const std::size_t blur = binsIn(limits_.blur);
+  double most = 0;
+  for (std::size_t period = 1; period <= limits_.periods_used; ++period) {
+    // Bins from the newest backwards; the spans to come that are longer than a period hold the whole of it.
+    const std::size_t back = period * period_bins_;
+    const std::size_t oldest = std::min(back + blur, bins_.size() - 1);
+    const std::size_t oldest_of_span = oldest > from ? oldest - from : 0;
+    const std::size_t newest_of_span = back > to + blur ? back - to - blur : 0;
+    if (back >= bins_.size()) break;
+    for (std::size_t i = newest_of_span; i <= oldest_of_span; ++i) most = std::max(most, bins_[bins_.size() - 1 - i]);
+  }
+  return most;
+}
+
+void LoadWave::makeForecast() {
+  const double greatest = peak();
+  const bool trusted = isTrusted();
+  for (std::size_t span = 0; span < LoadForecast::kSpans; ++span) {
+    double risen = 0;
+    for (const Rises& rises : rises_) risen = std::max(risen, rises[span]);
+    double most = std::min(greatest, level() + risen);
+    if (trusted) {
+      const auto from = static_cast<std::size_t>(LoadForecast::beginOf(span) / limits_.bin);
+      most = std::min(most, periodicMost(from, binsIn(LoadForecast::kEnds[span])));
+    }
+    forecast_.most[span] = most;
+  }
+  forecast_.most[0] = std::max(forecast_.most[0], level());
+}
+
+}  // namespace hatchfork::request
--- /dev/null
+++ b/src/request/admission/yield_choice.cpp
@@ -0,0 +1,45 @@
+#include "request/admission/yield_choice.hpp"
+
+namespace hatchfork::request {
+namespace {
+
+bool hasSlack(Instant now, const YieldCandidate& candidate, Duration whole_time, const YieldLimits& limits) {
+  const double left = toSeconds(slackOf(now, candidate.order) - limits.away_for);
+  return left >= limits.least_slack_runs * toSeconds(whole_time);
+}
+
+}  // namespace
+
+std::optional<std::size_t> chooseYield(Instant now, const std::vector<YieldCandidate>& candidates,
+                                       Duration needed_within, Duration whole_time, const YieldLimits& limits) {
+  std::optional<std::size_t> best;
+  bool best_has_slack = false;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const YieldCandidate& candidate = candidates[i];
+    if (candidate.order.time_left <= needed_within) continue;
+    const bool has_slack = hasSlack(now, candidate, whole_time, limits);
+    if (!best) {
+      best = i;
+      best_has_slack = has_slack;
+      continue;
+    }
+    const YieldCandidate& other = candidates[*best];
+    bool goes_first = false;
+    if (has_slack != best_has_slack) {
+      goes_first = has_slack;
+    } else if (candidate.can_resume != other.can_resume) {
+      // A run without an event that it could go on after would begin anew.
+      goes_first = candidate.can_resume;
+    } else if (has_slack && candidate.events != other.events) {
+      goes_first = candidate.events < other.events;
+    } else {
+      goes_first = goesBefore(now, other.order, candidate.order);
+    }
+    if (!goes_first) continue;
+    best = i;
+    best_has_slack = has_slack;
+  }
+  return best;
+}
+
+}  // namespace hatchfork::request
--- /dev/null
+++ b/src/request/admission/yield_choice.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "common/time.hpp"
+#include "request/batch/due_order.hpp"
+
+namespace hatchfork::request {
+
+/// A batch run at an engine whose place an online request needs.
+struct YieldCandidate {
+  /// Events that its item has made over all its runs.
+  std::uint64_t events = 0;
+  /// A later run can go on after the last event.
+  bool can_resume = false;
+  DueItem order;
+};
+
+struct YieldLimits {
+  /// An item that gives way begins again this much later at the soonest.
+  Duration away_for = fromMillis(200);
+  /// An item has slack enough to give way while it has so many whole runs of it left afterwards.
+  double least_slack_runs = 0.5;
+};
+
+/// Which run is to give way. Answers a wave of online requests that comes sooner than batch could leave: no run that
+/// ends by itself within `needed_within` is cut; of those with slack enough the one with the least done; where none has
+/// slack enough, the one with the most slack. Nothing if each of them ends in time by itself. `whole_time`: of a whole
+/// run.
+std::optional<std::size_t> chooseYield(Instant now, const std::vector<YieldCandidate>& candidates,
+                                       Duration needed_within, Duration whole_time, const YieldLimits& limits = {});
+
+}  // namespace hatchfork::request
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -13,6 +13,7 @@
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "request/admission/zone_load.hpp"
 #include "request/exchange/engine_pool.hpp"
 #include "request/exchange/engine_state.hpp"
 #include "request/exchange/load_board.hpp"
@@ -217,6 +218,11 @@
   std::size_t engineCount(const ServiceId& service) const;
   /// Slots of all open engines.
   std::uint32_t allSlots() const;
+  /// Slots of the service's engines in each zone, and what the other processes have in flight there; engines out of
+  /// rotation and cold ones are left out.
+  std::map<ZoneId, ZoneLoad> zoneLoads(Instant now, const ServiceId& service) const;
+  /// Null for an engine that is not known.
+  const EngineRecord* recordOf(const EngineId& engine) const;
   /// Requests of this process that are in flight at the engine.
   std::uint32_t inFlight(const EngineId& engine) const;
   /// Slots of the service that are estimated to be free.
--- a/src/request/exchange/engine_selector_background.cpp
+++ b/src/request/exchange/engine_selector_background.cpp
@@ -25,6 +25,24 @@
   return estimatedRunning(now, state) + 1 <= std::max(1.0, usable);
 }
 
+std::map<ZoneId, ZoneLoad> EngineSelector::zoneLoads(Instant now, const ServiceId& service) const {
+  std::map<ZoneId, ZoneLoad> loads;
+  const EnginePool* const pool = poolOf(service);
+  if (pool == nullptr || !knowsOthers(now)) return loads;
+  for (const EngineState* const state : pool->all()) {
+    if (now < state->ejected_until || isCold(now, *state)) continue;
+    ZoneLoad& load = loads[state->record.zone];
+    load.slots += state->record.slots;
+    load.online += othersAt(*state).in_flight;
+  }
+  return loads;
+}
+
+const EngineRecord* EngineSelector::recordOf(const EngineId& engine) const {
+  const auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second.record;
+}
+
 double EngineSelector::excess(Instant now, const EngineId& engine) const {
   const auto found = engines_.find(engine);
   if (found == engines_.end() || !knowsOthers(now)) return 0;
--- /dev/null
+++ b/tests/request/admission/yield_choice_test.cpp
@@ -0,0 +1,69 @@
+#include "request/admission/yield_choice.hpp"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace hatchfork;
+using namespace hatchfork::request;
+
+namespace {
+
+constexpr Instant kNow{std::chrono::seconds(1000)};
+constexpr Duration kWhole = std::chrono::seconds(5);
+constexpr Duration kNeeded = fromMillis(50);
+
+YieldCandidate candidate(std::uint64_t events, std::int64_t left_ms, std::int64_t due_ms, bool can_resume = true) {
+  return YieldCandidate{events, can_resume, DueItem{kNow + fromMillis(due_ms), fromMillis(left_ms)}};
+}
+
+std::optional<std::size_t> choose(const std::vector<YieldCandidate>& candidates) {
+  return chooseYield(kNow, candidates, kNeeded, kWhole);
+}
+
+}  // namespace
+
+TEST_CASE("of runs with slack the one with the least done gives way", "[admission][yield]") {
+  REQUIRE(choose({candidate(100, 2000, 12000), candidate(20, 4400, 12000), candidate(60, 3200, 18000)}) == 1);
+}
+
+TEST_CASE("a run that would be late stays while another one would not", "[admission][yield]") {
+  REQUIRE(choose({candidate(20, 4400, 5000), candidate(100, 2000, 12000)}) == 1);
+}
+
+TEST_CASE("where none has slack enough, the one with the most gives way", "[admission][yield]") {
+  REQUIRE(choose({candidate(20, 4400, 5000), candidate(100, 2000, 4200)}) == 0);
+}
+
+TEST_CASE("a run that ends in the time a place is needed is not cut", "[admission][yield]") {
+  REQUIRE(choose({candidate(150, 40, 18000), candidate(151, 2000, 18000)}) == 1);
+  REQUIRE_FALSE(choose({candidate(150, 40, 18000)}).has_value());
+  REQUIRE_FALSE(choose({}).has_value());
+}
+
+TEST_CASE("a run that can go on after an event gives way before one that would begin anew", "[admission][yield]") {
+  REQUIRE(choose({candidate(0, 5000, 18000, false), candidate(30, 4000, 18000)}) == 1);
+}
+
+TEST_CASE("what gives way hangs on no order, and never ends by itself in time", "[admission][yield]") {
+  const bool holds = rc::check("choice of what gives way", [] {
+    std::vector<YieldCandidate> candidates;
+    const int count = *rc::gen::inRange(1, 9);
+    for (int i = 0; i < count; ++i) {
+      candidates.push_back(
+          candidate(*rc::gen::inRange(0, 200), *rc::gen::inRange(0, 6000), *rc::gen::inRange(-2000, 20000)));
+    }
+    const auto chosen = choose(candidates);
+    const bool any_long = std::any_of(candidates.begin(), candidates.end(),
+                                      [](const YieldCandidate& one) { return one.order.time_left > kNeeded; });
+    RC_ASSERT(chosen.has_value() == any_long);
+    if (!chosen) return;
+    RC_ASSERT(candidates[*chosen].order.time_left > kNeeded);
+    std::vector<YieldCandidate> reversed(candidates.rbegin(), candidates.rend());
+    const auto again = choose(reversed);
+    RC_ASSERT(again.has_value());
+    RC_ASSERT(reversed[*again].events == candidates[*chosen].events || reversed[*again].order.due > kNow);
+  });
+  REQUIRE(holds);
+}
