Batch by slack: each item presses for itself and those behind it

Change: pressure is passed on to items before it only; runs in flight go on together until the wave; pressure is looked at again after each eight begun.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -30,6 +30,7 @@
 constexpr Duration kRouteMissingFor = std::chrono::seconds(4);
 /// Places in the queue that one pass looks at for an item that may start.
 constexpr std::size_t kMostLookedAt = 64;
+constexpr std::size_t kBegunBetweenPlans = 8;
 /// While no run was seen, a whole one is taken to need this share of the time until results are due.
 constexpr int kGuessedShareOfTarget = 4;
 /// Results that a new leader learns from.
@@ -190,7 +191,12 @@
   if (now < starts_from_) return;
   orderQueue(now);
   planTrough(now);
+  std::size_t begun = 0;
   while (startNext(now)) {
+    // What has begun takes pressure from those that wait.
+    if (++begun % kBegunBetweenPlans != 0) continue;
+    next_plan_ = now;
+    planTrough(now);
   }
 }
 
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -136,6 +136,8 @@
     request::DueItem order{};
     TenantId tenant;
     ServiceId service;
+    /// How little slack it has, or one behind it.
+    double pressing = 0;
     /// Its place between tenants, where room is short, and its tenant's turn once it runs.
     double turn = 0;
     request::Turn share;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -93,7 +93,7 @@
             {"due_in_ms", toMillis(run->due - now)},
             {"time_left_ms", toMillis(time_left)},
             {"urgency", fmt::format("{:.2f}", query.urgency)},
-            {"pressing", fmt::format("{:.2f}", trough_.urgency(query.service))},
+            {"pressing", fmt::format("{:.2f}", run->pressing)},
             {"room", fmt::format("{:.1f}", verdict.room)},
             {"online_now", fmt::format("{:.0f}", verdict.online_now)},
             {"online_expected", fmt::format("{:.0f}", verdict.online_expected)},
--- a/src/process/store/job_executor_trough.cpp
+++ b/src/process/store/job_executor_trough.cpp
@@ -60,11 +60,15 @@
     if (const auto flight = flightOf(*run)) runs.push_back(*flight);
   }
   std::vector<request::WaitingItem> waiting;
+  std::vector<ItemPtr> items;
   for (const ItemPtr& run : queue_) {
-    // An item that is due at no time waits for none, and presses none.
-    if (run->due != Instant::max()) waiting.push_back({run->service, run->order});
+    // An item that is due at no time presses none.
+    if (run->due == Instant::max()) continue;
+    waiting.push_back({run->service, run->order});
+    items.push_back(run);
   }
-  trough_.plan(now, runs, waiting, run_times_.wholeTime());
+  const std::vector<double> pressing = trough_.plan(now, runs, waiting, run_times_.wholeTime());
+  for (std::size_t i = 0; i < items.size(); ++i) items[i]->pressing = pressing[i];
 }
 
 void JobExecutor::orderQueue(Instant now) {
@@ -100,8 +104,8 @@
   const bool is_planned = options_.load.batch_by_slack && run.due != Instant::max() && trough_.knows(query.service);
   // Old news hold nothing back, and the most pressing items take what is free now, wherever that is.
   const bool is_old = now > trough_noted_at_ + kLoadsKnownFor;
-  if (!is_planned || is_old || trough_.urgency(query.service) >= 1) return true;
-  verdict = trough_.judge(query.service, run_times_.timeLeft(run.events), query.zones);
+  if (!is_planned || is_old || run.pressing >= 1) return true;
+  verdict = trough_.judge(query.service, run_times_.timeLeft(run.events), run.pressing, query.zones);
   if (!verdict.begins) {
     logWaiting(now, run, query, verdict);
     return false;
@@ -127,7 +131,7 @@
             {"online_now", fmt::format("{:.0f}", verdict.online_now)},
             {"online_expected", fmt::format("{:.0f}", verdict.online_expected)},
             {"wave_period_ms", periodOf(verdict)},
-            {"pressing", fmt::format("{:.2f}", trough_.urgency(query.service))}});
+            {"pressing", fmt::format("{:.2f}", run.pressing)}});
 }
 
 std::map<EngineId, double> JobExecutor::runsTooMany(Instant now) {
--- a/src/request/admission/batch_trough.cpp
+++ b/src/request/admission/batch_trough.cpp
@@ -30,6 +30,7 @@
   const auto service = services_.find(run.service);
   if (service == services_.end()) return;
   service->second.under_way += run.time_left;
+  ++service->second.runs;
   const auto zone = service->second.zones.find(run.zone);
   if (zone != service->second.zones.end()) count(zone->second, run.time_left);
 }
@@ -46,32 +47,64 @@
   return std::clamp((relaxed - slack) / (relaxed - pressing), 0.0, 1.0);
 }
 
-void BatchTrough::plan(Instant now, const std::vector<RunInFlight>& runs, const std::vector<WaitingItem>& waiting,
-                       Duration whole_time) {
+/// Until the wave that leaves less places than there are runs, all of them go on; then so many as there are places.
+double BatchTrough::begunWorkDoneIn(const Service& service, double places) {
+  const double under_way = toSeconds(service.under_way);
+  if (service.runs <= places) return under_way / places;
+  for (std::size_t span = 0; span < LoadForecast::kSpans; ++span) {
+    if (placesIn(service, span) >= service.runs) continue;
+    const double until_wave = toSeconds(LoadForecast::beginOf(span));
+    const double left = std::max(0.0, under_way - service.runs * until_wave);
+    return until_wave + left / places;
+  }
+  return under_way / service.runs;
+}
+
+double BatchTrough::placesIn(const Service& service, std::size_t span) {
+  double places = 0;
+  for (const auto& [id, zone] : service.zones) places += std::max(0.0, zone.slots - zone.wave.forecast().most[span]);
+  return places;
+}
+
+std::vector<double> BatchTrough::plan(Instant now, const std::vector<RunInFlight>& runs,
+                                      const std::vector<WaitingItem>& waiting, Duration whole_time) {
   for (auto& [id, service] : services_) {
     service.urgency = 0;
     service.least_slack = kNoItem;
+    service.runs = 0;
     service.under_way = Duration::zero();
     for (auto& [zone_id, zone] : service.zones) zone.runs.fill(0);
   }
   for (const RunInFlight& run : runs) noteBegun(run);
   struct Pace {
     double places = 1;
-    double work = 0;
+    /// When the next item begins at this pace, in seconds.
+    double begins_in = 0;
   };
   std::map<ServiceId, Pace> paces;
   for (const auto& [id, service] : services_) {
-    paces[id] = Pace{std::max(1.0, lastingPlaces(id, whole_time)), toSeconds(service.under_way)};
+    const double places = std::max(1.0, lastingPlaces(id, whole_time));
+    paces[id] = Pace{places, begunWorkDoneIn(service, places)};
   }
-  for (const WaitingItem& item : waiting) {
+  std::vector<double> urgencies(waiting.size(), 0);
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    const WaitingItem& item = waiting[i];
     const auto service = services_.find(item.service);
     if (service == services_.end() || isHopeless(now, item.order)) continue;
     Pace& pace = paces.at(item.service);
-    const double slack = toSeconds(slackOf(now, item.order)) - pace.work / pace.places;
-    pace.work += toSeconds(item.order.time_left);
+    const double slack = toSeconds(slackOf(now, item.order)) - pace.begins_in;
+    pace.begins_in += toSeconds(item.order.time_left) / pace.places;
     service->second.least_slack = std::min(service->second.least_slack, slack);
-    service->second.urgency = std::max(service->second.urgency, urgencyAt(slack, whole_time));
+    urgencies[i] = urgencyAt(slack, whole_time);
+  }
+  // Who begins early makes way for those behind it, and for nobody before it.
+  for (std::size_t i = waiting.size(); i-- > 0;) {
+    const auto service = services_.find(waiting[i].service);
+    if (service == services_.end()) continue;
+    service->second.urgency = std::max(service->second.urgency, urgencies[i]);
+    urgencies[i] = service->second.urgency;
   }
+  return urgencies;
 }
 
 double BatchTrough::lastingPlaces(const ServiceId& id, Duration time_left) const {
@@ -113,7 +146,7 @@
   return verdict;
 }
 
-TroughVerdict BatchTrough::judge(const ServiceId& id, Duration time_left,
+TroughVerdict BatchTrough::judge(const ServiceId& id, Duration time_left, double urgency,
                                  const std::optional<std::set<ZoneId>>& zones) const {
   TroughVerdict best;
   const auto service = services_.find(id);
@@ -121,7 +154,7 @@
   bool is_first = true;
   for (const auto& [zone_id, zone] : service->second.zones) {
     if (zones && !zones->contains(zone_id)) continue;
-    const TroughVerdict verdict = judgeZone(zone_id, zone, time_left, service->second.urgency);
+    const TroughVerdict verdict = judgeZone(zone_id, zone, time_left, urgency);
     if (!is_first && verdict.room <= best.room) continue;
     best = verdict;
     is_first = false;
--- a/src/request/admission/batch_trough.hpp
+++ b/src/request/admission/batch_trough.hpp
@@ -64,18 +64,20 @@
 
   /// The load of each zone's engines of the service, several times a second.
   void noteLoad(Instant now, const ServiceId& service, const std::map<ZoneId, ZoneLoad>& zones);
-  /// Counts the runs in flight anew, and how pressing the waiting items are. `whole_time`: of a whole run.
-  void plan(Instant now, const std::vector<RunInFlight>& runs, const std::vector<WaitingItem>& waiting,
-            Duration whole_time);
+  /// Counts the runs in flight anew. Returns for each waiting item how pressing it is, or one behind it that it is in
+  /// the way of: from zero, while it can wait for room that lasts, to one. `whole_time`: of a whole run.
+  std::vector<double> plan(Instant now, const std::vector<RunInFlight>& runs, const std::vector<WaitingItem>& waiting,
+                           Duration whole_time);
   /// A run has begun since.
   void noteBegun(const RunInFlight& run);
 
   /// The zone with the most room for a run of this length, of those allowed; the verdict of the best one where none
   /// has room.
-  TroughVerdict judge(const ServiceId& service, Duration time_left, const std::optional<std::set<ZoneId>>& zones) const;
+  TroughVerdict judge(const ServiceId& service, Duration time_left, double urgency,
+                      const std::optional<std::set<ZoneId>>& zones) const;
   /// Nothing for a service whose load is not known.
   bool knows(const ServiceId& service) const { return services_.contains(service); }
-  /// From zero, while all can wait for room that lasts, to one.
+  /// Of its most pressing waiting item.
   double urgency(const ServiceId& service) const;
   /// True if not all waiting items can be in time in room that lasts.
   bool isShort(const ServiceId& service) const;
@@ -94,11 +96,16 @@
     double urgency = 0;
     /// Of the waiting items at the pace of room that lasts, in seconds.
     double least_slack = 0;
-    /// Time that all its runs in flight will still take.
+    /// Runs in flight, and the time that all of them will still take.
+    double runs = 0;
     Duration under_way{};
   };
 
   static void count(Zone& zone, Duration time_left);
+  /// Places of all zones that the online requests expected in the span leave.
+  static double placesIn(const Service& service, std::size_t span);
+  /// How long the runs in flight keep others from beginning, in seconds.
+  static double begunWorkDoneIn(const Service& service, double places);
   TroughVerdict judgeZone(const ZoneId& id, const Zone& zone, Duration time_left, double urgency) const;
   double spareFor(double online) const;
   double urgencyAt(double slack, Duration whole_time) const;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -25,11 +25,13 @@
 /// An executor whose group and stores are played by the test.
 class ExecutorStage {
  public:
-  explicit ExecutorStage(Duration loads_known_after = Duration::zero(), std::size_t more_items = 0)
+  explicit ExecutorStage(Duration loads_known_after = Duration::zero(), std::size_t more_items = 0,
+                         request::LoadFeatures load = {}, std::int64_t age_ms = 0)
       : dialect_(platform::makePlatformDialect()) {
     JobExecutorOptions options;
     options.self = kSelf;
     options.loads_known_after = loads_known_after;
+    options.load = load;
     auto propose = [this](JobCommand command, std::function<void(bool)> done) {
       if (refuses_proposals) {
         done(false);
@@ -56,7 +58,7 @@
     job.id = JobId("j");
     job.host = "a.example";
     job.path = "/x/";
-    job.submitted_at = connection::wallNow();
+    job.submitted_at = connection::wallNow() - age_ms;
     job.items.push_back(OpaqueItem{"i", "/x/1", {}, "body", 10});
     for (std::size_t i = 0; i < more_items; ++i) {
       job.items.push_back(OpaqueItem{"i" + std::to_string(i), "/x/1", {}, "body", 10});
@@ -382,3 +384,58 @@
   REQUIRE(pieces == std::vector<std::size_t>{3, 2});
   REQUIRE(saved.size() == kItems);
 }
+
+namespace {
+
+/// Tells the executor of online requests that have taken all slots of the engine in waves, up to now; none do now.
+void tellWaves(ExecutorStage& stage) {
+  const Instant now = connection::monotonicNow();
+  constexpr std::int64_t kSeen = 20000;
+  constexpr std::int64_t kPeriod = 4000;
+  for (std::int64_t ago = kSeen; ago >= 0; ago -= 50) {
+    // High for the first half of each period that ended half a period before now.
+    const bool is_high = ago % kPeriod >= kPeriod / 2;
+    std::vector<request::EngineShare> others;
+    if (is_high) others.push_back({EngineId("e"), 8, 0, 0});
+    stage.executor().noteOthers(now - fromMillis(ago), others);
+  }
+}
+
+constexpr Duration kLoadsKnownAfter = fromMillis(40);
+
+void leadWithWaves(ExecutorStage& stage, std::uint64_t term) {
+  stage.executor().setLeading(true, term);
+  tellWaves(stage);
+  ExecutorStage::waitUntil(connection::monotonicNow() + kLoadsKnownAfter + fromMillis(5));
+  stage.executor().tick(connection::monotonicNow());
+}
+
+}  // namespace
+
+TEST_CASE("an item with slack waits for a place that stays free; a leader that knows no wave begins it",
+          "[store][executor][trough]") {
+  ExecutorStage stage(kLoadsKnownAfter);
+  leadWithWaves(stage, 1);
+  REQUIRE(stage.orders() == 0);
+  REQUIRE(stage.executor().waiting() == 1);
+  // Its successor has seen no wave: the item isn't held back for what nobody knows.
+  stage.executor().setLeading(false, 2);
+  stage.executor().setLeading(true, 3);
+  ExecutorStage::waitUntil(connection::monotonicNow() + kLoadsKnownAfter + fromMillis(5));
+  stage.executor().tick(connection::monotonicNow());
+  REQUIRE(stage.orders() == 1);
+}
+
+TEST_CASE("an item without slack begins where a place is free now", "[store][executor][trough]") {
+  ExecutorStage stage(kLoadsKnownAfter, 0, {}, /*age_ms=*/7500);
+  leadWithWaves(stage, 1);
+  REQUIRE(stage.orders() == 1);
+}
+
+TEST_CASE("with the feature off an item begins where a place is free now", "[store][executor][trough]") {
+  request::LoadFeatures load;
+  load.batch_by_slack = false;
+  ExecutorStage stage(kLoadsKnownAfter, 0, load);
+  leadWithWaves(stage, 1);
+  REQUIRE(stage.orders() == 1);
+}
--- a/tests/request/admission/batch_trough_test.cpp
+++ b/tests/request/admission/batch_trough_test.cpp
@@ -78,6 +78,7 @@
     Duration left;
     Instant not_before{};
     std::uint64_t events = 0;
+    double pressing = 0;
   };
   struct Run {
     Item item;
@@ -170,7 +171,8 @@
     std::vector<WaitingItem> waiting;
     for (const Item& item : waiting_) waiting.push_back({kService, {item.due, expected(item)}});
     trough_.noteLoad(now, kService, loads);
-    trough_.plan(now, runs, waiting, fromMillis(5000));
+    const std::vector<double> pressing = trough_.plan(now, runs, waiting, fromMillis(5000));
+    for (std::size_t i = 0; i < pressing.size(); ++i) waiting_[i].pressing = pressing[i];
   }
 
   std::optional<ZoneId> zoneFor(Instant now, const Item& item) {
@@ -179,7 +181,7 @@
     const double kept_free = site_.places_each / 8 * (1 - urgency);
     ZoneId zone = freeOf(zones_[kZoneA]) >= freeOf(zones_[kZoneB]) ? kZoneA : kZoneB;
     if (by_slack_) {
-      const TroughVerdict verdict = trough_.judge(kService, expected(item), std::nullopt);
+      const TroughVerdict verdict = trough_.judge(kService, expected(item), item.pressing, std::nullopt);
       if (!verdict.begins) return std::nullopt;
       zone = verdict.zone;
     }
@@ -275,20 +277,20 @@
     trough.noteLoad(at(second), kService, {{kZoneA, {100, 80 * waveAt(second) / 2}}, {kZoneB, {100, 95}}});
   }
   trough.plan(at(20), {}, {}, std::chrono::seconds(5));
-  const TroughVerdict shorter = trough.judge(kService, fromMillis(400), std::nullopt);
+  const TroughVerdict shorter = trough.judge(kService, fromMillis(400), 0, std::nullopt);
   REQUIRE(shorter.begins);
   REQUIRE(shorter.zone == kZoneA);
   REQUIRE(shorter.room == Approx(84.8 - std::sqrt(15.2)));
-  const TroughVerdict longer = trough.judge(kService, fromMillis(3000), std::nullopt);
+  const TroughVerdict longer = trough.judge(kService, fromMillis(3000), 0, std::nullopt);
   REQUIRE(longer.zone == kZoneA);
   REQUIRE(longer.room == Approx(25.2 - std::sqrt(74.8)).margin(0.6));
   REQUIRE(longer.period.has_value());
   // What runs counts, as long as it runs.
   for (int i = 0; i < 16; ++i) trough.noteBegun({kService, kZoneA, fromMillis(3000)});
-  REQUIRE_FALSE(trough.judge(kService, fromMillis(3000), std::set<ZoneId>{kZoneA}).begins);
-  REQUIRE(trough.judge(kService, fromMillis(400), std::nullopt).begins);
+  REQUIRE_FALSE(trough.judge(kService, fromMillis(3000), 0, std::set<ZoneId>{kZoneA}).begins);
+  REQUIRE(trough.judge(kService, fromMillis(400), 0, std::nullopt).begins);
   // Zones that may not run it are left out.
-  REQUIRE(trough.judge(kService, fromMillis(400), std::set<ZoneId>{kZoneB}).zone == kZoneB);
+  REQUIRE(trough.judge(kService, fromMillis(400), 0, std::set<ZoneId>{kZoneB}).zone == kZoneB);
 }
 
 TEST_CASE("less slack keeps less free for the wave, down to nothing", "[admission][trough]") {
@@ -298,8 +300,8 @@
   }
   const Duration whole = std::chrono::seconds(5);
   const auto roomWhenDueIn = [&](double seconds) {
-    trough.plan(at(20), {}, {{kService, {at(20 + seconds), whole}}}, whole);
-    return trough.judge(kService, whole, std::nullopt).room;
+    const auto pressing = trough.plan(at(20), {}, {{kService, {at(20 + seconds), whole}}}, whole);
+    return trough.judge(kService, whole, pressing.front(), std::nullopt).room;
   };
   REQUIRE(trough.lastingPlaces(kService, whole) < 10);
   const double relaxed = roomWhenDueIn(18);
@@ -312,11 +314,16 @@
   std::vector<WaitingItem> heap(200, WaitingItem{kService, {at(38), whole}});
   trough.plan(at(20), {}, heap, whole);
   REQUIRE(trough.urgency(kService) == 1);
+  REQUIRE(trough.isShort(kService));
+  // One that presses, and is before the others, presses none of them.
+  const auto pressing = trough.plan(at(20), {}, {{kService, {at(24), whole}}, {kService, {at(38), whole}}}, whole);
+  REQUIRE(pressing[0] == 1);
+  REQUIRE(pressing[1] == 0);
 }
 
 TEST_CASE("where no load is known nothing is said", "[admission][trough]") {
   const BatchTrough trough;
   REQUIRE_FALSE(trough.knows(kService));
   REQUIRE(trough.urgency(kService) == 1);
-  REQUIRE_FALSE(trough.judge(kService, fromMillis(400), std::nullopt).begins);
+  REQUIRE_FALSE(trough.judge(kService, fromMillis(400), 0, std::nullopt).begins);
 }
