Batch by slack: as many begin early as lack time, and a wave is found sooner

A period was found after 25 s there, since the time before the load began was compared as well. Change: items begin early as far as those behind them lack work done, less what runs beyond the lasting places; likeness is taken over the last two periods.

--- a/src/request/admission/batch_trough.cpp
+++ b/src/request/admission/batch_trough.cpp
@@ -60,6 +60,11 @@
   return under_way / service.runs;
 }
 
+double BatchTrough::workBeyond(const Service& service, double places) {
+  if (service.runs <= places) return 0;
+  return (service.runs - places) * toSeconds(service.under_way) / service.runs;
+}
+
 double BatchTrough::placesIn(const Service& service, std::size_t span) {
   double places = 0;
   for (const auto& [id, zone] : service.zones) places += std::max(0.0, zone.slots - zone.wave.forecast().most[span]);
@@ -97,12 +102,27 @@
     service->second.least_slack = std::min(service->second.least_slack, slack);
     urgencies[i] = urgencyAt(slack, whole_time);
   }
-  // Who begins early makes way for those behind it, and for nobody before it.
+  std::map<ServiceId, double> missing;
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    missing[waiting[i].service] += urgencies[i] * toSeconds(waiting[i].order.time_left);
+  }
+  for (auto& [id, work] : missing) {
+    const auto service = services_.find(id);
+    if (service != services_.end()) work -= workBeyond(service->second, paces.at(id).places);
+  }
+  // Who begins early makes way for those behind it, as far as they lack time.
+  std::vector<double> behind(waiting.size(), 0);
   for (std::size_t i = waiting.size(); i-- > 0;) {
     const auto service = services_.find(waiting[i].service);
     if (service == services_.end()) continue;
     service->second.urgency = std::max(service->second.urgency, urgencies[i]);
-    urgencies[i] = service->second.urgency;
+    behind[i] = service->second.urgency;
+  }
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    double& work = missing[waiting[i].service];
+    if (work <= 0) continue;
+    work -= toSeconds(waiting[i].order.time_left);
+    urgencies[i] = std::max(urgencies[i], behind[i]);
   }
   return urgencies;
 }
--- a/src/request/admission/batch_trough.hpp
+++ b/src/request/admission/batch_trough.hpp
@@ -104,6 +104,8 @@
   static void count(Zone& zone, Duration time_left);
   /// Places of all zones that the online requests expected in the span leave.
   static double placesIn(const Service& service, std::size_t span);
+  /// Work of runs in flight beyond the places that last.
+  static double workBeyond(const Service& service, double places);
   /// How long the runs in flight keep others from beginning, in seconds.
   static double begunWorkDoneIn(const Service& service, double places);
   TroughVerdict judgeZone(const ZoneId& id, const Zone& zone, Duration time_left, double urgency) const;
--- a/src/request/admission/load_wave.cpp
+++ b/src/request/admission/load_wave.cpp
@@ -9,6 +9,9 @@
 
 /// The search for a period costs more than a bin, so it is made seldom.
 constexpr std::size_t kBinsBetweenSearches = 5;
+/// Counts a period apart are compared over the last two periods, and over so many bins at least: what was before a load
+/// began says nothing of its wave.
+constexpr std::size_t kFewestCompared = 60;
 
 }  // namespace
 
@@ -86,10 +89,11 @@
 }
 
 double LoadWave::likeness(std::size_t lag) const {
-  const std::size_t count = bins_.size() - lag;
+  const std::size_t count = std::min(bins_.size() - lag, std::max(2 * lag, kFewestCompared));
+  const std::size_t first = bins_.size() - lag - count;
   double sum_early = 0;
   double sum_late = 0;
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = first; i < first + count; ++i) {
     sum_early += bins_[i];
     sum_late += bins_[i + lag];
   }
@@ -98,7 +102,7 @@
   double both = 0;
   double early = 0;
   double late = 0;
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = first; i < first + count; ++i) {
     const double left = bins_[i] - mean_early;
     const double right = bins_[i + lag] - mean_late;
     both += left * right;
