--- a/src/request/admission/batch_trough.cpp
+++ b/src/request/admission/batch_trough.cpp
@@ -120,11 +120,7 @@
   }
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     double& work = missing[waiting[i].service];
-    if (work <= 0) {
-      // Whoever has no slack at all waits for nobody.
-      if (urgencies[i] < 1) urgencies[i] = 0;
-      continue;
-    }
+    if (work <= 0) continue;
     work -= toSeconds(waiting[i].order.time_left);
     urgencies[i] = std::max(urgencies[i], behind[i]);
   }
