Frames of later releases are passed over, and processes tell their release

Cause: a control process or a store of closes the connection on a frame of an unknown kind, and takes an unknown result of a proposal for an applied one; nobody could tell which peers know a new kind.

Change: FrameReader passes over whole frames of unknown kinds (one line for each of the first kinds, all counted); the default of ProposalResult is 'may be applied'. `release`, an optional field of presences, subscriptions, directory frames and store addresses, which passes over; PeerReleases, leastReleaseOf(stores), leastControlRelease; metrics.

Ruled out: a store's release that flaps while an older control process passes its presence on without the field: its own word goes first for two seconds; after that the lesser one holds, which is the safe one.

--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -14,6 +14,8 @@
   requests("refused", counters_.refused);
   requests("failed", counters_.failed);
   requests("caller_left", counters_.caller_left);
+  fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
+                            stores_.framesPassedOver() + feed_->framesPassedOver());
   page.counter("hatchfork_requests_rejected_early_total", "Refused at their arrival, since they would be late.",
                static_cast<double>(counters_.rejected_early));
   page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -61,25 +61,30 @@
 }
 
 void StoreClient::onFrame(const ReplicaId& from, const std::string& body) {
-  Result<fleet::FleetMessage> message = decodeTagged<fleet::FleetMessage>(body);
-  if (!isOk(message)) return;
-  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&valueOf(message))) {
+  const Result<std::optional<fleet::FleetMessage>> message = frames_.read(body);
+  if (!isOk(message)) {
+    logEvent(LogLevel::kWarning, "frame_refused", {{"store", from.value}, {"cause", describe(errorOf(message))}});
+    return;
+  }
+  if (!valueOf(message)) return;
+  const fleet::FleetMessage& decoded = *valueOf(message);
+  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&decoded)) {
     if (on_digest_) on_digest_(*digest);
     return;
   }
-  if (const auto* credit = std::get_if<fleet::CreditAnswerFrame>(&valueOf(message))) {
+  if (const auto* credit = std::get_if<fleet::CreditAnswerFrame>(&decoded)) {
     if (on_credit_) on_credit_(*credit);
     return;
   }
-  if (const auto* placement = std::get_if<fleet::PlacementAnswer>(&valueOf(message))) {
+  if (const auto* placement = std::get_if<fleet::PlacementAnswer>(&decoded)) {
     if (on_placement_) on_placement_(*placement);
     return;
   }
-  if (const auto* crashes = std::get_if<fleet::CrashNotesFrame>(&valueOf(message))) {
+  if (const auto* crashes = std::get_if<fleet::CrashNotesFrame>(&decoded)) {
     if (on_crashes_) on_crashes_(from, *crashes);
     return;
   }
-  const auto* frame = std::get_if<fleet::StoreReplyFrame>(&valueOf(message));
+  const auto* frame = std::get_if<fleet::StoreReplyFrame>(&decoded);
   if (frame == nullptr) return;
   const auto found = pending_.find(frame->number);
   if (found == pending_.end()) return;
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -11,7 +11,7 @@
 
 #include "connection/asio.hpp"
 #include "connection/frame_connection.hpp"
-#include "process/fleet/fleet_messages.hpp"
+#include "process/fleet/frame_reader.hpp"
 #include "process/store/store_messages.hpp"
 
 namespace hatchfork::exchange {
@@ -51,6 +51,8 @@
   void setCrashHandler(std::function<void(const ReplicaId& from, const fleet::CrashNotesFrame&)> on_crashes) {
     on_crashes_ = std::move(on_crashes);
   }
+  /// Frames of a kind that this release does not know.
+  std::uint64_t framesPassedOver() const { return frames_.passedOver(); }
   /// False if there is no connection to that store, or none is wanted.
   bool send(const ReplicaId& store, const fleet::FleetMessage& message);
   /// Asks store after store until one answers or `deadline` has come; a store that has not answered after `hedge` is
@@ -79,6 +81,7 @@
 
   connection::asio::io_context& context_;
   std::uint16_t store_port_;
+  fleet::FrameReader frames_;
   std::map<ReplicaId, Link> links_;
   struct Pending {
     ReplicaId store;
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -119,13 +119,14 @@
 }
 
 void ControlProgram::onFrame(const std::string& body, const ConnectionPtr& from) {
-  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
+  const Result<std::optional<FleetMessage>> message = frames_.read(body);
   if (!isOk(message)) {
     logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
     from->close();
     return;
   }
-  const FleetMessage& decoded = valueOf(message);
+  if (!valueOf(message)) return;
+  const FleetMessage& decoded = *valueOf(message);
   if (const auto* group = std::get_if<GroupFrame>(&decoded)) {
     take(*group);
   } else if (const auto* proposal = std::get_if<ProposalFrame>(&decoded)) {
@@ -145,6 +146,7 @@
   const Instant now = monotonicNow();
   directory_.hearOf(now, frame.stores);
   engines_.hearOf(now, frame.engines);
+  releases_.note(frame.from, frame.release);
   if (controls_.insert(frame.from).second) updateContacts();
 }
 
@@ -152,6 +154,12 @@
   return std::vector<ReplicaId>(controls_.begin(), controls_.end());
 }
 
+ReleaseNumber ControlProgram::leastControlRelease() const {
+  std::vector<ReplicaId> others = knownControls();
+  std::erase(others, settings_.self());
+  return std::min(kThisRelease, releases_.leastOf(others));
+}
+
 void ControlProgram::updateContacts() {
   const std::vector<ReplicaId> known = knownControls();
   group_->setContacts(known, known.size());
@@ -297,6 +305,7 @@
              static_cast<double>(feed_->subscribers()));
   page.gauge("hatchfork_feed_fresh", "One while the state here is proved the newest.",
              feed_->isFresh(monotonicNow()) ? 1 : 0);
+  fillReleaseMetrics(page, leastControlRelease(), frames_.passedOver());
   page.gauge("hatchfork_stores_known", "Stores heard of lately.", static_cast<double>(directory_.stores().size()));
 }
 
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -12,12 +12,14 @@
 #include "process/fleet/feed_server.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/fleet_state.hpp"
+#include "process/fleet/frame_reader.hpp"
 #include "process/fleet/group_host.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "process/fleet/operator_api.hpp"
 #include "process/fleet/peer_links.hpp"
 #include "process/fleet/store_directory.hpp"
 #include "version/dialect.hpp"
+#include "version/release.hpp"
 
 namespace hatchfork::fleet {
 
@@ -41,6 +43,8 @@
   void take(const ProposalReplyFrame& frame) { group_->receive(frame); }
   void take(const DirectoryFrame& frame);
   std::vector<ReplicaId> knownControls() const;
+  /// What all control processes can read, this one included.
+  ReleaseNumber leastControlRelease() const;
   /// Keeps the addresses of control processes beside the log, since the seeds of the settings may be gone.
   void rememberControls();
   std::vector<ReplicaId> recallControls() const;
@@ -70,6 +74,9 @@
   StoreDirectory directory_;
   EngineWatch engines_;
   PeerLinks links_;
+  FrameReader frames_;
+  /// Of the other control processes, as they told.
+  PeerReleases releases_;
   std::unique_ptr<GroupHost> group_;
   std::unique_ptr<FeedServer> feed_;
   std::unique_ptr<EngineRegistrar> registrar_;
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -115,9 +115,13 @@
 }
 
 void FeedClient::onFrame(const std::string& body) {
-  Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
-  if (!isOk(message)) return;
-  if (auto* update = std::get_if<UpdateFrame>(&valueOf(message))) take(*update);
+  Result<std::optional<FleetMessage>> message = frames_.read(body);
+  if (!isOk(message)) {
+    logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
+    return;
+  }
+  if (!valueOf(message)) return;
+  if (auto* update = std::get_if<UpdateFrame>(&*valueOf(message))) take(*update);
 }
 
 void FeedClient::take(UpdateFrame& frame) {
@@ -187,6 +191,16 @@
            {{"revision", view_.evacuated.revision}, {"zones", fmt::format("{}", fmt::join(names, ","))}});
 }
 
+PeerReleases releasesOf(const std::vector<StoreAddress>& stores) {
+  PeerReleases releases;
+  for (const StoreAddress& store : stores) releases.note(store.address, store.release);
+  return releases;
+}
+
+ReleaseNumber leastReleaseOf(const std::vector<StoreAddress>& stores) {
+  return std::min(kThisRelease, releasesOf(stores).leastOf(addressesOf(stores)));
+}
+
 std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores) {
   std::vector<ReplicaId> addresses;
   for (const StoreAddress& store : stores) addresses.push_back(store.address);
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -9,6 +9,7 @@
 #include "connection/asio.hpp"
 #include "connection/frame_connection.hpp"
 #include "process/fleet/fleet_messages.hpp"
+#include "process/fleet/frame_reader.hpp"
 #include "version/dialect.hpp"
 #include "version/route_table.hpp"
 
@@ -38,6 +39,10 @@
   bool isEmpty() const { return !routes && !directory && engines.isEmpty(); }
 };
 
+/// What all of them can read, this process included.
+ReleaseNumber leastReleaseOf(const std::vector<StoreAddress>& stores);
+/// Their releases, as far as the control process knows.
+PeerReleases releasesOf(const std::vector<StoreAddress>& stores);
 /// The addresses alone.
 std::vector<ReplicaId> addressesOf(const std::vector<StoreAddress>& stores);
 
@@ -62,6 +67,8 @@
   void start();
   void addSeeds(const std::vector<ReplicaId>& seeds);
   const FleetView& view() const { return view_; }
+  /// Frames of a kind that this release does not know.
+  std::uint64_t framesPassedOver() const { return frames_.passedOver(); }
   /// When the newest proof of freshness arrived; the least instant before the first one.
   Instant provedAt() const { return proved_at_; }
 
@@ -86,6 +93,7 @@
   ViewHandler on_view_;
   PresenceSource presence_;
   FleetView view_;
+  FrameReader frames_;
   std::set<ReplicaId> controls_;
   Instant proved_at_ = Instant::min();
   /// Where the search for a control process goes on.
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -17,6 +17,7 @@
 #include "request/exchange/load_board.hpp"
 #include "version/engine_changes.hpp"
 #include "version/evacuated_zones.hpp"
+#include "version/release.hpp"
 
 /// The frames between the processes of a fleet that forms itself: CBOR of `FleetMessage`, one for each frame. A process
 /// is named by the IP number of its machine, so a name is also the way to it.
@@ -52,9 +53,10 @@
   /// May be applied later.
   kUnknown,
 };
-NLOHMANN_JSON_SERIALIZE_ENUM(ProposalResult, {{ProposalResult::kApplied, 0},
-                                              {ProposalResult::kNotRun, 1},
-                                              {ProposalResult::kUnknown, 2}})
+/// A value of a later release is read as the first of these.
+NLOHMANN_JSON_SERIALIZE_ENUM(ProposalResult, {{ProposalResult::kUnknown, 2},
+                                              {ProposalResult::kApplied, 0},
+                                              {ProposalResult::kNotRun, 1}})
 
 struct ProposalReplyFrame {
   static constexpr std::string_view kKind = "pr";
@@ -66,6 +68,14 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProposalReplyFrame, group, number, result, reply)
 
+/// The field of a frame that tells a release; absent where none is told.
+inline void writeRelease(nlohmann::json& json, ReleaseNumber release) {
+  if (release != kUntoldRelease) json["release"] = release;
+}
+inline ReleaseNumber readRelease(const nlohmann::json& json) {
+  return json.value("release", kUntoldRelease);
+}
+
 /// What a store tells of itself.
 struct StorePresence {
   std::string node;
@@ -77,12 +87,14 @@
   /// At the leader of the store group: its committed membership, and the term in which it leads.
   std::optional<consensus::Membership> membership;
   std::uint64_t term = 0;
+  ReleaseNumber release = kUntoldRelease;
 };
 inline void to_json(nlohmann::json& json, const StorePresence& presence) {
   json = nlohmann::json{{"node", presence.node},     {"address", presence.address},
                         {"zone", presence.zone},     {"incarnation", presence.incarnation},
                         {"formed", presence.formed}, {"term", presence.term}};
   if (presence.membership) json["membership"] = *presence.membership;
+  writeRelease(json, presence.release);
 }
 inline void from_json(const nlohmann::json& json, StorePresence& presence) {
   json.at("node").get_to(presence.node);
@@ -93,6 +105,7 @@
   json.at("term").get_to(presence.term);
   presence.membership.reset();
   if (json.contains("membership")) presence.membership = json.at("membership").get<consensus::Membership>();
+  presence.release = readRelease(json);
 }
 
 /// What one control process has heard itself of stores and engines, for the other control processes.
@@ -102,8 +115,19 @@
   std::vector<StorePresence> stores;
   /// Engines that sent it a beat since its last frame.
   std::vector<EngineId> engines;
+  /// Of the sender.
+  ReleaseNumber release = kThisRelease;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DirectoryFrame, from, stores, engines)
+inline void to_json(nlohmann::json& json, const DirectoryFrame& frame) {
+  json = nlohmann::json{{"from", frame.from}, {"stores", frame.stores}, {"engines", frame.engines}};
+  writeRelease(json, frame.release);
+}
+inline void from_json(const nlohmann::json& json, DirectoryFrame& frame) {
+  json.at("from").get_to(frame.from);
+  json.at("stores").get_to(frame.stores);
+  json.at("engines").get_to(frame.engines);
+  frame.release = readRelease(json);
+}
 
 /// Opens a subscription to the fleet's state, and is repeated by stores as their sign of life.
 struct SubscribeFrame {
@@ -114,16 +138,41 @@
   std::uint64_t engines_revision = 0;
   /// Empty for gateways, one for a store.
   std::vector<StorePresence> store;
+  /// Of the sender.
+  ReleaseNumber release = kThisRelease;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubscribeFrame, node, document_version, engines_revision, store)
+inline void to_json(nlohmann::json& json, const SubscribeFrame& frame) {
+  json = nlohmann::json{{"node", frame.node},
+                        {"document_version", frame.document_version},
+                        {"engines_revision", frame.engines_revision},
+                        {"store", frame.store}};
+  writeRelease(json, frame.release);
+}
+inline void from_json(const nlohmann::json& json, SubscribeFrame& frame) {
+  json.at("node").get_to(frame.node);
+  json.at("document_version").get_to(frame.document_version);
+  json.at("engines_revision").get_to(frame.engines_revision);
+  json.at("store").get_to(frame.store);
+  frame.release = readRelease(json);
+}
 
 /// A store as subscribers know it.
 struct StoreAddress {
   ReplicaId address;
   ZoneId zone;
+  /// As the store told it; `kUntoldRelease` where a control process of an older release is between.
+  ReleaseNumber release = kUntoldRelease;
   auto operator<=>(const StoreAddress&) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreAddress, address, zone)
+inline void to_json(nlohmann::json& json, const StoreAddress& store) {
+  json = nlohmann::json{{"address", store.address}, {"zone", store.zone}};
+  writeRelease(json, store.release);
+}
+inline void from_json(const nlohmann::json& json, StoreAddress& store) {
+  json.at("address").get_to(store.address);
+  json.at("zone").get_to(store.zone);
+  store.release = readRelease(json);
+}
 
 /// Where other processes are, and what the stores are to do.
 struct DirectoryUpdate {
--- a/src/process/fleet/metrics_server.cpp
+++ b/src/process/fleet/metrics_server.cpp
@@ -50,4 +50,11 @@
   co_await writer.send(std::move(response));
 }
 
+void fillReleaseMetrics(metrics::MetricsPage& page, ReleaseNumber least_peer, std::uint64_t frames_passed_over) {
+  page.gauge("hatchfork_release", "Release of this process, as it tells others.", kThisRelease);
+  page.gauge("hatchfork_least_peer_release", "What all peers can read; zero for releases that tell none.", least_peer);
+  page.counter("hatchfork_frames_passed_over_total", "Frames of a kind that this release does not know.",
+               static_cast<double>(frames_passed_over));
+}
+
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/metrics_server.hpp
+++ b/src/process/fleet/metrics_server.hpp
@@ -8,6 +8,7 @@
 #include "process/consensus/replicated_group.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/metrics/metrics_page.hpp"
+#include "version/release.hpp"
 
 namespace hatchfork::fleet {
 
@@ -29,5 +30,7 @@
 
 /// What every replica tells of its group.
 void fillGroupMetrics(metrics::MetricsPage& page, const consensus::GroupStatus& status);
+/// `least_peer`: what all peers can read.
+void fillReleaseMetrics(metrics::MetricsPage& page, ReleaseNumber least_peer, std::uint64_t frames_passed_over);
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -16,7 +16,12 @@
 }
 
 void StoreDirectory::hearOf(Instant now, const std::vector<StorePresence>& stores) {
-  for (const StorePresence& presence : stores) take(now, presence);
+  for (const StorePresence& presence : stores) {
+    StorePresence heard = presence;
+    // A control process of an older release drops the release from what it passes on.
+    if (isHeardDirectly(now, presence.address)) heard.release = stores_.at(presence.address).release;
+    take(now, heard);
+  }
 }
 
 void StoreDirectory::take(Instant now, const StorePresence& presence) {
@@ -28,6 +33,11 @@
   group_membership_ = presence.membership;
 }
 
+bool StoreDirectory::isHeardDirectly(Instant now, const ReplicaId& store) const {
+  const auto heard = heard_directly_at_.find(store);
+  return heard != heard_directly_at_.end() && now <= heard->second + kDirectLifetime;
+}
+
 void StoreDirectory::expire(Instant now) {
   std::erase_if(heard_at_, [&](const auto& entry) {
     if (now <= entry.second + kLifetime) return false;
@@ -47,7 +57,8 @@
 
 std::vector<StoreAddress> StoreDirectory::addresses() const {
   std::vector<StoreAddress> addresses;
-  for (const auto& [address, presence] : stores_) addresses.push_back(StoreAddress{address, presence.zone});
+  for (const auto& [address, presence] : stores_)
+    addresses.push_back(StoreAddress{address, presence.zone, presence.release});
   return addresses;
 }
 
--- a/src/process/fleet/store_directory.hpp
+++ b/src/process/fleet/store_directory.hpp
@@ -37,6 +37,7 @@
 
  private:
   void take(Instant now, const StorePresence& presence);
+  bool isHeardDirectly(Instant now, const ReplicaId& store) const;
 
   std::map<ReplicaId, StorePresence> stores_;
   std::map<ReplicaId, Instant> heard_at_;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -141,6 +141,7 @@
   presence.zone = settings_.zone;
   presence.incarnation = status.incarnation;
   presence.formed = status.joined;
+  presence.release = kThisRelease;
   if (group_->isConfirmedLeader() && status.membership_committed) {
     presence.membership = status.membership;
     presence.term = status.term;
@@ -174,13 +175,14 @@
 }
 
 void StoreProgram::onFrame(const std::string& body, const ConnectionPtr& from) {
-  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
+  const Result<std::optional<FleetMessage>> message = frames_.read(body);
   if (!isOk(message)) {
     logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
     from->close();
     return;
   }
-  const FleetMessage& decoded = valueOf(message);
+  if (!valueOf(message)) return;
+  const FleetMessage& decoded = *valueOf(message);
   const fleet::HandlerWatch::Timer timer(handlers_, std::visit([](const auto& body) { return body.kKind; }, decoded));
   dispatch(decoded, from);
 }
@@ -288,6 +290,8 @@
              static_cast<double>(crashes_.requestsKnown()));
   page.gauge("hatchfork_crash_listeners", "Processes that are told by this store of requests that end engines.",
              static_cast<double>(crash_relay_.receivers()));
+  fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
+                            frames_.passedOver() + feed_->framesPassedOver());
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -12,6 +12,7 @@
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
+#include "process/fleet/frame_reader.hpp"
 #include "process/fleet/group_host.hpp"
 #include "process/fleet/handler_watch.hpp"
 #include "process/fleet/load_reporter.hpp"
@@ -110,6 +111,7 @@
   std::unique_ptr<const Dialect> dialect_;
   connection::asio::io_context context_;
   fleet::PeerLinks links_;
+  fleet::FrameReader frames_;
   /// Requests that end the engines they run on, as far as any process has seen.
   fleet::CrashWatch crashes_;
   CrashRelay crash_relay_;
--- a/src/process/store/store_program_loads.cpp
+++ b/src/process/store/store_program_loads.cpp
@@ -15,13 +15,15 @@
 }
 
 void StoreProgram::onReturnedFrame(const std::string& body) {
-  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
+  const Result<std::optional<FleetMessage>> message = frames_.read(body);
   if (!isOk(message)) {
     logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
     return;
   }
-  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&valueOf(message))) onDigest(*digest);
-  if (const auto* crashes = std::get_if<fleet::CrashNotesFrame>(&valueOf(message))) {
+  if (!valueOf(message)) return;
+  const FleetMessage& decoded = *valueOf(message);
+  if (const auto* digest = std::get_if<fleet::LoadDigestFrame>(&decoded)) onDigest(*digest);
+  if (const auto* crashes = std::get_if<fleet::CrashNotesFrame>(&decoded)) {
     crash_relay_.takeAnswer(monotonicNow(), *crashes);
   }
 }
