--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,6 +24,7 @@
         self.log = open(folder / f"{name}.log", "ab")
         self.child = None
         self.environment = {}  # beside that of the test
+        self.program = PROGRAM
 
     def is_running(self):
         return self.child is not None and self.child.poll() is None
@@ -31,7 +32,7 @@
     def start(self):
         if self.is_running():
             return
-        command = [str(PROGRAM), self.role, "--settings", str(self.file)]
+        command = [str(self.program), self.role, "--settings", str(self.file)]
         self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log,
                                       env={**os.environ, **self.environment})
 
