Recorded bytes are found wherever the tests run

The path came from __FILE__, which the compiler cache makes relative to the build folder: two of the five cases failed in the whole test program (run from the root), though they passed in a program of their own. Now the build tells the folder.

--- a/tests/recorded/recorded_formats_test.cpp
+++ b/tests/recorded/recorded_formats_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const std::filesystem::path kRecorded = std::filesystem::path(__FILE__).parent_path();
+const std::filesystem::path kRecorded = HATCHFORK_RECORDED_FOLDER;
 const std::vector<std::string> kReleases = {"096a934"};
 
 /// True if `now` says all that `before` says: its fields with their values, and entries of arrays at their positions.
