--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -80,6 +80,122 @@
   }
 }
 
+/// All members of a cluster that has led and written end at once, each comes back at its own time within `spread_ms`,
+/// but for those in `absent`. Returns how long after the last start that was needed for a quorum there was a leader
+/// that had committed in its term; in milliseconds, in steps of the cluster's tick.
+std::int64_t restartAll(TestCluster& cluster, std::uint64_t seed, std::int64_t spread_ms,
+                        const std::vector<sim::ReplicaHost*>& absent) {
+  std::mt19937_64 random(seed);
+  std::vector<std::pair<std::int64_t, sim::ReplicaHost*>> starts;
+  for (const auto& [name, host] : cluster.hosts()) {
+    host->crash();
+    const bool is_absent = std::find(absent.begin(), absent.end(), host.get()) != absent.end();
+    if (!is_absent) starts.emplace_back(spread_ms == 0 ? 0 : random() % spread_ms, host.get());
+  }
+  cluster.run(600);
+  std::sort(starts.begin(), starts.end());
+  const std::size_t quorum = cluster.hosts().size() / 2 + 1;
+  std::int64_t now = 0;
+  std::int64_t quorum_at = 0;
+  const auto isLed = [&cluster] {
+    return std::any_of(cluster.hosts().begin(), cluster.hosts().end(), [&cluster](const auto& entry) {
+      return entry.second->isUp() && entry.second->group(0)->isConfirmedLeader(cluster.simulation.now());
+    });
+  };
+  for (std::size_t started = 0; started < starts.size(); ++started) {
+    while (now < starts[started].first) {
+      if (started >= quorum && isLed()) return now - quorum_at;
+      cluster.run(1);
+      ++now;
+    }
+    starts[started].second->start();
+    if (started + 1 == quorum) quorum_at = now;
+  }
+  while (!isLed() && now < 10000) {
+    cluster.run(1);
+    ++now;
+  }
+  return now - quorum_at;
+}
+
+std::int64_t percentile(std::vector<std::int64_t> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+constexpr std::uint64_t kRestartSeeds = 200;
+
+TEST_CASE("after all members have ended and started, one leads without a full election timeout", "[consensus][start]") {
+  const Timing timing{fromMillis(50), fromMillis(200)};
+  for (const std::size_t size : {3, 5}) {
+    for (const std::int64_t spread_ms : {0, 40, 150}) {
+      std::vector<std::int64_t> waits;
+      for (std::uint64_t seed = 1; seed <= kRestartSeeds; ++seed) {
+        TestCluster cluster(seed, size, timing);
+        cluster.startAll();
+        REQUIRE(cluster.write("a=1"));
+        cluster.run(300);
+        waits.push_back(restartAll(cluster, seed, spread_ms, {}));
+        INFO("seed " << seed << " size " << size << " spread " << spread_ms);
+        REQUIRE(waits.back() < 1000);
+        REQUIRE(cluster.write("b=2"));
+        REQUIRE(cluster.machine(*cluster.leader()).values().at("a") == "1");
+      }
+      INFO("size " << size << " spread " << spread_ms << " median " << percentile(waits, 0.5) << " most "
+                   << percentile(waits, 1.0));
+      CHECK(percentile(waits, 0.5) < 100);
+      CHECK(percentile(waits, 0.95) < 200);
+    }
+  }
+}
+
+TEST_CASE("where the last leader does not come back, or has lost its disk, another one leads soon",
+          "[consensus][start]") {
+  const Timing timing{fromMillis(50), fromMillis(200)};
+  for (const bool loses_disk : {false, true}) {
+    std::vector<std::int64_t> waits;
+    for (std::uint64_t seed = 1; seed <= kRestartSeeds; ++seed) {
+      TestCluster cluster(seed, 5, timing);
+      cluster.startAll();
+      REQUIRE(cluster.write("a=1"));
+      cluster.run(300);
+      sim::ReplicaHost* former = cluster.leader();
+      if (loses_disk) former->loseDisk();
+      waits.push_back(
+          restartAll(cluster, seed, 40, loses_disk ? std::vector<sim::ReplicaHost*>{} : std::vector{former}));
+      INFO("seed " << seed << " lost disk " << loses_disk);
+      REQUIRE(waits.back() < 1500);
+      REQUIRE(cluster.write("b=2"));
+      REQUIRE(cluster.machine(*cluster.leader()).values().at("a") == "1");
+    }
+    INFO("lost disk " << loses_disk << " median " << percentile(waits, 0.5) << " most " << percentile(waits, 1.0));
+    CHECK(percentile(waits, 0.5) < 180);
+  }
+}
+
+TEST_CASE("members that start beside a live leader leave it and its term alone", "[consensus][start]") {
+  const Timing timing{fromMillis(50), fromMillis(200)};
+  for (std::uint64_t seed = 1; seed <= kRestartSeeds; ++seed) {
+    TestCluster cluster(seed, 5, timing);
+    cluster.startAll();
+    REQUIRE(cluster.write("a=1"));
+    cluster.run(300);
+    sim::ReplicaHost* leading = cluster.leader();
+    const Term term = leading->group(0)->term();
+    std::vector<sim::ReplicaHost*> restarted;
+    for (const auto& [name, host] : cluster.hosts()) {
+      if (host.get() != leading && restarted.size() < 2) restarted.push_back(host.get());
+    }
+    for (sim::ReplicaHost* host : restarted) host->crash();
+    cluster.run(static_cast<std::int64_t>(seed));
+    for (sim::ReplicaHost* host : restarted) host->start();
+    cluster.run(1500);
+    INFO("seed " << seed);
+    REQUIRE(cluster.leader() == leading);
+    REQUIRE(leading->group(0)->term() == term);
+  }
+}
+
 TEST_CASE("no cluster forms while one initial member is missing", "[consensus]") {
   TestCluster cluster(1);
   for (std::size_t number = 1; number <= 4; ++number) cluster.host(number).start();
