A replica that starts calls for votes without a full timeout, the one that led last at once

Cause: after a loss of power nobody leads and no live leader is to be guarded, yet every replica waited one to two election timeouts. Ruled out: leading on by the disk's word (two could), a shorter timeout (loses leaders of busy machines). Change: pre-votes are asked soon after a start, by the last leader at once (its vote for itself and its log say so), by others after one to two heartbeat intervals; repeated with growing pauses for two election timeouts. A leader answers a pre-vote with a heartbeat. Terms, votes, syncs and messages are as before, so releases mix.

--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -79,6 +79,7 @@
   compactLog();
   if (fault_) return *fault_;
   resetElectionDeadline();
+  planStartCalls();
   next_hello_ = now_;
   return okStatus();
 }
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -93,6 +93,12 @@
     Identity leader;
     LogIndex index = 0;
   };
+  /// When a replica that has started calls for votes next, and when it waits for full timeouts again.
+  struct StartCalls {
+    Instant next{};
+    Duration pause{};
+    Instant until{};
+  };
   struct IncomingSnapshot {
     Identity leader;
     LogIndex index = 0;
@@ -122,6 +128,13 @@
   // Election (replica_election.cpp).
   void tickElection();
   void resetElectionDeadline();
+  /// After a start no leader is to be waited for: this replica calls for votes soon, the one that led last at once.
+  void planStartCalls();
+  /// Does not call before `pause`, and some of it more at random, has passed.
+  void postponeStartCall(Duration pause);
+  void tickStartCall();
+  /// Leads, or led last, as far as its disk tells.
+  bool hasLedLast() const;
   bool hasLiveLeader() const;
   void startPreVote();
   void startElection(bool leadership_transfer);
@@ -129,6 +142,8 @@
   void handle(const Identity& from, const Envelope& envelope, const VoteRequest& request);
   void handle(const Identity& from, const Envelope& envelope, const VoteReply& reply);
   void handle(const Identity& from, const Envelope& envelope, const TimeoutNow& order);
+  /// What follows from a pre-vote besides its answer.
+  void answerStartCall(const Identity& from, const VoteRequest& request, bool granted);
   bool isLogUpToDate(const VoteRequest& request) const;
   void becomeFollower(Term term, std::optional<Identity> leader, std::string_view cause = "newer_term");
   void becomeLeader();
@@ -227,6 +242,8 @@
   LogIndex committed_ = 0;
   LogIndex applied_ = 0;
   Instant election_deadline_{};
+  /// Absent once there was a leader, or has been none for long.
+  std::optional<StartCalls> start_calls_;
   /// When this replica last heard from the leader of its term.
   Instant leader_heard_at_ = Instant::min();
   bool pre_vote_running_ = false;
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -11,6 +11,11 @@
 constexpr int kMostStalledTimeouts = 3;
 /// A stall counts for so many heartbeat intervals after it.
 constexpr int kStallRemembered = 2;
+/// A replica that starts calls for votes without a full timeout for so many election timeouts.
+constexpr int kStartCallTimeouts = 2;
+/// Between the calls of a start: this share of a heartbeat interval at first, twice as much each time. Votes are asked
+/// and granted within some milliseconds, also by a slow disk.
+constexpr int kStartCallsEachInterval = 2;
 
 }  // namespace
 
@@ -20,8 +25,45 @@
   election_deadline_ = now_ + timeout + Duration(extra(random_));
 }
 
+bool Replica::hasLedLast() const {
+  const bool voted_for_self = record_.voted_for == self_.id && record_.voted_for_incarnation == self_.incarnation;
+  return voted_for_self && log_->lastTerm() == record_.term;
+}
+
+void Replica::planStartCalls() {
+  if (!record_.joined || !isSelfVoter()) return;
+  const Duration pause = options_.timing.heartbeat_interval / kStartCallsEachInterval;
+  start_calls_ = StartCalls{now_, pause, now_ + kStartCallTimeouts * options_.timing.election_timeout};
+  // The others leave the first call to that one, and a live leader the time for a heartbeat.
+  if (!hasLedLast()) postponeStartCall(options_.timing.heartbeat_interval);
+  logEvent(LogLevel::kInfo, "start_call_planned",
+           {{"group", options_.group},
+            {"term", record_.term},
+            {"led_last", hasLedLast()},
+            {"in_ms", toMillis(start_calls_->next - now_)}});
+}
+
+void Replica::postponeStartCall(Duration pause) {
+  if (!start_calls_) return;
+  std::uniform_int_distribution<Duration::rep> extra(0, pause.count());
+  start_calls_->next = std::max(start_calls_->next, now_ + pause + Duration(extra(random_)));
+}
+
+void Replica::tickStartCall() {
+  if (!start_calls_ || now_ < start_calls_->next) return;
+  if (now_ >= start_calls_->until) {
+    start_calls_.reset();
+    return;
+  }
+  postponeStartCall(start_calls_->pause);
+  start_calls_->pause *= 2;
+  startPreVote();
+}
+
 void Replica::tickElection() {
-  if (!isSelfVoter() || now_ < election_deadline_) return;
+  if (!isSelfVoter()) return;
+  tickStartCall();
+  if (now_ < election_deadline_) return;
   // While it applies a long log, heartbeats may wait unread.
   if (applied_ < committed_ && heardLeaderLately()) return;
   startPreVote();
@@ -53,6 +95,8 @@
   pre_vote_running_ = false;
   votes_ = {self_};
   resetElectionDeadline();
+  // Votes are being counted. A split vote is called again after this, not after a full timeout.
+  postponeStartCall(options_.timing.heartbeat_interval);
   ++record_.term;
   record_.voted_for = self_.id;
   record_.voted_for_incarnation = self_.incarnation;
@@ -87,6 +131,7 @@
   if (request.pre_vote) {
     reply.granted = !disturbs && request.candidate_term > record_.term && isLogUpToDate(request);
     send(from, reply);
+    answerStartCall(from, request, reply.granted);
     return;
   }
   if (request.candidate_term > record_.term) {
@@ -103,11 +148,28 @@
       record_.voted_for_incarnation = from.incarnation;
       if (!saveRecord()) return;
       resetElectionDeadline();
+      postponeStartCall(options_.timing.heartbeat_interval);
     }
   }
   send(from, reply);
 }
 
+void Replica::answerStartCall(const Identity& from, const VoteRequest& request, bool granted) {
+  const auto progress = progress_.find(from);
+  if (role_ == Role::kLeader && progress != progress_.end()) {
+    // It has just started, or was cut off: it learns of its leader now, not at the next heartbeat.
+    send(from, Heartbeat{round_, std::min(committed_, progress->second.match)});
+    return;
+  }
+  if (!start_calls_ || hasLiveLeader()) return;
+  if (granted) {
+    postponeStartCall(start_calls_->pause);
+  } else if (!isLogUpToDate(request) && !pre_vote_running_ && role_ != Role::kCandidate) {
+    // That one can't lead, since it lacks what is held here.
+    start_calls_->next = std::min(start_calls_->next, now_);
+  }
+}
+
 void Replica::handle(const Identity& from, const Envelope&, const VoteReply& reply) {
   if (role_ != Role::kCandidate || reply.pre_vote != pre_vote_running_ || !reply.granted) return;
   const Term asked = pre_vote_running_ ? record_.term + 1 : record_.term;
@@ -142,6 +204,7 @@
 }
 
 void Replica::becomeLeader() {
+  start_calls_.reset();
   logEvent(LogLevel::kInfo, "leadership_won", {{"group", options_.group}, {"term", record_.term}});
   role_ = Role::kLeader;
   leader_ = self_;
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -36,6 +36,7 @@
 void Replica::handle(const Identity& from, const Envelope&, const Heartbeat& heartbeat) {
   becomeFollower(record_.term, from);
   leader_heard_at_ = now_;
+  start_calls_.reset();
   resetElectionDeadline();
   commitTo(std::min(heartbeat.committed, log_->lastIndex()));
   send(from, HeartbeatReply{heartbeat.round});
@@ -124,6 +125,7 @@
 void Replica::handle(const Identity& from, const Envelope&, const AppendRequest& request) {
   becomeFollower(record_.term, from);
   leader_heard_at_ = now_;
+  start_calls_.reset();
   resetElectionDeadline();
   if (incoming_ && incoming_->writing) return;
   if (refuseUnlessMatching(from, request)) return;
