A start as a timeline; links, proofs and stores' addresses without waits in tenths of a second

What waited: the first try of a link (50 ms pause, up to 400 ms for a swallowed packet), rounds of the feed's search (100 ms), the first tick of a replica (25 ms), the first proof until somebody subscribed, and the addresses of stores, which a control process that had just started did not know.

--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -1,6 +1,7 @@
 #include "connection/frame_connection.hpp"
 
 #include <array>
+#include <utility>
 
 #include "common/log.hpp"
 
@@ -8,8 +9,11 @@
 namespace {
 
 constexpr std::size_t kMostQueuedBytes = 64u << 20;
-constexpr Duration kFirstPause = fromMillis(50);
+/// Processes that start together refuse each other for some milliseconds; one that is away for long is tried seldom.
+constexpr Duration kFirstPause = fromMillis(5);
 constexpr Duration kLongestPause = fromMillis(300);
+/// A machine that just comes up may have swallowed the first packet: the first try is given up soon.
+constexpr Duration kFirstConnectTimeout = fromMillis(60);
 constexpr Duration kConnectTimeout = fromMillis(400);
 /// Frames that wait for a connection: how long, and how many bytes of them.
 constexpr Duration kLongestWait = fromMillis(500);
@@ -127,6 +131,11 @@
   if (connection_) connection_->close();
 }
 
+void ReconnectingLink::retryNow() {
+  if (isConnected() || std::exchange(retry_now_, true)) return;
+  closed_.cancel();
+}
+
 bool ReconnectingLink::send(const std::string& body) {
   if (!isConnected()) return false;
   connection_->send(body);
@@ -168,6 +177,7 @@
 
 Awaitable<void> ReconnectingLink::run() {
   Duration pause = kFirstPause;
+  Duration patience = kFirstConnectTimeout;
   while (!stopped_) {
     if (isConnected()) {
       boost::system::error_code woken;
@@ -178,7 +188,7 @@
     auto socket = std::make_shared<tcp::socket>(context_);
     // Closes the socket, and so fails the connect, when the far side swallows packets in silence.
     Timer timeout(context_);
-    timeout.expires_after(kConnectTimeout);
+    timeout.expires_after(patience);
     timeout.async_wait([socket](boost::system::error_code error) {
       boost::system::error_code ignored;
       if (!error) socket->close(ignored);
@@ -189,12 +199,16 @@
     timeout.cancel();
     if (error || stopped_ || !socket->is_open()) {
       boost::system::error_code woken;
+      if (std::exchange(retry_now_, false)) pause = kFirstPause;
       closed_.expires_after(pause);
       co_await closed_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
       pause = std::min(pause * 2, kLongestPause);
+      patience = std::min(patience * 2, kConnectTimeout);
       continue;
     }
     pause = kFirstPause;
+    patience = kFirstConnectTimeout;
+    retry_now_ = false;
     auto self = shared_from_this();
     connection_ = std::make_shared<FrameConnection>(
         std::move(*socket), [self](std::string body) { self->on_frame_(std::move(body)); },
--- a/src/connection/frame_connection.hpp
+++ b/src/connection/frame_connection.hpp
@@ -63,6 +63,8 @@
   bool send(const std::string& body);
   /// Sends now, or when the connection comes up within a moment; for messages that are of use only while they are new.
   void sendSoon(std::string body);
+  /// The far side is known to be up: a link that waits for its next try connects at once.
+  void retryNow();
   bool isConnected() const { return connection_ && connection_->isOpen(); }
   const Endpoint& endpoint() const { return endpoint_; }
   /// Bytes both ways over all connections of this link.
@@ -89,6 +91,7 @@
   std::deque<WaitingFrame> waiting_;
   std::size_t waiting_bytes_ = 0;
   bool stopped_ = false;
+  bool retry_now_ = false;
 };
 
 }  // namespace hatchfork::connection
--- a/src/main/commands.cpp
+++ b/src/main/commands.cpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 #include "platform/platform_dialect.hpp"
 #include "process/exchange/gateway_program.hpp"
@@ -75,6 +76,7 @@
   Result<std::unique_ptr<const Dialect>> dialect = makeDialect(valueOf(settings).dialect);
   if (!isOk(dialect)) return errorOf(dialect);
   setLogNode(valueOf(settings).name);
+  noteStartStep("settings_read");
   return Program(std::move(valueOf(settings)), file, std::move(valueOf(dialect))).run();
 }
 
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 
 namespace hatchfork::exchange {
 
@@ -44,6 +45,7 @@
 
 void StoreClient::onLinkState(const ReplicaId& store, bool connected) {
   logEvent(LogLevel::kInfo, connected ? "store_connected" : "store_lost", {{"store", store.value}});
+  if (connected) noteStartStep("store_linked");
   if (connected) return;
   // Requests in flight there get no answer any more.
   std::vector<ReplyHandler> lost;
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 
 namespace hatchfork::fleet {
@@ -27,6 +28,7 @@
 constexpr std::size_t kMostControlVoters = 7;
 constexpr std::size_t kFewestVoters = 3;
 constexpr std::string_view kControlsFile = "controls";
+constexpr std::string_view kStoresFile = "stores";
 
 }  // namespace
 
@@ -62,7 +64,8 @@
   feed_ = std::make_unique<FeedServer>(*state_, directory_);
   group_->setProgressHandler([this] { proveWhenLed(); });
   controls_.insert(settings_.seeds.begin(), settings_.seeds.end());
-  for (const ReplicaId& control : recallControls()) controls_.insert(control);
+  for (const ReplicaId& control : recall<std::vector<ReplicaId>>(kControlsFile)) controls_.insert(control);
+  directory_.recall(started_at_, recall<std::vector<StoreAddress>>(kStoresFile));
   updateContacts();
 
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
@@ -71,6 +74,7 @@
                                                             on_frame, on_close);
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
+  noteStartStep("listening");
 
   metrics_ =
       std::make_unique<MetricsServer>(context_, settings_, [this](metrics::MetricsPage& page) { fillMetrics(page); });
@@ -128,6 +132,7 @@
   const FleetMessage& decoded = valueOf(message);
   if (const auto* group = std::get_if<GroupFrame>(&decoded)) {
     take(*group);
+    links_.noteUp(group->from);
   } else if (const auto* proposal = std::get_if<ProposalFrame>(&decoded)) {
     take(*proposal);
   } else if (const auto* reply = std::get_if<ProposalReplyFrame>(&decoded)) {
@@ -160,19 +165,31 @@
 }
 
 void ControlProgram::rememberControls() {
+  remember(kControlsFile, encodeStruct(knownControls()));
+}
+
+void ControlProgram::rememberStores(Instant now) {
+  if (now < started_at_ + kStoresKnownAfter) return;
+  const std::vector<StoreAddress> known = directory_.addresses();
+  if (known.empty() || known == remembered_stores_) return;
+  remembered_stores_ = known;
+  remember(kStoresFile, encodeStruct(known));
+}
+
+void ControlProgram::remember(std::string_view file, const std::string& bytes) const {
   PosixDisk disk(settings_.data_folder, [](const std::function<void()>&) {});
-  const Status written = disk.replace(std::string(kControlsFile), encodeStruct(knownControls()));
-  if (!isOk(written)) {
-    logEvent(LogLevel::kWarning, "controls_not_remembered", {{"error", describe(errorOf(written))}});
-  }
+  const Status written = disk.replace(std::string(file), bytes);
+  if (isOk(written)) return;
+  logEvent(LogLevel::kWarning, "addresses_not_remembered", {{"file", file}, {"error", describe(errorOf(written))}});
 }
 
-std::vector<ReplicaId> ControlProgram::recallControls() const {
+template <class Addresses>
+Addresses ControlProgram::recall(std::string_view file) const {
   PosixDisk disk(settings_.data_folder, [](const std::function<void()>&) {});
-  const Result<std::string> bytes = disk.read(std::string(kControlsFile));
+  const Result<std::string> bytes = disk.read(std::string(file));
   if (!isOk(bytes)) return {};
-  Result<std::vector<ReplicaId>> controls = decodeStruct<std::vector<ReplicaId>>(valueOf(bytes));
-  return isOk(controls) ? valueOf(std::move(controls)) : std::vector<ReplicaId>();
+  Result<Addresses> addresses = decodeStruct<Addresses>(valueOf(bytes));
+  return isOk(addresses) ? valueOf(std::move(addresses)) : Addresses();
 }
 
 void ControlProgram::shareDirectory(Instant now) {
@@ -246,6 +263,7 @@
     shareDirectory(now);
     formStoreGroup(now);
     noteStoreMembers();
+    rememberStores(now);
     noteLeading(now);
     if (now < next_silence_check_) continue;
     next_silence_check_ = now + settings_.engine_beat;
@@ -271,12 +289,15 @@
   proving_ = true;
   group_->read([this, asked_at](bool fresh) {
     proving_ = false;
-    if (fresh) feed_->proveFresh(monotonicNow(), asked_at);
+    if (!fresh) return;
+    has_proved_ = true;
+    feed_->proveFresh(monotonicNow(), asked_at);
   });
 }
 
 void ControlProgram::proveWhenLed() {
-  const bool wanted = feed_->subscribers() > 0 && !feed_->isFresh(monotonicNow());
+  // The first proof of a process is there before its first subscriber.
+  const bool wanted = (feed_->subscribers() > 0 || !has_proved_) && !feed_->isFresh(monotonicNow());
   if (wanted && !proving_ && group_->leader()) proveFreshness();
 }
 
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -3,6 +3,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "connection/asio.hpp"
 #include "connection/frame_server.hpp"
@@ -43,7 +45,12 @@
   std::vector<ReplicaId> knownControls() const;
   /// Keeps the addresses of control processes beside the log, since the seeds of the settings may be gone.
   void rememberControls();
-  std::vector<ReplicaId> recallControls() const;
+  /// Keeps the addresses of stores likewise: after a loss of power gateways find them before the stores have told all
+  /// control processes of themselves.
+  void rememberStores(Instant now);
+  void remember(std::string_view file, const std::string& bytes) const;
+  template <class Addresses>
+  Addresses recall(std::string_view file) const;
   void updateContacts();
   void shareDirectory(Instant now);
   void formStoreGroup(Instant now);
@@ -78,6 +85,7 @@
   std::unique_ptr<connection::HttpServer> http_server_;
   std::unique_ptr<MetricsServer> metrics_;
   std::set<ReplicaId> controls_;
+  std::vector<StoreAddress> remembered_stores_;
   connection::Timer push_timer_;
   bool push_armed_ = false;
   Instant pushed_at_{};
@@ -85,6 +93,7 @@
   Instant leading_since_{};
   Instant next_silence_check_{};
   bool proving_ = false;
+  bool has_proved_ = false;
   bool was_leading_ = false;
   bool forming_stores_ = false;
   bool noting_members_ = false;
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 
 namespace hatchfork::fleet {
 
@@ -16,10 +17,14 @@
 
 namespace {
 
+/// A machine that just comes up may have swallowed the first packet: the first tries are given up soon.
+constexpr Duration kFirstConnectTimeout = fromMillis(60);
 constexpr Duration kConnectTimeout = fromMillis(300);
 /// Without a proof for this long the control process is given up.
 constexpr Duration kSilenceLimit = fromMillis(800);
 constexpr Duration kPollInterval = fromMillis(300);
+/// Between two rounds in which no control process could be reached or proved its state; twice as much after each.
+constexpr Duration kFirstPauseBetweenRounds = fromMillis(5);
 constexpr Duration kPauseBetweenRounds = fromMillis(100);
 constexpr Duration kPresenceInterval = fromMillis(400);
 
@@ -33,6 +38,8 @@
       on_view_(std::move(on_view)),
       presence_(std::move(presence)),
       controls_(options_.seeds.begin(), options_.seeds.end()),
+      connect_patience_(kFirstConnectTimeout),
+      round_pause_(kFirstPauseBetweenRounds),
       turn_(std::hash<std::string>{}(options_.node)) {}
 
 void FeedClient::start() {
@@ -48,14 +55,17 @@
     const std::vector<ReplicaId> controls(controls_.begin(), controls_.end());
     const ReplicaId control = controls[turn_++ % controls.size()];
     co_await subscribeAt(control);
-    if (turn_ % controls.size() == 0) co_await connection::sleepFor(kPauseBetweenRounds);
+    if (turn_ % controls.size() != 0) continue;
+    co_await connection::sleepFor(round_pause_);
+    round_pause_ = std::min(2 * round_pause_, kPauseBetweenRounds);
+    connect_patience_ = std::min(2 * connect_patience_, kConnectTimeout);
   }
 }
 
 Awaitable<std::shared_ptr<FrameConnection>> FeedClient::connect(const ReplicaId& control) {
   auto socket = std::make_shared<connection::tcp::socket>(context_);
   connection::Timer timeout(context_);
-  timeout.expires_after(kConnectTimeout);
+  timeout.expires_after(connect_patience_);
   timeout.async_wait([socket](boost::system::error_code error) {
     boost::system::error_code ignored;
     if (!error) socket->close(ignored);
@@ -75,6 +85,7 @@
 Awaitable<void> FeedClient::subscribeAt(ReplicaId control) {
   std::shared_ptr<FrameConnection> link = co_await connect(control);
   if (!link) co_return;
+  noteStartStep("feed_linked");
   link->start();
   link->send(subscription());
   const Instant began = monotonicNow();
@@ -138,6 +149,9 @@
     change.directory = true;
   }
   proved_at_ = monotonicNow();
+  round_pause_ = kFirstPauseBetweenRounds;
+  connect_patience_ = kFirstConnectTimeout;
+  noteStartStep("feed_joined");
   on_view_(view_, change);
 }
 
@@ -149,6 +163,7 @@
   }
   const std::uint64_t before = view_.routes ? view_.routes->version() : 0;
   view_.routes = std::move(valueOf(parsed));
+  noteStartStep("routes_in_force");
   logEvent(LogLevel::kInfo, "routes_in_force", {{"version", view_.routes->version()}, {"before", before}});
   return true;
 }
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -88,6 +88,10 @@
   FleetView view_;
   std::set<ReplicaId> controls_;
   Instant proved_at_ = Instant::min();
+  /// How long a try to connect may take, and the next pause of the search; short until no process was found for a
+  /// while.
+  Duration connect_patience_;
+  Duration round_pause_;
   /// Where the search for a control process goes on.
   std::size_t turn_ = 0;
 };
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 
 namespace hatchfork::fleet {
 namespace {
@@ -22,6 +23,7 @@
             {"document_version", frame.document_version},
             {"engines_revision", frame.engines_revision},
             {"fresh", isFresh(now)}});
+  noteStartStep("first_subscriber");
   const Held claimed{frame.document_version, frame.engines_revision, 0};
   Held& held = subscribers_.emplace(from, claimed).first->second;
   if (!isFresh(now)) return;
@@ -35,6 +37,7 @@
 
 void FeedServer::proveFresh(Instant now, Instant asked_at) {
   const bool was_fresh = isFresh(now);
+  noteStartStep("feed_fresh");
   fresh_until_ = std::max(fresh_until_, asked_at + kProofLifetime);
   if (!was_fresh) logEvent(LogLevel::kInfo, "feed_fresh", {{"document_version", state_->documentVersion()}});
   push(now);
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 
 namespace hatchfork::fleet {
 
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr Duration kTickInterval = fromMillis(25);
+/// While the replica knows no leader, for this long after its start: votes are called for within milliseconds then.
+constexpr Duration kStartTickInterval = fromMillis(5);
+constexpr Duration kStartTicksFor = std::chrono::seconds(1);
 constexpr Duration kPlanInterval = fromMillis(100);
 constexpr Duration kReopenDelay = fromMillis(500);
 constexpr Duration kReadTimeout = fromMillis(1500);
@@ -71,6 +75,7 @@
   disk_ = std::make_unique<PosixDisk>(options_.data_folder, post);
   const Status opened = openReplica();
   if (!isOk(opened)) return opened;
+  started_at_ = monotonicNow();
   scheduleTick();
   return okStatus();
 }
@@ -108,6 +113,7 @@
             {"term", opened_status.term},
             {"last_index", opened_status.last_log_index},
             {"may_form", options_.may_form}});
+  noteStartStep("log_read");
   return okStatus();
 }
 
@@ -127,7 +133,8 @@
 }
 
 void GroupHost::scheduleTick() {
-  tick_timer_.expires_after(kTickInterval);
+  const bool is_starting = !replica_->leader() && monotonicNow() < started_at_ + kStartTicksFor;
+  tick_timer_.expires_after(is_starting ? kStartTickInterval : kTickInterval);
   tick_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     tick();
@@ -275,6 +282,7 @@
     send_(to, GroupFrame{message.group, std::move(message.from), std::move(message.to), std::move(message.body)});
   }
   for (const consensus::RequestOutcome& outcome : replica_->takeOutcomes()) finish(outcome);
+  if (isConfirmedLeader()) noteStartStep("first_commit");
   logRoleChange();
   if (on_progress_) on_progress_();
   // Other work of this thread comes between two slices.
@@ -357,6 +365,7 @@
   if (role == logged_role_ && leading == logged_leader_ && term == logged_term_) return;
   // A candidate without an outcome changes nothing that others rely on.
   if (role == Role::kCandidate && logged_role_ == Role::kCandidate) return;
+  if (leading) noteStartStep("leader_known");
   logged_role_ = role;
   logged_leader_ = leading;
   logged_term_ = term;
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -127,6 +127,7 @@
   std::map<consensus::RequestNumber, Pending> pending_;
   std::map<std::uint64_t, Forwarded> forwarded_;
   std::uint64_t last_number_ = 0;
+  Instant started_at_{};
   Instant next_plan_{};
   Instant reopen_at_{};
   bool fault_seen_ = false;
--- a/src/process/fleet/peer_links.cpp
+++ b/src/process/fleet/peer_links.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/peer_links.hpp"
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 
 namespace hatchfork::fleet {
 namespace {
@@ -18,6 +19,7 @@
   entry.used_at = connection::monotonicNow();
   if (!entry.link) {
     auto on_state = [to](bool connected) {
+      if (connected) noteStartStep("peer_linked");
       logEvent(LogLevel::kInfo, connected ? "peer_connected" : "peer_lost", {{"peer", to.value}});
     };
     auto on_frame = [this](const std::string& body) {
@@ -34,6 +36,11 @@
   return true;
 }
 
+void PeerLinks::noteUp(const ReplicaId& peer) {
+  const auto found = links_.find(peer);
+  if (found != links_.end()) found->second.link->retryNow();
+}
+
 void PeerLinks::dropUnused(Instant now) {
   std::erase_if(links_, [now](const auto& entry) {
     const bool unused = now > entry.second.used_at + kUnusedLifetime;
--- a/src/process/fleet/peer_links.hpp
+++ b/src/process/fleet/peer_links.hpp
@@ -20,6 +20,8 @@
 
   /// False if there is no connection now, so that the frame was surely not sent.
   bool send(const ReplicaId& to, const FleetMessage& message);
+  /// A frame came from the peer: a link to it that waits for its next try connects at once.
+  void noteUp(const ReplicaId& peer);
   /// Ends links that carried nothing for a while.
   void dropUnused(Instant now);
 
--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/store_directory.hpp"
 
 #include <set>
+#include <utility>
 
 namespace hatchfork::fleet {
 namespace {
@@ -28,7 +29,13 @@
   group_membership_ = presence.membership;
 }
 
+void StoreDirectory::recall(Instant now, std::vector<StoreAddress> stores) {
+  recalled_ = std::move(stores);
+  recalled_at_ = now;
+}
+
 void StoreDirectory::expire(Instant now) {
+  if (now > recalled_at_ + kLifetime) recalled_.clear();
   std::erase_if(heard_at_, [&](const auto& entry) {
     if (now <= entry.second + kLifetime) return false;
     stores_.erase(entry.first);
@@ -46,9 +53,13 @@
 }
 
 std::vector<StoreAddress> StoreDirectory::addresses() const {
-  std::vector<StoreAddress> addresses;
-  for (const auto& [address, presence] : stores_) addresses.push_back(StoreAddress{address, presence.zone});
-  return addresses;
+  std::set<StoreAddress> addresses;
+  for (const auto& [address, presence] : stores_) addresses.insert(StoreAddress{address, presence.zone});
+  for (const StoreAddress& store : recalled_) {
+    // A store that was heard tells its zone itself.
+    if (!stores_.contains(store.address)) addresses.insert(store);
+  }
+  return std::vector<StoreAddress>(addresses.begin(), addresses.end());
 }
 
 std::vector<ReplicaId> StoreDirectory::groupMembers() const {
--- a/src/process/fleet/store_directory.hpp
+++ b/src/process/fleet/store_directory.hpp
@@ -18,11 +18,14 @@
   void hear(Instant now, const StorePresence& presence);
   /// Another control process passed on what it had heard itself.
   void hearOf(Instant now, const std::vector<StorePresence>& stores);
+  /// Stores that were known before this process started. They count as addresses until they would have told of
+  /// themselves, and for nothing else.
+  void recall(Instant now, std::vector<StoreAddress> stores);
   void expire(Instant now);
 
   /// Stores heard directly and lately, to be passed on.
   std::vector<StorePresence> heardDirectly(Instant now) const;
-  /// All stores heard of within the last seconds, by address.
+  /// All stores heard of within the last seconds, and those recalled, by address.
   std::vector<StoreAddress> addresses() const;
   /// Null if no store of that node name is known.
   const StorePresence* find(const std::string& node) const;
@@ -39,6 +42,8 @@
   void take(Instant now, const StorePresence& presence);
 
   std::map<ReplicaId, StorePresence> stores_;
+  std::vector<StoreAddress> recalled_;
+  Instant recalled_at_{};
   std::map<ReplicaId, Instant> heard_at_;
   std::map<ReplicaId, Instant> heard_directly_at_;
   Instant newest_at_{};
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 #include "process/store/group_contacts.hpp"
 
@@ -107,6 +108,7 @@
                                                             on_frame, on_close);
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
+  noteStartStep("listening");
 
   metrics_ = std::make_unique<fleet::MetricsServer>(context_, settings_,
                                                     [this](metrics::MetricsPage& page) { fillMetrics(page); });
@@ -188,6 +190,7 @@
 void StoreProgram::dispatch(const FleetMessage& decoded, const ConnectionPtr& from) {
   if (const auto* group = std::get_if<fleet::GroupFrame>(&decoded)) {
     group_->receive(*group);
+    links_.noteUp(group->from);
   } else if (const auto* proposal = std::get_if<fleet::ProposalFrame>(&decoded)) {
     group_->receive(*proposal);
   } else if (const auto* reply = std::get_if<fleet::ProposalReplyFrame>(&decoded)) {
