Requests that come while a gateway starts wait within what their callers can use

They wait now, in order, bounded in time, count and bytes, gone with their caller; what can't wait is refused at once with a time after the usual end of a start. Readiness and what may be refused by a configuration are unchanged. Switched by load.ordered_waiting.

--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -55,6 +55,8 @@
   fleet::CrashWatch& crashes;
   /// Of the request's service.
   request::AnswerFraming& framing;
+  /// When the request came, before it waited for anything.
+  Instant received_at{};
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 #include "process/exchange/header_rules.hpp"
 #include "request/access/caller_identity.hpp"
@@ -34,12 +35,9 @@
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
 /// Kept back from the time that a stop may take.
 constexpr Duration kStopMargin = fromMillis(150);
-/// A gateway knows the configuration this long after its start, also where all processes start at once: 0.5 s from
-/// power to the first document on a site of 65 machines, by its log.
-constexpr Duration kConfiguredAfter = fromMillis(600);
-/// Least time in which a caller comes back that met no configuration, and over how much more returns are spread.
-constexpr Duration kShortestComeBack = fromMillis(250);
-constexpr Duration kComeBackSpread = fromMillis(500);
+/// Requests that may wait at a gateway at once, and the part of its memory that their bodies may take.
+constexpr std::size_t kMostHeldRequests = 256;
+constexpr std::size_t kHeldBytesEachMegabyte = (1u << 20) / 10;
 /// When a job comes back whose regions lack some store: operators move stores or change the regions, which takes long.
 constexpr Duration kComeBackForStores = std::chrono::seconds(2);
 /// A configuration that was proved the newest within this time is taken for it. Proofs come every 300 ms.
@@ -47,6 +45,21 @@
 /// When a caller comes back whose refusal could not be shown to follow from the newest configuration.
 constexpr Duration kComeBackWhenCurrent = fromMillis(400);
 
+constexpr std::string_view kLacksConfiguration = "this gateway knows no configuration yet";
+constexpr std::string_view kLacksCrashes = "this gateway has not been told yet which requests end engines";
+
+std::string_view toString(StartGate::Outcome outcome) {
+  switch (outcome) {
+    case StartGate::Outcome::kOpen:
+      return "passed";
+    case StartGate::Outcome::kRefused:
+      return "refused";
+    case StartGate::Outcome::kCallerLeft:
+      return "caller_left";
+  }
+  return "refused";
+}
+
 std::uint64_t drawSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) | source();
@@ -65,7 +78,8 @@
       settings_file_(std::move(settings_file)),
       dialect_(std::move(dialect)),
       engines_(context_),
-      random_(drawSeed()),
+      held_(kMostHeldRequests, settings_.memory_mb * kHeldBytesEachMegabyte),
+      start_gate_(context_, held_, drawSeed()),
       selector_(drawSeed()),
       gate_(drawSeed()),
       split_(drawSeed()),
@@ -86,7 +100,7 @@
 GatewayProgram::~GatewayProgram() = default;
 
 Status GatewayProgram::start() {
-  started_at_ = monotonicNow();
+  start_gate_.start(monotonicNow(), settings_.load.ordered_waiting);
   const std::vector<connection::asio::io_context*> contexts = {&context_};
   connection::HttpServerOptions caller_options;
   caller_options.listen = settings_.callers;
@@ -98,6 +112,7 @@
   callers_ = std::make_unique<connection::HttpServer>(context_, contexts, caller_options, serve);
   const Status listening = callers_->start();
   if (!isOk(listening)) return listening;
+  noteStartStep("listening");
 
   connection::HttpServerOptions ready_options;
   ready_options.listen = settings_.readiness;
@@ -153,6 +168,7 @@
     selector_.setEvacuated(now, view.evacuated.zones);
   }
   if (change.routes) takeRoutes(view.routes);
+  start_gate_.look();
   if (!change.engines.isEmpty()) {
     engine_keys_.take(change.engines);
     selector_.takeEngines(now, change.engines);
@@ -235,20 +251,36 @@
   co_await writer.send(std::move(response));
 }
 
-Duration GatewayProgram::comeBackWhenConfigured() {
-  std::uniform_int_distribution<Duration::rep> spread(0, kComeBackSpread.count());
-  const Duration until_configured = started_at_ + kConfiguredAfter - monotonicNow();
-  return std::max(kShortestComeBack, until_configured) + Duration(spread(random_));
+Awaitable<bool> GatewayProgram::passStart(std::function<bool()> is_open, std::string_view lacking, Instant received_at,
+                                          const connection::HttpRequest& request, connection::ResponseWriter& writer) {
+  const request::EarlyArrival arrival{received_at, readMilliseconds(request.header(dialect_->headers().remaining_ms))};
+  const std::size_t bytes = request.body.size();
+  const StartGate::Result passed = co_await start_gate_.pass(std::move(is_open), arrival, bytes, writer);
+  if (passed.was_held) {
+    const Duration waited = monotonicNow() - received_at;
+    logEvent(LogLevel::kInfo, "request_held",
+             {{"request", request.header(dialect_->headers().request_id)},
+              {"for", lacking},
+              {"waited_ms", toMillis(waited)},
+              {"remaining_ms", arrival.remaining ? toMillis(*arrival.remaining) : -1},
+              {"outcome", toString(passed.outcome)}});
+  }
+  if (passed.outcome == StartGate::Outcome::kRefused) {
+    Error error{ErrorKind::kUnavailable, std::string(lacking), "come back at the given time", Executed::kNo,
+                passed.come_back_after};
+    co_await refuse(request, writer, std::move(error));
+  }
+  co_return passed.outcome == StartGate::Outcome::kOpen;
 }
 
 Awaitable<void> GatewayProgram::handle(const connection::HttpRequest& request, connection::ResponseWriter& writer) {
-  const std::shared_ptr<const RouteTable> routes = routes_;
-  if (!routes) {
-    Error error{ErrorKind::kUnavailable, "this gateway knows no configuration yet", "come back at the given time",
-                Executed::kNo, comeBackWhenConfigured()};
-    co_await refuse(request, writer, std::move(error));
-    co_return;
+  const Instant received_at = monotonicNow();
+  if (!routes_) {
+    std::function<bool()> is_open = [this] { return routes_ != nullptr; };
+    const bool passed = co_await passStart(std::move(is_open), kLacksConfiguration, received_at, request, writer);
+    if (!passed) co_return;
   }
+  const std::shared_ptr<const RouteTable> routes = routes_;
   const JobCall call = dialect_->jobCall(request.method, request.target);
   if (!std::holds_alternative<UnknownCall>(call)) {
     co_await handleJobCall(call, *routes, request, writer);
@@ -291,7 +323,7 @@
     co_await writer.send(std::move(response));
     co_return;
   }
-  co_await handleOnline(routes, *route, tenant, request, writer);
+  co_await handleOnline(routes, *route, tenant, received_at, request, writer);
 }
 
 /// Any store may come to keep or run the items of a job.
@@ -303,13 +335,13 @@
 }
 
 Awaitable<void> GatewayProgram::handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
-                                             const Tenant* tenant, const connection::HttpRequest& request,
+                                             const Tenant* tenant, Instant received_at,
+                                             const connection::HttpRequest& request,
                                              connection::ResponseWriter& writer) {
   if (!knows_crashes_) {
-    Error error{ErrorKind::kUnavailable, "this gateway has not been told yet which requests end engines",
-                "come back at the given time", Executed::kNo, kShortestComeBack};
-    co_await refuse(request, writer, std::move(error));
-    co_return;
+    std::function<bool()> is_open = [this] { return knows_crashes_; };
+    const bool passed = co_await passStart(std::move(is_open), kLacksCrashes, received_at, request, writer);
+    if (!passed) co_return;
   }
   if (tenant != nullptr) {
     const Status admitted = co_await rate_limits_.admit(*tenant);
@@ -321,8 +353,8 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
-                      settings_.zones, gate_,    placement_, crashes_,  framing};
+  ExchangeTools tools{*dialect_, engines_,   selector_, counters_, settings_.zone, settings_.zones,
+                      gate_,     placement_, crashes_,  framing,   received_at};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
@@ -342,6 +374,7 @@
   crashes_.take(now, notes);
   // Only the answer to a question holds all that a store knows.
   knows_crashes_ = knows_crashes_ || notes.wants_all;
+  start_gate_.look();
   if (notes.wants_all && notes.digest != crashes_.digest()) stores_.send(from, crashes_.everything(now));
 }
 
@@ -374,7 +407,9 @@
   const Duration waited = monotonicNow() - first_view_at_;
   logEvent(knows_crashes_ ? LogLevel::kInfo : LogLevel::kWarning, "crash_notes_awaited",
            {{"told", knows_crashes_}, {"after_ms", toMillis(waited)}, {"requests_known", crashes_.requestsKnown()}});
+  noteStartStep("crash_notes_awaited");
   knows_crashes_ = true;
+  start_gate_.look();
 }
 
 void GatewayProgram::askForCrashes() {
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "connection/asio.hpp"
 #include "connection/engine_exchange.hpp"
@@ -13,12 +14,14 @@
 #include "process/exchange/job_api.hpp"
 #include "process/exchange/placement_client.hpp"
 #include "process/exchange/rate_limit_client.hpp"
+#include "process/exchange/start_gate.hpp"
 #include "process/exchange/store_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
 #include "process/fleet/load_reporter.hpp"
 #include "process/fleet/metrics_server.hpp"
+#include "request/admission/hold_budget.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
 
@@ -51,12 +54,13 @@
                                  const connection::HttpRequest& request) const;
   connection::Awaitable<void> handleJobCall(const JobCall& call, const RouteTable& routes,
                                             const connection::HttpRequest& request, connection::ResponseWriter& writer);
-  /// When a caller comes back that met no configuration here: once there is one, not all at once.
-  Duration comeBackWhenConfigured();
+  /// Holds a request until this gateway has started as far as it needs; false if it was refused or its caller left.
+  connection::Awaitable<bool> passStart(std::function<bool()> is_open, std::string_view lacking, Instant received_at,
+                                        const connection::HttpRequest& request, connection::ResponseWriter& writer);
   /// An online request of an identified caller: admitted by the tenant's limit, then run.
   connection::Awaitable<void> handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
-                                           const Tenant* tenant, const connection::HttpRequest& request,
-                                           connection::ResponseWriter& writer);
+                                           const Tenant* tenant, Instant received_at,
+                                           const connection::HttpRequest& request, connection::ResponseWriter& writer);
   /// A refusal that follows from the configuration: where that can't be shown to be the newest, the caller is asked to
   /// come back instead, since a newer one may allow what this one does not.
   Error unlessCurrent(Error refusal) const;
@@ -83,8 +87,9 @@
   std::unique_ptr<const Dialect> dialect_;
   connection::asio::io_context context_;
   connection::EngineClient engines_;
-  std::mt19937_64 random_;
-  Instant started_at_{};
+  /// Of all requests that wait here, for whatever reason.
+  request::HoldBudget held_;
+  StartGate start_gate_;
   request::EngineSelector selector_;
   request::ArrivalGate gate_;
   request::WeightedSplit split_;
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -31,6 +31,19 @@
                static_cast<double>(engines_.connectionsMade()));
   page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
                static_cast<double>(engines_.connectionsReused()));
+  const StartGateCounters& start = start_gate_.counters();
+  const auto held = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_requests_at_start_total",
+                 "Requests that came before this gateway could serve, by their end.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  held("served", start.served);
+  held("refused", start.refused);
+  held("caller_left", start.caller_left);
+  page.histogram("hatchfork_start_hold_ms", "How long such requests were held.", start.wait);
+  page.gauge("hatchfork_held_requests", "Requests that wait at this gateway now.",
+             static_cast<double>(held_.requests()));
+  page.gauge("hatchfork_held_request_bytes", "Bytes of their bodies.", static_cast<double>(held_.bytes()));
   const PlacementClientCounters& placement = placement_.counters();
   page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
                static_cast<double>(placement.placed), {{"by", "store"}});
--- a/src/process/exchange/header_rules.cpp
+++ b/src/process/exchange/header_rules.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <string>
 
 namespace hatchfork::exchange {
@@ -46,6 +47,13 @@
   return passed;
 }
 
+std::optional<Duration> readMilliseconds(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end == text.data()) return std::nullopt;
+  return Duration(static_cast<std::int64_t>(value * 1000));
+}
+
 void setRetryAfter(connection::HttpResponse& response, Duration after) {
   std::erase_if(response.headers,
                 [](const connection::HttpHeader& header) { return isSameHeader(header.name, "Retry-After"); });
--- a/src/process/exchange/header_rules.hpp
+++ b/src/process/exchange/header_rules.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
+#include "common/time.hpp"
 #include "connection/http_types.hpp"
 
 namespace hatchfork::exchange {
@@ -16,6 +18,9 @@
 /// True for two header names that differ in case at most.
 bool isSameHeader(std::string_view left, std::string_view right);
 
+/// A number of milliseconds, fractions allowed; absent if the text is none.
+std::optional<Duration> readMilliseconds(std::string_view text);
+
 /// Sets `Retry-After` in seconds with a fraction, replacing one that is there.
 void setRetryAfter(connection::HttpResponse& response, Duration after);
 
