--- a/tools/start_timeline.py
+++ b/tools/start_timeline.py
@@ -23,6 +23,8 @@
 }
 # Processes that begin further apart than this do not start as a whole.
 MOST_GAP_S = 1.5
+# A process writes its line `*_started` this long after its first step at the most.
+MOST_BEFORE_STARTED_S = 0.25
 
 
 def read(files):
@@ -78,7 +80,7 @@
             continue
         step = fields.get("step") if event == "start_step" else OLD_STEPS.get(event)
         # Steps before `*_started`, such as the log read, belong to this start as well.
-        if step is None or at < own_start[node] - MOST_GAP_S:
+        if step is None or at < own_start[node] - MOST_BEFORE_STARTED_S or fields.get("before", "0") != "0":
             continue
         steps.setdefault((role_of[node], step), {}).setdefault(node, at)
     for at, node, role in group:
@@ -100,7 +102,7 @@
         if event == "request_refused" and at < began + 3:
             refused.setdefault(fields.get("cause", "?"), []).append(at - began)
         if event == "request_held":
-            held.append((fields.get("outcome"), int(fields.get("waited_ms", 0))))
+            held.append((fields.get("outcome", "?"), int(fields.get("waited_ms", 0))))
     for cause, times in sorted(refused.items(), key=lambda item: -len(item[1]))[:8]:
         print(f"refused {len(times):5} from {min(times):.3f} to {max(times):.3f}: {cause}")
     for outcome in sorted({outcome for outcome, _ in held}):
