--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -17,7 +17,12 @@
 }
 
 void StoreDirectory::hearOf(Instant now, const std::vector<StorePresence>& stores) {
-  for (const StorePresence& presence : stores) take(now, presence);
+  for (const StorePresence& presence : stores) {
+    StorePresence heard = presence;
+    // A control process of an older release drops the release from what it passes on.
+    if (isHeardDirectly(now, presence.address)) heard.release = stores_.at(presence.address).release;
+    take(now, heard);
+  }
 }
 
 void StoreDirectory::take(Instant now, const StorePresence& presence) {
@@ -32,6 +37,13 @@
 void StoreDirectory::recall(Instant now, std::vector<StoreAddress> stores) {
   recalled_ = std::move(stores);
   recalled_at_ = now;
+  // The store may run another release by now.
+  for (StoreAddress& store : recalled_) store.release = kUntoldRelease;
+}
+
+bool StoreDirectory::isHeardDirectly(Instant now, const ReplicaId& store) const {
+  const auto heard = heard_directly_at_.find(store);
+  return heard != heard_directly_at_.end() && now <= heard->second + kDirectLifetime;
 }
 
 void StoreDirectory::expire(Instant now) {
@@ -54,7 +66,8 @@
 
 std::vector<StoreAddress> StoreDirectory::addresses() const {
   std::set<StoreAddress> addresses;
-  for (const auto& [address, presence] : stores_) addresses.insert(StoreAddress{address, presence.zone});
+  for (const auto& [address, presence] : stores_)
+    addresses.insert(StoreAddress{address, presence.zone, presence.release});
   for (const StoreAddress& store : recalled_) {
     // A store that was heard tells its zone itself.
     if (!stores_.contains(store.address)) addresses.insert(store);
--- a/src/process/fleet/store_directory.hpp
+++ b/src/process/fleet/store_directory.hpp
@@ -40,6 +40,7 @@
 
  private:
   void take(Instant now, const StorePresence& presence);
+  bool isHeardDirectly(Instant now, const ReplicaId& store) const;
 
   std::map<ReplicaId, StorePresence> stores_;
   std::vector<StoreAddress> recalled_;
