Rate limits: callers over a limit get appointments, first state

Cause: whoever is over a limit was told to come back within two seconds, whatever was promised to others, and used up its one return in the surge. Change: the owner of a limit promises future credits in order, out of the tenant's own bucket; fresh requests come first; who can't be served is told at once. Frames grow at their end only.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "common/log.hpp"
@@ -35,13 +34,6 @@
 constexpr unsigned kMisdirected = 421;
 constexpr std::string_view kEventStream = "text/event-stream";
 
-std::optional<Duration> readMilliseconds(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end == text.data()) return std::nullopt;
-  return Duration(static_cast<std::int64_t>(value * 1000));
-}
-
 }  // namespace
 
 ExchangeRun::ExchangeRun(ExchangeTools tools, std::shared_ptr<const RouteTable> routes, const Route& route,
@@ -60,14 +52,14 @@
 
 void ExchangeRun::readRequest() {
   const HeaderNames& names = tools_.dialect.headers();
-  received_at_ = monotonicNow();
+  received_at_ = tools_.received_at.value_or(monotonicNow());
   come_back_after_ = kComeBackAfter;
   deadline_ = received_at_ + route_.timeout;
   id_ = std::string(request_.header(names.request_id));
   caller_has_ = std::string(request_.header(names.last_event_id));
   fingerprint_ = request::fingerprintOf({tenant_ == nullptr ? std::string_view() : tenant_->id.value, request_.method,
                                          request_.header("Host"), request_.target, request_.body});
-  if (const auto remaining = readMilliseconds(request_.header(names.remaining_ms))) {
+  if (const auto remaining = remainingTime(request_.header(names.remaining_ms))) {
     deadline_ = std::min(deadline_, received_at_ + *remaining);
   }
   query_.zone = tools_.zone;
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -55,6 +55,8 @@
   fleet::CrashWatch& crashes;
   /// Of the request's service.
   request::AnswerFraming& framing;
+  /// When the request came, where it waited here before its run; its time counts from then.
+  std::optional<Instant> received_at = std::nullopt;
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -63,6 +63,8 @@
 bool ExchangeRun::rejectsEarly(const EngineChoice& choice) {
   if (runs_ + refusals_ > 0) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
+  // It waited for a credit that was kept for it, and is of use to its caller though it is late.
+  if (tools_.received_at && monotonicNow() - received_at_ > route_.objective) return false;
   if (tools_.gate.admits(route_.objective, monotonicNow() - received_at_, wait)) return false;
   come_back_after_ = tools_.gate.comeBackAfter(wait);
   cause_ = "engines_full";
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -8,6 +8,7 @@
 #include "connection/stop_signal.hpp"
 #include "process/exchange/header_rules.hpp"
 #include "request/access/caller_identity.hpp"
+#include "request/admission/credit_ask.hpp"
 
 namespace hatchfork::exchange {
 
@@ -47,6 +48,14 @@
 /// When a caller comes back whose refusal could not be shown to follow from the newest configuration.
 constexpr Duration kComeBackWhenCurrent = fromMillis(400);
 
+/// Bounds of the requests that wait here: their number, and the part of the memory that their bodies may take.
+constexpr std::size_t kMostHeld = 4096;
+constexpr std::size_t kHeldPartOfMemory = 8;
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
+
+/// A request that was held here for longer than this has its time counted from when it came.
+constexpr Duration kShortestHold = fromMillis(1);
+
 std::uint64_t drawSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) | source();
@@ -72,7 +81,8 @@
       stores_(context_, settings_.store_port, drawSeed()),
       loads_(settings_.name, settings_.zone, engine_keys_,
              [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
-      rate_limits_(context_, settings_.rate_limits,
+      holds_(kMostHeld, std::size_t{settings_.memory_mb} * kBytesPerMegabyte / kHeldPartOfMemory),
+      rate_limits_(context_, settings_.rate_limits, holds_,
                    [this](const ReplicaId& to, const fleet::CreditQuestionFrame& question) {
                      return stores_.send(to, question);
                    }),
@@ -311,22 +321,45 @@
     co_await refuse(request, writer, std::move(error));
     co_return;
   }
-  if (tenant != nullptr) {
-    const Status admitted = co_await rate_limits_.admit(*tenant);
+  const Instant received = monotonicNow();
+  if (tenant != nullptr && tenant->limits.online_requests_per_second > 0) {
+    LimitedRequest limited = limitedRequest(route, *tenant, request);
+    const Status admitted = co_await rate_limits_.admit(*tenant, std::move(limited), writer);
+    if (!isOk(admitted) && errorOf(admitted).kind == ErrorKind::kCancelled) {
+      ++counters_.caller_left;
+      writer.abort();
+      co_return;
+    }
     if (!isOk(admitted)) {
       Error error = errorOf(admitted);
       co_await refuse(request, writer, std::move(error));
       co_return;
     }
   }
+  const bool has_waited = settings_.load.return_appointments && monotonicNow() > received + kShortestHold;
+  const std::optional<Instant> received_at = has_waited ? std::optional<Instant>(received) : std::nullopt;
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
-                      settings_.zones, gate_,    placement_, crashes_,  framing};
+  ExchangeTools tools{*dialect_, engines_,   selector_, counters_, settings_.zone, settings_.zones,
+                      gate_,     placement_, crashes_,  framing,   received_at};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
 
+LimitedRequest GatewayProgram::limitedRequest(const Route& route, const Tenant& tenant,
+                                              const connection::HttpRequest& request) const {
+  LimitedRequest limited;
+  limited.id = request.header(dialect_->headers().request_id);
+  limited.bytes = request.body.size();
+  if (!settings_.load.return_appointments) return limited;
+  const Duration remaining = remainingTime(request.header(dialect_->headers().remaining_ms)).value_or(route.timeout);
+  limited.ask = request::askOf(route.objective, std::min(remaining, route.timeout), remaining);
+  limited.ask.content =
+      request::contentNumber({tenant.id.value, request.method, request.header("Host"), request.target, request.body});
+  if (settings_.load.ordered_waiting) limited.ask.rank = route.priority;
+  return limited;
+}
+
 Awaitable<void> GatewayProgram::maintenanceLoop() {
   while (true) {
     co_await connection::sleepFor(kMaintenanceInterval);
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -60,6 +60,8 @@
   /// A refusal that follows from the configuration: where that can't be shown to be the newest, the caller is asked to
   /// come back instead, since a newer one may allow what this one does not.
   Error unlessCurrent(Error refusal) const;
+  /// What the owner of the tenant's limit has to know of a request that may wait or come back.
+  LimitedRequest limitedRequest(const Route& route, const Tenant& tenant, const connection::HttpRequest& request) const;
   connection::Awaitable<void> refuse(const connection::HttpRequest& request, connection::ResponseWriter& writer,
                                      Error error);
   bool isReady() const;
@@ -92,6 +94,8 @@
   /// Names the engines in digests of loads.
   request::EngineKeys engine_keys_;
   fleet::LoadReporter loads_;
+  /// Of all requests that wait here, whatever for.
+  request::HoldBudget holds_;
   RateLimitClient rate_limits_;
   PlacementClient placement_;
   fleet::CrashWatch crashes_;
--- a/src/process/exchange/header_rules.cpp
+++ b/src/process/exchange/header_rules.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <string>
 
 namespace hatchfork::exchange {
@@ -52,4 +53,11 @@
   response.headers.push_back({"Retry-After", fmt::format("{:.3f}", toSeconds(after))});
 }
 
+std::optional<Duration> remainingTime(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end == text.data()) return std::nullopt;
+  return Duration(static_cast<std::int64_t>(value * 1000));
+}
+
 }  // namespace hatchfork::exchange
--- a/src/process/exchange/header_rules.hpp
+++ b/src/process/exchange/header_rules.hpp
@@ -19,4 +19,7 @@
 /// Sets `Retry-After` in seconds with a fraction, replacing one that is there.
 void setRetryAfter(connection::HttpResponse& response, Duration after);
 
+/// The time that a caller still waits, as its header tells it in milliseconds; nothing where it tells none.
+std::optional<Duration> remainingTime(std::string_view text);
+
 }  // namespace hatchfork::exchange
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -84,6 +84,7 @@
   values.rate_limits.window = reader.seconds("rate_limit_window_s", 1, 600, values.rate_limits.window);
   values.rate_limits.slack = static_cast<double>(reader.integer("rate_limit_slack", 0, kMostRateLimitSlack, 0));
   values.load = readLoadFeatures(reader);
+  values.rate_limits.appointments = values.load.return_appointments;
   values.memory_mb = static_cast<std::uint32_t>(reader.integer("memory_mb", 16, kLargestMemory, 256));
   values.grace = reader.seconds("grace_s", 0.5, 600, std::chrono::seconds(8));
   values.metrics = readMetrics(reader);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -282,6 +282,18 @@
   placed("no_engine", placements.unplaced);
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
              static_cast<double>(rate_limits_.buckets()));
+  const request::ReturnCounters returns = rate_limits_.returns();
+  const auto kept = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_return_credits_total", "Callers over a limit, by what was agreed and what became of it.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  kept("promised", returns.promised);
+  kept("used", returns.used);
+  kept("lapsed", returns.lapsed);
+  kept("unkept", returns.unkept);
+  kept("refused_again", returns.refused_again);
+  page.gauge("hatchfork_return_credits_outstanding", "Credits that are kept for callers that come back or wait.",
+             static_cast<double>(rate_limits_.promised()));
   page.counter("hatchfork_engine_crashes_seen_total", "Batch items run here under which an engine ended.",
                static_cast<double>(crashes_.counters().crashes_seen));
   page.gauge("hatchfork_crash_suspects", "Contents under which an engine has ended, of the whole fleet.",
--- a/src/request/limits/rate_credit.hpp
+++ b/src/request/limits/rate_credit.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <vector>
+
 #include "common/time.hpp"
 
 /// A tenant's rate limit holds over all gateways together. One owner keeps the tenant's bucket; gateways ask it for
@@ -14,6 +17,8 @@
   /// Requests above a limit that are tolerated in a window: half of them are for bursts of small tenants, the other
   /// half for changes of owner.
   double slack = 0;
+  /// Callers over a limit get times at which credits are kept for them.
+  bool appointments = false;
 
   /// A credit counts for this long from when it was asked for; what is unused then is lost. It never goes back: the
   /// bucket may have filled meanwhile, and would hold it twice. It bounds what a limit may be exceeded by, its rate
@@ -21,14 +26,57 @@
   Duration creditLifetime() const { return window / 10; }
 };
 
+/// A request that waits at a gateway for a credit, as the owner of the limit has to know it.
+struct CreditAsk {
+  /// Equal for each try of one caller with the same content, at whatever gateway.
+  std::uint64_t content = 0;
+  /// Rank of its route; zero is the most urgent.
+  std::uint32_t rank = 0;
+  /// How long it may wait at its gateway and still be in time.
+  Duration in_time{};
+  /// How long it may wait at its gateway for an answer that is late, but of use.
+  Duration at_all{};
+  /// For how long its caller lets itself be sent away.
+  Duration away{};
+
+  bool operator==(const CreditAsk&) const = default;
+};
+
+enum class CreditOutcome : std::uint8_t {
+  /// There is none for it within what its caller can still use.
+  kRefused = 0,
+  kGranted = 1,
+  /// One is kept for it, so soon that it waits at its gateway and asks again then.
+  kWait = 2,
+  /// Its caller is to come back: a credit is kept for it.
+  kReturn = 3,
+  /// Its caller is to come back as late as it lets itself be sent away; no credit is kept for it.
+  kReturnUnkept = 4,
+};
+
+/// What the owner says to one `CreditAsk`.
+struct CreditReply {
+  std::uint64_t content = 0;
+  CreditOutcome outcome = CreditOutcome::kRefused;
+  /// When to ask again, or to come back.
+  Duration after{};
+
+  bool operator==(const CreditReply&) const = default;
+};
+
 /// What a gateway asks for.
 struct CreditQuestion {
-  /// Credits for requests that wait or are likely soon.
+  /// Credits for requests that wait or are likely soon; those of `asks` count among them.
   double wanted = 0;
+  /// Requests of the tenant that came to the gateway since it last asked.
+  double arrivals = 0;
+  /// Requests that wait; none from gateways that know no appointments.
+  std::vector<CreditAsk> asks = {};
 };
 
 /// What the owner answers.
 struct CreditAnswer {
+  /// Beside what is granted to `asks`.
   double granted = 0;
   /// Requests a second that all gateways together have lately been granted.
   double used_per_second = 0;
@@ -36,6 +84,11 @@
   double level = 0;
   /// When there will be a credit again; zero where there is one.
   Duration wait{};
+  /// The owner answers each ask; false for one that knows no appointments.
+  bool gives_appointments = false;
+  /// Credits are so few that they go to requests that wait alone, none ahead.
+  bool is_tight = false;
+  std::vector<CreditReply> replies = {};
 };
 
 }  // namespace hatchfork::request
--- a/src/request/limits/rate_limit_account.cpp
+++ b/src/request/limits/rate_limit_account.cpp
@@ -18,6 +18,9 @@
 /// gateway for a tenant that is over its limit to ten a second.
 constexpr Duration kShortestPause = fromMillis(100);
 constexpr Duration kLongestPause = fromMillis(500);
+/// While credits are so few that none is held ahead, a gateway asks the owner for those who wait no more often than
+/// this. A quarter of most objectives is not reached by it, so that a refusal still comes early.
+constexpr Duration kGatherFor = fromMillis(30);
 /// An owner that did not answer is asked again after this long.
 constexpr Duration kCutOffFor = fromMillis(300);
 /// The bucket of the own part holds its rate of this part of a window. With as much that a new owner begins with, both
@@ -34,6 +37,7 @@
 
 void RateLimitAccount::noteArrival(Instant now) {
   arrivals_.note(now, 1);
+  ++arrivals_untold_;
   arrived_at_ = now;
 }
 
@@ -58,12 +62,15 @@
 
 std::optional<CreditQuestion> RateLimitAccount::nextQuestion(Instant now, std::size_t waiting) {
   if (asked_at_ || isOverLimit(now) || isCutOff(now)) return std::nullopt;
+  if (now < ask_again_at_) return std::nullopt;
   dropExpired(now);
   const double ahead = std::floor(kAheadPart * toSeconds(options_.creditLifetime()) * arrivals_.rate(now));
   const double held = stock();
   if (waiting == 0 && held >= kRefillBelow * ahead) return std::nullopt;
   asked_at_ = now;
-  return CreditQuestion{ahead - std::min(held, ahead) + static_cast<double>(waiting)};
+  CreditQuestion question{ahead - std::min(held, ahead) + static_cast<double>(waiting)};
+  if (options_.appointments) question.arrivals = std::exchange(arrivals_untold_, 0);
+  return question;
 }
 
 void RateLimitAccount::noteAnswer(Instant now, const CreditAnswer& answer) {
@@ -77,6 +84,8 @@
     return;
   }
   if (answer.granted >= 1) lots_.push_back(Lot{answer.granted, *asked_at + options_.creditLifetime()});
+  if (answer.is_tight) ask_again_at_ = *asked_at + kGatherFor;
+  if (answer.gives_appointments) return;
   if (answer.granted < 1) over_limit_until_ = now + std::clamp(answer.wait, kShortestPause, kLongestPause);
 }
 
--- a/src/request/limits/rate_limit_account.hpp
+++ b/src/request/limits/rate_limit_account.hpp
@@ -28,6 +28,11 @@
   void noteAnswer(Instant now, const CreditAnswer& answer);
   /// The question that is in flight has found no owner, or no answer in time.
   void noteNoAnswer(Instant now, const TenantLimits& limits);
+  /// A request has got its credit as the reply to its own ask.
+  void noteGranted(Instant now) { admitted_.note(now, 1); }
+  /// From when the owner may be asked again: while credits are few, questions are gathered.
+  Instant askAgainAt() const { return ask_again_at_; }
+  bool isAsking() const { return asked_at_.has_value(); }
   /// True while the owner is known to have no credit.
   bool isOverLimit(Instant now) const { return now < over_limit_until_; }
   /// True while the owner is taken for out of reach.
@@ -59,6 +64,9 @@
   RateMeter admitted_;
   Instant arrived_at_{};
   std::optional<Instant> asked_at_;
+  Instant ask_again_at_{};
+  /// Arrivals that the owner has not been told of.
+  double arrivals_untold_ = 0;
   std::optional<Instant> answered_at_;
   CreditAnswer last_answer_;
   /// What this gateway admitted a second when the owner last told what all of them do.
--- a/src/request/limits/rate_limit_owner.cpp
+++ b/src/request/limits/rate_limit_owner.cpp
@@ -12,6 +12,17 @@
 constexpr Duration kIdleLifetime = std::chrono::seconds(30);
 /// Part of the tolerated excess that buckets hold above the burst.
 constexpr double kBurstPartOfSlack = 0.5;
+/// A bucket with less than its limit gives in this time grants nothing ahead: credits that lie unused at one gateway
+/// are lacking at another one.
+constexpr Duration kTightBelow = fromMillis(100);
+
+void add(ReturnCounters& sum, const ReturnCounters& part) {
+  sum.promised += part.promised;
+  sum.used += part.used;
+  sum.lapsed += part.lapsed;
+  sum.unkept += part.unkept;
+  sum.refused_again += part.refused_again;
+}
 
 }  // namespace
 
@@ -26,13 +37,15 @@
 
 RateLimitOwner::Bucket& RateLimitOwner::bucketOf(Instant now, const TenantId& tenant, const TenantLimits& limits) {
   const double capacity = capacityOf(limits);
-  const auto [entry, is_new] = buckets_.try_emplace(tenant, Bucket{0, now, RateMeter(options_.window)});
+  const auto [entry, is_new] =
+      buckets_.try_emplace(tenant, Bucket{0, now, RateMeter(options_.window), ReturnSchedule()});
   Bucket& bucket = entry->second;
   if (is_new) {
     const double takeover_seconds = kTakeoverPart * toSeconds(options_.window);
     const double unsettled =
         kBurstPartOfSlack * options_.slack / 2 + takeover_seconds * limits.online_requests_per_second;
     bucket.level = now < settled_at_ ? std::min(capacity, unsettled) : capacity;
+    bucket.schedule.assumeFullUntil(settled_at_);
     return bucket;
   }
   const double refill = limits.online_requests_per_second * std::max(0.0, toSeconds(now - bucket.updated_at));
@@ -41,24 +54,67 @@
   return bucket;
 }
 
+/// Those with the most urgent rank first, in the order in which they came.
+void RateLimitOwner::answerAsks(Instant now, Bucket& bucket, const TenantLimits& limits, const CreditQuestion& question,
+                                CreditAnswer& answer) const {
+  const double rate = limits.online_requests_per_second;
+  std::vector<CreditAsk> asks = question.asks;
+  std::stable_sort(asks.begin(), asks.end(), [](const CreditAsk& a, const CreditAsk& b) { return a.rank < b.rank; });
+  for (const CreditAsk& ask : asks) {
+    answer.replies.push_back(bucket.schedule.judge(now, ask, rate, capacityOf(limits), bucket.level));
+    if (answer.replies.back().outcome != CreditOutcome::kGranted) continue;
+    bucket.level -= 1;
+    bucket.used.note(now, 1);
+  }
+}
+
 CreditAnswer RateLimitOwner::answer(Instant now, const TenantId& tenant, const TenantLimits& limits,
                                     const CreditQuestion& question) {
   Bucket& bucket = bucketOf(now, tenant, limits);
+  const double rate = limits.online_requests_per_second;
   const double capacity = capacityOf(limits);
   CreditAnswer answer;
-  answer.granted = std::floor(std::clamp(question.wanted, 0.0, std::max(0.0, bucket.level)));
+  answer.gives_appointments = options_.appointments;
+  double wanted = question.wanted;
+  double reserve = 0;
+  if (options_.appointments) {
+    const bool tells_arrivals = question.arrivals > 0 || !question.asks.empty();
+    bucket.schedule.noteArrivals(now, tells_arrivals ? question.arrivals : question.wanted);
+    answerAsks(now, bucket, limits, question, answer);
+    wanted -= static_cast<double>(question.asks.size());
+    const double kept = static_cast<double>(bucket.schedule.kept(now, rate, capacity));
+    answer.is_tight = bucket.level - kept < rate * toSeconds(kTightBelow);
+    // A gateway that tells no arrivals has requests waiting among those it wants.
+    reserve = kept + (tells_arrivals ? rate * toSeconds(kTightBelow) : 0);
+  }
+  answer.granted = std::floor(std::clamp(wanted, 0.0, std::max(0.0, bucket.level - reserve)));
   bucket.level -= answer.granted;
   bucket.used.note(now, answer.granted);
   answer.used_per_second = bucket.used.rate(now);
   answer.level = std::clamp(bucket.level / capacity, 0.0, 1.0);
-  if (bucket.level < 1) {
-    answer.wait = Duration(static_cast<Duration::rep>((1 - bucket.level) / limits.online_requests_per_second * 1e6));
-  }
+  const double missing = 1 - (bucket.level - std::min(reserve, bucket.level));
+  if (missing > 0) answer.wait = Duration(static_cast<Duration::rep>(missing / rate * 1e6));
   return answer;
 }
 
+std::size_t RateLimitOwner::promised() const {
+  std::size_t sum = 0;
+  for (const auto& [tenant, bucket] : buckets_) sum += bucket.schedule.promised();
+  return sum;
+}
+
+ReturnCounters RateLimitOwner::returns() const {
+  ReturnCounters sum = forgotten_;
+  for (const auto& [tenant, bucket] : buckets_) add(sum, bucket.schedule.counters());
+  return sum;
+}
+
 void RateLimitOwner::expire(Instant now) {
-  std::erase_if(buckets_, [now](const auto& entry) { return now > entry.second.updated_at + kIdleLifetime; });
+  std::erase_if(buckets_, [this, now](const auto& entry) {
+    const bool is_idle = now > entry.second.updated_at + kIdleLifetime;
+    if (is_idle) add(forgotten_, entry.second.schedule.counters());
+    return is_idle;
+  });
 }
 
 }  // namespace hatchfork::request
--- a/src/request/limits/rate_limit_owner.hpp
+++ b/src/request/limits/rate_limit_owner.hpp
@@ -4,6 +4,7 @@
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
+#include "request/admission/return_schedule.hpp"
 #include "request/limits/rate_credit.hpp"
 #include "request/limits/rate_meter.hpp"
 #include "version/configuration_objects.hpp"
@@ -24,20 +25,28 @@
   /// Forgets the buckets that are full again.
   void expire(Instant now);
   std::size_t buckets() const { return buckets_.size(); }
+  /// Of the tenants that were active lately: promises that are outstanding, and what became of earlier ones.
+  std::size_t promised() const;
+  ReturnCounters returns() const;
 
  private:
   struct Bucket {
     double level = 0;
     Instant updated_at{};
     RateMeter used;
+    ReturnSchedule schedule;
   };
 
   double capacityOf(const TenantLimits& limits) const;
+  void answerAsks(Instant now, Bucket& bucket, const TenantLimits& limits, const CreditQuestion& question,
+                  CreditAnswer& answer) const;
   Bucket& bucketOf(Instant now, const TenantId& tenant, const TenantLimits& limits);
 
   RateLimitOptions options_;
   Instant settled_at_{};
   std::map<TenantId, Bucket> buckets_;
+  /// Of the tenants that were forgotten.
+  ReturnCounters forgotten_;
 };
 
 }  // namespace hatchfork::request
--- /dev/null
+++ b/tests/request/admission/return_schedule_property_test.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+#include <deque>
+#include <set>
+
+#include "request/limits/rate_limit_owner.hpp"
+#include "tests/process/batch/property.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::request;
+
+namespace {
+
+const TenantId kCrew("crew");
+const RateLimitOptions kOptions{std::chrono::seconds(5), 20, true};
+
+TenantLimits drawLimits() {
+  TenantLimits limits;
+  limits.online_requests_per_second = *rc::gen::inRange(1, 200);
+  limits.online_burst = *rc::gen::inRange(0, static_cast<int>(limits.online_requests_per_second) + 1);
+  return limits;
+}
+
+double allowed(const TenantLimits& limits) {
+  return 1.1 * (limits.online_requests_per_second * toSeconds(kOptions.window) + limits.online_burst) + kOptions.slack;
+}
+
+/// Requests that press on one limit, each asking until it is refused for good: those that are sent away come back at
+/// their time, early, or never.
+class PressedOwner {
+ public:
+  explicit PressedOwner(TenantLimits limits) : limits_(limits), owner_(kOptions) {}
+
+  void pass(Duration time) {
+    now_ += time;
+    while (!granted_.empty() && granted_.front() <= now_ - kOptions.window) granted_.pop_front();
+  }
+
+  void arriveFresh() { ask(++last_content_, false); }
+
+  void returnDue() {
+    while (!coming_.empty() && coming_.begin()->first <= now_) {
+      const std::uint64_t content = coming_.begin()->second;
+      coming_.erase(coming_.begin());
+      ask(content, true);
+    }
+  }
+
+  void takeAhead(double credits) {
+    const CreditAnswer answer = owner_.answer(now_, kCrew, limits_, CreditQuestion{credits});
+    note(answer.granted);
+  }
+
+  void replaceOwner() {
+    owner_ = RateLimitOwner(kOptions);
+    owner_.noteTakeover(now_);
+    promised_.clear();
+  }
+
+  void setLimits(TenantLimits limits) { limits_ = limits; }
+  std::size_t inWindow() const { return granted_.size(); }
+  bool brokePromise() const { return broke_promise_; }
+
+ private:
+  void note(double credits) {
+    for (int index = 0; index < static_cast<int>(credits); ++index) granted_.push_back(now_);
+  }
+
+  void ask(std::uint64_t content, bool may_be_kept) {
+    CreditQuestion question{1};
+    question.arrivals = 1;
+    question.asks = {{content, 0, fromMillis(150), fromMillis(1000), fromMillis(1600)}};
+    const CreditAnswer answer = owner_.answer(now_, kCrew, limits_, question);
+    note(answer.granted);
+    const CreditReply& reply = answer.replies.at(0);
+    const bool was_kept = promised_.erase(content) > 0;
+    if (reply.outcome == CreditOutcome::kGranted) return note(1);
+    if (may_be_kept && was_kept) broke_promise_ = true;
+    const bool is_kept = reply.outcome == CreditOutcome::kReturn || reply.outcome == CreditOutcome::kWait;
+    if (is_kept) promised_.insert(content);
+    const bool comes = reply.outcome != CreditOutcome::kRefused && *rc::gen::inRange(0, 10) != 0;
+    if (comes) coming_.emplace(now_ + reply.after, content);
+  }
+
+  TenantLimits limits_;
+  RateLimitOwner owner_;
+  Instant now_{std::chrono::seconds(1000)};
+  std::uint64_t last_content_ = 0;
+  std::deque<Instant> granted_;
+  std::multimap<Instant, std::uint64_t> coming_;
+  std::set<std::uint64_t> promised_;
+  bool broke_promise_ = false;
+};
+
+}  // namespace
+
+TEST_CASE("no window grants more than the limit, whoever is promised what, over a change of owner and of limit",
+          "[admission][returns][property]") {
+  const bool holds = hatchfork::testing::holds([] {
+    const TenantLimits limits = drawLimits();
+    PressedOwner owner(limits);
+    const int replaced_at = *rc::gen::inRange(100, 1200);
+    for (int step = 0; step < 1200; ++step) {
+      owner.pass(fromMillis(*rc::gen::inRange(1, 12)));
+      if (step == replaced_at) owner.replaceOwner();
+      owner.returnDue();
+      const int arrivals = *rc::gen::inRange(0, 8);
+      for (int index = 0; index < arrivals; ++index) owner.arriveFresh();
+      if (*rc::gen::inRange(0, 20) == 0) owner.takeAhead(*rc::gen::inRange(0, 20));
+      RC_ASSERT(static_cast<double>(owner.inWindow()) <= allowed(limits));
+    }
+  });
+  REQUIRE(holds);
+}
+
+TEST_CASE("a promised credit is there when its caller comes, whatever others take", "[admission][returns][property]") {
+  const bool holds = hatchfork::testing::holds([] {
+    TenantLimits limits = drawLimits();
+    limits.online_requests_per_second += 5;
+    limits.online_burst = limits.online_requests_per_second;
+    PressedOwner owner(limits);
+    for (int step = 0; step < 1200; ++step) {
+      owner.pass(fromMillis(*rc::gen::inRange(1, 12)));
+      owner.returnDue();
+      const int arrivals = *rc::gen::inRange(0, 8);
+      for (int index = 0; index < arrivals; ++index) owner.arriveFresh();
+      if (*rc::gen::inRange(0, 20) == 0) owner.takeAhead(*rc::gen::inRange(0, 20));
+      RC_ASSERT_FALSE(owner.brokePromise());
+    }
+  });
+  REQUIRE(holds);
+}
--- /dev/null
+++ b/tests/request/admission/return_schedule_test.cpp
@@ -0,0 +1,251 @@
+#include "request/admission/return_schedule.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "process/fleet/limit_messages.hpp"
+#include "request/admission/credit_ask.hpp"
+#include "request/limits/rate_limit_owner.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::request;
+
+namespace {
+
+constexpr double kRate = 100;
+constexpr double kCapacity = 100;
+
+Instant at(std::int64_t milliseconds) {
+  return Instant(std::chrono::seconds(100) + fromMillis(milliseconds));
+}
+
+CreditAsk askFor(std::uint64_t content) {
+  return {content, 0, fromMillis(150), fromMillis(2500), fromMillis(1600)};
+}
+
+/// Fresh requests take `rate` a second until `until`.
+void press(ReturnSchedule& schedule, double rate, std::int64_t until) {
+  for (std::int64_t time = 0; time < until; time += 10) schedule.noteArrivals(at(time), rate / 100);
+}
+
+TenantLimits limitOf(double rate, double burst) {
+  TenantLimits limits;
+  limits.online_requests_per_second = rate;
+  limits.online_burst = burst;
+  return limits;
+}
+
+RateLimitOptions withAppointments() {
+  RateLimitOptions options;
+  options.appointments = true;
+  return options;
+}
+
+CreditQuestion questionOf(std::vector<CreditAsk> asks) {
+  CreditQuestion question{static_cast<double>(asks.size())};
+  question.arrivals = static_cast<double>(asks.size());
+  question.asks = std::move(asks);
+  return question;
+}
+
+}  // namespace
+
+TEST_CASE("a caller that is sent away finds the credit that was kept for it", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  const CreditReply sent = schedule.judge(at(1000), askFor(1), kRate, kCapacity, 0);
+  REQUIRE(sent.outcome == CreditOutcome::kReturn);
+  REQUIRE(sent.after <= fromMillis(1600));
+  const Instant due = at(1000) + sent.after;
+  // From then on no other request may touch it.
+  REQUIRE(schedule.kept(due, kRate, kCapacity) == 1);
+  REQUIRE(schedule.judge(due, askFor(2), kRate, kCapacity, 1).outcome != CreditOutcome::kGranted);
+  REQUIRE(schedule.judge(due, askFor(1), kRate, kCapacity, 1).outcome == CreditOutcome::kGranted);
+  REQUIRE(schedule.kept(due, kRate, kCapacity) == 0);
+  REQUIRE(schedule.counters().used == 1);
+}
+
+TEST_CASE("a promise is used once", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  const CreditReply sent = schedule.judge(at(1000), askFor(1), kRate, kCapacity, 0);
+  const Instant due = at(1000) + sent.after;
+  REQUIRE(schedule.judge(due, askFor(1), kRate, kCapacity, 1).outcome == CreditOutcome::kGranted);
+  REQUIRE(schedule.judge(due, askFor(1), kRate, kCapacity, 0).outcome != CreditOutcome::kGranted);
+}
+
+TEST_CASE("a credit that nobody fetches falls to the others", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  const CreditReply sent = schedule.judge(at(1000), askFor(1), kRate, kCapacity, 0);
+  const Instant later = at(1000) + sent.after + ReturnScheduleLimits{}.kept_for + fromMillis(1);
+  REQUIRE(schedule.kept(later, kRate, kCapacity) == 0);
+  REQUIRE(schedule.counters().lapsed == 1);
+  REQUIRE(schedule.judge(later, askFor(2), kRate, kCapacity, 1).outcome == CreditOutcome::kGranted);
+}
+
+TEST_CASE("a caller that comes early waits for its time and keeps its place", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  CreditReply sent;
+  for (std::uint64_t content = 1; content < 6; ++content) {
+    sent = schedule.judge(at(1000), askFor(content), kRate, kCapacity, 0);
+  }
+  REQUIRE(sent.outcome == CreditOutcome::kReturn);
+  const Instant due = at(1000) + sent.after;
+  const CreditReply early = schedule.judge(due - fromMillis(200), askFor(5), kRate, kCapacity, 5);
+  REQUIRE(early.outcome == CreditOutcome::kWait);
+  REQUIRE(early.after == fromMillis(200));
+  REQUIRE(schedule.judge(due, askFor(5), kRate, kCapacity, 5).outcome == CreditOutcome::kGranted);
+}
+
+TEST_CASE(
+    "while fresh requests take all, the others are told the latest time that they can use, and only a floor is "
+    "promised",
+    "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  int promised = 0;
+  int unkept = 0;
+  for (std::uint64_t content = 1; content <= 100; ++content) {
+    const CreditReply reply = schedule.judge(at(1000), askFor(content), kRate, kCapacity, 0);
+    if (reply.outcome == CreditOutcome::kReturn) ++promised;
+    if (reply.outcome != CreditOutcome::kReturnUnkept) continue;
+    ++unkept;
+    REQUIRE(reply.after == fromMillis(1600));
+  }
+  // A twentieth of the limit, over 1.6 s.
+  REQUIRE(promised == 8);
+  REQUIRE(unkept == 92);
+}
+
+TEST_CASE("one that comes back takes nothing from fresh requests, and is told at once", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  for (std::uint64_t content = 1; content <= 20; ++content)
+    schedule.judge(at(1000), askFor(content), kRate, kCapacity, 0);
+  for (std::int64_t time = 1000; time < 2600; time += 10) schedule.noteArrivals(at(time), 10);
+  REQUIRE(schedule.judge(at(2600), askFor(20), kRate, kCapacity, 9).outcome == CreditOutcome::kRefused);
+  REQUIRE(schedule.counters().refused_again == 1);
+}
+
+TEST_CASE("after the surge those who come back are served, and who finds no credit waits for a late answer in order",
+          "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  for (std::uint64_t content = 1; content <= 20; ++content)
+    schedule.judge(at(1000), askFor(content), kRate, kCapacity, 0);
+  REQUIRE(schedule.judge(at(2600), askFor(18), kRate, kCapacity, 9).outcome == CreditOutcome::kGranted);
+  const CreditReply first = schedule.judge(at(2600), askFor(19), kRate, kCapacity, 0);
+  const CreditReply second = schedule.judge(at(2600), askFor(20), kRate, kCapacity, 0);
+  REQUIRE(first.outcome == CreditOutcome::kWait);
+  REQUIRE(second.outcome == CreditOutcome::kWait);
+  REQUIRE(second.after > first.after);
+  REQUIRE(schedule.judge(at(2600) + first.after, askFor(19), kRate, kCapacity, 3).outcome == CreditOutcome::kGranted);
+}
+
+TEST_CASE("a limit that was lowered moves a promise, and does not break the limit", "[admission][returns]") {
+  ReturnSchedule schedule;
+  press(schedule, 1000, 1000);
+  const CreditReply sent = schedule.judge(at(1000), askFor(1), kRate, kCapacity, 0);
+  const Instant due = at(1000) + sent.after;
+  const CreditReply moved = schedule.judge(due, askFor(1), 2, 2, 0.5);
+  REQUIRE(moved.outcome == CreditOutcome::kWait);
+  REQUIRE(moved.after == fromMillis(250));
+}
+
+TEST_CASE("what is expected is bounded", "[admission][returns]") {
+  ReturnScheduleLimits limits;
+  limits.most_expected = 50;
+  ReturnSchedule schedule(limits);
+  press(schedule, 1000, 1000);
+  for (std::uint64_t content = 1; content <= 500; ++content)
+    schedule.judge(at(1000), askFor(content), kRate, kCapacity, 0);
+  REQUIRE(schedule.expected() == 50);
+}
+
+TEST_CASE("an owner that has just taken over promises no more than the floor", "[admission][returns]") {
+  RateLimitOwner owner(withAppointments());
+  const TenantId crew("crew");
+  owner.noteTakeover(at(0));
+  std::vector<CreditAsk> asks;
+  for (std::uint64_t content = 1; content <= 60; ++content) asks.push_back(askFor(content));
+  const CreditAnswer answer = owner.answer(at(10), crew, limitOf(kRate, kRate), questionOf(asks));
+  int granted = 0;
+  int promised = 0;
+  for (const CreditReply& reply : answer.replies) {
+    if (reply.outcome == CreditOutcome::kGranted) ++granted;
+    if (reply.outcome == CreditOutcome::kReturn || reply.outcome == CreditOutcome::kWait) ++promised;
+  }
+  // A fifth of a second's credits to begin with, and a twentieth of the limit over 1.6 s.
+  REQUIRE(granted == 20);
+  REQUIRE(promised == 8);
+}
+
+TEST_CASE("a gateway of an earlier release takes nothing that is kept for others", "[admission][returns]") {
+  RateLimitOwner owner(withAppointments());
+  const TenantId crew("crew");
+  const TenantLimits limits = limitOf(kRate, 10);
+  owner.answer(at(0), crew, limits, CreditQuestion{10});
+  std::vector<CreditAsk> asks;
+  for (std::uint64_t content = 1; content <= 5; ++content) asks.push_back(askFor(content));
+  const CreditAnswer told = owner.answer(at(0), crew, limits, questionOf(asks));
+  REQUIRE(told.replies.size() == 5);
+  REQUIRE(owner.promised() == 5);
+  const CreditAnswer old = owner.answer(at(200), crew, limits, CreditQuestion{100});
+  REQUIRE(old.granted >= 4);
+  REQUIRE(old.granted <= 9);
+}
+
+TEST_CASE("questions and answers are read by both releases", "[admission][returns][frames]") {
+  fleet::CreditQuestionFrame question{TenantId("crew"), questionOf({askFor(0xfedcba9876543210ULL)})};
+  const nlohmann::json sent = question;
+  REQUIRE(sent.get<fleet::CreditQuestionFrame>().question.asks == question.question.asks);
+  REQUIRE(sent.get<fleet::CreditQuestionFrame>().question.arrivals == 1);
+  // What an earlier release sends, and what it reads of what is sent now.
+  const nlohmann::json old_question = nlohmann::json::parse(R"(["crew",3.0])");
+  REQUIRE(old_question.get<fleet::CreditQuestionFrame>().question.asks.empty());
+  REQUIRE(sent.at(0) == "crew");
+  REQUIRE(sent.at(1) == 1.0);
+
+  fleet::CreditAnswerFrame answer{TenantId("crew"), true, {}};
+  answer.answer.granted = 2;
+  answer.answer.wait = fromMillis(7);
+  answer.answer.gives_appointments = true;
+  answer.answer.is_tight = true;
+  answer.answer.replies = {{0xfedcba9876543210ULL, CreditOutcome::kReturn, fromMillis(900)}};
+  const nlohmann::json told = answer;
+  const auto read = told.get<fleet::CreditAnswerFrame>();
+  REQUIRE(read.answer.gives_appointments);
+  REQUIRE(read.answer.is_tight);
+  REQUIRE(read.answer.replies == answer.answer.replies);
+  REQUIRE(told.at(5) == 7000);
+  const nlohmann::json old_answer = nlohmann::json::parse(R"(["crew",true,2.0,40.0,0.5,7000])");
+  REQUIRE_FALSE(old_answer.get<fleet::CreditAnswerFrame>().answer.gives_appointments);
+  const nlohmann::json later = nlohmann::json::parse(R"(["crew",true,2.0,40.0,0.5,7000,true,[[5,9,1000]],"more"])");
+  REQUIRE(later.get<fleet::CreditAnswerFrame>().answer.replies.at(0).outcome == CreditOutcome::kRefused);
+}
+
+TEST_CASE("a request is told no time that it can't use", "[admission][returns]") {
+  const CreditAsk fresh = askOf(fromMillis(300), fromMillis(5000), fromMillis(5000));
+  REQUIRE(fresh.in_time == fromMillis(150));
+  REQUIRE(fresh.at_all == fromMillis(2500));
+  REQUIRE(fresh.away < fromMillis(1667));
+  REQUIRE(fresh.away > fromMillis(1600));
+  const CreditAsk hurried = askOf(fromMillis(300), fromMillis(100), fromMillis(100));
+  REQUIRE(hurried.in_time <= fromMillis(50));
+  const CreditAsk over = askOf(fromMillis(300), fromMillis(-5), fromMillis(-5));
+  REQUIRE(over.away == Duration::zero());
+}
+
+TEST_CASE("the same content bears the same number, and each part of it counts", "[admission][returns]") {
+  const RequestContent content{"crew", "POST", "a.example", "/x/1", "body"};
+  RequestContent other = content;
+  REQUIRE(contentNumber(content) == contentNumber(other));
+  other.body = "bodz";
+  REQUIRE(contentNumber(content) != contentNumber(other));
+  // Where a part ends counts as well.
+  other = content;
+  other.host = "a.example/";
+  other.target = "x/1";
+  REQUIRE(contentNumber(content) != contentNumber(other));
+}
