--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -48,6 +48,14 @@
   limited("admitted_without_owner", limits.admitted_alone);
   limited("over_limit", limits.over_limit);
   limited("unanswered", limits.unanswered);
+  limited("caller_left", limits.left);
+  page.counter("hatchfork_rate_limit_appointments_total", "Refused over a limit with a time at which a credit is kept.",
+               static_cast<double>(limits.appointments));
+  page.counter("hatchfork_rate_limit_held_total", "Requests that waited here for a credit that was kept for them.",
+               static_cast<double>(limits.admitted_held));
+  page.gauge("hatchfork_requests_held", "Requests that wait here, whatever for.",
+             static_cast<double>(holds_.requests()));
+  page.gauge("hatchfork_bytes_held", "Bytes of their bodies.", static_cast<double>(holds_.bytes()));
   page.counter("hatchfork_rate_limit_questions_total", "Questions to the owners of rate limits.",
                static_cast<double>(limits.questions));
   page.histogram("hatchfork_rate_limit_wait_ms", "Wait of the requests that found no credit.", limits.wait);
