--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -9,6 +9,7 @@
 #include "connection/stop_signal.hpp"
 #include "process/exchange/header_rules.hpp"
 #include "request/access/caller_identity.hpp"
+#include "request/admission/credit_ask.hpp"
 
 namespace hatchfork::exchange {
 
@@ -35,9 +36,9 @@
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
 /// Kept back from the time that a stop may take.
 constexpr Duration kStopMargin = fromMillis(150);
-/// Requests that may wait at a gateway at once, and the part of its memory that their bodies may take.
-constexpr std::size_t kMostHeldRequests = 256;
-constexpr std::size_t kHeldBytesEachMegabyte = (1u << 20) / 10;
+/// Requests that may wait at a gateway at once, and how much of each megabyte of its memory their bodies may take.
+constexpr std::size_t kMostHeldRequests = 4096;
+constexpr std::size_t kHeldBytesEachMegabyte = (1u << 20) / 8;
 /// When a job comes back whose regions lack some store: operators move stores or change the regions, which takes long.
 constexpr Duration kComeBackForStores = std::chrono::seconds(2);
 /// A configuration that was proved the newest within this time is taken for it. Proofs come every 300 ms.
@@ -86,7 +87,7 @@
       stores_(context_, settings_.store_port, drawSeed()),
       loads_(settings_.name, settings_.zone, engine_keys_,
              [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
-      rate_limits_(context_, settings_.rate_limits,
+      rate_limits_(context_, settings_.rate_limits, held_,
                    [this](const ReplicaId& to, const fleet::CreditQuestionFrame& question) {
                      return stores_.send(to, question);
                    }),
@@ -343,8 +344,14 @@
     const bool passed = co_await passStart(std::move(is_open), kLacksCrashes, received_at, request, writer);
     if (!passed) co_return;
   }
-  if (tenant != nullptr) {
-    const Status admitted = co_await rate_limits_.admit(*tenant);
+  if (tenant != nullptr && tenant->limits.online_requests_per_second > 0) {
+    LimitedRequest limited = limitedRequest(route, *tenant, request);
+    const Status admitted = co_await rate_limits_.admit(*tenant, std::move(limited), writer);
+    if (!isOk(admitted) && errorOf(admitted).kind == ErrorKind::kCancelled) {
+      ++counters_.caller_left;
+      writer.abort();
+      co_return;
+    }
     if (!isOk(admitted)) {
       Error error = errorOf(admitted);
       co_await refuse(request, writer, std::move(error));
@@ -359,6 +366,20 @@
   co_await run.run();
 }
 
+LimitedRequest GatewayProgram::limitedRequest(const Route& route, const Tenant& tenant,
+                                              const connection::HttpRequest& request) const {
+  LimitedRequest limited;
+  limited.id = request.header(dialect_->headers().request_id);
+  limited.bytes = request.body.size();
+  if (!settings_.load.return_appointments) return limited;
+  const Duration remaining = readMilliseconds(request.header(dialect_->headers().remaining_ms)).value_or(route.timeout);
+  limited.ask = request::askOf(route.objective, std::min(remaining, route.timeout), remaining);
+  limited.ask.content =
+      request::contentNumber({tenant.id.value, request.method, request.header("Host"), request.target, request.body});
+  if (settings_.load.ordered_waiting) limited.ask.rank = route.priority;
+  return limited;
+}
+
 Awaitable<void> GatewayProgram::maintenanceLoop() {
   while (true) {
     co_await connection::sleepFor(kMaintenanceInterval);
