Test of frames of later releases: the further field stands behind all known ones

Cause: credit questions have got two fields more, so that the field of a later release stood at the place of a known one. Change: the test tells all known fields and compares the whole question, not only its first figure. Conclusion: same property, checked on more fields.

--- a/src/request/limits/rate_credit.hpp
+++ b/src/request/limits/rate_credit.hpp
@@ -72,6 +72,8 @@
   double arrivals = 0;
   /// Requests that wait; none from gateways that know no appointments.
   std::vector<CreditAsk> asks = {};
+
+  bool operator==(const CreditQuestion&) const = default;
 };
 
 /// What the owner answers.
--- a/tests/process/fleet/frame_reader_test.cpp
+++ b/tests/process/fleet/frame_reader_test.cpp
@@ -51,11 +51,15 @@
   CHECK(taken.document_version == 3);
   CHECK(taken.release == 9);
 
-  nlohmann::json question = CreditQuestionFrame{TenantId("t"), {5}};
+  // All fields of this release, so that the further one stands behind them.
+  request::CreditQuestion known;
+  known.wanted = 5;
+  known.asks.push_back(request::CreditAsk{.content = 7});
+  nlohmann::json question = CreditQuestionFrame{TenantId("t"), known};
   question.push_back("of a later release");
   const auto credit = reader.read(frameOf("cq", question));
   REQUIRE(isOk(credit));
-  CHECK(std::get<CreditQuestionFrame>(*valueOf(credit)).question.wanted == 5);
+  CHECK(std::get<CreditQuestionFrame>(*valueOf(credit)).question == known);
 }
 
 TEST_CASE("Processes of older releases tell no release", "[upgrade]") {
