Links and the feed's search do not wait for packets that a starting machine swallowed; crash notes are asked of one store after the other

On a small twin with processor time two gateways of 16 waited all of 0.3 s for crash notes: each asked the same busy store every 10 ms. Change: a frame from a peer ends the try in flight and begins another; the first tries are given up after 20 ms (60); questions for crash notes go round the stores, with pauses that grow.

--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -13,11 +13,13 @@
 constexpr Duration kFirstPause = fromMillis(5);
 constexpr Duration kLongestPause = fromMillis(300);
 /// A machine that just comes up may have swallowed the first packet: the first try is given up soon.
-constexpr Duration kFirstConnectTimeout = fromMillis(60);
+constexpr Duration kFirstConnectTimeout = fromMillis(20);
 constexpr Duration kConnectTimeout = fromMillis(400);
 /// Frames that wait for a connection: how long, and how many bytes of them.
 constexpr Duration kLongestWait = fromMillis(500);
 constexpr std::size_t kMostWaitingBytes = 256u << 10;
+/// A link whose far side is known to be up begins a new try this often at the most: a far one may answer slowly.
+constexpr Duration kBetweenRetriesNow = fromMillis(400);
 /// A peer that takes no bytes and answers no probe for this long is given up.
 constexpr Duration kSilentPeerTimeout = std::chrono::seconds(2);
 
@@ -132,8 +134,14 @@
 }
 
 void ReconnectingLink::retryNow() {
-  if (isConnected() || std::exchange(retry_now_, true)) return;
+  const Instant now = monotonicNow();
+  if (isConnected() || now < retried_at_ + kBetweenRetriesNow) return;
+  retried_at_ = now;
+  retry_now_ = true;
   closed_.cancel();
+  // The try in flight may have been swallowed while the far side came up.
+  boost::system::error_code ignored;
+  if (connecting_) connecting_->close(ignored);
 }
 
 bool ReconnectingLink::send(const std::string& body) {
@@ -186,6 +194,7 @@
       continue;
     }
     auto socket = std::make_shared<tcp::socket>(context_);
+    connecting_ = socket;
     // Closes the socket, and so fails the connect, when the far side swallows packets in silence.
     Timer timeout(context_);
     timeout.expires_after(patience);
@@ -197,6 +206,7 @@
     const tcp::endpoint target(asio::ip::make_address(endpoint_.host, error), endpoint_.port);
     if (!error) co_await socket->async_connect(target, asio::redirect_error(asio::use_awaitable, error));
     timeout.cancel();
+    connecting_.reset();
     if (error || stopped_ || !socket->is_open()) {
       boost::system::error_code woken;
       if (std::exchange(retry_now_, false)) pause = kFirstPause;
--- a/src/connection/frame_connection.hpp
+++ b/src/connection/frame_connection.hpp
@@ -63,7 +63,7 @@
   bool send(const std::string& body);
   /// Sends now, or when the connection comes up within a moment; for messages that are of use only while they are new.
   void sendSoon(std::string body);
-  /// The far side is known to be up: a link that waits for its next try connects at once.
+  /// The far side is known to be up: a link that waits for its next try, or for the end of one, connects at once.
   void retryNow();
   bool isConnected() const { return connection_ && connection_->isOpen(); }
   const Endpoint& endpoint() const { return endpoint_; }
@@ -92,6 +92,9 @@
   std::size_t waiting_bytes_ = 0;
   bool stopped_ = false;
   bool retry_now_ = false;
+  Instant retried_at_{};
+  /// Of the try in flight.
+  std::shared_ptr<tcp::socket> connecting_;
 };
 
 }  // namespace hatchfork::connection
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -398,11 +398,14 @@
 Awaitable<void> GatewayProgram::learnCrashes() {
   fleet::CrashNotesFrame hello = crashes_.hello();
   hello.wants_all = true;
+  Duration pause = kAskAgain;
+  std::size_t turn = 0;
   while (!knows_crashes_ && monotonicNow() < first_view_at_ + kCrashNotesWait) {
-    for (const ReplicaId& store : loads_.aggregators()) {
-      if (stores_.send(store, hello)) break;
-    }
-    co_await connection::sleepFor(kAskAgain);
+    const std::size_t asked = askNextStore(turn, hello);
+    co_await connection::sleepFor(pause);
+    // All gateways ask at once after a loss of power: a store that is busy with the others is not asked again soon.
+    if (asked > turn) pause *= 2;
+    turn = asked;
   }
   const Duration waited = monotonicNow() - first_view_at_;
   logEvent(knows_crashes_ ? LogLevel::kInfo : LogLevel::kWarning, "crash_notes_awaited",
@@ -412,6 +415,14 @@
   start_gate_.look();
 }
 
+std::size_t GatewayProgram::askNextStore(std::size_t turn, const fleet::CrashNotesFrame& question) {
+  const std::vector<ReplicaId> stores = loads_.aggregators();
+  for (std::size_t offset = 0; offset < stores.size(); ++offset) {
+    if (stores_.send(stores[(turn + offset) % stores.size()], question)) return turn + offset + 1;
+  }
+  return turn;
+}
+
 void GatewayProgram::askForCrashes() {
   crash_hub_ = loads_.current();
   if (!crash_hub_.empty() && !stores_.send(crash_hub_, crashes_.hello())) crash_hub_ = ReplicaId();
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -76,6 +76,9 @@
   void tellCrashesSoon();
   /// Asks stores until one has told which requests end engines, for a short while after the first view.
   connection::Awaitable<void> learnCrashes();
+  /// Sends the question to the first store that can be reached, from number `turn` of the aggregators on. Returns the
+  /// number after it, or `turn` if there is none.
+  std::size_t askNextStore(std::size_t turn, const fleet::CrashNotesFrame& question);
   void askForCrashes();
   /// Reports what is in flight here, with other changes of the same moment.
   void reportLoadSoon();
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// A machine that just comes up may have swallowed the first packet: the first tries are given up soon.
-constexpr Duration kFirstConnectTimeout = fromMillis(60);
+constexpr Duration kFirstConnectTimeout = fromMillis(20);
 constexpr Duration kConnectTimeout = fromMillis(300);
 /// Without a proof for this long the control process is given up.
 constexpr Duration kSilenceLimit = fromMillis(800);
