One bound for what a gateway holds for callers and engines that read slowly

Cause: each connection was bounded (a write had grace_s, an answer 64 MB), their sum was not. 400 callers that read a byte a second of answers of 4 MB, beside 100 long requests that engines don't read, took a gateway of 160 MB to 440 MB.

Change: ByteBudget (pure) counts bodies, requests on their way to engines, answers being collected and pieces that callers have not taken; a quarter of memory_mb is the bound. SlowReaders drives it; log line, metrics, pages.

Ruled out: counting a body when its request is handled: the ones being read took the gateway to 258 MB (first state).

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -72,7 +72,8 @@
 }  // namespace
 
 struct EngineClient::Pool {
-  explicit Pool(asio::io_context& io_context) : context(io_context) {}
+  Pool(asio::io_context& io_context, std::shared_ptr<SlowReaders> readers)
+      : context(io_context), slow_readers(std::move(readers)) {}
 
   ConnectionPtr takeIdle(const EngineId& engine, const Endpoint& endpoint, Instant now) {
     std::vector<ConnectionPtr>& list = idle[engine];
@@ -92,6 +93,7 @@
   }
 
   asio::io_context& context;
+  std::shared_ptr<SlowReaders> slow_readers;
   std::map<EngineId, std::vector<ConnectionPtr>> idle;
   std::uint64_t made = 0;
   std::uint64_t reused = 0;
@@ -186,14 +188,31 @@
     co_return std::nullopt;
   }
 
+  /// Counts the request until the engine has read it.
+  std::shared_ptr<HeldBytes> offerBytes(std::size_t bytes) {
+    if (!pool_->slow_readers) return nullptr;
+    auto let_go = [weak = weak_from_this()] {
+      const std::shared_ptr<PooledExchange> self = weak.lock();
+      if (!self) return;
+      self->reads_too_slowly_ = true;
+      self->cancel();
+    };
+    std::shared_ptr<HeldBytes> held =
+        pool_->slow_readers->hold(PeerSide::kEngine, request_.engine.value, bytes, std::move(let_go));
+    held->offer();
+    return held;
+  }
+
   /// Sends the whole request beside the wait for the answer, which may come before the request has been read.
   void write() {
     auto bytes = std::make_shared<std::string>(encodeRequest(request_));
     request_.body.clear();
     auto written = std::make_shared<bool>(false);
     written_ = written;
-    asio::async_write(connection_->socket, asio::buffer(*bytes),
-                      [bytes, written, connection = connection_](boost::system::error_code error, std::size_t) {
+    const std::shared_ptr<HeldBytes> held = offerBytes(bytes->size());
+    const NoteProgress progress{held.get()};
+    asio::async_write(connection_->socket, asio::buffer(*bytes), progress,
+                      [bytes, written, held, connection = connection_](boost::system::error_code error, std::size_t) {
                         *written = !error;
                       });
   }
@@ -271,6 +290,7 @@
     failure.timed_out = timed_out_;
     failure.closed_by_engine = !timed_out_ && !cancelled_;
     failure.cause = cancelled_ ? "cancelled" : timed_out_ ? "timeout" : error.message();
+    if (reads_too_slowly_) failure.cause = "the engine reads too slowly";
     return failure;
   }
 
@@ -308,6 +328,7 @@
   bool reused_ = false;
   bool timed_out_ = false;
   bool cancelled_ = false;
+  bool reads_too_slowly_ = false;
 };
 
 /// Lets the owner hold the exchange alone although timers refer to it.
@@ -328,7 +349,8 @@
 
 }  // namespace
 
-EngineClient::EngineClient(asio::io_context& context) : pool_(std::make_shared<Pool>(context)) {}
+EngineClient::EngineClient(asio::io_context& context, std::shared_ptr<SlowReaders> slow_readers)
+    : pool_(std::make_shared<Pool>(context, std::move(slow_readers))) {}
 EngineClient::~EngineClient() = default;
 
 Awaitable<ExchangeStart> EngineClient::open(EngineRequest request, Instant deadline,
--- a/src/connection/engine_exchange.hpp
+++ b/src/connection/engine_exchange.hpp
@@ -10,6 +10,7 @@
 #include "common/ids.hpp"
 #include "connection/asio.hpp"
 #include "connection/http_types.hpp"
+#include "connection/slow_readers.hpp"
 
 namespace hatchfork::connection {
 
@@ -84,7 +85,8 @@
 /// in its place is read and dropped. Belongs to one thread and its io_context.
 class EngineClient {
  public:
-  explicit EngineClient(asio::io_context& context);
+  /// `slow_readers`, if given, counts requests that engines have not read yet.
+  explicit EngineClient(asio::io_context& context, std::shared_ptr<SlowReaders> slow_readers = nullptr);
   ~EngineClient();
   EngineClient(const EngineClient&) = delete;
   EngineClient& operator=(const EngineClient&) = delete;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -17,6 +17,12 @@
 namespace http = beast::http;
 
 constexpr Duration kAcceptRetryDelay = fromMillis(50);
+/// When a caller whose long body found no room comes back: peers that take nothing are let go within that.
+constexpr Duration kComeBackAfter = std::chrono::seconds(2);
+/// What the kernel buffers for a caller: more would hide from the process that the caller reads slowly.
+constexpr int kSendBufferBytes = 128 << 10;
+/// Bodies up to this size are read whatever else is held.
+constexpr std::uint64_t kSmallBody = 64u << 10;
 
 Error requestError(ErrorKind kind, std::string message, std::string remedy) {
   return Error{kind, std::move(message), std::move(remedy), Executed::kNo, {}};
@@ -79,6 +85,8 @@
 /// One caller's connection: reads requests in turn and runs the handler for each. Lives in its own coroutine's frame,
 /// on one thread.
 class HttpSession : public ResponseWriter, public std::enable_shared_from_this<HttpSession> {
+  using Parser = http::request_parser<http::string_body>;
+
  public:
   HttpSession(tcp::socket socket, std::shared_ptr<HttpServer::Shared> shared)
       : stream_(std::move(socket)), shared_(std::move(shared)) {
@@ -118,8 +126,14 @@
     message.prepare_payload();
     responded_ = true;
     beast::error_code error;
-    stream_.expires_after(shared_->options.write_timeout);
-    co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
+    boundWrite();
+    const std::unique_ptr<HeldBytes> held = offerBytes(message.body().size());
+    http::response_serializer<http::string_body> serializer(message);
+    while (!error && !serializer.is_done()) {
+      const std::size_t taken =
+          co_await http::async_write_some(stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+      if (held) held->noteTaken(taken);
+    }
     finished_ = !error;
     keep_alive_ = keep_alive_ && message.keep_alive();
     co_return finished_;
@@ -134,7 +148,8 @@
     keep_alive_ = keep_alive_ && message.keep_alive();
     http::response_serializer<http::empty_body> serializer(message);
     beast::error_code error;
-    stream_.expires_after(shared_->options.write_timeout);
+    boundWrite();
+    const std::unique_ptr<HeldBytes> held = offerBytes(kStreamHeadBytes);
     co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
     if (error) peer_gone_ = true;
     co_return !error;
@@ -143,22 +158,27 @@
   Awaitable<bool> writeChunk(std::string bytes) override {
     if (bytes.empty()) co_return !peer_gone_;
     beast::error_code error;
-    stream_.expires_after(shared_->options.write_timeout);
+    boundWrite();
+    const std::unique_ptr<HeldBytes> held = offerBytes(bytes.size());
     const auto chunk = http::make_chunk(asio::buffer(bytes));
-    co_await asio::async_write(stream_, chunk, asio::redirect_error(asio::use_awaitable, error));
+    const NoteProgress progress{held.get()};
+    co_await asio::async_write(stream_, chunk, progress, asio::redirect_error(asio::use_awaitable, error));
     if (error) peer_gone_ = true;
     co_return !error;
   }
 
   Awaitable<bool> finishStream() override {
     beast::error_code error;
-    stream_.expires_after(shared_->options.write_timeout);
+    boundWrite();
+    const std::unique_ptr<HeldBytes> held = offerBytes(kStreamEndBytes);
     const auto last = http::make_chunk_last();
     co_await asio::async_write(stream_, last, asio::redirect_error(asio::use_awaitable, error));
     finished_ = !error;
     co_return finished_;
   }
 
+  void nameRequest(const std::string& name) override { request_name_ = name; }
+
   bool peerGone() const override { return peer_gone_; }
 
   void watchPeer(std::function<void()> on_gone) override {
@@ -182,6 +202,55 @@
   }
 
  private:
+  /// About what the head and the end of a stream weigh.
+  static constexpr std::size_t kStreamHeadBytes = 512;
+  static constexpr std::size_t kStreamEndBytes = 5;
+
+  /// Who reads too slowly is let go by the process's budget where there is one, else after the time of one write.
+  void boundWrite() {
+    if (shared_->options.slow_readers) {
+      stream_.expires_never();
+    } else {
+      stream_.expires_after(shared_->options.write_timeout);
+    }
+  }
+
+  /// Counts a request's body until the request has ended: it is kept to be sent again.
+  std::unique_ptr<HeldBytes> holdBody(std::size_t bytes) {
+    if (!shared_->options.slow_readers || bytes == 0) return nullptr;
+    return shared_->options.slow_readers->hold(PeerSide::kCaller, peer_, bytes, nullptr);
+  }
+
+  /// Counts bytes that wait for the caller, until what is returned is destroyed.
+  std::unique_ptr<HeldBytes> offerBytes(std::size_t bytes) {
+    if (!shared_->options.slow_readers) return nullptr;
+    auto let_go = [weak = weak_from_this()] {
+      if (const std::shared_ptr<HttpSession> self = weak.lock()) self->abort();
+    };
+    std::unique_ptr<HeldBytes> held =
+        shared_->options.slow_readers->hold(PeerSide::kCaller, peer_ + ' ' + request_name_, bytes, std::move(let_go));
+    held->offer();
+    return held;
+  }
+
+  /// Reads the rest of a request whose header has come. A long body stays with its caller while there is no room; from
+  /// its first byte on it counts as held.
+  Awaitable<void> receiveBody(Parser& parser, beast::error_code& error) {
+    const std::shared_ptr<SlowReaders>& readers = shared_->options.slow_readers;
+    const std::uint64_t length = parser.content_length().value_or(shared_->options.largest_body);
+    if (readers && length > kSmallBody) {
+      const Instant deadline = monotonicNow() + shared_->options.request_timeout;
+      const bool has_room = co_await readers->awaitRoom(nullptr, deadline);
+      if (!has_room) {
+        lacks_room_ = true;
+        error = beast::error::timeout;
+        co_return;
+      }
+    }
+    body_ = holdBody(std::min(length, shared_->options.largest_body));
+    co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+  }
+
   /// Readable while a handler is at work: the caller has left, or has sent its next request already.
   void lookForPeer() {
     if (!on_gone_) return;
@@ -223,12 +292,13 @@
     if (!has_request) co_return false;
     ++shared_->active_requests;
     const bool keep = co_await receiveAndHandle();
+    body_.reset();
     --shared_->active_requests;
     co_return keep;
   }
 
   Awaitable<bool> receiveAndHandle() {
-    http::request_parser<http::string_body> parser;
+    Parser parser;
     parser.body_limit(shared_->options.largest_body);
     parser.header_limit(shared_->options.largest_header);
     beast::error_code error;
@@ -243,12 +313,14 @@
       boost::system::error_code ignored;
       self->stream_.socket().cancel(ignored);
     });
-    co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !parser.is_done()) co_await receiveBody(parser, error);
     timer.cancel();
     if (error && *timed_out) error = beast::error::timeout;
     version_ = 11;
     responded_ = false;
     finished_ = false;
+    request_name_.clear();
     if (error) {
       co_await answerBadRequest(error);
       co_return false;
@@ -288,6 +360,10 @@
         error == asio::error::operation_aborted) {
       co_return;
     }
+    if (lacks_room_) {
+      co_await answerLackOfRoom();
+      co_return;
+    }
     Error cause = requestError(ErrorKind::kInvalidArgument, "malformed HTTP request: " + error.message(),
                                "send a well-formed HTTP/1.1 request");
     const bool header_too_large = error == http::error::header_limit;
@@ -307,6 +383,21 @@
     co_await discardInput();
   }
 
+  /// The body was not read: others that read slowly hold what there is.
+  Awaitable<void> answerLackOfRoom() {
+    logEvent(LogLevel::kWarning, "request_refused",
+             {{"peer", peer_},
+              {"cause", "no room for its body"},
+              {"held", shared_->options.slow_readers->bytes()},
+              {"most", shared_->options.slow_readers->mostBytes()}});
+    Error cause =
+        requestError(ErrorKind::kOverloaded, "no room for the request's body now", "come back at the given time");
+    cause.retry_after = kComeBackAfter;
+    HttpResponse response = errorResponse(cause);
+    co_await send(std::move(response));
+    co_await discardInput();
+  }
+
   /// Takes what the caller is still sending, for a short while, so that the error answer is not lost to a reset.
   Awaitable<void> discardInput() {
     beast::error_code error;
@@ -321,6 +412,7 @@
   beast::tcp_stream stream_;
   /// IP number of the caller; empty if it had left before it was asked for.
   std::string peer_;
+  std::string request_name_;
   std::shared_ptr<HttpServer::Shared> shared_;
   beast::flat_buffer buffer_;
   unsigned version_ = 11;
@@ -330,6 +422,10 @@
   bool finished_ = false;
   bool peer_gone_ = false;
   bool watching_ = false;
+  /// The body of the request at hand, as it counts in the process's budget.
+  std::unique_ptr<HeldBytes> body_;
+  /// A long body was not read for lack of room.
+  bool lacks_room_ = false;
   std::function<void()> on_gone_;
 };
 
@@ -380,6 +476,9 @@
     if (shared->open_connections < shared->options.most_connections) {
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
+      if (shared->options.slow_readers) {
+        socket.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
+      }
       auto session = std::make_shared<HttpSession>(std::move(socket), shared);
       auto run = [session]() -> Awaitable<void> { co_await session->run(); };
       asio::co_spawn(context, std::move(run), asio::detached);
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -9,6 +9,7 @@
 #include "common/result.hpp"
 #include "connection/asio.hpp"
 #include "connection/http_types.hpp"
+#include "connection/slow_readers.hpp"
 
 namespace hatchfork::connection {
 
@@ -29,6 +30,8 @@
   /// Calls `on_gone` once if the caller leaves while the handler is at work. Nothing is noticed of a caller that has
   /// already sent its next request.
   virtual void watchPeer(std::function<void()> on_gone) = 0;
+  /// Names the request in log lines of its connection.
+  virtual void nameRequest(const std::string&) {}
   /// Ends the connection without a proper end of the response, so that the caller can't take it for whole.
   virtual void abort() = 0;
 };
@@ -49,6 +52,9 @@
   std::uint32_t most_connections = 10000;
   /// Largest header; larger ones are answered with 431.
   std::uint32_t largest_header = 32u << 10;
+  /// Counts what is held for callers that read slowly, and ends the connections of the slowest; then `write_timeout`
+  /// bounds nothing. Long requests wait to be read while it has no room. Only with one thread of connections.
+  std::shared_ptr<SlowReaders> slow_readers;
 };
 
 /// HTTP/1.1 server. Accepts on `acceptor_context` and spreads connections over `connection_contexts` in turn; a
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -78,6 +78,7 @@
 
 Awaitable<void> ExchangeRun::run() {
   ++tools_.counters.received;
+  writer_.nameRequest(id_);
   writer_.watchPeer([this] {
     caller_left_ = true;
     if (control_->cancel) control_->cancel();
@@ -229,25 +230,39 @@
   return endToEndHeaders(exchange.headers());
 }
 
-Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayWhole(EngineExchange& exchange) {
-  HttpResponse response;
-  response.status = exchange.status();
-  response.headers = answerHeaders(exchange);
+Awaitable<bool> ExchangeRun::collectAnswer(EngineExchange& exchange, std::string& body) {
+  connection::SlowReaders& readers = tools_.slow_readers;
+  const std::unique_ptr<connection::HeldBytes> held = readers.collect(id_);
+  const std::size_t most_bytes = std::min(kLargestWholeAnswer, readers.mostBytes());
   while (true) {
+    const bool has_room = co_await readers.awaitRoom(held.get(), deadline_);
+    if (!has_room) {
+      cause_ = "answer: no room before the deadline";
+      co_return false;
+    }
     AnswerPiece piece = co_await exchange.read(deadline_);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "answer: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
       if (!caller_left_ && monotonicNow() < deadline_) verdict_ = EngineVerdict::kFailed;
-      co_return AttemptEnd::kBroken;
-    }
-    if (std::holds_alternative<EndOfAnswer>(piece)) break;
-    response.body += std::get<std::string>(piece);
-    if (response.body.size() > kLargestWholeAnswer) {
-      cause_ = "answer_too_large";
-      co_return AttemptEnd::kBroken;
+      co_return false;
     }
+    if (std::holds_alternative<EndOfAnswer>(piece)) co_return true;
+    const std::string& bytes = std::get<std::string>(piece);
+    held->add(bytes.size());
+    body += bytes;
+    if (body.size() <= most_bytes) continue;
+    cause_ = "answer_too_large";
+    co_return false;
   }
+}
+
+Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayWhole(EngineExchange& exchange) {
+  HttpResponse response;
+  response.status = exchange.status();
+  response.headers = answerHeaders(exchange);
+  const bool is_whole = co_await collectAnswer(exchange, response.body);
+  if (!is_whole) co_return AttemptEnd::kBroken;
   const bool is_failure = response.status >= 500;
   verdict_ = is_failure ? EngineVerdict::kNeutral : EngineVerdict::kGood;
   if (is_failure) cause_ = fmt::format("status_{}", response.status);
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -55,6 +55,7 @@
   fleet::CrashWatch& crashes;
   /// Of the request's service.
   request::AnswerFraming& framing;
+  connection::SlowReaders& slow_readers;
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
@@ -98,6 +99,8 @@
   connection::Awaitable<AttemptEnd> attempt(const request::EngineChoice& choice);
   connection::Awaitable<AttemptEnd> relay(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayWhole(connection::EngineExchange& exchange);
+  /// Reads a whole answer, as fast as the process has room for it. False with `cause_` set if it breaks.
+  connection::Awaitable<bool> collectAnswer(connection::EngineExchange& exchange, std::string& body);
   connection::Awaitable<AttemptEnd> relayStream(connection::EngineExchange& exchange);
   /// Reads events until the answer ends; fails the attempt where an event's place is not known or others are missing.
   connection::Awaitable<AttemptEnd> relayEvents(connection::EngineExchange& exchange);
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -52,6 +52,17 @@
   return (std::uint64_t{source()} << 32) | source();
 }
 
+/// Of the process's memory, what may be held for peers that read slowly. Bytes are counted once and may be held twice
+/// for a moment, as they came and as they go; the rest is the process itself and its view of the fleet.
+constexpr double kHeldShare = 0.25;
+
+request::ByteBudgetLimits byteLimitsOf(const fleet::FleetSettings& settings) {
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  request::ByteBudgetLimits limits;
+  limits.most_bytes = static_cast<std::size_t>(kHeldShare * settings.memory_mb * kBytesPerMegabyte);
+  return limits;
+}
+
 /// The host without its port.
 std::string_view hostName(std::string_view host) {
   return host.substr(0, host.rfind(':'));
@@ -64,7 +75,8 @@
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       dialect_(std::move(dialect)),
-      engines_(context_),
+      slow_readers_(std::make_shared<connection::SlowReaders>(context_, byteLimitsOf(settings_))),
+      engines_(context_, slow_readers_),
       random_(drawSeed()),
       selector_(drawSeed()),
       gate_(drawSeed()),
@@ -92,10 +104,12 @@
   caller_options.listen = settings_.callers;
   caller_options.largest_body = CallerLimits{}.most_body_bytes;
   caller_options.write_timeout = settings_.grace;
+  caller_options.slow_readers = slow_readers_;
   auto serve = [this](const connection::HttpRequest& request, connection::ResponseWriter& writer) {
     return handle(request, writer);
   };
   callers_ = std::make_unique<connection::HttpServer>(context_, contexts, caller_options, serve);
+  slow_readers_->start();
   const Status listening = callers_->start();
   if (!isOk(listening)) return listening;
 
@@ -321,8 +335,8 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
-                      settings_.zones, gate_,    placement_, crashes_,  framing};
+  ExchangeTools tools{*dialect_, engines_,   selector_, counters_, settings_.zone, settings_.zones,
+                      gate_,     placement_, crashes_,  framing,   *slow_readers_};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -82,6 +82,8 @@
   std::string settings_file_;
   std::unique_ptr<const Dialect> dialect_;
   connection::asio::io_context context_;
+  /// What is held for callers and engines that read slowly.
+  std::shared_ptr<connection::SlowReaders> slow_readers_;
   connection::EngineClient engines_;
   std::mt19937_64 random_;
   Instant started_at_{};
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -14,6 +14,18 @@
   requests("refused", counters_.refused);
   requests("failed", counters_.failed);
   requests("caller_left", counters_.caller_left);
+  page.gauge("hatchfork_held_for_peers_bytes", "Held for callers and engines that have not read it yet.",
+             static_cast<double>(slow_readers_->bytes()));
+  page.gauge("hatchfork_held_for_peers_most_bytes", "Bound of that.", static_cast<double>(slow_readers_->mostBytes()));
+  const connection::SlowReaders::Counters& slow = slow_readers_->counters();
+  const auto let_go = [&page](const char* side, std::uint64_t value) {
+    page.counter("hatchfork_slow_readers_let_go_total", "Connections ended since the far side took nothing for long.",
+                 static_cast<double>(value), {{"side", side}});
+  };
+  let_go("caller", slow.callers_let_go);
+  let_go("engine", slow.engines_let_go);
+  page.counter("hatchfork_waits_for_held_room_total", "Answers and long requests that were not read for lack of room.",
+               static_cast<double>(slow.waits));
   fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
                             stores_.framesPassedOver() + feed_->framesPassedOver());
   page.counter("hatchfork_requests_rejected_early_total", "Refused at their arrival, since they would be late.",
