--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -56,6 +56,8 @@
   /// Of the request's service.
   request::AnswerFraming& framing;
   connection::SlowReaders& slow_readers;
+  /// When the request came, before it waited for anything.
+  Instant received_at{};
 };
 
 /// One online request from its receipt to its final answer: chooses engines, sends the request, relays the answer,
