--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -91,6 +91,8 @@
   std::string settings_file_;
   std::unique_ptr<const Dialect> dialect_;
   connection::asio::io_context context_;
+  /// What is held for callers and engines that read slowly.
+  std::shared_ptr<connection::SlowReaders> slow_readers_;
   connection::EngineClient engines_;
   /// Of all requests that wait here, for whatever reason.
   request::HoldBudget held_;
