Room of engines and the zone's line: one speed for each engine, and one line for all who find no place

Cause: engines of three speeds that are slower for moments were taken as equal, and a jump stood in their own queues. Change: engine_pace learns each life's speed and takes what it told; choice, expected first event, early rejection and silence go by it. zone_line keeps those without a place at the store that places them. Only for services whose engines tell their pace; each has its setting.

--- a/bench/measure/fleet_cost.cpp
+++ b/bench/measure/fleet_cost.cpp
@@ -20,6 +20,8 @@
 constexpr Instant kStart{std::chrono::seconds(100)};
 constexpr std::size_t kZones = 5;
 constexpr std::uint32_t kSlots = 8;
+/// What an engine tells that works slower than usual for a moment.
+constexpr request::EngineLoad kSlowMoment{1, 0, kSlots, 150};
 /// Of what takes microseconds, and of what takes milliseconds.
 constexpr int kManyTimes = 2000;
 constexpr int kFewTimes = 20;
@@ -77,6 +79,9 @@
   EngineQuery background = onlineQuery();
   background.background = true;
   figures["batch_choice_us"] = microsecondsEach(kManyTimes, [&](int) { selector.choose(kStart, background); });
+  for (const EngineRecord& engine : engines) selector.noteLoad(kStart, engine.id, kSlowMoment);
+  const Instant later = kStart + fromMillis(50);
+  figures["uneven_choice_us"] = microsecondsEach(kManyTimes, [&](int) { selector.choose(later, onlineQuery()); });
   figures["changed_engine_us"] = microsecondsEach(kManyTimes, [&](int i) {
     EngineRecord engine = engines[static_cast<std::size_t>(i) % engines.size()];
     engine.slots += 1;
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -154,6 +154,8 @@
   verdict_ = EngineVerdict::kNeutral;
   cause_.clear();
   attempt_began_at_ = monotonicNow();
+  attempt_first_at_.reset();
+  events_before_ = events_;
   closed_by_engine_ = false;
   engine_state_ = connection::EngineReachability::kUnknown;
   ++tools_.counters.attempts;
@@ -181,8 +183,11 @@
   const bool not_run = end == AttemptEnd::kDeclined || end == AttemptEnd::kNotSent;
   not_run ? ++refusals_ : ++runs_;
   if (end == AttemptEnd::kDeclined) ++tools_.counters.declined;
-  tools_.selector.end(monotonicNow(), ticket_, verdict_);
-  tools_.placement.noteEnded(std::exchange(place_, 0), verdict_);
+  const Instant ended_at = monotonicNow();
+  const std::optional<request::AnswerTiming> timing = attemptTiming(ended_at);
+  if (timing) tools_.selector.noteTiming(ticket_, *timing);
+  tools_.selector.end(ended_at, ticket_, verdict_);
+  tools_.placement.noteEnded(std::exchange(place_, 0), verdict_, timing);
   const connection::Endpoint endpoint =
       connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
   if (closed_by_engine_) co_await probeEngine(endpoint);
@@ -202,10 +207,10 @@
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relay(EngineExchange& exchange) {
   const Instant now = monotonicNow();
   tools_.selector.noteFirstByte(now, ticket_);
-  tools_.placement.noteAnswering(place_);
-  if (const auto load = request::parseEngineLoad(exchange.header(tools_.dialect.headers().engine_load))) {
-    tools_.selector.noteLoad(now, engine_, *load);
-  }
+  attempt_first_at_ = now;
+  const auto load = request::parseEngineLoad(exchange.header(tools_.dialect.headers().engine_load));
+  tools_.placement.noteAnswering(place_, load ? load->pace : 0);
+  if (load) tools_.selector.noteLoad(now, engine_, *load);
   if (isDeclined(exchange)) {
     cause_ = fmt::format("declined_{}", exchange.status());
     verdict_ = exchange.status() == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
@@ -225,6 +230,15 @@
   co_return co_await relayWhole(exchange);
 }
 
+std::optional<request::AnswerTiming> ExchangeRun::attemptTiming(Instant now) const {
+  if (verdict_ != EngineVerdict::kGood || !attempt_first_at_) return std::nullopt;
+  request::AnswerTiming timing;
+  timing.first_ms = toSeconds(*attempt_first_at_ - attempt_began_at_) * 1000;
+  timing.held_ms = toSeconds(now - *attempt_first_at_) * 1000;
+  timing.events = events_ - events_before_;
+  return timing;
+}
+
 std::vector<HttpHeader> ExchangeRun::answerHeaders(const EngineExchange& exchange) const {
   return endToEndHeaders(exchange.headers());
 }
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -52,6 +52,8 @@
   const request::ZoneRegions& regions;
   request::ArrivalGate& gate;
   PlacementClient& placement;
+  /// Requests wait in line at the store that places them, where there is no place for them.
+  bool stands_in_line;
   fleet::CrashWatch& crashes;
   /// Of the request's service.
   request::AnswerFraming& framing;
@@ -93,6 +95,10 @@
   /// to the engines at home for their prefix.
   connection::Awaitable<std::optional<request::EngineChoice>> chooseEngine();
   connection::Awaitable<std::optional<request::EngineChoice>> chooseAmong(const request::EngineQuery& query);
+  connection::Awaitable<std::optional<PlacementClient::Place>> askForPlace(const request::EngineQuery& query);
+  /// How long the request may wait for a place; nothing if it is not to stand in line.
+  std::optional<PlacementClient::Wait> waitForPlace() const;
+  void noteLine(const PlacementClient::Place& place);
   /// True if engines ended under such a request, so that it is not sent now. Says when the caller may come back.
   bool isKeptFromEngines();
   connection::Awaitable<AttemptEnd> attempt(const request::EngineChoice& choice);
@@ -119,6 +125,8 @@
   /// True if the request was rejected early before it was sent to any engine, since it would be late.
   bool rejectsEarly(const request::EngineChoice& choice);
   bool isDeclined(const connection::EngineExchange& exchange) const;
+  /// How long the attempt's engine took, if it has answered.
+  std::optional<request::AnswerTiming> attemptTiming(Instant now) const;
   std::vector<connection::HttpHeader> answerHeaders(const connection::EngineExchange& exchange) const;
   /// After an engine ended the connection: looks whether the engine itself has ended.
   connection::Awaitable<void> probeEngine(const connection::Endpoint& endpoint);
@@ -141,6 +149,8 @@
   Instant deadline_;
   std::shared_ptr<connection::ExchangeControl> control_;
   bool caller_left_ = false;
+  /// The store that places requests refused it, since it could not be in time.
+  bool refused_in_line_ = false;
   Duration come_back_after_{};
   /// Engines that may have run it.
   std::uint32_t runs_ = 0;
@@ -155,6 +165,9 @@
   std::string cause_;
   /// How the attempt's connection ended, and what was seen of its engine after that.
   Instant attempt_began_at_{};
+  /// When the attempt's answer began, and how many events there were before it.
+  std::optional<Instant> attempt_first_at_;
+  std::uint32_t events_before_ = 0;
   bool closed_by_engine_ = false;
   connection::EngineReachability engine_state_ = connection::EngineReachability::kUnknown;
   bool stream_started_ = false;
--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -36,7 +36,7 @@
     EngineQuery apart = query_;
     apart.excluded.insert(avoided.begin(), avoided.end());
     std::optional<EngineChoice> choice = co_await chooseAmong(apart);
-    if (choice || tools_.crashes.judge(fingerprint_).crashes > 1) co_return choice;
+    if (choice || refused_in_line_ || tools_.crashes.judge(fingerprint_).crashes > 1) co_return choice;
   }
   co_return co_await chooseAmong(query_);
 }
@@ -44,13 +44,18 @@
 Awaitable<std::optional<EngineChoice>> ExchangeRun::chooseAmong(const EngineQuery& query) {
   place_ = 0;
   if (!tools_.selector.isSticky(query)) {
-    std::vector<EngineId> unreachable = tools_.selector.ejectedEngines(monotonicNow(), query.service);
-    const std::optional<PlacementClient::Place> place = co_await tools_.placement.place(query, std::move(unreachable));
-    if (place) {
+    const std::optional<PlacementClient::Place> place = co_await askForPlace(query);
+    if (caller_left_ || refused_in_line_) {
+      if (place && place->number != 0) tools_.placement.noteEnded(place->number, EngineVerdict::kNeutral);
+      co_return std::nullopt;
+    }
+    if (place && place->number != 0) {
       const fleet::PlacementAnswer& answer = place->answer;
       std::optional<EngineChoice> choice = tools_.selector.describeChosen(monotonicNow(), answer.engine, query,
                                                                           answer.expected_first_ms, answer.running);
       if (choice) {
+        choice->slowness = answer.slowness;
+        choice->pace_age_ms = answer.pace_age_ms;
         place_ = place->number;
         co_return choice;
       }
@@ -60,6 +65,59 @@
   co_return tools_.selector.choose(monotonicNow(), query);
 }
 
+/// Where another store has come to place this zone's requests, who stood in line at the one before stands there once
+/// more, with what is left of its time.
+Awaitable<std::optional<PlacementClient::Place>> ExchangeRun::askForPlace(const EngineQuery& query) {
+  constexpr int kMostStores = 2;
+  std::optional<PlacementClient::Place> place;
+  for (int store = 0; store < kMostStores && !caller_left_; ++store) {
+    std::vector<EngineId> unreachable = tools_.selector.ejectedEngines(monotonicNow(), query.service);
+    std::optional<PlacementClient::Wait> wait = waitForPlace();
+    place = co_await tools_.placement.place(query, std::move(unreachable), std::move(wait));
+    if (place && place->line != LineEnd::kNone) noteLine(*place);
+    if (!place || place->line != LineEnd::kMoved) break;
+  }
+  co_return place;
+}
+
+/// A request that was sent to an engine before is not refused for lack of a place, and has what is left of its time.
+std::optional<PlacementClient::Wait> ExchangeRun::waitForPlace() const {
+  if (!tools_.stands_in_line) return std::nullopt;
+  const Instant now = monotonicNow();
+  const bool is_fresh = runs_ + refusals_ == 0;
+  PlacementClient::Wait wait;
+  wait.control = control_;
+  if (tenant_ != nullptr) wait.terms.tenant = tenant_->id;
+  wait.terms.priority = route_.priority;
+  wait.terms.may_be_refused = is_fresh && route_.objective > Duration::zero();
+  const Duration left = is_fresh ? tools_.gate.longestWait(route_.objective, now - received_at_) : route_.objective;
+  // Without an objective a place is worth half of what is left until the caller gives up.
+  const bool has_objective = route_.objective > Duration::zero();
+  wait.terms.left_ms = toMillis(std::clamp(has_objective ? left : (deadline_ - now) / 2, Duration::zero(),
+                                           std::max(Duration::zero(), deadline_ - now)));
+  return wait;
+}
+
+void ExchangeRun::noteLine(const PlacementClient::Place& place) {
+  constexpr std::string_view kNames[] = {"none", "placed", "refused", "store_silent", "store_changed", "caller_left"};
+  refused_in_line_ = place.line == LineEnd::kRefused;
+  const LineEnd end = caller_left_ ? LineEnd::kCallerLeft : place.line;
+  logEvent(LogLevel::kInfo, "request_stood_in_line",
+           {{"request", id_},
+            {"outcome", kNames[static_cast<std::size_t>(end)]},
+            {"stood_ms", toMillis(place.stood)},
+            {"position", place.position},
+            {"priority", route_.priority},
+            {"objective_ms", toMillis(route_.objective)},
+            {"line_ms", place.answer.refused_for_ms},
+            {"after_ms", elapsedMs()}});
+  if (!refused_in_line_) return;
+  const Duration line = fromMillis(place.answer.refused_for_ms);
+  come_back_after_ = tools_.gate.comeBackAfter(line);
+  cause_ = "zone_full";
+  ++tools_.counters.rejected_early;
+}
+
 bool ExchangeRun::rejectsEarly(const EngineChoice& choice) {
   if (runs_ + refusals_ > 0) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
@@ -74,6 +132,8 @@
             {"engine", choice.engine.id.value},
             {"running", fmt::format("{:.1f}", choice.estimated_running)},
             {"load_age_ms", choice.load_age_ms},
+            {"slowness", fmt::format("{:.2f}", choice.slowness)},
+            {"pace_age_ms", choice.pace_age_ms},
             {"come_back_ms", toMillis(come_back_after_)}});
   return true;
 }
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -52,6 +52,12 @@
   return (std::uint64_t{source()} << 32) | source();
 }
 
+request::SelectorLimits selectorLimits(const request::LoadFeatures& features) {
+  request::SelectorLimits limits;
+  limits.learns_pace = features.engine_pace;
+  return limits;
+}
+
 /// The host without its port.
 std::string_view hostName(std::string_view host) {
   return host.substr(0, host.rfind(':'));
@@ -66,7 +72,7 @@
       dialect_(std::move(dialect)),
       engines_(context_),
       random_(drawSeed()),
-      selector_(drawSeed()),
+      selector_(drawSeed(), selectorLimits(settings_.load)),
       gate_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
@@ -321,8 +327,10 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
-                      settings_.zones, gate_,    placement_, crashes_,  framing};
+  ExchangeTools tools{*dialect_, engines_,       selector_,
+                      counters_, settings_.zone, settings_.zones,
+                      gate_,     placement_,     settings_.load.zone_line,
+                      crashes_,  framing};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -37,6 +37,13 @@
   page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
                static_cast<double>(placement.alone), {{"by", "gateway"}});
   page.histogram("hatchfork_placement_wait_ms", "Wait for the store that places requests.", placement.wait);
+  const auto stood = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_line_requests_total", "Requests in line at the store that places them, by outcome.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  stood("stood", placement.stood);
+  stood("refused", placement.refused);
+  stood("left_waiting", placement.left_waiting);
   const RateLimitCounters& limits = rate_limits_.counters();
   const auto limited = [&page](const char* outcome, std::uint64_t value) {
     page.counter("hatchfork_rate_limit_total", "Requests of tenants with a rate limit, by what became of them there.",
--- a/src/process/exchange/placement_client.cpp
+++ b/src/process/exchange/placement_client.cpp
@@ -1,5 +1,6 @@
 #include "process/exchange/placement_client.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -14,6 +15,9 @@
 /// An answer takes a millisecond where all is well; a store that is busy for longer than this costs a request more than
 /// a choice of its own.
 constexpr Duration kPatience = fromMillis(25);
+/// A store that keeps requests in line tells so every 50 ms; one that has been silent for longer than this has lost
+/// them.
+constexpr Duration kLinePatience = fromMillis(150);
 /// A store that did not answer is asked again after this long.
 constexpr Duration kAvoidedFor = fromMillis(250);
 /// Notes that are closer together than this go out together.
@@ -25,14 +29,22 @@
 
 void PlacementClient::setPlacer(const ReplicaId& placer) {
   if (placer == placer_) return;
-  logEvent(LogLevel::kInfo, "placer_used", {{"store", placer.value}, {"before", placer_.value}});
+  logEvent(LogLevel::kInfo, "placer_used",
+           {{"store", placer.value}, {"before", placer_.value}, {"standing", questions_.size()}});
   placer_ = placer;
   avoided_until_ = Instant{};
   next_whole_ = Instant{};
+  placer_knows_line_ = false;
+  // The new one does not know who stood in line at the one before.
+  for (const auto& [number, question] : questions_) {
+    question->is_given_up = true;
+    question->timer->cancel();
+  }
 }
 
 Awaitable<std::optional<PlacementClient::Place>> PlacementClient::place(const request::EngineQuery& query,
-                                                                        std::vector<EngineId> unreachable) {
+                                                                        std::vector<EngineId> unreachable,
+                                                                        std::optional<Wait> wait) {
   const Instant asked_at = monotonicNow();
   if (!isAskable(asked_at)) co_return std::nullopt;
   const std::uint64_t number = ++last_number_;
@@ -45,33 +57,87 @@
   message.excluded = std::move(unreachable);
   message.excluded.insert(message.excluded.end(), query.excluded.begin(), query.excluded.end());
   message.zones = query.zones;
+  const Duration most_wait = wait ? fromMillis(std::max<std::int64_t>(0, wait->terms.left_ms)) : Duration::zero();
+  if (wait && placer_knows_line_) message.terms = wait->terms;
   if (!send_(placer_, message)) co_return std::nullopt;
   connection::Timer timer(context_);
-  timer.expires_after(kPatience);
-  Question question{&timer, std::nullopt};
+  Question question;
+  question.timer = &timer;
   questions_[number] = &question;
-  boost::system::error_code ignored;
-  co_await timer.async_wait(connection::asio::redirect_error(connection::asio::use_awaitable, ignored));
+  const std::shared_ptr<connection::ExchangeControl> control = wait ? wait->control : nullptr;
+  if (control) {
+    control->cancel = [&question] {
+      question.is_given_up = true;
+      question.timer->cancel();
+    };
+  }
+  co_await await(question, asked_at + most_wait + kLinePatience);
+  if (control) control->cancel = nullptr;
   questions_.erase(number);
+  co_return concludeQuestion(number, question, asked_at, query.prompt.prompt_tokens);
+}
+
+Awaitable<void> PlacementClient::await(Question& question, Instant give_up_at) {
+  Instant until = monotonicNow() + kPatience;
+  while (!question.answer && !question.is_given_up) {
+    question.timer->expires_after(until - monotonicNow());
+    boost::system::error_code ignored;
+    co_await question.timer->async_wait(connection::asio::redirect_error(connection::asio::use_awaitable, ignored));
+    if (question.position >= 0) until = std::min(give_up_at, heard_at_ + kLinePatience);
+    if (monotonicNow() >= until) break;
+  }
+}
+
+std::optional<PlacementClient::Place> PlacementClient::concludeQuestion(std::uint64_t number, const Question& question,
+                                                                        Instant asked_at, std::uint64_t prompt_tokens) {
   const Instant now = monotonicNow();
-  counters_.wait.observe(now - asked_at);
+  const bool stood = question.position >= 0;
+  Place place;
+  place.stood = stood ? now - asked_at : Duration::zero();
+  place.position = question.position;
+  if (!stood) counters_.wait.observe(now - asked_at);
+  if (stood) ++counters_.stood;
   if (!question.answer) {
-    avoided_until_ = now + kAvoidedFor;
-    logEvent(LogLevel::kInfo, "placer_silent", {{"store", placer_.value}, {"waited_ms", toMillis(now - asked_at)}});
+    if (!question.is_given_up) {
+      avoided_until_ = now + kAvoidedFor;
+      placer_knows_line_ = false;
+      logEvent(LogLevel::kInfo, "placer_silent",
+               {{"store", placer_.value}, {"waited_ms", toMillis(now - asked_at)}, {"stood_in_line", stood}});
+    }
     noteEnded(number, request::EngineVerdict::kNeutral);
-    co_return std::nullopt;
+    if (!stood) return std::nullopt;
+    ++counters_.left_waiting;
+    place.line = question.is_given_up ? LineEnd::kMoved : LineEnd::kSilent;
+    return place;
   }
-  if (question.answer->engine.empty()) co_return std::nullopt;
-  present_[number] = fleet::PlacedRequest{number, question.answer->engine, query.prompt.prompt_tokens, false};
+  place.answer = *question.answer;
+  if (place.answer.isRefused()) {
+    ++counters_.refused;
+    place.line = LineEnd::kRefused;
+    return place;
+  }
+  if (place.answer.engine.empty()) return std::nullopt;
+  place.number = number;
+  if (stood) place.line = LineEnd::kPlaced;
+  present_[number] = fleet::PlacedRequest{number, place.answer.engine, prompt_tokens, false};
   ++counters_.placed;
-  co_return Place{number, *question.answer};
+  return place;
 }
 
 void PlacementClient::take(const fleet::PlacementAnswer& answer) {
-  const auto question = questions_.find(answer.number);
-  if (question == questions_.end()) return;
-  question->second->answer = answer;
-  question->second->timer->cancel();
+  heard_at_ = monotonicNow();
+  placer_knows_line_ = answer.knows_line;
+  const auto found = questions_.find(answer.number);
+  if (found == questions_.end() || found->second->answer) return;
+  Question& question = *found->second;
+  const bool is_known_to_stand = question.position >= 0;
+  if (answer.stands()) {
+    question.position = answer.position;
+  } else {
+    question.answer = answer;
+  }
+  // Who is known to stand looks for signs of life by itself.
+  if (question.answer || !is_known_to_stand) question.timer->cancel();
 }
 
 std::uint64_t PlacementClient::noteBegun(const EngineId& engine, const request::EngineQuery& query) {
@@ -84,16 +150,18 @@
   return number;
 }
 
-void PlacementClient::noteAnswering(std::uint64_t number) {
+void PlacementClient::noteAnswering(std::uint64_t number, std::uint32_t pace) {
   const auto found = present_.find(number);
   if (found == present_.end() || std::exchange(found->second.is_answering, true)) return;
   notes_.answering.push_back(number);
+  if (pace > 0) notes_.paces.push_back(fleet::ToldPace{number, pace});
   sendSoon();
 }
 
-void PlacementClient::noteEnded(std::uint64_t number, request::EngineVerdict verdict) {
+void PlacementClient::noteEnded(std::uint64_t number, request::EngineVerdict verdict,
+                                const std::optional<request::AnswerTiming>& timing) {
   present_.erase(number);
-  notes_.ended.push_back(fleet::EndedRequest{number, verdict});
+  notes_.ended.push_back(fleet::EndedRequest{number, verdict, timing});
   sendSoon();
 }
 
--- a/src/process/store/placement_service.cpp
+++ b/src/process/store/placement_service.cpp
@@ -19,8 +19,9 @@
 /// slot of the own zone.
 constexpr double kFullRiskMs = 200;
 
-request::SelectorLimits limitsOfPlacement(ZoneId zone) {
+request::SelectorLimits limitsOfPlacement(ZoneId zone, const request::LoadFeatures& features) {
   request::SelectorLimits limits;
+  limits.learns_pace = features.engine_pace;
   limits.places_zone = true;
   limits.cold_zone = std::move(zone);
   limits.silence_allowed += kNoteDelay;
@@ -28,18 +29,34 @@
   return limits;
 }
 
-request::EngineQuery queryOf(const ServiceId& service, const ZoneId& zone, std::uint64_t prompt_tokens) {
+}  // namespace
+
+request::EngineQuery PlacementService::queryOf(const fleet::PlacementQuestion& question) {
   request::EngineQuery query;
-  query.service = service;
-  query.zone = zone;
-  query.prompt.prompt_tokens = static_cast<std::uint32_t>(prompt_tokens);
+  query.service = question.service;
+  query.zone = question.zone;
+  query.prompt.prompt_tokens = static_cast<std::uint32_t>(question.prompt_tokens);
+  query.excluded.insert(question.excluded.begin(), question.excluded.end());
+  query.zones = question.zones;
   return query;
 }
 
-}  // namespace
+PlacementService::PlacementService(std::uint64_t seed, ZoneId zone, GiveWayFunction give_way,
+                                   request::LoadFeatures features)
+    : give_way_(std::move(give_way)),
+      features_(features),
+      zone_(zone),
+      selector_(seed, limitsOfPlacement(std::move(zone), features)) {}
 
-PlacementService::PlacementService(std::uint64_t seed, ZoneId zone, GiveWayFunction give_way)
-    : give_way_(std::move(give_way)), selector_(seed, limitsOfPlacement(std::move(zone))) {}
+void PlacementService::takeEngines(Instant now, const EngineChanges& changes) {
+  selector_.takeEngines(now, changes);
+  serveLines(now);
+}
+
+void PlacementService::noteOthers(Instant now, const std::vector<request::EngineShare>& others) {
+  selector_.noteOthers(now, others);
+  serveLines(now);
+}
 
 PlacementService::Gateway& PlacementService::gatewayOf(Instant now, const std::string& node, const void* connection) {
   Gateway& gateway = gateways_[node];
@@ -51,27 +68,41 @@
 fleet::PlacementAnswer PlacementService::take(Instant now, const fleet::PlacementQuestion& question,
                                               const void* connection) {
   Gateway& gateway = gatewayOf(now, question.node, connection);
-  request::EngineQuery query = queryOf(question.service, question.zone, question.prompt_tokens);
-  query.excluded.insert(question.excluded.begin(), question.excluded.end());
-  query.zones = question.zones;
-  fleet::PlacementAnswer answer{question.number, {}, 0, 0};
-  const std::optional<EngineChoice> choice = selector_.choose(now, query);
-  if (!choice) {
-    ++counters_.unplaced;
-    return answer;
+  if (usesLine(question)) return placeOrLine(now, gateway, question);
+  if (selector_.isUneven(question.service)) {
+    if (const auto choice = freePlace(now, question, 0)) return placeAt(now, question, *choice);
   }
+  return placeAnywhere(now, question);
+}
+
+fleet::PlacementAnswer PlacementService::placeAnywhere(Instant now, const fleet::PlacementQuestion& question) {
+  const std::optional<EngineChoice> choice = selector_.choose(now, queryOf(question));
+  if (choice) return placeAt(now, question, *choice);
+  ++counters_.unplaced;
+  fleet::PlacementAnswer answer;
+  answer.number = question.number;
+  return answer;
+}
+
+fleet::PlacementAnswer PlacementService::placeAt(Instant now, const fleet::PlacementQuestion& question,
+                                                 const EngineChoice& choice) {
+  Gateway& gateway = gateways_.at(question.node);
   end(now, gateway, question.number, EngineVerdict::kNeutral);
-  gateway.tickets[question.number] = selector_.begin(now, choice->engine.id, query);
+  gateway.tickets[question.number] = selector_.begin(now, choice.engine.id, queryOf(question));
   ++counters_.placed;
-  if (choice->estimated_running >= choice->engine.slots) ++counters_.placed_at_full;
-  if (choice->must_give_way) {
+  if (choice.estimated_running >= choice.engine.slots) ++counters_.placed_at_full;
+  if (choice.must_give_way) {
     ++counters_.gave_way;
-    selector_.noteGivingWay(choice->engine.id);
-    give_way_(choice->engine.id);
+    selector_.noteGivingWay(choice.engine.id);
+    give_way_(choice.engine.id);
   }
-  answer.engine = choice->engine.id;
-  answer.expected_first_ms = choice->expected_first_ms;
-  answer.running = choice->estimated_running;
+  fleet::PlacementAnswer answer;
+  answer.number = question.number;
+  answer.engine = choice.engine.id;
+  answer.expected_first_ms = choice.expected_first_ms;
+  answer.running = choice.estimated_running;
+  answer.slowness = choice.slowness;
+  answer.pace_age_ms = choice.pace_age_ms;
   return answer;
 }
 
@@ -84,6 +115,9 @@
     for (const auto& [number, ticket] : gateway.tickets) {
       if (!present.contains(number)) over.push_back(number);
     }
+    for (const auto& [number, in_line] : gateway.standing) {
+      if (!present.contains(number)) over.push_back(number);
+    }
     for (const std::uint64_t number : over) end(now, gateway, number, EngineVerdict::kNeutral);
   }
   for (const fleet::PlacedRequest& request : notes.present) {
@@ -94,19 +128,34 @@
     const auto ticket = gateway.tickets.find(number);
     if (ticket != gateway.tickets.end()) selector_.noteFirstByte(now, ticket->second);
   }
-  for (const fleet::EndedRequest& ended : notes.ended) end(now, gateway, ended.number, ended.verdict);
+  notePaces(now, gateway, notes.paces);
+  for (const fleet::EndedRequest& ended : notes.ended) {
+    const auto ticket = gateway.tickets.find(ended.number);
+    if (ended.timing && ticket != gateway.tickets.end()) selector_.noteTiming(ticket->second, *ended.timing);
+    end(now, gateway, ended.number, ended.verdict);
+  }
+  serveLines(now);
+}
+
+void PlacementService::notePaces(Instant now, const Gateway& gateway, const std::vector<fleet::ToldPace>& paces) {
+  for (const fleet::ToldPace& told : paces) {
+    const auto ticket = gateway.tickets.find(told.number);
+    if (ticket != gateway.tickets.end()) selector_.notePace(now, ticket->second, told.pace);
+  }
 }
 
 void PlacementService::begin(Instant now, Gateway& gateway, const fleet::PlacedRequest& request) {
   const auto known = gateway.tickets.find(request.number);
   if (known == gateway.tickets.end()) {
-    const request::EngineQuery query = queryOf({}, {}, request.prompt_tokens);
+    request::EngineQuery query;
+    query.prompt.prompt_tokens = static_cast<std::uint32_t>(request.prompt_tokens);
     gateway.tickets[request.number] = selector_.begin(now, request.engine, query);
   }
   if (request.is_answering) selector_.noteFirstByte(now, gateway.tickets.at(request.number));
 }
 
 void PlacementService::end(Instant now, Gateway& gateway, std::uint64_t number, EngineVerdict verdict) {
+  leaveLine(gateway, number);
   const auto ticket = gateway.tickets.find(number);
   if (ticket == gateway.tickets.end()) return;
   selector_.end(now, ticket->second, verdict);
@@ -114,6 +163,7 @@
 }
 
 void PlacementService::endAll(Instant now, Gateway& gateway) {
+  while (!gateway.standing.empty()) leaveLine(gateway, gateway.standing.begin()->first);
   for (const auto& [number, ticket] : std::exchange(gateway.tickets, {})) {
     selector_.end(now, ticket, EngineVerdict::kNeutral);
   }
@@ -128,6 +178,7 @@
     endAll(now, gateway->second);
     gateway = gateways_.erase(gateway);
   }
+  serveLines(now);
 }
 
 void PlacementService::drop(Instant now, const void* connection) {
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -50,9 +50,16 @@
       own_load_(
           settings_.name, settings_.zone, engine_keys_,
           [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return sendLoadReport(to, report); }),
-      placement_(std::random_device()(), settings_.zone, [this](const EngineId& engine) { askToGiveWay(engine); }),
+      placement_(
+          std::random_device()(), settings_.zone, [this](const EngineId& engine) { askToGiveWay(engine); },
+          settings_.load),
       rate_limits_(settings_.rate_limits) {
   own_load_.setKind(fleet::LoadKind::kBackground);
+  placement_.setAnswerHandler([this](const void* connection, const fleet::PlacementAnswer& answer) {
+    const auto link = placement_links_.find(connection);
+    // Who is not reached any more asks at another store, or chooses for itself.
+    if (link != placement_links_.end()) link->second->send(encodeTagged(FleetMessage(answer)));
+  });
   crashes_.setNewsHandler([this] { tellCrashesSoon(); });
   crash_relay_.setNewsHandler([this] { tellCrashesSoon(); });
   links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
@@ -100,6 +107,7 @@
 
   auto on_close = [this](const ConnectionPtr& closed) {
     placement_.drop(monotonicNow(), closed.get());
+    placement_links_.erase(closed.get());
     crash_relay_.drop(closed.get());
   };
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
@@ -203,6 +211,7 @@
   } else if (const auto* wanted = std::get_if<fleet::GiveWayFrame>(&decoded)) {
     executor_->giveWay(wanted->engine);
   } else if (const auto* placement = std::get_if<fleet::PlacementQuestion>(&decoded)) {
+    if (placement->terms) placement_links_[from.get()] = from;
     from->send(encodeTagged(FleetMessage(placement_.take(monotonicNow(), *placement, from.get()))));
   } else if (const auto* notes = std::get_if<fleet::PlacementNotes>(&decoded)) {
     placement_.take(monotonicNow(), *notes, from.get());
@@ -280,6 +289,7 @@
   placed("gave_way", placements.gave_way);
   placed("no_free_slot", placements.placed_at_full);
   placed("no_engine", placements.unplaced);
+  fillLineMetrics(page);
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
              static_cast<double>(rate_limits_.buckets()));
   page.counter("hatchfork_engine_crashes_seen_total", "Batch items run here under which an engine ended.",
@@ -292,6 +302,23 @@
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
 
+void StoreProgram::fillLineMetrics(metrics::MetricsPage& page) const {
+  const PlacementCounters& line = placement_.counters();
+  const auto left = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_line_left_total", "Online requests that stood in line here, by how they left it.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  left("placed", line.placed_from_line);
+  left("refused", line.refused_from_line);
+  left("by_itself", line.left_line);
+  page.counter("hatchfork_line_refused_at_once_total", "Online requests that could not have been in time in line.",
+               static_cast<double>(line.refused));
+  page.gauge("hatchfork_line_length", "Online requests that stand in line here.",
+             static_cast<double>(placement_.standing()));
+  page.histogram("hatchfork_line_wait_ms", "Wait in line of requests that were placed or refused from it.",
+                 line.line_wait);
+}
+
 void StoreProgram::noteChange(const JobId& job) {
   changed_jobs_.insert(job);
   if (std::exchange(change_posted_, true)) return;
@@ -329,6 +356,7 @@
   reportOwnLoad(now);
   aggregator_.tick(now);
   if (placement_.gateways() > 0) placement_.noteOthers(now, aggregator_.notPlacedHere());
+  placement_.tick(now);
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -101,6 +101,7 @@
   std::vector<fleet::StorePresence> presence() const;
   bool mayStoreMore() const;
   void fillMetrics(metrics::MetricsPage& page) const;
+  void fillLineMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> tickLoop();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
@@ -134,6 +135,8 @@
   bool reports_load_ = false;
   /// Places the online requests of the gateways that report to this store.
   PlacementService placement_;
+  /// Connections of gateways whose requests may stand in line here.
+  std::map<const void*, ConnectionPtr> placement_links_;
   /// The leader that last told of its batch runs, and its term.
   ReplicaId background_from_;
   std::uint64_t background_term_ = 0;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMostPrefixesRemembered = 4096;
+/// The figure of an engine that works as usual.
+constexpr double kUsualPace = 100;
 
 }  // namespace
 
@@ -23,6 +25,9 @@
     text.remove_prefix(static_cast<std::size_t>(end - text.data()));
     if (!text.empty() && text.front() == ',') text.remove_prefix(1);
   }
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  // Engines that tell no pace, or tell it in some other way, count as working as usual.
+  if (std::from_chars(text.data(), text.data() + text.size(), load.pace).ec != std::errc()) load.pace = 0;
   return load;
 }
 
@@ -52,6 +57,7 @@
   const auto found = engines_.find(engine);
   Instant due{};
   std::uint64_t unread = query.prompt.prompt_tokens;
+  bool had_place = false;
   if (found != engines_.end()) {
     EngineState& state = found->second;
     engaged_.insert(engine);
@@ -69,12 +75,12 @@
       state.prefixes[prefix] = now;
     }
     state.unread_tokens += unread;
-    const double reading_ms = static_cast<double>(state.unread_tokens) / limits_.prompt_tokens_per_ms;
-    due = now + limits_.silence_allowed + Duration(static_cast<Duration::rep>(reading_ms * 1000));
+    due = now + answerDue(now, state);
+    had_place = estimatedRunning(now, state) <= state.record.slots;
     state.due.insert(due);
   }
   const WallMillis born = found == engines_.end() ? 0 : found->second.record.born;
-  tickets_[ticket] = Ticket{engine, born, unread, due, false, query.background, Instant{}};
+  tickets_[ticket] = Ticket{engine, born, unread, due, false, query.background, Instant{}, had_place};
   noteChange();
   return ticket;
 }
@@ -98,6 +104,33 @@
   const double reported = static_cast<double>(load.running) + load.waiting;
   found->second.others = std::max(0.0, reported - found->second.in_flight);
   found->second.load_at = now;
+  if (load.pace > 0) takePace(now, found->second, load.pace);
+}
+
+void EngineSelector::takePace(Instant now, EngineState& state, std::uint32_t pace) {
+  if (state.service_pace == nullptr) return;
+  state.service_pace->noteTold();
+  state.pace.noteTold(now, pace / kUsualPace, limits_.pace);
+}
+
+void EngineSelector::notePace(Instant now, TicketId ticket, std::uint32_t pace) {
+  const auto found = tickets_.find(ticket);
+  if (found == tickets_.end() || pace == 0) return;
+  if (EngineState* const state = engineOf(found->second)) takePace(now, *state, pace);
+}
+
+void EngineSelector::noteTiming(TicketId ticket, const AnswerTiming& timing) {
+  const auto found = tickets_.find(ticket);
+  if (found == tickets_.end() || found->second.background) return;
+  EngineState* const state = engineOf(found->second);
+  if (state == nullptr || state->service_pace == nullptr) return;
+  // The time of an answer that comes whole holds the wait for a place.
+  if (timing.events == 0 && !found->second.had_place) return;
+  state->service_pace->note(timing, limits_.pace);
+  state->pace.note(timing, *state->service_pace, limits_.pace);
+  if (!found->second.had_place) return;
+  const double reading_ms = static_cast<double>(found->second.unread_tokens) / limits_.prompt_tokens_per_ms;
+  state->service_pace->noteFirst(timing.first_ms, reading_ms, limits_.pace);
 }
 
 void EngineSelector::noteTelling(Instant now) {
@@ -191,6 +224,23 @@
   return pool == nullptr ? 0 : pool->size();
 }
 
+bool EngineSelector::isUneven(const ServiceId& service) const {
+  const auto found = paces_.find(service);
+  return found != paces_.end() && found->second.isUneven();
+}
+
+double EngineSelector::placesFreedEachMs(Instant now, const ServiceId& service, const ZoneId& zone) const {
+  const EnginePool* const pool = poolOf(service);
+  if (pool == nullptr || !hold_ms_.contains(service)) return 0;
+  const double hold_ms = std::max(1.0, slotHoldMs(service));
+  double freed = 0;
+  for (const EngineState* const state : pool->ofZone(zone)) {
+    if (now < state->ejected_until) continue;
+    freed += state->record.slots / (hold_ms * slowness(now, *state));
+  }
+  return freed;
+}
+
 std::uint32_t EngineSelector::allSlots() const {
   std::uint32_t slots = 0;
   for (const auto& [service, pool] : pools_) slots += pool.slots();
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -28,8 +28,10 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes there now, in hundredths of what is usual; zero where the engine does not tell.
+  std::uint32_t pace = 0;
 };
-/// Reads "running,waiting,slots"; nothing for malformed text.
+/// Reads "running,waiting,slots" and a fourth figure where there is one; nothing for malformed text.
 std::optional<EngineLoad> parseEngineLoad(std::string_view text);
 
 /// Costs that the selection weighs; all times in milliseconds.
@@ -107,6 +109,14 @@
   double cold_share_used = 0.9;
   /// What it costs to wait until a batch run has given its slot up: an order to its store and a cancelled request.
   double give_way_ms = 10;
+  /// How the pace of engines is learned; false where all engines of a service are taken as equal.
+  bool learns_pace = true;
+  EnginePaceLimits pace;
+  /// Where engines are uneven: what a place at one whose places are all taken but one costs more than at an idle one,
+  /// so that a fast one gets more requests and yet not all of them: its end would strike them all.
+  double even_fill_ms = 400;
+  /// A request that wants a free place finds none at an engine of another zone beyond this share of its slots.
+  double free_elsewhere_share = 0.75;
   /// The others' requests are counted this often at the most.
   Duration surge_note_interval = fromMillis(20);
   /// What the other processes are known to have in flight counts for this long.
@@ -126,6 +136,10 @@
   bool prefix_affinity = false;
   /// Batch work: it takes only what online requests leave.
   bool background = false;
+  /// Only engines that are known to have a free place, counting those that batch runs give up unless these are spared.
+  /// Loads of other zones are known late, so one of theirs must have more than one.
+  bool wants_free_place = false;
+  bool spares_background = false;
   /// Background only: zero for work that can wait, one for work that must run now and leaves no slots free.
   double urgency = 0;
   /// Engines that were tried for this request.
@@ -150,6 +164,13 @@
   std::size_t candidates = 0;
   /// A batch run holds the slot that the request is to have.
   bool must_give_way = false;
+  /// How long work is expected to take there against the mean engine of the service, and the age of what the engine
+  /// told of that; negative where it told nothing.
+  double slowness = 1;
+  std::int64_t pace_age_ms = -1;
+  /// What speaks against the engine beside its load: that it is in another zone, where loads are known late, or that
+  /// its answers are overdue.
+  double detour_ms = 0;
 };
 
 /// Names one request in flight at an engine.
@@ -192,6 +213,10 @@
   /// The engine has begun to answer: its prompt is read.
   void noteFirstByte(Instant now, TicketId ticket);
   void noteLoad(Instant now, const EngineId& engine, const EngineLoad& load);
+  /// What the engine of a request told of its pace, as `EngineLoad::pace`.
+  void notePace(Instant now, TicketId ticket, std::uint32_t pace);
+  /// How long the engine took for a request that it has answered; before `end`.
+  void noteTiming(TicketId ticket, const AnswerTiming& timing);
   /// What all other processes have in flight; goes before loads that engines report, while it is new.
   void noteOthers(Instant now, const std::vector<EngineShare>& others);
   /// What batch runs have in flight, told apart from the others' requests.
@@ -215,6 +240,11 @@
   /// True if the prompt is to go to the engines at home for its prefix.
   bool isSticky(const EngineQuery& query) const;
   std::size_t engineCount(const ServiceId& service) const;
+  /// True if engines of the service tell their pace, so that they are not taken as equal.
+  bool isUneven(const ServiceId& service) const;
+  /// Places of the zone's engines in rotation that fall free in a millisecond while all are taken; zero where it was
+  /// not seen yet how long requests hold one.
+  double placesFreedEachMs(Instant now, const ServiceId& service, const ZoneId& zone) const;
   /// Slots of all open engines.
   std::uint32_t allSlots() const;
   /// Requests of this process that are in flight at the engine.
@@ -233,8 +263,11 @@
     /// Only online requests tell how long online requests hold their slots.
     bool background = false;
     Instant answering_at{};
+    /// True if the engine had a place for it at once, as far as was known.
+    bool had_place = false;
   };
 
+  void takePace(Instant now, EngineState& state, std::uint32_t pace);
   /// The engine of a ticket; null once it is gone or has started again.
   EngineState* engineOf(const Ticket& ticket);
   void takeEngine(Instant now, const EngineRecord& record);
@@ -270,13 +303,29 @@
   /// By how much an answer of the engine is overdue here.
   double overdueMs(Instant now, const EngineState& state) const;
   double silenceCost(Instant now, const EngineState& state) const;
+  double riskCost(const EngineState& state, double running) const;
+  bool hasFreePlace(Instant now, const EngineState& state, const EngineQuery& query) const;
   double laneCost(Instant now, const EngineState& state, const EngineQuery& query) const;
   double estimatedRunning(Instant now, const EngineState& state) const;
   double slotHoldMs(const ServiceId& service) const;
   void learnHold(Instant now, const Ticket& ticket, const EngineState& state);
+  /// True if the engine's service has engines that are not to be taken as equal.
+  static bool isUneven(const EngineState& state) {
+    return state.service_pace != nullptr && state.service_pace->isUneven();
+  }
+  /// How long work takes at the engine against the mean one; one where engines are taken as equal.
+  double slowness(Instant now, const EngineState& state) const {
+    return isUneven(state) ? state.pace.slowness(now, *state.service_pace, limits_.pace) : 1;
+  }
+  /// Time to the first token beside reading and waiting, above or below that of the mean engine.
+  double paceMs(const EngineState& state, double slowness) const {
+    return isUneven(state) ? (slowness - 1) * state.service_pace->firstMs() : 0;
+  }
+  /// When an engine that works at its own pace begins to answer.
+  Duration answerDue(Instant now, const EngineState& state) const;
   /// Time until the prompt is read, and until a slot is free before that.
-  double readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
-  double slotWaitMs(Instant now, const EngineState& state) const;
+  double readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept, double slowness) const;
+  double slotWaitMs(Instant now, const EngineState& state, double slowness) const;
   /// True if the engine has no free slot but one that a batch run gives up.
   bool mustGiveWay(Instant now, const EngineState& state) const;
   double cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const;
@@ -312,6 +361,8 @@
   std::set<EngineId> engaged_;
   /// Mean time that an online request of a service holds its slot.
   std::map<ServiceId, double> hold_ms_;
+  /// What is usual at the engines of a service; engines point into it.
+  std::map<ServiceId, ServicePace> paces_;
   std::set<ZoneId> evacuated_;
   std::map<ServiceId, RoutedService> services_;
   std::map<ServiceId, EnginePool> pools_;
--- a/src/request/exchange/engine_selector_choice.cpp
+++ b/src/request/exchange/engine_selector_choice.cpp
@@ -41,10 +41,11 @@
     if (!isAllowed(*state, query) || !bearsAnother(now, *state, query)) continue;
     any_in_rotation = any_in_rotation || now >= state->ejected_until;
     if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
+    if (query.wants_free_place && !hasFreePlace(now, *state, query)) continue;
     (now < state->ejected_until ? ejected : usable).push_back(state);
   }
-  // Batch work waits for room at an engine in rotation.
-  if (query.background && any_in_rotation) return usable;
+  // Batch work, and requests that stand in line, wait for room at an engine in rotation.
+  if ((query.background || query.wants_free_place) && any_in_rotation) return usable;
   const std::size_t all = usable.size() + ejected.size();
   const auto least = static_cast<std::size_t>(std::ceil(static_cast<double>(all) * (1 - limits_.most_ejected_share)));
   std::sort(ejected.begin(), ejected.end(), [](const EngineState* left, const EngineState* right) {
@@ -118,12 +119,15 @@
   const double kept_free = query.background ? keptFreeEach(now, query.service) * (1 - query.urgency) : 0;
   const double reading_ms = static_cast<double>(query.prompt.prompt_tokens) / limits_.prompt_tokens_per_ms;
   double best_cost = reading_ms + limits_.good_enough_ms;
+  // Any engine with a free place is good enough where they are uneven.
+  if (!drawn.empty() && isUneven(*drawn.front())) best_cost += limits_.even_fill_ms;
   const EngineState* best = nullptr;
   std::uniform_real_distribution<double> jitter(0.0, kMostJitterMs);
   for (const EngineState* const state : drawn) {
     if (now < state->ejected_until || !isAllowed(*state, query)) continue;
     if (!bearsAnother(now, *state, query)) continue;
     if (query.background && !hasBackgroundRoom(now, *state, kept_free)) continue;
+    if (query.wants_free_place && !hasFreePlace(now, *state, query)) continue;
     const double total = cost(now, *state, query, 0) + jitter(random_);
     if (total >= best_cost) continue;
     best = state;
@@ -174,9 +178,12 @@
   EngineChoice choice;
   choice.engine = state.record;
   choice.cost_ms = cost_ms;
-  choice.expected_first_ms = readingMs(now, state, query, kept);
+  choice.slowness = slowness(now, state);
+  choice.pace_age_ms = state.pace.toldAgeMs(now);
+  choice.expected_first_ms =
+      std::max(0.0, readingMs(now, state, query, kept, choice.slowness) + paceMs(state, choice.slowness));
   // A guessed time would turn callers back just when processes have started anew.
-  if (hold_ms_.contains(state.record.service)) choice.expected_first_ms += slotWaitMs(now, state);
+  if (hold_ms_.contains(state.record.service)) choice.expected_first_ms += slotWaitMs(now, state, choice.slowness);
   choice.in_flight = state.in_flight;
   choice.estimated_running = estimatedRunning(now, state);
   choice.load_age_ms = state.load_at == Instant::min() ? -1 : toMillis(now - state.load_at);
@@ -184,6 +191,10 @@
   choice.in_long_lane = state.in_long_lane;
   choice.candidates = among;
   choice.must_give_way = mustGiveWay(now, state);
+  choice.detour_ms = silenceCost(now, state);
+  if (state.record.zone != query.zone) {
+    choice.detour_ms += limits_.other_zone_cost_ms + riskCost(state, choice.estimated_running);
+  }
   return choice;
 }
 
--- a/src/request/exchange/engine_selector_costs.cpp
+++ b/src/request/exchange/engine_selector_costs.cpp
@@ -67,22 +67,35 @@
   if (!first) entry->second += limits_.hold_learning_rate * (held_ms - entry->second);
 }
 
-double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
+Duration EngineSelector::answerDue(Instant now, const EngineState& state) const {
+  const double reading_ms = static_cast<double>(state.unread_tokens) / limits_.prompt_tokens_per_ms;
+  if (!isUneven(state)) return limits_.silence_allowed + Duration(static_cast<Duration::rep>(reading_ms * 1000));
+  // A slow engine that answers at its own pace isn't silent, nor is one whose places were all taken.
+  const double slow = std::max(1.0, slowness(now, state));
+  const double before_first_ms = (state.service_pace->firstMs() + reading_ms) * slow;
+  const double slots = std::max<double>(1, state.record.slots);
+  const double ahead = std::max(0.0, estimatedRunning(now, state) - slots);
+  const double wait_ms = ahead * slotHoldMs(state.record.service) * slow / slots;
+  return limits_.silence_allowed + Duration(static_cast<Duration::rep>((before_first_ms + wait_ms) * 1000));
+}
+
+double EngineSelector::readingMs(Instant now, const EngineState& state, const EngineQuery& query, double kept,
+                                 double slowness) const {
   double tokens = static_cast<double>(state.unread_tokens) + query.prompt.prompt_tokens;
   tokens -= kept * query.prompt.sharedTokens();
   if (knowsOthers(now)) {
     // What was to be read when it was told has been read in part since.
-    const double read = toSeconds(now - others_noted_at_) * 1000 * limits_.prompt_tokens_per_ms;
+    const double read = toSeconds(now - others_noted_at_) * 1000 * limits_.prompt_tokens_per_ms / slowness;
     tokens += std::max(0.0, static_cast<double>(othersAt(state).unread_tokens) - read);
   }
-  return tokens / limits_.prompt_tokens_per_ms;
+  return tokens / limits_.prompt_tokens_per_ms * slowness;
 }
 
-double EngineSelector::slotWaitMs(Instant now, const EngineState& state) const {
+double EngineSelector::slotWaitMs(Instant now, const EngineState& state, double slowness) const {
   const double slots = std::max<double>(1, state.record.slots);
   const double waiting = std::max(0.0, estimatedRunning(now, state) + 1 - slots);
   if (waiting == 0) return 0;
-  return waiting * slotHoldMs(state.record.service) / slots;
+  return waiting * slotHoldMs(state.record.service) * slowness / slots;
 }
 
 bool EngineSelector::mustGiveWay(Instant now, const EngineState& state) const {
@@ -92,17 +105,30 @@
   return background > 0 && running + 1 <= slots && running + background + 1 > slots;
 }
 
+bool EngineSelector::hasFreePlace(Instant now, const EngineState& state, const EngineQuery& query) const {
+  double taken = estimatedRunning(now, state);
+  if (query.spares_background) taken += backgroundAt(state);
+  const bool is_near = state.record.zone == query.zone;
+  return taken + 1 <= state.record.slots * (is_near ? 1 : limits_.free_elsewhere_share);
+}
+
+double EngineSelector::riskCost(const EngineState& state, double running) const {
+  const double slots = std::max<double>(1, state.record.slots);
+  const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
+  return std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
+}
+
 double EngineSelector::cost(Instant now, const EngineState& state, const EngineQuery& query, double kept) const {
   const double running = estimatedRunning(now, state);
   const double slots = std::max<double>(1, state.record.slots);
-  double total = readingMs(now, state, query, kept);
-  total += running * limits_.running_cost_ms;
-  total += slotWaitMs(now, state);
+  const double slow = slowness(now, state);
+  double total = readingMs(now, state, query, kept, slow) + paceMs(state, slow);
+  total += isUneven(state) ? running / slots * limits_.even_fill_ms : running * limits_.running_cost_ms;
+  total += slotWaitMs(now, state, slow);
   if (mustGiveWay(now, state)) total += limits_.give_way_ms;
-  const double risk = (running / slots - limits_.risky_share) / (1 - limits_.risky_share);
   const bool at_home = kept > 0 && isLong(query);
   const bool is_known = limits_.places_zone && state.record.zone == query.zone;
-  if (!at_home && !is_known) total += std::clamp(risk, 0.0, 1.0) * limits_.full_risk_ms;
+  if (!at_home && !is_known) total += riskCost(state, running);
   if (state.record.zone != query.zone) total += limits_.other_zone_cost_ms;
   return total + laneCost(now, state, query) + silenceCost(now, state);
 }
--- a/src/request/exchange/engine_selector_engines.cpp
+++ b/src/request/exchange/engine_selector_engines.cpp
@@ -30,6 +30,7 @@
   }
   if (record.cold_ms != state.record.cold_ms) state.cold_until = now + fromMillis(record.cold_ms);
   state.record = record;
+  state.service_pace = limits_.learns_pace ? &paces_[record.service] : nullptr;
   state.id_hash = mixBits(hashText(record.id.value));
   state.evacuated = evacuated_.contains(record.zone);
   addToPool(state);
--- a/tests/request/exchange/engine_selector_test.cpp
+++ b/tests/request/exchange/engine_selector_test.cpp
@@ -339,6 +339,10 @@
   REQUIRE(load->running == 3);
   REQUIRE(load->waiting == 1);
   REQUIRE(load->slots == 8);
+  REQUIRE(load->pace == 0);
+  REQUIRE(parseEngineLoad("3,1,8,250")->pace == 250);
+  REQUIRE(parseEngineLoad("3, 1, 8, 90")->pace == 90);
+  REQUIRE(parseEngineLoad("3,1,8,?")->pace == 0);
   REQUIRE_FALSE(parseEngineLoad(""));
   REQUIRE_FALSE(parseEngineLoad("3,x,8"));
   REQUIRE_FALSE(parseEngineLoad("3"));
