--- a/src/process/fleet/store_directory.cpp
+++ b/src/process/fleet/store_directory.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/store_directory.hpp"
 
 #include <set>
+#include <utility>
 
 namespace hatchfork::fleet {
 namespace {
@@ -16,7 +17,12 @@
 }
 
 void StoreDirectory::hearOf(Instant now, const std::vector<StorePresence>& stores) {
-  for (const StorePresence& presence : stores) take(now, presence);
+  for (const StorePresence& presence : stores) {
+    StorePresence heard = presence;
+    // A control process of an older release drops the release from what it passes on.
+    if (isHeardDirectly(now, presence.address)) heard.release = stores_.at(presence.address).release;
+    take(now, heard);
+  }
 }
 
 void StoreDirectory::take(Instant now, const StorePresence& presence) {
@@ -28,7 +34,20 @@
   group_membership_ = presence.membership;
 }
 
+void StoreDirectory::recall(Instant now, std::vector<StoreAddress> stores) {
+  recalled_ = std::move(stores);
+  recalled_at_ = now;
+  // The store may run another release by now.
+  for (StoreAddress& store : recalled_) store.release = kUntoldRelease;
+}
+
+bool StoreDirectory::isHeardDirectly(Instant now, const ReplicaId& store) const {
+  const auto heard = heard_directly_at_.find(store);
+  return heard != heard_directly_at_.end() && now <= heard->second + kDirectLifetime;
+}
+
 void StoreDirectory::expire(Instant now) {
+  if (now > recalled_at_ + kLifetime) recalled_.clear();
   std::erase_if(heard_at_, [&](const auto& entry) {
     if (now <= entry.second + kLifetime) return false;
     stores_.erase(entry.first);
@@ -46,9 +65,14 @@
 }
 
 std::vector<StoreAddress> StoreDirectory::addresses() const {
-  std::vector<StoreAddress> addresses;
-  for (const auto& [address, presence] : stores_) addresses.push_back(StoreAddress{address, presence.zone});
-  return addresses;
+  std::set<StoreAddress> addresses;
+  for (const auto& [address, presence] : stores_)
+    addresses.insert(StoreAddress{address, presence.zone, presence.release});
+  for (const StoreAddress& store : recalled_) {
+    // A store that was heard tells its zone itself.
+    if (!stores_.contains(store.address)) addresses.insert(store);
+  }
+  return std::vector<StoreAddress>(addresses.begin(), addresses.end());
 }
 
 std::vector<ReplicaId> StoreDirectory::groupMembers() const {
