--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -77,6 +77,12 @@
   return limits;
 }
 
+request::SelectorLimits selectorLimits(const request::LoadFeatures& features) {
+  request::SelectorLimits limits;
+  limits.learns_pace = features.engine_pace;
+  return limits;
+}
+
 /// The host without its port.
 std::string_view hostName(std::string_view host) {
   return host.substr(0, host.rfind(':'));
@@ -93,7 +99,7 @@
       engines_(context_, slow_readers_),
       held_(kMostHeldRequests, settings_.memory_mb * kHeldBytesEachMegabyte),
       start_gate_(context_, held_, drawSeed()),
-      selector_(drawSeed()),
+      selector_(drawSeed(), selectorLimits(settings_.load)),
       gate_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
@@ -374,8 +380,11 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_, engines_,   selector_, counters_, settings_.zone, settings_.zones,
-                      gate_,     placement_, crashes_,  framing,   *slow_readers_, received_at};
+  ExchangeTools tools{*dialect_,  engines_,       selector_,
+                      counters_,  settings_.zone, settings_.zones,
+                      gate_,      placement_,     settings_.load.zone_line,
+                      crashes_,   framing,        *slow_readers_,
+                      received_at};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
