--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 /// Changes of what a gateway has in flight that are closer together than this are reported together: batch runs follow
-/// online load by these reports (50 ms made 617 in place of 431 of 12,952 streams late beside batch, one play each).
+/// online load by these reports.
 constexpr Duration kLoadReportDelay = fromMillis(10);
 /// How often a gateway looks for what changes by time alone: answers that are overdue, reports to be repeated.
 constexpr Duration kLoadInterval = fromMillis(100);
@@ -437,8 +437,7 @@
   });
 }
 
-/// A gateway that sends at once after its start sends what all others refuse: up to two engines were ended at each
-/// restart.
+/// A gateway that sends at once after its start sends what all others refuse.
 Awaitable<void> GatewayProgram::learnCrashes() {
   fleet::CrashNotesFrame hello = crashes_.hello();
   hello.wants_all = true;
--- a/src/process/fleet/feed_server.hpp
+++ b/src/process/fleet/feed_server.hpp
@@ -68,8 +68,8 @@
   /// Encoded updates to `encoded_to_`, by what their receivers hold.
   std::map<Held, std::string> encoded_;
   Held encoded_to_;
-  /// The list of all engines at a revision, for subscribers that lack more than is remembered: encoding it for each of
-  /// them costs 30 ms before 10,000 engines, and after a loss of power all of them come at once.
+  /// The list of all engines at a revision, for subscribers that lack more than is remembered: after a loss of
+  /// power all of them come at once, and encoding it for each would hold the thread up.
   std::string whole_list_;
   std::uint64_t whole_list_revision_ = 0;
   Instant fresh_until_{};
--- a/src/process/store/group_contacts.hpp
+++ b/src/process/store/group_contacts.hpp
@@ -9,8 +9,7 @@
 
 /// The stores that a store announces itself to while it belongs to no group or sees no leader: the members of the
 /// group, or those that it is to form with, since nobody else could take it in. None before either is known. Announcing
-/// to all stores costs stores x stores: 150 of them told each other 144,000 times a second that they belonged to no
-/// group.
+/// to all stores would cost stores x stores.
 std::vector<ReplicaId> groupContacts(const fleet::FleetView& view);
 
 }  // namespace hatchfork::store
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -91,8 +91,8 @@
   /// loaded one; where each engine gets more than that between two tellings, loads say nothing and one is drawn.
   double blind_choices_each = 2;
   /// A choice looks at so many engines drawn at random before it looks at more, where a service has several times as
-  /// many: with a hundredth of the places taken, any of them has a free one. Before 10,000 engines a choice took 1.1 ms
-  /// when it looked at all of them.
+  /// many: with a hundredth of the places taken, any of them has a free one, and a choice costs the same
+  /// before any number of engines.
   std::size_t drawn_first = 64;
   std::size_t drawn_from = 256;
   /// A drawn engine is as good as any if it costs no more than this above the reading of the prompt.
--- a/src/request/limits/rate_limit_account.cpp
+++ b/src/request/limits/rate_limit_account.cpp
@@ -90,8 +90,7 @@
 }
 
 /// Of one moment: measured against an older use, a part grows by what it admits itself, and the parts of all gateways
-/// exceed the limit (1,633 to 1,959 requests in five seconds where 1,564 were allowed, while a tenant's traffic rose
-/// and all owners were without power).
+/// exceed the limit while a tenant's traffic rises and no owner answers.
 double RateLimitAccount::ownPart() const {
   if (last_answer_.used_per_second <= 0) return 0;
   return std::min(1.0, admitted_at_answer_ / last_answer_.used_per_second);
