Rate limits: what a request has waited counts against what it can still use; tests of the gateway's part

Ruled out by it: a request whose promise is moved again and again (a limit that is lowered) would have been held without end.

--- a/src/process/exchange/rate_limit_client.cpp
+++ b/src/process/exchange/rate_limit_client.cpp
@@ -40,7 +40,7 @@
     ++counters_.admitted;
     co_return okStatus();
   }
-  Waiter waiter{limited, connection::Timer(context_), arrived};
+  Waiter waiter{limited, limited.ask, connection::Timer(context_), arrived};
   if (options_.appointments) {
     writer.watchPeer([&waiter] {
       waiter.has_left = true;
@@ -95,7 +95,7 @@
   for (Waiter* waiter : unasked) {
     waiter->asked_at = now;
     waiter->since = now;
-    if (options_.appointments) question->asks.push_back(waiter->limited.ask);
+    if (options_.appointments) question->asks.push_back(waiter->ask);
   }
   const ReplicaId owner = request::limitOwnerOf(tenant, owners_);
   if (!owner.empty() && send_(owner, fleet::CreditQuestionFrame{tenant, *question})) return;
@@ -139,6 +139,9 @@
   waiter.reply.reset();
   waiter.asked_at.reset();
   waiter.since = monotonicNow();
+  // What it has waited is gone from what it can still use.
+  const Duration waited = waiter.since - now;
+  for (Duration* left : {&waiter.ask.in_time, &waiter.ask.at_all}) *left = std::max(Duration::zero(), *left - waited);
   co_return std::nullopt;
 }
 
@@ -146,7 +149,6 @@
   const bool has_part = entry.account.tryTakeOwnPart(now);
   logEvent(LogLevel::kInfo, "rate_limit_unanswered", {{"tenant", tenant.value}, {"admitted", has_part}});
   if (has_part) {
-    ++counters_.admitted;
     ++counters_.admitted_alone;
     return okStatus();
   }
@@ -187,8 +189,8 @@
             {"tenant", tenant.value},
             {"outcome", outcome},
             {"kept_after_ms", waiter.reply ? toMillis(waiter.reply->after) : -1},
-            {"in_time_ms", toMillis(waiter.limited.ask.in_time)},
-            {"at_all_ms", toMillis(waiter.limited.ask.at_all)},
+            {"in_time_ms", toMillis(waiter.ask.in_time)},
+            {"at_all_ms", toMillis(waiter.ask.at_all)},
             {"level", fmt::format("{:.2f}", entry.account.lastAnswer().level)},
             {"answer_age_ms", answered ? toMillis(monotonicNow() - *answered) : -1},
             {"held_requests", holds_.requests()}});
@@ -216,7 +218,7 @@
 void RateLimitClient::takeReplies(const request::CreditAnswer& answer, Entry& entry) {
   for (const request::CreditReply& reply : answer.replies) {
     const auto waiter = std::find_if(entry.waiting.begin(), entry.waiting.end(), [&](const Waiter* one) {
-      return one->asked_at && !one->reply && one->limited.ask.content == reply.content;
+      return one->asked_at && !one->reply && one->ask.content == reply.content;
     });
     if (waiter == entry.waiting.end()) continue;
     (*waiter)->reply = reply;
--- a/src/process/exchange/rate_limit_client.hpp
+++ b/src/process/exchange/rate_limit_client.hpp
@@ -70,6 +70,8 @@
   /// A request that waits for a credit; lives in the frame of its coroutine.
   struct Waiter {
     const LimitedRequest& limited;
+    /// What it can use now.
+    request::CreditAsk ask;
     connection::Timer timer;
     /// Since when it waits for what it waits for now: to be asked for, or for the answer.
     Instant since;
--- /dev/null
+++ b/tests/process/exchange/rate_limit_client_test.cpp
@@ -0,0 +1,185 @@
+#include "process/exchange/rate_limit_client.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hatchfork;
+using namespace hatchfork::exchange;
+using request::CreditOutcome;
+using request::CreditReply;
+
+namespace {
+
+const TenantId kCrew("crew");
+const ReplicaId kOwner("10.0.0.1");
+constexpr std::size_t kBytes = 100;
+
+/// A caller that does nothing but leave when it is told to.
+class FakeCaller : public connection::ResponseWriter {
+ public:
+  connection::Awaitable<bool> send(connection::HttpResponse) override { co_return true; }
+  connection::Awaitable<bool> startStream(unsigned, std::vector<connection::HttpHeader>) override { co_return true; }
+  connection::Awaitable<bool> writeChunk(std::string) override { co_return true; }
+  connection::Awaitable<bool> finishStream() override { co_return true; }
+  bool peerGone() const override { return false; }
+  void watchPeer(std::function<void()> on_gone) override { on_gone_ = std::move(on_gone); }
+  void abort() override {}
+  void leave() {
+    if (on_gone_) on_gone_();
+  }
+  bool isWatched() const { return static_cast<bool>(on_gone_); }
+
+ private:
+  std::function<void()> on_gone_;
+};
+
+/// One gateway's client and an owner whose answers the test gives.
+class Gateway {
+ public:
+  explicit Gateway(std::size_t most_held = 10, bool appointments = true)
+      : holds_(most_held, 1000),
+        client_(context_, optionsWith(appointments), holds_, [this](const auto&, const auto& question) {
+          questions.push_back(question);
+          if (on_question) on_question(question);
+          return true;
+        }) {
+    client_.setOwners({kOwner});
+    tenant_.id = kCrew;
+    tenant_.limits.online_requests_per_second = 10;
+  }
+
+  Status admit() {
+    std::optional<Status> result;
+    auto run = [&]() -> connection::Awaitable<void> {
+      LimitedRequest limited{"r1", {77, 0, fromMillis(150), fromMillis(2000), fromMillis(1600)}, kBytes};
+      Status status = co_await client_.admit(tenant_, std::move(limited), caller);
+      result = std::move(status);
+      context_.stop();
+    };
+    connection::asio::co_spawn(context_, run, connection::asio::detached);
+    context_.restart();
+    context_.run_for(std::chrono::seconds(10));
+    REQUIRE(result);
+    return *result;
+  }
+
+  /// Answers the question that is being sent, a moment later.
+  void answer(request::CreditAnswer answer) {
+    connection::asio::post(context_, [this, answer] { client_.take({kCrew, true, answer}); });
+  }
+  void later(std::function<void()> action) { connection::asio::post(context_, std::move(action)); }
+
+  static request::CreditAnswer saying(CreditOutcome outcome, Duration after) {
+    request::CreditAnswer answer;
+    answer.gives_appointments = true;
+    answer.is_tight = true;
+    answer.replies = {CreditReply{77, outcome, after}};
+    return answer;
+  }
+
+  std::function<void(const fleet::CreditQuestionFrame&)> on_question;
+  std::vector<fleet::CreditQuestionFrame> questions;
+  FakeCaller caller;
+  const request::HoldBudget& holds() const { return holds_; }
+  const RateLimitCounters& counters() const { return client_.counters(); }
+
+ private:
+  static request::RateLimitOptions optionsWith(bool appointments) {
+    request::RateLimitOptions options;
+    options.appointments = appointments;
+    return options;
+  }
+
+  connection::asio::io_context context_;
+  request::HoldBudget holds_;
+  RateLimitClient client_;
+  Tenant tenant_;
+};
+
+}  // namespace
+
+TEST_CASE("a request whose credit comes soon waits here, asks again at its time and is admitted",
+          "[gateway][returns]") {
+  Gateway gateway;
+  gateway.on_question = [&](const auto&) {
+    const bool is_first = gateway.questions.size() == 1;
+    gateway.answer(is_first ? Gateway::saying(CreditOutcome::kWait, fromMillis(40))
+                            : Gateway::saying(CreditOutcome::kGranted, {}));
+  };
+  REQUIRE(isOk(gateway.admit()));
+  REQUIRE(gateway.questions.size() == 2);
+  REQUIRE(gateway.questions[0].question.asks.size() == 1);
+  const request::CreditAsk& first = gateway.questions[0].question.asks.at(0);
+  const request::CreditAsk& second = gateway.questions[1].question.asks.at(0);
+  REQUIRE(second.content == first.content);
+  // What it has waited is gone from what it can still use.
+  REQUIRE(second.at_all < first.at_all);
+  REQUIRE(gateway.counters().admitted_held == 1);
+  REQUIRE(gateway.holds().requests() == 0);
+  REQUIRE_FALSE(gateway.caller.isWatched());
+}
+
+TEST_CASE("a request is let go when its caller leaves while it waits", "[gateway][returns]") {
+  Gateway gateway;
+  gateway.on_question = [&](const auto&) {
+    gateway.answer(Gateway::saying(CreditOutcome::kWait, std::chrono::seconds(5)));
+    gateway.later([&] { gateway.later([&] { gateway.later([&] { gateway.caller.leave(); }); }); });
+  };
+  const Status status = gateway.admit();
+  REQUIRE_FALSE(isOk(status));
+  REQUIRE(errorOf(status).kind == ErrorKind::kCancelled);
+  REQUIRE(gateway.counters().left == 1);
+  REQUIRE(gateway.holds().requests() == 0);
+}
+
+TEST_CASE("a caller is sent away with the time of the credit that is kept for it", "[gateway][returns]") {
+  Gateway gateway;
+  gateway.on_question = [&](const auto&) { gateway.answer(Gateway::saying(CreditOutcome::kReturn, fromMillis(700))); };
+  const Status status = gateway.admit();
+  REQUIRE(errorOf(status).kind == ErrorKind::kRateLimited);
+  REQUIRE(errorOf(status).retry_after == fromMillis(700));
+  REQUIRE(gateway.counters().appointments == 1);
+}
+
+TEST_CASE("where no more requests may be held, the caller comes back for its credit instead", "[gateway][returns]") {
+  Gateway gateway(/*most_held=*/0);
+  gateway.on_question = [&](const auto&) { gateway.answer(Gateway::saying(CreditOutcome::kWait, fromMillis(90))); };
+  const Status status = gateway.admit();
+  REQUIRE(errorOf(status).kind == ErrorKind::kRateLimited);
+  REQUIRE(errorOf(status).retry_after == fromMillis(90));
+}
+
+TEST_CASE("an owner of an earlier release is taken at its word", "[gateway][returns]") {
+  Gateway gateway;
+  request::CreditAnswer old;
+  old.wait = fromMillis(100);
+  gateway.on_question = [&](const auto&) { gateway.answer(old); };
+  const Status refused = gateway.admit();
+  REQUIRE(errorOf(refused).kind == ErrorKind::kRateLimited);
+  REQUIRE(errorOf(refused).retry_after);
+  REQUIRE(gateway.questions.size() == 1);
+}
+
+TEST_CASE("an owner of an earlier release grants a request that waits", "[gateway][returns]") {
+  Gateway gateway;
+  request::CreditAnswer old;
+  old.granted = 1;
+  gateway.on_question = [&](const auto&) { gateway.answer(old); };
+  REQUIRE(isOk(gateway.admit()));
+}
+
+TEST_CASE("switched off, a gateway names no requests", "[gateway][returns]") {
+  Gateway gateway(10, /*appointments=*/false);
+  request::CreditAnswer old;
+  old.granted = 1;
+  gateway.on_question = [&](const auto&) { gateway.answer(old); };
+  REQUIRE(isOk(gateway.admit()));
+  REQUIRE(gateway.questions.at(0).question.asks.empty());
+  REQUIRE(nlohmann::json(gateway.questions.at(0)).size() == 2);
+}
+
+TEST_CASE("an owner that does not answer is given up, and the request goes by the gateway's own part",
+          "[gateway][returns]") {
+  Gateway gateway;
+  REQUIRE(isOk(gateway.admit()));
+  REQUIRE(gateway.counters().admitted_alone == 1);
+}
