--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -153,8 +153,6 @@
   bool caller_left_ = false;
   /// The store that places requests refused it, since it could not be in time.
   bool refused_in_line_ = false;
-  /// It waited there and was given a place, which it does not give up again for being a little late.
-  bool placed_in_line_ = false;
   Duration come_back_after_{};
   /// Engines that may have run it.
   std::uint32_t runs_ = 0;
--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -101,7 +101,6 @@
 void ExchangeRun::noteLine(const PlacementClient::Place& place) {
   constexpr std::string_view kNames[] = {"none", "placed", "refused", "store_silent", "store_changed", "caller_left"};
   refused_in_line_ = place.line == LineEnd::kRefused;
-  placed_in_line_ = place.line == LineEnd::kPlaced;
   const LineEnd end = caller_left_ ? LineEnd::kCallerLeft : place.line;
   logEvent(LogLevel::kInfo, "request_stood_in_line",
            {{"request", id_},
@@ -120,7 +119,7 @@
 }
 
 bool ExchangeRun::rejectsEarly(const EngineChoice& choice) {
-  if (runs_ + refusals_ > 0 || placed_in_line_) return false;
+  if (runs_ + refusals_ > 0) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
   if (tools_.gate.admits(route_.objective, monotonicNow() - received_at_, wait)) return false;
   come_back_after_ = tools_.gate.comeBackAfter(wait);
