--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -1,6 +1,7 @@
 #include "connection/frame_connection.hpp"
 
 #include <array>
+#include <utility>
 
 #include "common/log.hpp"
 
@@ -8,12 +9,17 @@
 namespace {
 
 constexpr std::size_t kMostQueuedBytes = 64u << 20;
-constexpr Duration kFirstPause = fromMillis(50);
+/// Processes that start together refuse each other for some milliseconds; one that is away for long is tried seldom.
+constexpr Duration kFirstPause = fromMillis(5);
 constexpr Duration kLongestPause = fromMillis(300);
+/// A machine that just comes up may have swallowed the first packet: the first try is given up soon.
+constexpr Duration kFirstConnectTimeout = fromMillis(20);
 constexpr Duration kConnectTimeout = fromMillis(400);
 /// Frames that wait for a connection: how long, and how many bytes of them.
 constexpr Duration kLongestWait = fromMillis(500);
 constexpr std::size_t kMostWaitingBytes = 256u << 10;
+/// A link whose far side is known to be up begins a new try this often at the most: a far one may answer slowly.
+constexpr Duration kBetweenRetriesNow = fromMillis(400);
 /// A peer that takes no bytes and answers no probe for this long is given up.
 constexpr Duration kSilentPeerTimeout = std::chrono::seconds(2);
 
@@ -127,6 +133,17 @@
   if (connection_) connection_->close();
 }
 
+void ReconnectingLink::retryNow() {
+  const Instant now = monotonicNow();
+  if (isConnected() || now < retried_at_ + kBetweenRetriesNow) return;
+  retried_at_ = now;
+  retry_now_ = true;
+  closed_.cancel();
+  // The try in flight may have been swallowed while the far side came up.
+  boost::system::error_code ignored;
+  if (connecting_) connecting_->close(ignored);
+}
+
 bool ReconnectingLink::send(const std::string& body) {
   if (!isConnected()) return false;
   connection_->send(body);
@@ -168,6 +185,7 @@
 
 Awaitable<void> ReconnectingLink::run() {
   Duration pause = kFirstPause;
+  Duration patience = kFirstConnectTimeout;
   while (!stopped_) {
     if (isConnected()) {
       boost::system::error_code woken;
@@ -176,9 +194,10 @@
       continue;
     }
     auto socket = std::make_shared<tcp::socket>(context_);
+    connecting_ = socket;
     // Closes the socket, and so fails the connect, when the far side swallows packets in silence.
     Timer timeout(context_);
-    timeout.expires_after(kConnectTimeout);
+    timeout.expires_after(patience);
     timeout.async_wait([socket](boost::system::error_code error) {
       boost::system::error_code ignored;
       if (!error) socket->close(ignored);
@@ -187,14 +206,19 @@
     const tcp::endpoint target(asio::ip::make_address(endpoint_.host, error), endpoint_.port);
     if (!error) co_await socket->async_connect(target, asio::redirect_error(asio::use_awaitable, error));
     timeout.cancel();
+    connecting_.reset();
     if (error || stopped_ || !socket->is_open()) {
       boost::system::error_code woken;
+      if (std::exchange(retry_now_, false)) pause = kFirstPause;
       closed_.expires_after(pause);
       co_await closed_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
       pause = std::min(pause * 2, kLongestPause);
+      patience = std::min(patience * 2, kConnectTimeout);
       continue;
     }
     pause = kFirstPause;
+    patience = kFirstConnectTimeout;
+    retry_now_ = false;
     auto self = shared_from_this();
     connection_ = std::make_shared<FrameConnection>(
         std::move(*socket), [self](std::string body) { self->on_frame_(std::move(body)); },
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "common/log.hpp"
@@ -35,13 +34,6 @@
 constexpr unsigned kMisdirected = 421;
 constexpr std::string_view kEventStream = "text/event-stream";
 
-std::optional<Duration> readMilliseconds(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end == text.data()) return std::nullopt;
-  return Duration(static_cast<std::int64_t>(value * 1000));
-}
-
 }  // namespace
 
 ExchangeRun::ExchangeRun(ExchangeTools tools, std::shared_ptr<const RouteTable> routes, const Route& route,
@@ -60,7 +52,7 @@
 
 void ExchangeRun::readRequest() {
   const HeaderNames& names = tools_.dialect.headers();
-  received_at_ = monotonicNow();
+  received_at_ = tools_.received_at;
   come_back_after_ = kComeBackAfter;
   deadline_ = received_at_ + route_.timeout;
   id_ = std::string(request_.header(names.request_id));
@@ -78,6 +70,7 @@
 
 Awaitable<void> ExchangeRun::run() {
   ++tools_.counters.received;
+  writer_.nameRequest(id_);
   writer_.watchPeer([this] {
     caller_left_ = true;
     if (control_->cancel) control_->cancel();
@@ -154,6 +147,8 @@
   verdict_ = EngineVerdict::kNeutral;
   cause_.clear();
   attempt_began_at_ = monotonicNow();
+  attempt_first_at_.reset();
+  events_before_ = events_;
   closed_by_engine_ = false;
   engine_state_ = connection::EngineReachability::kUnknown;
   ++tools_.counters.attempts;
@@ -181,8 +176,11 @@
   const bool not_run = end == AttemptEnd::kDeclined || end == AttemptEnd::kNotSent;
   not_run ? ++refusals_ : ++runs_;
   if (end == AttemptEnd::kDeclined) ++tools_.counters.declined;
-  tools_.selector.end(monotonicNow(), ticket_, verdict_);
-  tools_.placement.noteEnded(std::exchange(place_, 0), verdict_);
+  const Instant ended_at = monotonicNow();
+  const std::optional<request::AnswerTiming> timing = attemptTiming(ended_at);
+  if (timing) tools_.selector.noteTiming(ticket_, *timing);
+  tools_.selector.end(ended_at, ticket_, verdict_);
+  tools_.placement.noteEnded(std::exchange(place_, 0), verdict_, timing);
   const connection::Endpoint endpoint =
       connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
   if (closed_by_engine_) co_await probeEngine(endpoint);
@@ -202,10 +200,10 @@
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relay(EngineExchange& exchange) {
   const Instant now = monotonicNow();
   tools_.selector.noteFirstByte(now, ticket_);
-  tools_.placement.noteAnswering(place_);
-  if (const auto load = request::parseEngineLoad(exchange.header(tools_.dialect.headers().engine_load))) {
-    tools_.selector.noteLoad(now, engine_, *load);
-  }
+  attempt_first_at_ = now;
+  const auto load = request::parseEngineLoad(exchange.header(tools_.dialect.headers().engine_load));
+  tools_.placement.noteAnswering(place_, load ? load->pace : 0);
+  if (load) tools_.selector.noteLoad(now, engine_, *load);
   if (isDeclined(exchange)) {
     cause_ = fmt::format("declined_{}", exchange.status());
     verdict_ = exchange.status() == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
@@ -225,29 +223,52 @@
   co_return co_await relayWhole(exchange);
 }
 
+std::optional<request::AnswerTiming> ExchangeRun::attemptTiming(Instant now) const {
+  if (verdict_ != EngineVerdict::kGood || !attempt_first_at_) return std::nullopt;
+  request::AnswerTiming timing;
+  timing.first_ms = toSeconds(*attempt_first_at_ - attempt_began_at_) * 1000;
+  timing.held_ms = toSeconds(now - *attempt_first_at_) * 1000;
+  timing.events = events_ - events_before_;
+  return timing;
+}
+
 std::vector<HttpHeader> ExchangeRun::answerHeaders(const EngineExchange& exchange) const {
   return endToEndHeaders(exchange.headers());
 }
 
-Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayWhole(EngineExchange& exchange) {
-  HttpResponse response;
-  response.status = exchange.status();
-  response.headers = answerHeaders(exchange);
+Awaitable<bool> ExchangeRun::collectAnswer(EngineExchange& exchange, std::string& body) {
+  connection::SlowReaders& readers = tools_.slow_readers;
+  const std::unique_ptr<connection::HeldBytes> held = readers.collect(id_);
+  const std::size_t most_bytes = std::min(kLargestWholeAnswer, readers.mostBytes());
   while (true) {
+    const bool has_room = co_await readers.awaitRoom(held.get(), deadline_);
+    if (!has_room) {
+      cause_ = "answer: no room before the deadline";
+      co_return false;
+    }
     AnswerPiece piece = co_await exchange.read(deadline_);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "answer: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
       if (!caller_left_ && monotonicNow() < deadline_) verdict_ = EngineVerdict::kFailed;
-      co_return AttemptEnd::kBroken;
-    }
-    if (std::holds_alternative<EndOfAnswer>(piece)) break;
-    response.body += std::get<std::string>(piece);
-    if (response.body.size() > kLargestWholeAnswer) {
-      cause_ = "answer_too_large";
-      co_return AttemptEnd::kBroken;
+      co_return false;
     }
+    if (std::holds_alternative<EndOfAnswer>(piece)) co_return true;
+    const std::string& bytes = std::get<std::string>(piece);
+    held->add(bytes.size());
+    body += bytes;
+    if (body.size() <= most_bytes) continue;
+    cause_ = "answer_too_large";
+    co_return false;
   }
+}
+
+Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayWhole(EngineExchange& exchange) {
+  HttpResponse response;
+  response.status = exchange.status();
+  response.headers = answerHeaders(exchange);
+  const bool is_whole = co_await collectAnswer(exchange, response.body);
+  if (!is_whole) co_return AttemptEnd::kBroken;
   const bool is_failure = response.status >= 500;
   verdict_ = is_failure ? EngineVerdict::kNeutral : EngineVerdict::kGood;
   if (is_failure) cause_ = fmt::format("status_{}", response.status);
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -5,9 +5,11 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 #include "process/exchange/header_rules.hpp"
 #include "request/access/caller_identity.hpp"
+#include "request/admission/credit_ask.hpp"
 
 namespace hatchfork::exchange {
 
@@ -18,7 +20,7 @@
 namespace {
 
 /// Changes of what a gateway has in flight that are closer together than this are reported together: batch runs follow
-/// online load by these reports (50 ms made 617 in place of 431 of 12,952 streams late beside batch, one play each).
+/// online load by these reports.
 constexpr Duration kLoadReportDelay = fromMillis(10);
 /// How often a gateway looks for what changes by time alone: answers that are overdue, reports to be repeated.
 constexpr Duration kLoadInterval = fromMillis(100);
@@ -34,12 +36,9 @@
 constexpr Duration kAcceptWhileStopping = fromMillis(3200);
 /// Kept back from the time that a stop may take.
 constexpr Duration kStopMargin = fromMillis(150);
-/// A gateway knows the configuration this long after its start, also where all processes start at once: 0.5 s from
-/// power to the first document on a site of 65 machines, by its log.
-constexpr Duration kConfiguredAfter = fromMillis(600);
-/// Least time in which a caller comes back that met no configuration, and over how much more returns are spread.
-constexpr Duration kShortestComeBack = fromMillis(250);
-constexpr Duration kComeBackSpread = fromMillis(500);
+/// Requests that may wait at a gateway at once, and how much of each megabyte of its memory their bodies may take.
+constexpr std::size_t kMostHeldRequests = 4096;
+constexpr std::size_t kHeldBytesEachMegabyte = (1u << 20) / 8;
 /// When a job comes back whose regions lack some store: operators move stores or change the regions, which takes long.
 constexpr Duration kComeBackForStores = std::chrono::seconds(2);
 /// A configuration that was proved the newest within this time is taken for it. Proofs come every 300 ms.
@@ -47,11 +46,43 @@
 /// When a caller comes back whose refusal could not be shown to follow from the newest configuration.
 constexpr Duration kComeBackWhenCurrent = fromMillis(400);
 
+constexpr std::string_view kLacksConfiguration = "this gateway knows no configuration yet";
+constexpr std::string_view kLacksCrashes = "this gateway has not been told yet which requests end engines";
+
+std::string_view toString(StartGate::Outcome outcome) {
+  switch (outcome) {
+    case StartGate::Outcome::kOpen:
+      return "passed";
+    case StartGate::Outcome::kRefused:
+      return "refused";
+    case StartGate::Outcome::kCallerLeft:
+      return "caller_left";
+  }
+  return "refused";
+}
+
 std::uint64_t drawSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) | source();
 }
 
+/// Of the process's memory, what may be held for peers that read slowly. Bytes are counted once and may be held twice
+/// for a moment, as they came and as they go; the rest is the process itself and its view of the fleet.
+constexpr double kHeldShare = 0.25;
+
+request::ByteBudgetLimits byteLimitsOf(const fleet::FleetSettings& settings) {
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  request::ByteBudgetLimits limits;
+  limits.most_bytes = static_cast<std::size_t>(kHeldShare * settings.memory_mb * kBytesPerMegabyte);
+  return limits;
+}
+
+request::SelectorLimits selectorLimits(const request::LoadFeatures& features) {
+  request::SelectorLimits limits;
+  limits.learns_pace = features.engine_pace;
+  return limits;
+}
+
 /// The host without its port.
 std::string_view hostName(std::string_view host) {
   return host.substr(0, host.rfind(':'));
@@ -64,15 +95,17 @@
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       dialect_(std::move(dialect)),
-      engines_(context_),
-      random_(drawSeed()),
-      selector_(drawSeed()),
+      slow_readers_(std::make_shared<connection::SlowReaders>(context_, byteLimitsOf(settings_))),
+      engines_(context_, slow_readers_),
+      held_(kMostHeldRequests, settings_.memory_mb * kHeldBytesEachMegabyte),
+      start_gate_(context_, held_, drawSeed()),
+      selector_(drawSeed(), selectorLimits(settings_.load)),
       gate_(drawSeed()),
       split_(drawSeed()),
       stores_(context_, settings_.store_port, drawSeed()),
       loads_(settings_.name, settings_.zone, engine_keys_,
              [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return stores_.send(to, report); }),
-      rate_limits_(context_, settings_.rate_limits,
+      rate_limits_(context_, settings_.rate_limits, held_,
                    [this](const ReplicaId& to, const fleet::CreditQuestionFrame& question) {
                      return stores_.send(to, question);
                    }),
@@ -86,18 +119,21 @@
 GatewayProgram::~GatewayProgram() = default;
 
 Status GatewayProgram::start() {
-  started_at_ = monotonicNow();
+  start_gate_.start(monotonicNow(), settings_.load.ordered_waiting);
   const std::vector<connection::asio::io_context*> contexts = {&context_};
   connection::HttpServerOptions caller_options;
   caller_options.listen = settings_.callers;
   caller_options.largest_body = CallerLimits{}.most_body_bytes;
   caller_options.write_timeout = settings_.grace;
+  caller_options.slow_readers = slow_readers_;
   auto serve = [this](const connection::HttpRequest& request, connection::ResponseWriter& writer) {
     return handle(request, writer);
   };
   callers_ = std::make_unique<connection::HttpServer>(context_, contexts, caller_options, serve);
+  slow_readers_->start();
   const Status listening = callers_->start();
   if (!isOk(listening)) return listening;
+  noteStartStep("listening");
 
   connection::HttpServerOptions ready_options;
   ready_options.listen = settings_.readiness;
@@ -153,6 +189,7 @@
     selector_.setEvacuated(now, view.evacuated.zones);
   }
   if (change.routes) takeRoutes(view.routes);
+  start_gate_.look();
   if (!change.engines.isEmpty()) {
     engine_keys_.take(change.engines);
     selector_.takeEngines(now, change.engines);
@@ -235,20 +272,36 @@
   co_await writer.send(std::move(response));
 }
 
-Duration GatewayProgram::comeBackWhenConfigured() {
-  std::uniform_int_distribution<Duration::rep> spread(0, kComeBackSpread.count());
-  const Duration until_configured = started_at_ + kConfiguredAfter - monotonicNow();
-  return std::max(kShortestComeBack, until_configured) + Duration(spread(random_));
+Awaitable<bool> GatewayProgram::passStart(std::function<bool()> is_open, std::string_view lacking, Instant received_at,
+                                          const connection::HttpRequest& request, connection::ResponseWriter& writer) {
+  const request::EarlyArrival arrival{received_at, readMilliseconds(request.header(dialect_->headers().remaining_ms))};
+  const std::size_t bytes = request.body.size();
+  const StartGate::Result passed = co_await start_gate_.pass(std::move(is_open), arrival, bytes, writer);
+  if (passed.was_held) {
+    const Duration waited = monotonicNow() - received_at;
+    logEvent(LogLevel::kInfo, "request_held",
+             {{"request", request.header(dialect_->headers().request_id)},
+              {"for", lacking},
+              {"waited_ms", toMillis(waited)},
+              {"remaining_ms", arrival.remaining ? toMillis(*arrival.remaining) : -1},
+              {"outcome", toString(passed.outcome)}});
+  }
+  if (passed.outcome == StartGate::Outcome::kRefused) {
+    Error error{ErrorKind::kUnavailable, std::string(lacking), "come back at the given time", Executed::kNo,
+                passed.come_back_after};
+    co_await refuse(request, writer, std::move(error));
+  }
+  co_return passed.outcome == StartGate::Outcome::kOpen;
 }
 
 Awaitable<void> GatewayProgram::handle(const connection::HttpRequest& request, connection::ResponseWriter& writer) {
-  const std::shared_ptr<const RouteTable> routes = routes_;
-  if (!routes) {
-    Error error{ErrorKind::kUnavailable, "this gateway knows no configuration yet", "come back at the given time",
-                Executed::kNo, comeBackWhenConfigured()};
-    co_await refuse(request, writer, std::move(error));
-    co_return;
+  const Instant received_at = monotonicNow();
+  if (!routes_) {
+    std::function<bool()> is_open = [this] { return routes_ != nullptr; };
+    const bool passed = co_await passStart(std::move(is_open), kLacksConfiguration, received_at, request, writer);
+    if (!passed) co_return;
   }
+  const std::shared_ptr<const RouteTable> routes = routes_;
   const JobCall call = dialect_->jobCall(request.method, request.target);
   if (!std::holds_alternative<UnknownCall>(call)) {
     co_await handleJobCall(call, *routes, request, writer);
@@ -291,7 +344,7 @@
     co_await writer.send(std::move(response));
     co_return;
   }
-  co_await handleOnline(routes, *route, tenant, request, writer);
+  co_await handleOnline(routes, *route, tenant, received_at, request, writer);
 }
 
 /// Any store may come to keep or run the items of a job.
@@ -303,16 +356,22 @@
 }
 
 Awaitable<void> GatewayProgram::handleOnline(const std::shared_ptr<const RouteTable>& routes, const Route& route,
-                                             const Tenant* tenant, const connection::HttpRequest& request,
+                                             const Tenant* tenant, Instant received_at,
+                                             const connection::HttpRequest& request,
                                              connection::ResponseWriter& writer) {
   if (!knows_crashes_) {
-    Error error{ErrorKind::kUnavailable, "this gateway has not been told yet which requests end engines",
-                "come back at the given time", Executed::kNo, kShortestComeBack};
-    co_await refuse(request, writer, std::move(error));
-    co_return;
+    std::function<bool()> is_open = [this] { return knows_crashes_; };
+    const bool passed = co_await passStart(std::move(is_open), kLacksCrashes, received_at, request, writer);
+    if (!passed) co_return;
   }
-  if (tenant != nullptr) {
-    const Status admitted = co_await rate_limits_.admit(*tenant);
+  if (tenant != nullptr && tenant->limits.online_requests_per_second > 0) {
+    LimitedRequest limited = limitedRequest(route, *tenant, request);
+    const Status admitted = co_await rate_limits_.admit(*tenant, std::move(limited), writer);
+    if (!isOk(admitted) && errorOf(admitted).kind == ErrorKind::kCancelled) {
+      ++counters_.caller_left;
+      writer.abort();
+      co_return;
+    }
     if (!isOk(admitted)) {
       Error error = errorOf(admitted);
       co_await refuse(request, writer, std::move(error));
@@ -321,12 +380,29 @@
   }
   ServiceId service = split_.choose(route);
   request::AnswerFraming& framing = framing_[service];
-  ExchangeTools tools{*dialect_,       engines_, selector_,  counters_, settings_.zone,
-                      settings_.zones, gate_,    placement_, crashes_,  framing};
+  ExchangeTools tools{*dialect_,  engines_,       selector_,
+                      counters_,  settings_.zone, settings_.zones,
+                      gate_,      placement_,     settings_.load.zone_line,
+                      crashes_,   framing,        *slow_readers_,
+                      received_at};
   ExchangeRun run(tools, routes, route, tenant, std::move(service), request, writer);
   co_await run.run();
 }
 
+LimitedRequest GatewayProgram::limitedRequest(const Route& route, const Tenant& tenant,
+                                              const connection::HttpRequest& request) const {
+  LimitedRequest limited;
+  limited.id = request.header(dialect_->headers().request_id);
+  limited.bytes = request.body.size();
+  if (!settings_.load.return_appointments) return limited;
+  const Duration remaining = readMilliseconds(request.header(dialect_->headers().remaining_ms)).value_or(route.timeout);
+  limited.ask = request::askOf(route.objective, std::min(remaining, route.timeout), remaining);
+  limited.ask.content =
+      request::contentNumber({tenant.id.value, request.method, request.header("Host"), request.target, request.body});
+  if (settings_.load.ordered_waiting) limited.ask.rank = route.priority;
+  return limited;
+}
+
 Awaitable<void> GatewayProgram::maintenanceLoop() {
   while (true) {
     co_await connection::sleepFor(kMaintenanceInterval);
@@ -342,6 +418,7 @@
   crashes_.take(now, notes);
   // Only the answer to a question holds all that a store knows.
   knows_crashes_ = knows_crashes_ || notes.wants_all;
+  start_gate_.look();
   if (notes.wants_all && notes.digest != crashes_.digest()) stores_.send(from, crashes_.everything(now));
 }
 
@@ -360,21 +437,33 @@
   });
 }
 
-/// A gateway that sends at once after its start sends what all others refuse: up to two engines were ended at each
-/// restart.
+/// A gateway that sends at once after its start sends what all others refuse.
 Awaitable<void> GatewayProgram::learnCrashes() {
   fleet::CrashNotesFrame hello = crashes_.hello();
   hello.wants_all = true;
+  Duration pause = kAskAgain;
+  std::size_t turn = 0;
   while (!knows_crashes_ && monotonicNow() < first_view_at_ + kCrashNotesWait) {
-    for (const ReplicaId& store : loads_.aggregators()) {
-      if (stores_.send(store, hello)) break;
-    }
-    co_await connection::sleepFor(kAskAgain);
+    const std::size_t asked = askNextStore(turn, hello);
+    co_await connection::sleepFor(pause);
+    // All gateways ask at once after a loss of power: a store that is busy with the others is not asked again soon.
+    if (asked > turn) pause *= 2;
+    turn = asked;
   }
   const Duration waited = monotonicNow() - first_view_at_;
   logEvent(knows_crashes_ ? LogLevel::kInfo : LogLevel::kWarning, "crash_notes_awaited",
            {{"told", knows_crashes_}, {"after_ms", toMillis(waited)}, {"requests_known", crashes_.requestsKnown()}});
+  noteStartStep("crash_notes_awaited");
   knows_crashes_ = true;
+  start_gate_.look();
+}
+
+std::size_t GatewayProgram::askNextStore(std::size_t turn, const fleet::CrashNotesFrame& question) {
+  const std::vector<ReplicaId> stores = loads_.aggregators();
+  for (std::size_t offset = 0; offset < stores.size(); ++offset) {
+    if (stores_.send(stores[(turn + offset) % stores.size()], question)) return turn + offset + 1;
+  }
+  return turn;
 }
 
 void GatewayProgram::askForCrashes() {
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -14,6 +14,20 @@
   requests("refused", counters_.refused);
   requests("failed", counters_.failed);
   requests("caller_left", counters_.caller_left);
+  page.gauge("hatchfork_held_for_peers_bytes", "Held for callers and engines that have not read it yet.",
+             static_cast<double>(slow_readers_->bytes()));
+  page.gauge("hatchfork_held_for_peers_most_bytes", "Bound of that.", static_cast<double>(slow_readers_->mostBytes()));
+  const connection::SlowReaders::Counters& slow = slow_readers_->counters();
+  const auto let_go = [&page](const char* side, std::uint64_t value) {
+    page.counter("hatchfork_slow_readers_let_go_total", "Connections ended since the far side took nothing for long.",
+                 static_cast<double>(value), {{"side", side}});
+  };
+  let_go("caller", slow.callers_let_go);
+  let_go("engine", slow.engines_let_go);
+  page.counter("hatchfork_waits_for_held_room_total", "Answers and long requests that were not read for lack of room.",
+               static_cast<double>(slow.waits));
+  fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
+                            stores_.framesPassedOver() + feed_->framesPassedOver());
   page.counter("hatchfork_requests_rejected_early_total", "Refused at their arrival, since they would be late.",
                static_cast<double>(counters_.rejected_early));
   page.counter("hatchfork_attempts_total", "Requests sent to engines.", static_cast<double>(counters_.attempts));
@@ -31,12 +45,32 @@
                static_cast<double>(engines_.connectionsMade()));
   page.counter("hatchfork_engine_connections_reused_total", "Requests on a kept connection.",
                static_cast<double>(engines_.connectionsReused()));
+  const StartGateCounters& start = start_gate_.counters();
+  const auto held = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_requests_at_start_total",
+                 "Requests that came before this gateway could serve, by their end.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  held("served", start.served);
+  held("refused", start.refused);
+  held("caller_left", start.caller_left);
+  page.histogram("hatchfork_start_hold_ms", "How long such requests were held.", start.wait);
+  page.gauge("hatchfork_held_requests", "Requests that wait at this gateway now.",
+             static_cast<double>(held_.requests()));
+  page.gauge("hatchfork_held_request_bytes", "Bytes of their bodies.", static_cast<double>(held_.bytes()));
   const PlacementClientCounters& placement = placement_.counters();
   page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
                static_cast<double>(placement.placed), {{"by", "store"}});
   page.counter("hatchfork_placements_total", "Attempts by who chose their engine.",
                static_cast<double>(placement.alone), {{"by", "gateway"}});
   page.histogram("hatchfork_placement_wait_ms", "Wait for the store that places requests.", placement.wait);
+  const auto stood = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_line_requests_total", "Requests in line at the store that places them, by outcome.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  stood("stood", placement.stood);
+  stood("refused", placement.refused);
+  stood("left_waiting", placement.left_waiting);
   const RateLimitCounters& limits = rate_limits_.counters();
   const auto limited = [&page](const char* outcome, std::uint64_t value) {
     page.counter("hatchfork_rate_limit_total", "Requests of tenants with a rate limit, by what became of them there.",
@@ -46,6 +80,11 @@
   limited("admitted_without_owner", limits.admitted_alone);
   limited("over_limit", limits.over_limit);
   limited("unanswered", limits.unanswered);
+  limited("caller_left", limits.left);
+  page.counter("hatchfork_rate_limit_appointments_total", "Refused over a limit with a time at which a credit is kept.",
+               static_cast<double>(limits.appointments));
+  page.counter("hatchfork_rate_limit_held_total", "Requests that waited here for a credit that was kept for them.",
+               static_cast<double>(limits.admitted_held));
   page.counter("hatchfork_rate_limit_questions_total", "Questions to the owners of rate limits.",
                static_cast<double>(limits.questions));
   page.histogram("hatchfork_rate_limit_wait_ms", "Wait of the requests that found no credit.", limits.wait);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
 #include "process/store/group_contacts.hpp"
 
@@ -50,9 +51,16 @@
       own_load_(
           settings_.name, settings_.zone, engine_keys_,
           [this](const ReplicaId& to, const fleet::LoadReportFrame& report) { return sendLoadReport(to, report); }),
-      placement_(std::random_device()(), settings_.zone, [this](const EngineId& engine) { askToGiveWay(engine); }),
+      placement_(
+          std::random_device()(), settings_.zone, [this](const EngineId& engine) { askToGiveWay(engine); },
+          settings_.load),
       rate_limits_(settings_.rate_limits) {
   own_load_.setKind(fleet::LoadKind::kBackground);
+  placement_.setAnswerHandler([this](const void* connection, const fleet::PlacementAnswer& answer) {
+    const auto link = placement_links_.find(connection);
+    // Who is not reached any more asks at another store, or chooses for itself.
+    if (link != placement_links_.end()) link->second->send(encodeTagged(FleetMessage(answer)));
+  });
   crashes_.setNewsHandler([this] { tellCrashesSoon(); });
   crash_relay_.setNewsHandler([this] { tellCrashesSoon(); });
   links_.setFrameHandler([this](const std::string& body) { onReturnedFrame(body); });
@@ -101,6 +109,7 @@
 
   auto on_close = [this](const ConnectionPtr& closed) {
     placement_.drop(monotonicNow(), closed.get());
+    placement_links_.erase(closed.get());
     crash_relay_.drop(closed.get());
   };
   auto on_frame = [this](const std::string& body, const ConnectionPtr& from) { onFrame(body, from); };
@@ -108,6 +117,7 @@
                                                             on_frame, on_close);
   const Status frames = frame_server_->start();
   if (!isOk(frames)) return frames;
+  noteStartStep("listening");
 
   metrics_ = std::make_unique<fleet::MetricsServer>(context_, settings_,
                                                     [this](metrics::MetricsPage& page) { fillMetrics(page); });
@@ -142,6 +152,7 @@
   presence.zone = settings_.zone;
   presence.incarnation = status.incarnation;
   presence.formed = status.joined;
+  presence.release = kThisRelease;
   if (group_->isConfirmedLeader() && status.membership_committed) {
     presence.membership = status.membership;
     presence.term = status.term;
@@ -175,13 +186,14 @@
 }
 
 void StoreProgram::onFrame(const std::string& body, const ConnectionPtr& from) {
-  const Result<FleetMessage> message = decodeTagged<FleetMessage>(body);
+  const Result<std::optional<FleetMessage>> message = frames_.read(body);
   if (!isOk(message)) {
     logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
     from->close();
     return;
   }
-  const FleetMessage& decoded = valueOf(message);
+  if (!valueOf(message)) return;
+  const FleetMessage& decoded = *valueOf(message);
   const fleet::HandlerWatch::Timer timer(handlers_, std::visit([](const auto& body) { return body.kKind; }, decoded));
   dispatch(decoded, from);
 }
@@ -189,6 +201,7 @@
 void StoreProgram::dispatch(const FleetMessage& decoded, const ConnectionPtr& from) {
   if (const auto* group = std::get_if<fleet::GroupFrame>(&decoded)) {
     group_->receive(*group);
+    links_.noteUp(group->from);
   } else if (const auto* proposal = std::get_if<fleet::ProposalFrame>(&decoded)) {
     group_->receive(*proposal);
   } else if (const auto* reply = std::get_if<fleet::ProposalReplyFrame>(&decoded)) {
@@ -204,6 +217,7 @@
   } else if (const auto* wanted = std::get_if<fleet::GiveWayFrame>(&decoded)) {
     executor_->giveWay(wanted->engine);
   } else if (const auto* placement = std::get_if<fleet::PlacementQuestion>(&decoded)) {
+    if (placement->terms) placement_links_[from.get()] = from;
     from->send(encodeTagged(FleetMessage(placement_.take(monotonicNow(), *placement, from.get()))));
   } else if (const auto* notes = std::get_if<fleet::PlacementNotes>(&decoded)) {
     placement_.take(monotonicNow(), *notes, from.get());
@@ -289,18 +303,50 @@
   placed("gave_way", placements.gave_way);
   placed("no_free_slot", placements.placed_at_full);
   placed("no_engine", placements.unplaced);
+  fillLineMetrics(page);
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
              static_cast<double>(rate_limits_.buckets()));
+  const request::ReturnCounters returns = rate_limits_.returns();
+  const auto kept = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_return_credits_total", "Callers over a limit, by what was agreed and what became of it.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  kept("promised", returns.promised);
+  kept("used", returns.used);
+  kept("lapsed", returns.lapsed);
+  kept("unkept", returns.unkept);
+  kept("refused_again", returns.refused_again);
+  page.gauge("hatchfork_return_credits_outstanding", "Credits that are kept for callers that come back or wait.",
+             static_cast<double>(rate_limits_.promised()));
   page.counter("hatchfork_engine_crashes_seen_total", "Batch items run here under which an engine ended.",
                static_cast<double>(crashes_.counters().crashes_seen));
   page.gauge("hatchfork_crash_suspects", "Contents under which an engine has ended, of the whole fleet.",
              static_cast<double>(crashes_.requestsKnown()));
   page.gauge("hatchfork_crash_listeners", "Processes that are told by this store of requests that end engines.",
              static_cast<double>(crash_relay_.receivers()));
+  fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
+                            frames_.passedOver() + feed_->framesPassedOver());
   page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
   page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
 
+void StoreProgram::fillLineMetrics(metrics::MetricsPage& page) const {
+  const PlacementCounters& line = placement_.counters();
+  const auto left = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_line_left_total", "Online requests that stood in line here, by how they left it.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  left("placed", line.placed_from_line);
+  left("refused", line.refused_from_line);
+  left("by_itself", line.left_line);
+  page.counter("hatchfork_line_refused_at_once_total", "Online requests that could not have been in time in line.",
+               static_cast<double>(line.refused));
+  page.gauge("hatchfork_line_length", "Online requests that stand in line here.",
+             static_cast<double>(placement_.standing()));
+  page.histogram("hatchfork_line_wait_ms", "Wait in line of requests that were placed or refused from it.",
+                 line.line_wait);
+}
+
 void StoreProgram::noteChange(const JobId& job) {
   changed_jobs_.insert(job);
   if (std::exchange(change_posted_, true)) return;
@@ -338,6 +384,7 @@
   reportOwnLoad(now);
   aggregator_.tick(now);
   if (placement_.gateways() > 0) placement_.noteOthers(now, aggregator_.notPlacedHere());
+  placement_.tick(now);
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -12,6 +12,7 @@
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
+#include "process/fleet/frame_reader.hpp"
 #include "process/fleet/group_host.hpp"
 #include "process/fleet/handler_watch.hpp"
 #include "process/fleet/load_reporter.hpp"
@@ -101,6 +102,7 @@
   std::vector<fleet::StorePresence> presence() const;
   bool mayStoreMore() const;
   void fillMetrics(metrics::MetricsPage& page) const;
+  void fillLineMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> tickLoop();
   connection::Awaitable<void> stopOnSignal();
   connection::Awaitable<void> reloadOnSignal();
@@ -110,6 +112,7 @@
   std::unique_ptr<const Dialect> dialect_;
   connection::asio::io_context context_;
   fleet::PeerLinks links_;
+  fleet::FrameReader frames_;
   /// Requests that end the engines they run on, as far as any process has seen.
   fleet::CrashWatch crashes_;
   CrashRelay crash_relay_;
@@ -134,6 +137,8 @@
   bool reports_load_ = false;
   /// Places the online requests of the gateways that report to this store.
   PlacementService placement_;
+  /// Connections of gateways whose requests may stand in line here.
+  std::map<const void*, ConnectionPtr> placement_links_;
   /// The leader that last told of its batch runs, and its term.
   ReplicaId background_from_;
   std::uint64_t background_term_ = 0;
