Zone's line: none for short answers, none in a zone without engines

An answer that comes whole holds a place for milliseconds; one overdue answer made an engine not worth its detour, and in a zone whose engine had left no place ever falls free. Ruled out: lack of places (busiest engine at the mean, queues empty); loss of power alone (20 to 24 s had it as well). Change: where a busy engine frees a place within a tenth of the time that a request has left, its queue is as good as a line; a zone without engines of the service has no line. Both are placed as before the line. Conclusion: the line stays for requests that hold their places long.

The test was written with the mend and not seen to fail before it.

--- a/src/process/store/placement_service.hpp
+++ b/src/process/store/placement_service.hpp
@@ -110,6 +110,8 @@
   fleet::PlacementAnswer placeOrLine(Instant now, Gateway& gateway, const fleet::PlacementQuestion& question);
   /// An engine with a free place that is worth more than a wait of this long in line.
   std::optional<request::EngineChoice> freePlace(Instant now, const fleet::PlacementQuestion& question, double wait_ms);
+  /// True if engines' own queues are as good for the request as a line.
+  bool hasFastQueues(const fleet::PlacementQuestion& question) const;
   /// Expected wait of a request before which so many others get a place; zero where it is not known.
   double lineWaitMs(Instant now, const ServiceId& service, std::size_t ahead) const;
   fleet::PlacementAnswer refusal(Instant now, const fleet::PlacementQuestion& question) const;
--- a/src/process/store/placement_service_line.cpp
+++ b/src/process/store/placement_service_line.cpp
@@ -20,6 +20,9 @@
 constexpr double kSureShare = 0.8;
 /// A detour that is worth a place, though the line is short.
 constexpr double kWorthDetourMs = 10;
+/// Where a busy engine frees a place within this share of the time that a request has left, its own queue moves on so
+/// fast that a line gains nothing, and a wait for a better engine only costs.
+constexpr double kFastQueueShare = 0.1;
 /// Gateways whose requests stand here hear of it this often, so that they don't take this store for silent.
 constexpr Duration kWordInterval = fromMillis(40);
 
@@ -36,7 +39,9 @@
 }  // namespace
 
 bool PlacementService::usesLine(const fleet::PlacementQuestion& question) const {
-  return features_.zone_line && answer_ && question.terms && selector_.isUneven(question.service);
+  if (!features_.zone_line || !answer_ || !question.terms) return false;
+  // A zone without engines of its own sees no place fall free.
+  return selector_.isUneven(question.service) && selector_.engineCount(question.service, zone_) > 0;
 }
 
 double PlacementService::lineWaitMs(Instant now, const ServiceId& service, std::size_t ahead) const {
@@ -65,6 +70,11 @@
   return choose(wait_ms);
 }
 
+bool PlacementService::hasFastQueues(const fleet::PlacementQuestion& question) const {
+  const std::optional<double> freed_every_ms = selector_.placeFreedEveryMs(question.service);
+  return freed_every_ms && *freed_every_ms < kFastQueueShare * static_cast<double>(question.terms->left_ms);
+}
+
 fleet::PlacementAnswer PlacementService::refusal(Instant now, const fleet::PlacementQuestion& question) const {
   fleet::PlacementAnswer answer;
   answer.number = question.number;
@@ -83,6 +93,7 @@
   const double wait_ms = lineWaitMs(now, question.service, ahead);
   if (ahead == 0) {
     if (const auto choice = freePlace(now, question, wait_ms)) return placeAt(now, question, *choice);
+    if (hasFastQueues(question)) return placeAnywhere(now, question);
   }
   if (standing.may_be_refused && wait_ms > kSureShare * static_cast<double>(question.terms->left_ms)) {
     ++counters_.refused;
--- a/src/request/exchange/engine_selector.cpp
+++ b/src/request/exchange/engine_selector.cpp
@@ -224,6 +224,18 @@
   return pool == nullptr ? 0 : pool->size();
 }
 
+std::size_t EngineSelector::engineCount(const ServiceId& service, const ZoneId& zone) const {
+  const EnginePool* const pool = poolOf(service);
+  return pool == nullptr ? 0 : pool->ofZone(zone).size();
+}
+
+std::optional<double> EngineSelector::placeFreedEveryMs(const ServiceId& service) const {
+  const EnginePool* const pool = poolOf(service);
+  const auto hold = hold_ms_.find(service);
+  if (pool == nullptr || pool->slots() == 0 || hold == hold_ms_.end()) return std::nullopt;
+  return hold->second * static_cast<double>(pool->size()) / pool->slots();
+}
+
 bool EngineSelector::isUneven(const ServiceId& service) const {
   const auto found = paces_.find(service);
   return found != paces_.end() && found->second.isUneven();
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -241,6 +241,10 @@
   /// True if the prompt is to go to the engines at home for its prefix.
   bool isSticky(const EngineQuery& query) const;
   std::size_t engineCount(const ServiceId& service) const;
+  std::size_t engineCount(const ServiceId& service, const ZoneId& zone) const;
+  /// Mean time between two places that fall free at one busy engine of the service; nothing until it was seen how long
+  /// requests hold one.
+  std::optional<double> placeFreedEveryMs(const ServiceId& service) const;
   /// True if engines of the service tell their pace, so that they are not taken as equal.
   bool isUneven(const ServiceId& service) const;
   /// Places of the zone's engines in rotation that fall free in a millisecond while all are taken; zero where it was
--- a/tests/process/store/placement_line_test.cpp
+++ b/tests/process/store/placement_line_test.cpp
@@ -41,7 +41,9 @@
 
 /// A zone of engines with one slot each that tell their pace, and what its placer answers.
 struct Zone {
-  explicit Zone(int engines, request::LoadFeatures features = {})
+  /// `held`: how long the first requests held their slots. `engines_zone`: where the engines are.
+  explicit Zone(int engines, request::LoadFeatures features = {}, Duration held = fromMillis(600),
+                ZoneId engines_zone = kZone)
       : service(
             1, kZone, [](const EngineId&) {}, features) {
     std::vector<EngineRecord> records;
@@ -49,7 +51,7 @@
       EngineRecord record;
       record.id = request::replay::engineName(static_cast<std::size_t>(i));
       record.service = kService;
-      record.zone = kZone;
+      record.zone = engines_zone;
       record.slots = 1;
       records.push_back(record);
     }
@@ -65,7 +67,7 @@
       begun.node = "g0";
       begun.answering = {number};
       begun.paces = {fleet::ToldPace{number, 100}};
-      service.take(at(-600), begun, &kFirst);
+      service.take(at(0) - held, begun, &kFirst);
     }
     for (int i = 0; i < engines; ++i) service.take(at(0), ended("g0", 1000 + static_cast<std::uint64_t>(i)), &kFirst);
   }
@@ -105,6 +107,23 @@
   REQUIRE(zone.service.counters().placed_at_full == 0);
 }
 
+/// Symptom: 292 of 6,408 look-ups of a service of short answers refused and 960 late, while its engines were a quarter
+/// full. They stood in line, since an engine with one slow answer was not worth its detour.
+TEST_CASE("requests for short answers go to engines' own queues and stand in no line", "[placement][line]") {
+  Zone zone(2, {}, fromMillis(1));
+  for (std::uint64_t number = 1; number <= 6; ++number) {
+    REQUIRE_FALSE(zone.service.take(at(1), question("g1", number), &kFirst).engine.empty());
+  }
+  REQUIRE(zone.service.standing() == 0);
+}
+
+TEST_CASE("a zone without engines of the service has no line", "[placement][line]") {
+  Zone zone(1, {}, fromMillis(600), ZoneId("z2"));
+  REQUIRE_FALSE(zone.service.take(at(1), question("g1", 1), &kFirst).engine.empty());
+  REQUIRE_FALSE(zone.service.take(at(2), question("g1", 2), &kFirst).engine.empty());
+  REQUIRE(zone.service.standing() == 0);
+}
+
 TEST_CASE("who can't be in time is refused: at once, or when its time has passed", "[placement][line]") {
   Zone zone(2);
   zone.service.take(at(1), question("g1", 1), &kFirst);
