--- /dev/null
+++ b/tests/process/store/store_group_memory_test.cpp
@@ -0,0 +1,146 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/codec.hpp"
+#include "connection/asio.hpp"
+#include "process/fleet/group_host.hpp"
+#include "process/store/job_state.hpp"
+#include "tests/common/heap_meter.hpp"
+
+using namespace hatchfork;
+using namespace hatchfork::store;
+
+namespace {
+
+constexpr std::size_t kMegabyte = 1 << 20;
+/// What a replica may need beside its state while it takes or takes up a snapshot.
+constexpr std::size_t kRoomBesideState = 8 * kMegabyte;
+constexpr int kJobs = 60;
+constexpr int kItemsPerJob = 70;
+constexpr std::size_t kBodyBytes = 7000;
+
+/// A folder below the system's temporary one, removed at the end.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() : path_(std::filesystem::temp_directory_path() / ("store-memory-" + std::to_string(::getpid()))) {
+    std::filesystem::remove_all(path_);
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  std::string path() const { return path_.string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+/// A store group of one replica on the real disk.
+class SingleStore {
+ public:
+  SingleStore(const std::string& folder, std::uint64_t snapshot_after_entries)
+      : host_(context_, options(folder, snapshot_after_entries), make(), adopt(), drop()) {
+    started_ = isOk(host_.start());
+  }
+
+  bool started() const { return started_; }
+  const JobState& state() const { return *state_; }
+  consensus::GroupStatus status() const { return host_.status(); }
+  bool lead() {
+    return runUntil([this] { return host_.isConfirmedLeader() && status().applied == status().last_log_index; });
+  }
+  /// True if the command is committed and applied.
+  bool apply(const JobCommand& command) {
+    bool done = false;
+    bool applied = false;
+    host_.propose(encodeTagged(command), std::chrono::seconds(5), [&](const fleet::ProposalOutcome& outcome) {
+      done = true;
+      applied = outcome.result == fleet::ProposalResult::kApplied;
+    });
+    return runUntil([&] { return done; }) && applied;
+  }
+  bool runUntil(const std::function<bool()>& condition) {
+    const Instant give_up = connection::monotonicNow() + std::chrono::seconds(60);
+    while (!condition()) {
+      if (connection::monotonicNow() > give_up) return false;
+      context_.run_for(std::chrono::milliseconds(1));
+    }
+    return true;
+  }
+
+ private:
+  static fleet::GroupHostOptions options(const std::string& folder, std::uint64_t snapshot_after_entries) {
+    fleet::GroupHostOptions options;
+    options.group = 1;
+    options.self = ReplicaId("10.0.0.1");
+    options.data_folder = folder;
+    options.formation_members = {ReplicaId("10.0.0.1")};
+    options.may_form = true;
+    options.timing.snapshot_after_entries = snapshot_after_entries;
+    return options;
+  }
+  fleet::GroupHost::MachineFactory make() {
+    return [] { return std::make_unique<JobState>(); };
+  }
+  fleet::GroupHost::MachineAdopter adopt() {
+    return [this](consensus::StateMachine& machine) { state_ = static_cast<JobState*>(&machine); };
+  }
+  static fleet::GroupHost::SendFunction drop() {
+    return [](const ReplicaId&, const fleet::FleetMessage&) { return false; };
+  }
+
+  connection::asio::io_context context_;
+  JobState* state_ = nullptr;
+  fleet::GroupHost host_;
+  bool started_ = false;
+};
+
+JobSubmission job(int number) {
+  JobSubmission made;
+  made.id = JobId("job-" + std::to_string(number));
+  made.host = "a.example";
+  made.path = "/x/";
+  for (int i = 0; i < kItemsPerJob; ++i) {
+    made.items.push_back(
+        OpaqueItem{"item-" + std::to_string(i), "/x/1", {{"X-A", "1"}}, std::string(kBodyBytes, 'b'), 10});
+  }
+  return made;
+}
+
+}  // namespace
+
+TEST_CASE("a store that takes a snapshot of a large state needs little memory beside the state", "[store][memory]") {
+  const TemporaryFolder folder;
+  SingleStore store(folder.path(), kJobs);
+  REQUIRE(store.started());
+  REQUIRE(store.lead());
+  for (int number = 0; number < kJobs - 2; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
+  REQUIRE(store.status().snapshot_bytes == 0);
+  const std::size_t before = HeapMeter::held();
+  HeapMeter::resetPeak();
+  // The last two entries make the snapshot due.
+  for (int number = kJobs - 2; number < kJobs; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
+  REQUIRE(store.runUntil([&] { return store.status().snapshot_bytes > 0; }));
+  INFO("held " << before / kMegabyte << " MB, at the most " << HeapMeter::peak() / kMegabyte << " MB");
+  CHECK(HeapMeter::peak() <= before + kRoomBesideState);
+}
+
+TEST_CASE("a store that starts with a snapshot of a large state needs little memory beside it", "[store][memory]") {
+  const TemporaryFolder folder;
+  {
+    SingleStore store(folder.path(), kJobs);
+    REQUIRE(store.lead());
+    for (int number = 0; number < kJobs; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
+    REQUIRE(store.runUntil([&] { return store.status().snapshot_bytes > 0; }));
+  }
+  const std::size_t before = HeapMeter::held();
+  HeapMeter::resetPeak();
+  SingleStore again(folder.path(), kJobs);
+  REQUIRE(again.lead());
+  REQUIRE(again.state().jobs().size() == kJobs);
+  const std::size_t state = HeapMeter::held() - before;
+  INFO("state " << state / kMegabyte << " MB, at the most " << (HeapMeter::peak() - before) / kMegabyte << " MB");
+  CHECK(HeapMeter::peak() - before <= state + kRoomBesideState);
+}
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -89,14 +89,18 @@
             process.kill()
             process.log.close()
 
-    async def form(self, check, engines):
-        """Starts everything, puts a first configuration, starts the engines and waits until each gateway serves."""
+    async def form_without_engines(self, check):
+        """Starts everything and puts a first configuration."""
         self.start_all()
 
         async def taken():
             status, _, _ = await call(self.controls[0], "PUT", "/v1/config", document(5), timeout=2)
             return status == 200
         await eventually(check, "the first configuration is taken", taken, seconds=30)
+
+    async def form(self, check, engines):
+        """Also starts the engines, and waits until each gateway serves."""
+        await self.form_without_engines(check)
         for engine in engines:
             await engine.start()
         for gateway in self.gateways:
