--- a/bench/sim/control_machine.cpp
+++ b/bench/sim/control_machine.cpp
@@ -14,18 +14,31 @@
 constexpr Duration kAnnouncementInterval = fromMillis(1000);
 constexpr std::uint64_t kNeverManyEntries = 1'000'000'000;
 
+/// The state of a snapshot; absent where its file is not whole.
+std::optional<std::string> readPieces(consensus::SnapshotReader& reader) {
+  std::string state;
+  while (true) {
+    const Result<std::optional<std::string>> piece = reader.readPiece();
+    if (!isOk(piece)) return std::nullopt;
+    if (!valueOf(piece)) return state;
+    state += *valueOf(piece);
+  }
+}
+
 /// Empties the tables of remembered answers in all snapshots on a disk.
 void forgetResendTables(SimulatedDisk& disk) {
   for (const std::string& name : disk.namesContaining("/snapshot-")) {
-    const Result<std::string> bytes = disk.read(name);
-    Result<consensus::Snapshot> snapshot = consensus::decodeSnapshot(valueOf(bytes), name);
-    if (!isOk(snapshot)) continue;
-    nlohmann::json state = valueOf(decodeCbor(valueOf(snapshot).state));
+    consensus::SnapshotReader reader(disk, name);
+    const Result<consensus::SnapshotHeader> header = reader.readHeader();
+    if (!isOk(header)) continue;
+    const std::optional<std::string> whole = readPieces(reader);
+    if (!whole) continue;
+    nlohmann::json state = valueOf(decodeCbor(*whole));
     for (const char* table : {"answers", "claims"}) {
       if (state.contains(table)) state[table] = nlohmann::json::array();
     }
-    valueOf(snapshot).state = encodeCbor(state);
-    disk.replace(name, consensus::encodeSnapshot(valueOf(snapshot)));
+    disk.replace(name, consensus::encodeSnapshotHeader(valueOf(header)) +
+                           consensus::encodeSnapshotPiece(encodeCbor(state)) + consensus::encodeSnapshotEnd());
   }
 }
 
--- a/bench/sim/simulated_disk.cpp
+++ b/bench/sim/simulated_disk.cpp
@@ -35,6 +35,12 @@
   return file->second.content;
 }
 
+Result<std::uint64_t> SimulatedDisk::size(const std::string& name) {
+  const auto file = files_.find(name);
+  if (file == files_.end()) return noSuchFile(name);
+  return file->second.content.size();
+}
+
 Result<std::string> SimulatedDisk::readRange(const std::string& name, std::uint64_t offset, std::uint64_t length) {
   const auto file = files_.find(name);
   if (file == files_.end()) return noSuchFile(name);
--- a/bench/sim/simulated_disk.hpp
+++ b/bench/sim/simulated_disk.hpp
@@ -22,6 +22,7 @@
 
   Result<std::vector<std::string>> list(const std::string& folder) override;
   Result<std::string> read(const std::string& name) override;
+  Result<std::uint64_t> size(const std::string& name) override;
   Result<std::string> readRange(const std::string& name, std::uint64_t offset, std::uint64_t length) override;
   Status append(const std::string& name, std::string_view bytes) override;
   Status truncate(const std::string& name, std::uint64_t size) override;
--- a/src/process/consensus/log.cpp
+++ b/src/process/consensus/log.cpp
@@ -175,6 +175,15 @@
   return bytes;
 }
 
+LogIndex Log::firstIndexOfLast(std::uint64_t bytes) const {
+  std::uint64_t counted = 0;
+  for (auto segment = segments_.rbegin(); segment != segments_.rend(); ++segment) {
+    if (counted >= bytes) return segment->highest_index + 1;
+    counted += segment->bytes;
+  }
+  return first_index_;
+}
+
 void Log::append(LogEntry entry) {
   if (failed_) return;
   const LogIndex before = entry.index - 1;
--- a/src/process/consensus/log.hpp
+++ b/src/process/consensus/log.hpp
@@ -52,6 +52,8 @@
   /// Frees large payloads of commands that are durable, up to this index.
   void release(LogIndex index);
   std::uint64_t diskBytes() const;
+  /// The first entry of the newest segments that hold about so many bytes, or a segment more.
+  LogIndex firstIndexOfLast(std::uint64_t bytes) const;
 
   /// Adds an entry at its index; entries from there on are replaced. Durable after a later `synced` callback.
   void append(LogEntry entry);
--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -60,17 +60,18 @@
 Status Replica::load() {
   const Status record_loaded = loadRecord();
   if (!isOk(record_loaded)) return record_loaded;
-  const Result<std::optional<Snapshot>> loaded = snapshots_.load();
+  const Result<std::optional<SnapshotHeader>> loaded = snapshots_.load();
   if (!isOk(loaded)) return errorOf(loaded);
   SnapshotHeader header;
   if (record_.joined) header.membership = record_.pinned;
-  if (const std::optional<Snapshot>& snapshot = valueOf(loaded)) {
-    header = snapshot->header;
-    const Status restored = machine_->restore(snapshot->state);
+  if (valueOf(loaded)) {
+    header = *valueOf(loaded);
+    const Status restored = restoreWhole(header);
     if (!isOk(restored)) return restored;
   }
   committed_ = header.index;
   applied_ = header.index;
+  planNextSnapshot();
   Log::Callbacks callbacks{[this] { onSynced(); }, [this](const Error& error) { setFault(error); }};
   Result<std::unique_ptr<Log>> log = Log::open(disk_, folder_, header.index, header.term, std::move(callbacks));
   if (!isOk(log)) return errorOf(log);
@@ -102,6 +103,7 @@
   }
   tickFollowerReads();
   if (!fault_ && applied_ < committed_) applyCommitted();
+  if (!fault_) writeSnapshotSlice();
 }
 
 void Replica::receive(Instant now, const PeerMessage& message) {
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -19,6 +19,7 @@
 #include "process/consensus/replica_record.hpp"
 #include "process/consensus/replicated_group.hpp"
 #include "process/consensus/snapshot_store.hpp"
+#include "process/storage/record.hpp"
 
 namespace hatchfork::consensus {
 
@@ -45,6 +46,7 @@
   std::vector<Candidate> candidates(Instant now) const override;
   std::vector<PeerHealth> peerHealth(Instant now) const override;
   bool applyNextSlice(Instant now) override;
+  void releaseState() override { machine_->beginRestore(); }
   std::vector<PeerMessage> takeMessages() override;
   std::vector<RequestOutcome> takeOutcomes() override;
   GroupStatus status() const override;
@@ -99,20 +101,35 @@
     Duration pause{};
     Instant until{};
   };
+  /// A snapshot that a leader sends; its bytes go to its file as they come.
   struct IncomingSnapshot {
     Identity leader;
     LogIndex index = 0;
     Term term = 0;
     std::uint64_t total_bytes = 0;
-    std::string bytes;
+    std::uint64_t received_bytes = 0;
+    RecordStreamCheck check;
     bool writing = false;
   };
+  /// A snapshot of this replica's own state that is being written.
+  struct OwnSnapshot {
+    SnapshotHeader header;
+    Instant began_at{};
+    bool finished = false;
+  };
+  /// The state machine is taking up a snapshot; `applied_` is zero meanwhile, so that nobody reads it.
+  struct Restoring {
+    SnapshotHeader header;
+    SnapshotReader reader;
+  };
 
   Replica(const GroupOptions& options, Disk& disk, std::unique_ptr<StateMachine> machine, Instant now);
 
   // Opening, dispatch and outputs (replica.cpp).
   Status load();
   Status loadRecord();
+  /// Takes up the current snapshot at once: nobody waits for a replica that is being opened.
+  Status restoreWhole(const SnapshotHeader& header);
   void dispatch(const Identity& from, const Envelope& envelope);
   /// False if the message belongs to an old term and is to be ignored.
   bool settleTerm(const Identity& from, const Envelope& envelope);
@@ -214,14 +231,35 @@
 
   // Snapshots (replica_snapshot.cpp).
   void takeSnapshotIfDue();
+  bool isSnapshotDue() const;
+  /// Draws how much more than the least is applied before the next snapshot.
+  void planNextSnapshot();
+  void beginSnapshot();
+  /// Writes the next pieces of the snapshot that is under way, up to the size of a slice.
+  void writeSnapshotSlice();
+  void finishSnapshot();
+  void abandonOwnSnapshot(std::string_view cause);
+  /// A peer is being sent the current snapshot, whose file a newer one would take away.
+  bool isSendingSnapshot() const;
+  /// Every index before it may be forgotten by the log.
+  LogIndex firstIndexKept() const;
   void compactLog();
   void sendSnapshotChunk(const Identity& peer, Progress& progress);
   void handle(const Identity& from, const Envelope& envelope, const SnapshotChunk& chunk);
   void handle(const Identity& from, const Envelope& envelope, const SnapshotChunkReply& reply);
-  void writeIncomingSnapshot();
-  void installSnapshot(const Snapshot& snapshot);
+  Status storeChunk(const SnapshotChunk& chunk);
+  void finishIncomingSnapshot();
+  /// The snapshot is the durable current one: the log goes on from it, and the state takes it up.
+  void installSnapshot(const SnapshotHeader& header);
+  Status beginRestore(const SnapshotHeader& header);
+  /// Takes up the next pieces, up to the size of a slice.
+  void restoreSlice();
+  Status restoreNextPiece(std::uint64_t& bytes);
   void rebuildMemberships(const SnapshotHeader& header);
 
+  /// What the state may hold back for a snapshot under way; beyond it pieces are written at once.
+  static constexpr std::size_t kMostSnapshotBytesHeldBack = 2 << 20;
+
   GroupOptions options_;
   Disk& disk_;
   std::unique_ptr<StateMachine> machine_;
@@ -268,6 +306,12 @@
   std::uint64_t next_read_number_ = 0;
   std::optional<OwedAcknowledgement> owed_;
   std::optional<IncomingSnapshot> incoming_;
+  std::optional<OwnSnapshot> own_snapshot_;
+  std::optional<Restoring> restoring_;
+  /// Bytes of commands applied since the current snapshot, or since the one that is being written began.
+  std::uint64_t bytes_since_snapshot_ = 0;
+  /// By how much more than the least amount the next snapshot is put off, as a share; other members draw another one.
+  double snapshot_delay_ = 0;
 
   std::vector<ReplicaId> contacts_;
   std::size_t announcers_ = 0;
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -250,6 +250,8 @@
 }
 
 void Replica::applyCommitted() {
+  if (restoring_) restoreSlice();
+  if (restoring_ || fault_) return;
   std::uint64_t bytes = 0;
   std::size_t entries = 0;
   while (applied_ < committed_ && !fault_ && bytes < kMostBytesAppliedAtOnce && entries < kMostEntriesAppliedAtOnce) {
@@ -257,6 +259,7 @@
     ++entries;
   }
   if (fault_) return;
+  bytes_since_snapshot_ += bytes;
   // Members that are far behind are served from the file.
   if (applied_ > kEntriesKeptInMemory) log_->release(applied_ - kEntriesKeptInMemory);
   completeFollowerReads();
@@ -267,6 +270,7 @@
     if (removed) becomeFollower(record_.term, std::nullopt, "removed");
   }
   takeSnapshotIfDue();
+  if (machine_->snapshotBytesHeld() > kMostSnapshotBytesHeldBack) writeSnapshotSlice();
 }
 
 void Replica::applyEntry(const LogEntry& entry) {
--- a/src/process/consensus/replica_snapshot.cpp
+++ b/src/process/consensus/replica_snapshot.cpp
@@ -12,30 +12,131 @@
 constexpr std::uint64_t kChunkBytes = 256 * 1024;
 /// A chunk without an answer is sent again after this many heartbeat intervals.
 constexpr int kChunkResendIntervals = 3;
+/// A slice of writing or taking up a snapshot: some milliseconds on a third of a core.
+constexpr std::uint64_t kSliceBytes = 256 * 1024;
+/// A snapshot of a large state is due after this many times the bytes that are due after for a small one.
+constexpr std::uint64_t kMostIntervals = 4;
+/// The log kept behind a snapshot for members that are a little behind, by the bytes that a snapshot is due after.
+constexpr std::uint64_t kIntervalsKept = 2;
+/// The most by which a snapshot is put off, as a share of the least amount applied before it.
+constexpr double kMostSnapshotDelay = 0.25;
+/// A snapshot waits for a transfer of the one before it up to this many times that amount.
+constexpr double kMostTransferDelay = 2.0;
 
 }  // namespace
 
+void Replica::planNextSnapshot() {
+  snapshot_delay_ = std::uniform_real_distribution<double>(0, kMostSnapshotDelay)(random_);
+}
+
+bool Replica::isSendingSnapshot() const {
+  const Duration resend_after = kChunkResendIntervals * options_.timing.heartbeat_interval;
+  return std::any_of(progress_.begin(), progress_.end(), [&](const auto& entry) {
+    const Progress& progress = entry.second;
+    return progress.state == ReplicationState::kSnapshot && now_ < progress.chunk_sent_at + 2 * resend_after;
+  });
+}
+
+bool Replica::isSnapshotDue() const {
+  const double waits = isSendingSnapshot() ? kMostTransferDelay : 1 + snapshot_delay_;
+  const auto entries = static_cast<double>(applied_ - std::min(applied_, snapshots_.currentIndex()));
+  if (entries >= waits * static_cast<double>(options_.timing.snapshot_after_entries)) return true;
+  // As much as the snapshot itself, so that snapshots cost no more writing than the log does; but a start is to read no
+  // long log, and the disk to hold no long one beside two snapshots.
+  const std::uint64_t least_bytes = std::clamp(snapshots_.currentBytes(), options_.timing.snapshot_after_bytes,
+                                               kMostIntervals * options_.timing.snapshot_after_bytes);
+  return static_cast<double>(bytes_since_snapshot_) >= waits * static_cast<double>(least_bytes);
+}
+
 void Replica::takeSnapshotIfDue() {
-  if (snapshots_.writing() || applied_ < snapshots_.currentIndex() + options_.timing.snapshot_after_entries) return;
+  if (own_snapshot_ || incoming_ || restoring_ || snapshots_.writing() || !isSnapshotDue()) return;
+  beginSnapshot();
+}
+
+void Replica::beginSnapshot() {
   const std::optional<Term> term = log_->termAt(applied_);
   if (!term) return;
-  const SnapshotHeader header{applied_, *term, memberships_.at(applied_)};
-  std::string encoded = encodeSnapshot(Snapshot{header, machine_->snapshot()});
-  snapshots_.write(header, std::move(encoded), [this](const Status& written) {
+  const Status begun = snapshots_.begin(applied_);
+  if (!isOk(begun)) {
+    setFault(errorOf(begun));
+    return;
+  }
+  own_snapshot_ = OwnSnapshot{SnapshotHeader{applied_, *term, memberships_.at(applied_)}, now_, false};
+  logEvent(LogLevel::kInfo, "snapshot_started",
+           {{"group", options_.group},
+            {"index", applied_},
+            {"entries", applied_ - snapshots_.currentIndex()},
+            {"log_bytes", bytes_since_snapshot_},
+            {"last_bytes", snapshots_.currentBytes()}});
+  bytes_since_snapshot_ = 0;
+  machine_->beginSnapshot();
+  const Status written = snapshots_.append(encodeSnapshotHeader(own_snapshot_->header));
+  if (!isOk(written)) setFault(errorOf(written));
+}
+
+void Replica::writeSnapshotSlice() {
+  if (!own_snapshot_ || own_snapshot_->finished) return;
+  std::uint64_t bytes = 0;
+  while (bytes < kSliceBytes || machine_->snapshotBytesHeld() > kMostSnapshotBytesHeldBack) {
+    const std::optional<std::string> piece = machine_->nextSnapshotPiece();
+    if (!piece) {
+      finishSnapshot();
+      return;
+    }
+    const Status written = snapshots_.append(encodeSnapshotPiece(*piece));
     if (!isOk(written)) {
       setFault(errorOf(written));
       return;
     }
+    bytes += piece->size();
+  }
+}
+
+void Replica::finishSnapshot() {
+  const Status written = snapshots_.append(encodeSnapshotEnd());
+  if (!isOk(written)) {
+    setFault(errorOf(written));
+    return;
+  }
+  own_snapshot_->finished = true;
+  snapshots_.finish(own_snapshot_->header, [this](const Status& durable) {
+    const OwnSnapshot taken = *std::exchange(own_snapshot_, std::nullopt);
+    if (!isOk(durable)) {
+      setFault(errorOf(durable));
+      return;
+    }
+    logEvent(LogLevel::kInfo, "snapshot_written",
+             {{"group", options_.group},
+              {"index", taken.header.index},
+              {"bytes", snapshots_.currentBytes()},
+              {"took_ms", toMillis(now_ - taken.began_at)}});
+    planNextSnapshot();
     compactLog();
   });
 }
 
-void Replica::compactLog() {
+void Replica::abandonOwnSnapshot(std::string_view cause) {
+  if (!own_snapshot_) return;
+  logEvent(LogLevel::kInfo, "snapshot_abandoned",
+           {{"group", options_.group}, {"index", own_snapshot_->header.index}, {"cause", cause}});
+  own_snapshot_.reset();
+  machine_->abandonSnapshot();
+  snapshots_.abandon();
+}
+
+LogIndex Replica::firstIndexKept() const {
   const LogIndex kept = options_.timing.snapshot_after_entries;
   const LogIndex snapshot_index = snapshots_.currentIndex();
-  if (snapshot_index <= kept) return;
-  memberships_.compactTo(snapshot_index - kept);
-  const Status compacted = log_->compactBefore(snapshot_index - kept + 1);
+  const LogIndex by_entries = snapshot_index <= kept ? 1 : snapshot_index - kept + 1;
+  const LogIndex by_bytes = log_->firstIndexOfLast(kIntervalsKept * options_.timing.snapshot_after_bytes);
+  return std::max(by_entries, std::min(by_bytes, snapshot_index + 1));
+}
+
+void Replica::compactLog() {
+  const LogIndex first = firstIndexKept();
+  if (first <= 1) return;
+  memberships_.compactTo(first - 1);
+  const Status compacted = log_->compactBefore(first);
   if (!isOk(compacted)) setFault(errorOf(compacted));
 }
 
@@ -47,6 +148,11 @@
     progress.state = ReplicationState::kSnapshot;
     progress.snapshot_index = snapshots_.currentIndex();
     progress.snapshot_offset = 0;
+    logEvent(LogLevel::kInfo, "snapshot_send_started",
+             {{"group", options_.group},
+              {"to", peer.id.value},
+              {"index", progress.snapshot_index},
+              {"bytes", snapshots_.currentBytes()}});
   } else if (progress.chunk_sent && now_ < progress.chunk_sent_at + resend_after) {
     return;
   }
@@ -83,49 +189,60 @@
   resetElectionDeadline();
   if (incoming_ && incoming_->writing) return;
   if (chunk.last_index <= committed_) {
+    if (incoming_) snapshots_.abandon();
     incoming_.reset();
     send(from, AppendReply{true, std::min(committed_, log_->syncedIndex())});
     return;
   }
-  const bool continues = incoming_ && incoming_->leader == from && incoming_->index == chunk.last_index &&
-                         incoming_->term == chunk.last_term && incoming_->total_bytes == chunk.total_bytes;
+  const Status stored = storeChunk(chunk);
+  if (!isOk(stored)) {
+    setFault(errorOf(stored));
+    return;
+  }
+  send(from, SnapshotChunkReply{chunk.last_index, incoming_->received_bytes});
+  if (incoming_->received_bytes == incoming_->total_bytes) finishIncomingSnapshot();
+}
+
+Status Replica::storeChunk(const SnapshotChunk& chunk) {
+  const bool continues = incoming_ && leader_ && incoming_->leader == *leader_ &&
+                         incoming_->index == chunk.last_index && incoming_->term == chunk.last_term &&
+                         incoming_->total_bytes == chunk.total_bytes;
   if (!continues) {
-    incoming_ = IncomingSnapshot{from, chunk.last_index, chunk.last_term, chunk.total_bytes, {}, false};
+    abandonOwnSnapshot("a leader sends one");
+    const Status begun = snapshots_.begin(chunk.last_index);
+    if (!isOk(begun)) return begun;
+    incoming_ = IncomingSnapshot{*leader_, chunk.last_index, chunk.last_term, chunk.total_bytes, 0, {}, false};
+    logEvent(LogLevel::kInfo, "snapshot_receive_started",
+             {{"group", options_.group}, {"index", chunk.last_index}, {"bytes", chunk.total_bytes}});
   }
-  if (chunk.offset == incoming_->bytes.size()) incoming_->bytes += chunk.data;
-  send(from, SnapshotChunkReply{chunk.last_index, incoming_->bytes.size()});
-  if (incoming_->bytes.size() == incoming_->total_bytes) writeIncomingSnapshot();
+  if (chunk.offset != incoming_->received_bytes) return okStatus();
+  incoming_->received_bytes += chunk.data.size();
+  incoming_->check.take(chunk.data);
+  return snapshots_.append(chunk.data);
 }
 
-void Replica::writeIncomingSnapshot() {
-  if (snapshots_.writing()) return;
-  Result<Snapshot> decoded = decodeSnapshot(incoming_->bytes, "snapshot in transfer");
-  if (!isOk(decoded)) {
+void Replica::finishIncomingSnapshot() {
+  const Result<SnapshotHeader> header = snapshots_.reader(incoming_->index).readHeader();
+  const bool is_meant = isOk(header) && valueOf(header).index == incoming_->index;
+  if (!is_meant || !incoming_->check.endsWithEmptyRecord()) {
     logEvent(LogLevel::kWarning, "snapshot_transfer_restarted", {{"group", options_.group}});
     incoming_.reset();
+    snapshots_.abandon();
     return;
   }
   incoming_->writing = true;
-  const Snapshot snapshot = valueOf(std::move(decoded));
-  snapshots_.write(snapshot.header, std::move(incoming_->bytes), [this, snapshot](const Status& written) {
+  snapshots_.finish(valueOf(header), [this, header = valueOf(header)](const Status& written) {
     incoming_.reset();
     if (!isOk(written)) {
       setFault(errorOf(written));
       return;
     }
-    if (!fault_) installSnapshot(snapshot);
+    if (!fault_) installSnapshot(header);
   });
 }
 
-void Replica::installSnapshot(const Snapshot& snapshot) {
-  const SnapshotHeader& header = snapshot.header;
-  if (header.index > applied_) {
-    const Status restored = machine_->restore(snapshot.state);
-    if (!isOk(restored)) {
-      setFault(errorOf(restored));
-      return;
-    }
-    applied_ = header.index;
+void Replica::installSnapshot(const SnapshotHeader& header) {
+  if (header.index > applied_ || restoring_) {
     committed_ = std::max(committed_, header.index);
     if (log_->termAt(header.index) != header.term) {
       const Status reset = log_->resetTo(header.index, header.term);
@@ -135,11 +252,63 @@
       }
     }
     rebuildMemberships(header);
+    const Status begun = beginRestore(header);
+    if (!isOk(begun)) {
+      setFault(errorOf(begun));
+      return;
+    }
     applyCommitted();
   }
   if (leader_ && role_ == Role::kFollower) send(*leader_, AppendReply{true, header.index});
 }
 
+void Replica::restoreSlice() {
+  std::uint64_t bytes = 0;
+  while (restoring_ && bytes < kSliceBytes) {
+    const Status restored = restoreNextPiece(bytes);
+    if (isOk(restored)) continue;
+    setFault(errorOf(restored));
+    return;
+  }
+}
+
+Status Replica::restoreNextPiece(std::uint64_t& bytes) {
+  Result<std::optional<std::string>> piece = restoring_->reader.readPiece();
+  if (!isOk(piece)) return errorOf(piece);
+  if (valueOf(piece)) {
+    bytes += valueOf(piece)->size();
+    return machine_->restorePiece(*valueOf(std::move(piece)));
+  }
+  const Status restored = machine_->endRestore();
+  if (!isOk(restored)) return restored;
+  applied_ = restoring_->header.index;
+  bytes_since_snapshot_ = 0;
+  restoring_.reset();
+  planNextSnapshot();
+  logEvent(LogLevel::kInfo, "snapshot_restored",
+           {{"group", options_.group}, {"index", applied_}, {"bytes", snapshots_.currentBytes()}});
+  return okStatus();
+}
+
+Status Replica::beginRestore(const SnapshotHeader& header) {
+  applied_ = 0;
+  restoring_.emplace(Restoring{header, snapshots_.reader(header.index)});
+  machine_->beginRestore();
+  const Result<SnapshotHeader> first = restoring_->reader.readHeader();
+  return isOk(first) ? okStatus() : Status(errorOf(first));
+}
+
+Status Replica::restoreWhole(const SnapshotHeader& header) {
+  const Status begun = beginRestore(header);
+  if (!isOk(begun)) return begun;
+  std::uint64_t bytes = 0;
+  while (restoring_) {
+    const Status restored = restoreNextPiece(bytes);
+    if (!isOk(restored)) return restored;
+  }
+  return okStatus();
+}
+
 void Replica::rebuildMemberships(const SnapshotHeader& header) {
   memberships_.reset(header.index, header.membership);
   for (LogIndex index = std::max(header.index + 1, log_->firstIndex()); index <= log_->lastIndex(); ++index) {
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -45,6 +45,8 @@
   Duration election_timeout = fromMillis(500);
   /// Entries kept behind a snapshot for slow followers, and applied entries between two snapshots.
   std::uint64_t snapshot_after_entries = 5000;
+  /// Bytes of commands applied between two snapshots, where that comes first. A large state waits for more.
+  std::uint64_t snapshot_after_bytes = 8 << 20;
 };
 
 struct GroupOptions {
@@ -180,6 +182,9 @@
   /// false once all are applied. Each `tick` applies one as well.
   virtual bool applyNextSlice(Instant now) = 0;
 
+  /// Empties the state of a replica that has stopped, so that it needs no memory beside the one that is opened anew.
+  virtual void releaseState() = 0;
+
   virtual std::vector<PeerMessage> takeMessages() = 0;
   virtual std::vector<RequestOutcome> takeOutcomes() = 0;
   virtual GroupStatus status() const = 0;
--- a/src/process/consensus/snapshot_store.cpp
+++ b/src/process/consensus/snapshot_store.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -13,8 +12,8 @@
 namespace {
 
 constexpr std::string_view kFilePrefix = "snapshot-";
-/// Size of the records that the state is cut into.
-constexpr std::size_t kStateRecordBytes = 1 << 20;
+/// Synced bit by bit, so that no sync of the log waits long behind one of a whole snapshot.
+constexpr std::uint64_t kBytesBetweenSyncs = 4 << 20;
 
 /// Content of the pointer file.
 struct SnapshotPointer {
@@ -22,31 +21,58 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotPointer, index)
 
+std::string recordOf(std::string_view body) {
+  std::string bytes;
+  bytes.reserve(kRecordHeaderBytes + body.size());
+  appendRecord(bytes, body);
+  return bytes;
+}
+
 }  // namespace
 
-std::string encodeSnapshot(const Snapshot& snapshot) {
-  std::string bytes;
-  appendRecord(bytes, encodeStruct(snapshot.header));
-  const std::string_view state = snapshot.state;
-  for (std::size_t offset = 0; offset < state.size(); offset += kStateRecordBytes) {
-    appendRecord(bytes, state.substr(offset, kStateRecordBytes));
+std::string encodeSnapshotHeader(const SnapshotHeader& header) {
+  return recordOf(encodeStruct(header));
+}
+
+std::string encodeSnapshotPiece(std::string_view piece) {
+  return recordOf(piece);
+}
+
+std::string encodeSnapshotEnd() {
+  return recordOf({});
+}
+
+Result<std::string> SnapshotReader::readRecord() {
+  const Result<std::string> header_bytes = disk_->readRange(file_, offset_, kRecordHeaderBytes);
+  if (!isOk(header_bytes)) {
+    if (errorOf(header_bytes).kind != ErrorKind::kNotFound) return errorOf(header_bytes);
+    return storageCorruptError(file_, "the snapshot is missing");
   }
-  // An empty record marks the end, so that a cut at a record's end is noticed.
-  appendRecord(bytes, {});
-  return bytes;
+  const std::optional<RecordHeader> header = readRecordHeader(valueOf(header_bytes));
+  if (!header) return storageCorruptError(file_, "the snapshot is cut short or damaged");
+  Result<std::string> body = disk_->readRange(file_, offset_ + kRecordHeaderBytes, header->body_bytes);
+  if (!isOk(body)) return errorOf(body);
+  if (!header->matches(valueOf(body))) return storageCorruptError(file_, "the snapshot is cut short or damaged");
+  offset_ += kRecordHeaderBytes + header->body_bytes;
+  return body;
 }
 
-Result<Snapshot> decodeSnapshot(std::string_view bytes, const std::string& file) {
-  const Result<ScannedRecords> scanned = scanRecords(bytes, file);
-  if (!isOk(scanned)) return errorOf(scanned);
-  const ScannedRecords& records = valueOf(scanned);
-  const bool whole = !records.torn_tail && records.bodies.size() >= 2 && records.bodies.back().empty();
-  if (!whole) return storageCorruptError(file, "the snapshot is cut short");
-  const Result<SnapshotHeader> header = decodeStruct<SnapshotHeader>(records.bodies.front());
-  if (!isOk(header)) return storageCorruptError(file, "the snapshot's header cannot be read");
-  Snapshot snapshot{valueOf(header), {}};
-  for (std::size_t i = 1; i < records.bodies.size(); ++i) snapshot.state += records.bodies[i];
-  return snapshot;
+Result<SnapshotHeader> SnapshotReader::readHeader() {
+  const Result<std::string> body = readRecord();
+  if (!isOk(body)) return errorOf(body);
+  const Result<SnapshotHeader> header = decodeStruct<SnapshotHeader>(valueOf(body));
+  if (!isOk(header)) return storageCorruptError(file_, "the snapshot's header cannot be read");
+  return header;
+}
+
+Result<std::optional<std::string>> SnapshotReader::readPiece() {
+  Result<std::string> body = readRecord();
+  if (!isOk(body)) return errorOf(body);
+  if (!valueOf(body).empty()) return std::optional<std::string>(valueOf(std::move(body)));
+  const Result<std::uint64_t> bytes = disk_->size(file_);
+  if (!isOk(bytes)) return errorOf(bytes);
+  if (valueOf(bytes) != offset_) return storageCorruptError(file_, "something follows on the snapshot's end");
+  return std::optional<std::string>();
 }
 
 SnapshotStore::SnapshotStore(Disk& disk, std::string folder)
@@ -60,53 +86,82 @@
   return folder_ + "/snapshot";
 }
 
-Result<std::optional<Snapshot>> SnapshotStore::load() {
+Result<std::optional<SnapshotHeader>> SnapshotStore::load() {
   const Result<std::string> pointer_bytes = disk_.read(pointerName());
   if (!isOk(pointer_bytes)) {
     if (errorOf(pointer_bytes).kind != ErrorKind::kNotFound) return errorOf(pointer_bytes);
     const Status removed = removeOthers(0);
     if (!isOk(removed)) return errorOf(removed);
-    return std::optional<Snapshot>();
+    return std::optional<SnapshotHeader>();
   }
   const Result<ScannedRecords> scanned = scanRecords(valueOf(pointer_bytes), pointerName());
   if (!isOk(scanned)) return errorOf(scanned);
   if (valueOf(scanned).bodies.size() != 1) return storageCorruptError(pointerName(), "the pointer cannot be read");
   const Result<SnapshotPointer> pointer = decodeStruct<SnapshotPointer>(valueOf(scanned).bodies.front());
   if (!isOk(pointer)) return storageCorruptError(pointerName(), "the pointer cannot be read");
-  const std::string name = fileName(valueOf(pointer).index);
-  const Result<std::string> bytes = disk_.read(name);
-  if (!isOk(bytes)) {
-    if (errorOf(bytes).kind == ErrorKind::kNotFound) return storageCorruptError(name, "the snapshot is missing");
-    return errorOf(bytes);
-  }
-  Result<Snapshot> snapshot = decodeSnapshot(valueOf(bytes), name);
-  if (!isOk(snapshot)) return errorOf(snapshot);
-  current_ = valueOf(snapshot).header;
-  current_bytes_ = valueOf(bytes).size();
+  const LogIndex index = valueOf(pointer).index;
+  Result<SnapshotHeader> header = reader(index).readHeader();
+  if (!isOk(header)) return errorOf(header);
+  const Result<std::uint64_t> bytes = disk_.size(fileName(index));
+  if (!isOk(bytes)) return errorOf(bytes);
+  current_ = valueOf(std::move(header));
+  current_bytes_ = valueOf(bytes);
   const Status removed = removeOthers(current_.index);
   if (!isOk(removed)) return errorOf(removed);
-  return std::optional<Snapshot>(valueOf(std::move(snapshot)));
+  return std::optional<SnapshotHeader>(current_);
 }
 
-void SnapshotStore::write(const SnapshotHeader& header, std::string encoded, std::function<void(const Status&)> done) {
-  const std::string name = fileName(header.index);
-  const std::uint64_t bytes = encoded.size();
-  Status written = okStatus();
+Status SnapshotStore::begin(LogIndex index) {
+  abandon();
   // A former try at the same index may have left a part of the file behind.
-  const Status removed = disk_.remove(name);
-  if (!isOk(removed) && errorOf(removed).kind != ErrorKind::kNotFound) written = removed;
-  if (isOk(written)) written = disk_.append(name, encoded);
-  if (!isOk(written)) {
-    done(written);
-    return;
-  }
-  writing_ = true;
-  disk_.sync(name, [self = std::weak_ptr<SnapshotStore*>(self_), header, bytes, done](const Status& synced) {
+  const Status removed = disk_.remove(fileName(index));
+  if (!isOk(removed) && errorOf(removed).kind != ErrorKind::kNotFound) return removed;
+  writing_index_ = index;
+  written_bytes_ = 0;
+  unsynced_bytes_ = 0;
+  sync_failure_.reset();
+  ++attempt_;
+  return okStatus();
+}
+
+Status SnapshotStore::append(std::string_view bytes) {
+  const Status written = disk_.append(fileName(writing_index_), bytes);
+  if (!isOk(written)) return written;
+  written_bytes_ += bytes.size();
+  unsynced_bytes_ += bytes.size();
+  if (unsynced_bytes_ >= kBytesBetweenSyncs) syncInBackground();
+  return okStatus();
+}
+
+void SnapshotStore::syncInBackground() {
+  unsynced_bytes_ = 0;
+  disk_.sync(fileName(writing_index_),
+             [self = std::weak_ptr<SnapshotStore*>(self_), attempt = attempt_](const Status& synced) {
+               const auto store = self.lock();
+               if (!store || (*store)->attempt_ != attempt || isOk(synced)) return;
+               (*store)->sync_failure_ = errorOf(synced);
+             });
+}
+
+void SnapshotStore::finish(const SnapshotHeader& header, std::function<void(const Status&)> done) {
+  auto on_synced = [self = std::weak_ptr<SnapshotStore*>(self_), attempt = attempt_, header,
+                    done = std::move(done)](const Status& synced) {
     const auto store = self.lock();
-    if (!store) return;
-    (*store)->writing_ = false;
-    done(isOk(synced) ? (*store)->makeCurrent(header, bytes) : synced);
-  });
+    if (!store || (*store)->attempt_ != attempt || !(*store)->writing()) return;
+    (*store)->writing_index_ = 0;
+    Status outcome = synced;
+    if ((*store)->sync_failure_) outcome = *(*store)->sync_failure_;
+    done(isOk(outcome) ? (*store)->makeCurrent(header, (*store)->written_bytes_) : outcome);
+  };
+  disk_.sync(fileName(writing_index_), std::move(on_synced));
+}
+
+void SnapshotStore::abandon() {
+  if (!writing()) return;
+  // What can't be removed now is removed with the next snapshot, or at the next start.
+  disk_.remove(fileName(writing_index_));
+  writing_index_ = 0;
+  ++attempt_;
 }
 
 Status SnapshotStore::makeCurrent(const SnapshotHeader& header, std::uint64_t bytes) {
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -151,7 +151,7 @@
   flush();
 }
 
-/// The faulty replica stays until another one is open: its state is still read, though nothing fresh comes of it.
+/// The faulty replica stays until another one is open, but its state is empty from then on: two may not fit.
 void GroupHost::reopenAfterFault(Instant now) {
   if (!replica_->hasFault()) return;
   if (!fault_seen_) {
@@ -164,6 +164,7 @@
   }
   if (now < reopen_at_) return;
   fault_seen_ = false;
+  replica_->releaseState();
   const Status opened = openReplica();
   if (isOk(opened)) return;
   logEvent(LogLevel::kError, "replica_open_failed", {{"group", options_.group}, {"error", describe(errorOf(opened))}});
--- a/src/process/fleet/metrics_server.cpp
+++ b/src/process/fleet/metrics_server.cpp
@@ -30,6 +30,8 @@
   page.gauge("hatchfork_group_members", "Members of the group, learners included.",
              static_cast<double>(status.membership.members.size()));
   page.gauge("hatchfork_group_log_bytes", "Bytes of the log on this disk.", static_cast<double>(status.log_bytes));
+  page.gauge("hatchfork_group_snapshot_bytes", "Bytes of the current snapshot on this disk.",
+             static_cast<double>(status.snapshot_bytes));
   page.gauge("hatchfork_group_fault", "One while the replica has stopped taking part.", status.fault ? 1 : 0);
 }
 
--- a/src/process/storage/disk.hpp
+++ b/src/process/storage/disk.hpp
@@ -27,6 +27,8 @@
   virtual Result<std::vector<std::string>> list(const std::string& folder) = 0;
   /// Whole content of a file; `kNotFound` if absent.
   virtual Result<std::string> read(const std::string& name) = 0;
+  /// Bytes of a file; `kNotFound` if absent.
+  virtual Result<std::uint64_t> size(const std::string& name) = 0;
   /// Part of a file; shorter than `length` at the end of the file.
   virtual Result<std::string> readRange(const std::string& name, std::uint64_t offset, std::uint64_t length) = 0;
   /// Adds bytes at the end; creates the file and its folders where absent.
--- a/src/process/storage/posix_disk.cpp
+++ b/src/process/storage/posix_disk.cpp
@@ -113,10 +113,16 @@
   return names;
 }
 
-Result<std::string> PosixDisk::read(const std::string& name) {
+Result<std::uint64_t> PosixDisk::size(const std::string& name) {
   struct stat status {};
   if (::stat(pathOf(name).c_str(), &status) != 0) return storageError("read", name, errno);
-  return readRange(name, 0, static_cast<std::uint64_t>(status.st_size));
+  return static_cast<std::uint64_t>(status.st_size);
+}
+
+Result<std::string> PosixDisk::read(const std::string& name) {
+  const Result<std::uint64_t> bytes = size(name);
+  if (!isOk(bytes)) return errorOf(bytes);
+  return readRange(name, 0, valueOf(bytes));
 }
 
 Result<std::string> PosixDisk::readRange(const std::string& name, std::uint64_t offset, std::uint64_t length) {
--- a/src/process/storage/record.cpp
+++ b/src/process/storage/record.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kCheckBytes = 4;
-constexpr std::size_t kHeaderBytes = kLengthBytes + kCheckBytes + 8;
+static_assert(kRecordHeaderBytes == kLengthBytes + kCheckBytes + sizeof(std::uint64_t));
 constexpr std::size_t kSectorBytes = 512;
 /// Fewer zeros at the end of a record may be its content.
 constexpr std::size_t kLeastZeroRun = 8;
@@ -57,27 +57,79 @@
   out += body;
 }
 
+bool RecordHeader::matches(std::string_view body) const {
+  return body.size() == body_bytes && XXH3_64bits(body.data(), body.size()) == body_check;
+}
+
+std::optional<RecordHeader> readRecordHeader(std::string_view bytes) {
+  if (bytes.size() < kRecordHeaderBytes) return std::nullopt;
+  const std::string_view length_bytes = bytes.substr(0, kLengthBytes);
+  const auto check = readNumber<std::uint32_t>(bytes.substr(kLengthBytes, kCheckBytes));
+  if (lengthCheck(length_bytes) != check) return std::nullopt;
+  return RecordHeader{readNumber<std::uint32_t>(length_bytes),
+                      readNumber<std::uint64_t>(bytes.substr(kLengthBytes + kCheckBytes, sizeof(std::uint64_t)))};
+}
+
+void RecordStreamCheck::FreeHash::operator()(XXH3_state_s* state) const {
+  XXH3_freeState(state);
+}
+
+RecordStreamCheck::RecordStreamCheck() : hash_(XXH3_createState()) {}
+
+void RecordStreamCheck::take(std::string_view bytes) {
+  while (!damaged_ && !bytes.empty()) {
+    if (header_.size() < kRecordHeaderBytes) {
+      takeHeader(bytes);
+    } else {
+      takeBody(bytes);
+    }
+  }
+}
+
+void RecordStreamCheck::takeHeader(std::string_view& bytes) {
+  const std::string_view taken = bytes.substr(0, kRecordHeaderBytes - header_.size());
+  header_ += taken;
+  bytes.remove_prefix(taken.size());
+  if (header_.size() < kRecordHeaderBytes) return;
+  const std::optional<RecordHeader> header = readRecordHeader(header_);
+  damaged_ = !header;
+  if (damaged_) return;
+  record_ = *header;
+  body_left_ = record_.body_bytes;
+  XXH3_64bits_reset(hash_.get());
+  if (body_left_ == 0) takeBody(bytes);
+}
+
+void RecordStreamCheck::takeBody(std::string_view& bytes) {
+  const std::string_view taken = bytes.substr(0, body_left_);
+  XXH3_64bits_update(hash_.get(), taken.data(), taken.size());
+  bytes.remove_prefix(taken.size());
+  body_left_ -= taken.size();
+  if (body_left_ > 0) return;
+  damaged_ = XXH3_64bits_digest(hash_.get()) != record_.body_check;
+  last_body_bytes_ = record_.body_bytes;
+  header_.clear();
+}
+
 Result<ScannedRecords> scanRecords(std::string_view bytes, const std::string& file) {
   ScannedRecords records;
   while (records.whole_bytes < bytes.size()) {
     const std::string_view rest = bytes.substr(records.whole_bytes);
-    if (rest.size() < kHeaderBytes || onlyZeros(rest)) {
+    if (rest.size() < kRecordHeaderBytes || onlyZeros(rest)) {
       records.torn_tail = true;
       return records;
     }
-    const std::string_view length_bytes = rest.substr(0, kLengthBytes);
     const std::string position = " at byte " + std::to_string(records.whole_bytes);
-    if (lengthCheck(length_bytes) != readNumber<std::uint32_t>(rest.substr(kLengthBytes, kCheckBytes))) {
+    const std::optional<RecordHeader> header = readRecordHeader(rest);
+    if (!header) {
       // The header may straddle the sector that was not written.
       records.torn_tail = endsInUnwrittenSector(bytes, records.whole_bytes);
       if (records.torn_tail) return records;
       return storageCorruptError(file, "a record header does not match its checksum" + position);
     }
-    const std::size_t length = readNumber<std::uint32_t>(length_bytes);
-    const std::string_view body = rest.substr(kHeaderBytes, length);
-    const auto expected = readNumber<std::uint64_t>(rest.substr(kLengthBytes + kCheckBytes, 8));
-    const bool matches = body.size() == length && XXH3_64bits(body.data(), body.size()) == expected;
-    if (!matches) {
+    const std::size_t length = header->body_bytes;
+    const std::string_view body = rest.substr(kRecordHeaderBytes, length);
+    if (!header->matches(body)) {
       const bool cut_short = body.size() < length;
       if (!cut_short && !endsInUnwrittenSector(bytes, records.whole_bytes)) {
         return storageCorruptError(file, "a record does not match its checksum" + position);
@@ -86,7 +138,7 @@
       return records;
     }
     records.bodies.push_back(body);
-    records.whole_bytes += kHeaderBytes + length;
+    records.whole_bytes += kRecordHeaderBytes + length;
   }
   return records;
 }
--- /dev/null
+++ b/src/process/store/job_snapshot.cpp
@@ -0,0 +1,213 @@
+#include "process/store/job_snapshot.hpp"
+
+#include <utility>
+
+#include "common/codec.hpp"
+
+namespace hatchfork::store {
+namespace {
+
+using Json = nlohmann::json;
+
+/// CBOR's marks of maps and lists without a length in front (RFC 8949, section 3.2.2).
+constexpr char kMapBegins = static_cast<char>(0xbf);
+constexpr char kListBegins = static_cast<char>(0x9f);
+constexpr char kEnds = static_cast<char>(0xff);
+/// Small jobs share a piece up to this size.
+constexpr std::size_t kPieceBytes = 64 * 1024;
+
+void appendCbor(std::string& out, const Json& value) {
+  Json::to_cbor(value, out);
+}
+
+/// The field's name, and the mark of a list that is filled item by item.
+void beginList(std::string& out, std::string_view name) {
+  appendCbor(out, Json(name));
+  out += kListBegins;
+}
+
+/// All fields of a submission but its items.
+void appendFieldsBesideItems(std::string& out, const JobSubmission& submission) {
+  JobSubmission head;
+  head.id = submission.id;
+  head.tenant = submission.tenant;
+  head.host = submission.host;
+  head.path = submission.path;
+  head.submitted_at = submission.submitted_at;
+  const Json fields = head;
+  for (const auto& [name, value] : fields.items()) {
+    if (name == "items") continue;
+    appendCbor(out, Json(name));
+    appendCbor(out, value);
+  }
+}
+
+const OpaqueItem& itemOf(const StoredJob& job, const JobBefore* before, std::size_t position) {
+  if (before != nullptr) {
+    const auto listed = before->listed.find(position);
+    if (listed != before->listed.end()) return listed->second;
+  }
+  return job.submission.items[position];
+}
+
+/// Null where the item had no progress.
+const ItemRunProgress* progressOf(const StoredJob& job, const JobBefore* before, std::size_t position) {
+  if (before != nullptr) {
+    const auto kept = before->progress.find(position);
+    if (kept != before->progress.end()) return kept->second ? &*kept->second : nullptr;
+  }
+  const auto held = job.progress.find(job.submission.items[position].id);
+  return held == job.progress.end() ? nullptr : &held->second;
+}
+
+ItemProgress storedForm(const JobId& job, const std::string& item, const ItemRunProgress& progress) {
+  return ItemProgress{job,
+                      item,
+                      0,
+                      0,
+                      progress.last_event,
+                      progress.chain,
+                      progress.text,
+                      progress.failures,
+                      std::vector<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
+}
+
+std::size_t textBytes(const std::optional<ItemRunProgress>& progress) {
+  return progress ? progress->text.size() : 0;
+}
+
+}  // namespace
+
+std::string_view snapshotHead() {
+  static const std::string head = [] {
+    std::string bytes(1, kMapBegins);
+    beginList(bytes, "jobs");
+    return bytes;
+  }();
+  return head;
+}
+
+std::string encodeTail(const SnapshotTail& tail) {
+  std::string bytes(1, kEnds);
+  const Json fields = tail;
+  for (const auto& [name, value] : fields.items()) {
+    appendCbor(bytes, Json(name));
+    appendCbor(bytes, value);
+  }
+  bytes += kEnds;
+  return bytes;
+}
+
+bool isTail(std::string_view piece) {
+  return piece.starts_with(kEnds);
+}
+
+Result<SnapshotTail> decodeTail(std::string_view piece) {
+  return decodeStruct<SnapshotTail>(std::string(1, kMapBegins).append(piece.substr(1)));
+}
+
+Result<std::vector<JobSnapshot>> decodeJobs(std::string_view piece) {
+  std::string list;
+  list.reserve(piece.size() + 2);
+  list += kListBegins;
+  list += piece;
+  list += kEnds;
+  return decodeStruct<std::vector<JobSnapshot>>(list);
+}
+
+void appendJob(std::string& piece, const StoredJob& job, const JobBefore* before) {
+  const JobSubmission& submission = job.submission;
+  const std::size_t results = before == nullptr ? job.results.size() : before->results;
+  piece += kMapBegins;
+  appendCbor(piece, Json("ended"));
+  appendCbor(piece, Json(before == nullptr ? job.ended : before->ended));
+  beginList(piece, "progress");
+  for (std::size_t position = 0; position < submission.items.size(); ++position) {
+    const ItemRunProgress* progress = progressOf(job, before, position);
+    if (progress != nullptr) {
+      appendCbor(piece, Json(storedForm(submission.id, submission.items[position].id, *progress)));
+    }
+  }
+  piece += kEnds;
+  beginList(piece, "results");
+  for (std::size_t position = 0; position < results; ++position) appendCbor(piece, Json(job.results[position]));
+  piece += kEnds;
+  appendCbor(piece, Json("submission"));
+  piece += kMapBegins;
+  appendFieldsBesideItems(piece, submission);
+  beginList(piece, "items");
+  for (std::size_t position = 0; position < submission.items.size(); ++position) {
+    appendCbor(piece, Json(itemOf(job, before, position)));
+  }
+  piece += kEnds;
+  piece += kEnds;
+  piece += kEnds;
+}
+
+JobSnapshotCut::JobSnapshotCut(const std::map<JobId, StoredJob>& jobs, const SnapshotTail& tail)
+    : tail_(encodeTail(tail)) {
+  for (const auto& [id, job] : jobs) {
+    JobBefore before;
+    before.results = job.results.size();
+    before.ended = job.ended;
+    pending_.emplace_hint(pending_.end(), id, std::move(before));
+  }
+}
+
+std::optional<std::string> JobSnapshotCut::nextPiece(const std::map<JobId, StoredJob>& jobs) {
+  if (!std::exchange(head_given_, true)) return std::string(snapshotHead());
+  if (pending_.empty()) {
+    if (std::exchange(tail_given_, true)) return std::nullopt;
+    return tail_;
+  }
+  std::string piece;
+  while (!pending_.empty() && piece.size() < kPieceBytes) appendNext(piece, jobs);
+  return piece;
+}
+
+void JobSnapshotCut::appendNext(std::string& piece, const std::map<JobId, StoredJob>& jobs) {
+  const JobId id = changed_.empty() ? pending_.begin()->first : *changed_.begin();
+  const auto next = pending_.find(id);
+  const JobBefore& before = next->second;
+  appendJob(piece, before.dropped ? *before.dropped : jobs.at(id), &before);
+  for (const auto& [position, item] : before.listed) bytes_held_ -= item.body.size();
+  for (const auto& [position, progress] : before.progress) bytes_held_ -= textBytes(progress);
+  if (before.dropped) bytes_held_ -= before.dropped->textBytes();
+  changed_.erase(id);
+  pending_.erase(next);
+}
+
+JobBefore* JobSnapshotCut::changing(const JobId& job) {
+  const auto found = pending_.find(job);
+  if (found == pending_.end() || found->second.dropped) return nullptr;
+  changed_.insert(job);
+  return &found->second;
+}
+
+void JobSnapshotCut::beforeListing(const StoredJob& job, std::size_t position, OpaqueItem& item) {
+  beforeProgress(job, position);
+  JobBefore* before = changing(job.submission.id);
+  if (before == nullptr) return;
+  OpaqueItem kept{item.id, item.target, std::move(item.headers), std::move(item.body), item.tokens};
+  bytes_held_ += kept.body.size();
+  before->listed.emplace(position, std::move(kept));
+}
+
+void JobSnapshotCut::beforeProgress(const StoredJob& job, std::size_t position) {
+  JobBefore* before = changing(job.submission.id);
+  if (before == nullptr || before->progress.contains(position)) return;
+  std::optional<ItemRunProgress> kept;
+  const auto held = job.progress.find(job.submission.items[position].id);
+  if (held != job.progress.end()) kept = held->second;
+  bytes_held_ += textBytes(kept);
+  before->progress.emplace(position, std::move(kept));
+}
+
+void JobSnapshotCut::beforeDrop(StoredJob& job) {
+  JobBefore* before = changing(job.submission.id);
+  if (before == nullptr) return;
+  bytes_held_ += job.textBytes();
+  before->dropped = std::move(job);
+}
+
+}  // namespace hatchfork::store
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -9,25 +9,17 @@
 namespace hatchfork::store {
 namespace {
 
-/// A job as it travels in snapshots.
-struct JobSnapshot {
-  JobSubmission submission;
-  std::vector<ItemResult> results;
-  std::vector<ItemProgress> progress;
-  bool ended = false;
-};
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSnapshot, submission, results, progress, ended)
-
+/// A whole snapshot.
 struct StateSnapshot {
   std::vector<JobSnapshot> jobs;
-  std::deque<std::uint64_t> refused_attempts;
+  std::vector<std::uint64_t> refused_attempts;
   std::vector<KeptCrash> crashes;
 };
 /// Snapshots of older programs have no refusals and no crashes.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts, crashes)
 
 /// True if it counts a failure that was not counted before.
-bool noteFailures(StoredJob::Progress& progress, const ItemProgress& entry) {
+bool noteFailures(ItemRunProgress& progress, const ItemProgress& entry) {
   std::uint32_t failures = progress.failures;
   for (const std::uint64_t run : entry.failed_runs) {
     if (progress.failed_runs.insert(run).second) ++failures;
@@ -146,6 +138,7 @@
   }
   OpaqueItem& item = job.submission.items[open->second];
   held_bytes_ -= item.body.size();
+  if (cut_) cut_->beforeListing(job, open->second, item);
   if (progress != job.progress.end()) held_bytes_ -= progress->second.text.size();
   held_bytes_ += result.text.size();
   releaseMemory(item.body);
@@ -169,8 +162,11 @@
   bool saved = false;
   for (const ItemProgress& entry : command.items) {
     const auto job = jobs_.find(entry.job);
-    if (job == jobs_.end() || !job->second.open_items.contains(entry.item)) continue;
-    StoredJob::Progress& progress = job->second.progress[entry.item];
+    if (job == jobs_.end()) continue;
+    const auto open = job->second.open_items.find(entry.item);
+    if (open == job->second.open_items.end()) continue;
+    if (cut_) cut_->beforeProgress(job->second, open->second);
+    ItemRunProgress& progress = job->second.progress[entry.item];
     saved = noteFailures(progress, entry) || saved;
     const bool follows = progress.last_event == entry.after_event && progress.chain == entry.after_chain;
     if (!follows || entry.last_event <= entry.after_event) continue;
@@ -198,9 +194,8 @@
   for (const JobId& id : command.jobs) {
     const auto job = jobs_.find(id);
     if (job == jobs_.end()) continue;
-    for (const OpaqueItem& item : job->second.submission.items) held_bytes_ -= item.body.size();
-    for (const ItemResult& result : job->second.results) held_bytes_ -= result.text.size();
-    for (const auto& [item, progress] : job->second.progress) held_bytes_ -= progress.text.size();
+    held_bytes_ -= job->second.textBytes();
+    if (cut_) cut_->beforeDrop(job->second);
     jobs_.erase(job);
     changed(id);
     dropped = true;
@@ -221,59 +216,120 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+std::size_t StoredJob::textBytes() const {
+  std::size_t bytes = 0;
+  for (const OpaqueItem& item : submission.items) bytes += item.body.size();
+  for (const ItemResult& result : results) bytes += result.text.size();
+  for (const auto& [item, kept] : progress) bytes += kept.text.size();
+  return bytes;
+}
+
+SnapshotTail JobState::tail() const {
+  return SnapshotTail{std::vector<std::uint64_t>(refused_attempts_.begin(), refused_attempts_.end()),
+                      kept_crashes_.all()};
+}
+
 std::string JobState::snapshot() const {
-  StateSnapshot snapshot;
-  for (const auto& [id, job] : jobs_) {
-    // In the order of the submission, since equal states must give equal bytes.
-    std::vector<ItemProgress> progress;
-    for (const OpaqueItem& item : job.submission.items) {
-      const auto kept = job.progress.find(item.id);
-      if (kept != job.progress.end()) {
-        const StoredJob::Progress& entry = kept->second;
-        progress.push_back({id, item.id, 0, 0, entry.last_event, entry.chain, entry.text, entry.failures,
-                            std::vector<std::uint64_t>(entry.failed_runs.begin(), entry.failed_runs.end())});
-      }
-    }
-    snapshot.jobs.push_back({job.submission, job.results, std::move(progress), job.ended});
-  }
-  snapshot.refused_attempts = refused_attempts_;
-  snapshot.crashes = kept_crashes_.all();
-  return encodeStruct(snapshot);
+  std::string bytes(snapshotHead());
+  for (const auto& [id, job] : jobs_) appendJob(bytes, job, nullptr);
+  return bytes += encodeTail(tail());
+}
+
+void JobState::beginSnapshot() {
+  cut_.emplace(jobs_, tail());
+}
+
+std::optional<std::string> JobState::nextSnapshotPiece() {
+  if (!cut_) return std::nullopt;
+  std::optional<std::string> piece = cut_->nextPiece(jobs_);
+  if (!piece) cut_.reset();
+  return piece;
 }
 
 Status JobState::restore(std::string_view bytes) {
   Result<StateSnapshot> decoded = decodeStruct<StateSnapshot>(bytes);
   if (!isOk(decoded)) return errorOf(decoded);
+  StateSnapshot& whole = valueOf(decoded);
+  clear();
+  takeUp(SnapshotTail{std::move(whole.refused_attempts), std::move(whole.crashes)});
+  for (JobSnapshot& entry : whole.jobs) takeUp(std::move(entry));
+  return okStatus();
+}
+
+void JobState::clear() {
+  cut_.reset();
   jobs_.clear();
   held_bytes_ = 0;
-  refused_attempts_ = std::move(valueOf(decoded).refused_attempts);
+  refused_attempts_.clear();
   kept_crashes_ = {};
-  kept_crashes_.add(valueOf(decoded).crashes);
-  for (JobSnapshot& entry : valueOf(decoded).jobs) {
-    const JobId id = entry.submission.id;
-    addJob(std::move(entry.submission));
-    StoredJob& job = jobs_.at(id);
-    job.results = std::move(entry.results);
-    job.ended = entry.ended;
-    for (const ItemResult& result : job.results) {
-      const auto open = job.open_items.find(result.id);
-      if (open != job.open_items.end()) {
-        job.open_tokens -= job.submission.items[open->second].tokens;
-        job.open_items.erase(open);
-      }
-      held_bytes_ += result.text.size();
-    }
-    for (ItemProgress& progress : entry.progress) {
-      held_bytes_ += progress.text.size();
-      job.progress[progress.item] =
-          StoredJob::Progress{progress.last_event, progress.chain, std::move(progress.text), progress.failures,
-                              std::set<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
+}
+
+void JobState::takeUp(const SnapshotTail& tail) {
+  refused_attempts_.assign(tail.refused_attempts.begin(), tail.refused_attempts.end());
+  kept_crashes_ = {};
+  kept_crashes_.add(tail.crashes);
+}
+
+void JobState::takeUp(JobSnapshot entry) {
+  const JobId id = entry.submission.id;
+  addJob(std::move(entry.submission));
+  StoredJob& job = jobs_.at(id);
+  job.results = std::move(entry.results);
+  job.ended = entry.ended;
+  for (const ItemResult& result : job.results) {
+    const auto open = job.open_items.find(result.id);
+    if (open != job.open_items.end()) {
+      job.open_tokens -= job.submission.items[open->second].tokens;
+      job.open_items.erase(open);
     }
-    changed(id);
+    held_bytes_ += result.text.size();
   }
+  for (ItemProgress& progress : entry.progress) {
+    held_bytes_ += progress.text.size();
+    job.progress[progress.item] =
+        ItemRunProgress{progress.last_event, progress.chain, std::move(progress.text), progress.failures,
+                        std::set<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
+  }
+  changed(id);
+}
+
+void JobState::beginRestore() {
+  clear();
+  releaseMemory(uncut_);
+  restoring_in_pieces_ = false;
+  tail_taken_up_ = false;
+}
+
+Status JobState::restorePiece(std::string piece) {
+  const bool is_first = !restoring_in_pieces_ && uncut_.empty();
+  if (is_first && piece == snapshotHead()) {
+    restoring_in_pieces_ = true;
+    return okStatus();
+  }
+  if (!restoring_in_pieces_) {
+    uncut_ += piece;
+    return okStatus();
+  }
+  if (isTail(piece)) {
+    const Result<SnapshotTail> tail = decodeTail(piece);
+    if (!isOk(tail)) return errorOf(tail);
+    takeUp(valueOf(tail));
+    tail_taken_up_ = true;
+    return okStatus();
+  }
+  Result<std::vector<JobSnapshot>> jobs = decodeJobs(piece);
+  if (!isOk(jobs)) return errorOf(jobs);
+  releaseMemory(piece);
+  for (JobSnapshot& entry : valueOf(jobs)) takeUp(std::move(entry));
   return okStatus();
 }
 
+Status JobState::endRestore() {
+  if (restoring_in_pieces_) return tail_taken_up_ ? okStatus() : Status(protocolError("the snapshot has no tail"));
+  const std::string whole = std::exchange(uncut_, {});
+  return restore(whole);
+}
+
 ResultsReply resultsFrom(const StoredJob& job, std::uint64_t from, std::size_t most_bytes) {
   ResultsReply reply;
   reply.total = job.submission.items.size();
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -258,6 +258,11 @@
 }
 
 void StoreProgram::fillMetrics(metrics::MetricsPage& page) const {
+  // First, since collectors may keep only the beginning of a long page.
+  page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
+  page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
+  page.gauge("hatchfork_snapshot_held_bytes", "Bytes that are held only for a snapshot that is being written.",
+             static_cast<double>(state_->snapshotBytesHeld()));
   fleet::fillGroupMetrics(page, group_->status());
   const JobExecutorCounters& counters = executor_->counters();
   const auto items = [&page](const char* outcome, std::uint64_t value) {
@@ -326,8 +331,6 @@
              static_cast<double>(crash_relay_.receivers()));
   fleet::fillReleaseMetrics(page, fleet::leastReleaseOf(feed_->view().stores),
                             frames_.passedOver() + feed_->framesPassedOver());
-  page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
-  page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
 }
 
 void StoreProgram::fillLineMetrics(metrics::MetricsPage& page) const {
--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
+#include <set>
 
 #include "tests/process/consensus/test_cluster.hpp"
 
@@ -283,6 +285,54 @@
   CHECK(cluster.machine(*follower).values().size() == 100);
 }
 
+TEST_CASE("a follower that is killed again and again while it takes up a snapshot serves in the end", "[consensus]") {
+  constexpr std::uint64_t kSeeds = 20;
+  constexpr int kKills = 10;
+  Timing timing;
+  timing.snapshot_after_entries = 20;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    TestCluster cluster(seed, 5, timing);
+    cluster.startAll();
+    sim::ReplicaHost* follower = cluster.follower();
+    follower->crash();
+    // Some chunks, some pieces.
+    const std::string large(100'000, 'x');
+    for (int i = 0; i < 45; ++i) REQUIRE(cluster.write("key" + std::to_string(i) + "=" + large));
+    std::mt19937_64 random(seed);
+    for (int kill = 0; kill < kKills; ++kill) {
+      REQUIRE(isOk(follower->start()));
+      cluster.run(static_cast<std::int64_t>(random() % 150));
+      random() % 2 == 0 ? follower->kill() : follower->crash();
+      REQUIRE(cluster.write("after" + std::to_string(kill) + "=1"));
+    }
+    REQUIRE(isOk(follower->start()));
+    cluster.run(8000);
+    CHECK(cluster.machine(*follower).values() == cluster.machine(*cluster.leader()).values());
+  }
+}
+
+TEST_CASE("members take their snapshots at moments of their own", "[consensus]") {
+  Timing timing;
+  timing.snapshot_after_entries = 100;
+  TestCluster cluster(1, 5, timing);
+  cluster.startAll();
+  for (int i = 0; i < 100; ++i) REQUIRE(cluster.write("key=" + std::to_string(i)));
+  std::map<ReplicaId, LogIndex> first_seen;
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(cluster.write("key=" + std::to_string(i)));
+    cluster.run(200);
+    for (const auto& [name, host] : cluster.hosts()) {
+      const GroupStatus status = host->group(0)->status();
+      if (status.snapshot_bytes > 0) first_seen.emplace(name, status.applied);
+    }
+  }
+  REQUIRE(first_seen.size() == cluster.hosts().size());
+  std::set<LogIndex> moments;
+  for (const auto& [name, index] : first_seen) moments.insert(index);
+  CHECK(moments.size() > 1);
+}
+
 TEST_CASE("restart of all replicas keeps the state, and the log stays bounded", "[consensus]") {
   Timing timing;
   timing.snapshot_after_entries = 50;
--- a/tests/process/storage/record_test.cpp
+++ b/tests/process/storage/record_test.cpp
@@ -77,5 +77,27 @@
   }
 }
 
+TEST_CASE("records that come in pieces are checked like whole ones", "[storage]") {
+  std::string bytes;
+  appendRecord(bytes, "first");
+  appendRecord(bytes, std::string(1000, 'x'));
+  appendRecord(bytes, {});
+  for (std::size_t piece = 1; piece < bytes.size(); piece += 7) {
+    RecordStreamCheck check;
+    for (std::size_t offset = 0; offset < bytes.size(); offset += piece) {
+      REQUIRE_FALSE(check.endsWithEmptyRecord());
+      check.take(std::string_view(bytes).substr(offset, piece));
+    }
+    REQUIRE(check.endsWithEmptyRecord());
+  }
+  for (std::size_t damaged = 0; damaged < bytes.size(); ++damaged) {
+    std::string other = bytes;
+    other[damaged] = static_cast<char>(other[damaged] ^ 1);
+    RecordStreamCheck check;
+    check.take(other);
+    REQUIRE_FALSE(check.endsWithEmptyRecord());
+  }
+}
+
 }  // namespace
 }  // namespace hatchfork
--- a/tests/process/store/store_group_memory_test.cpp
+++ b/tests/process/store/store_group_memory_test.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kRoomBesideState = 8 * kMegabyte;
 constexpr int kJobs = 60;
 constexpr int kItemsPerJob = 70;
+constexpr int kEntriesBeforeSnapshot = 2 * kJobs;
 constexpr std::size_t kBodyBytes = 7000;
 
 /// A folder below the system's temporary one, removed at the end.
@@ -40,8 +41,9 @@
 /// A store group of one replica on the real disk.
 class SingleStore {
  public:
-  SingleStore(const std::string& folder, std::uint64_t snapshot_after_entries)
-      : host_(context_, options(folder, snapshot_after_entries), make(), adopt(), drop()) {
+  /// Unless told otherwise, a snapshot falls due by entries alone: one of all that was applied before.
+  explicit SingleStore(const std::string& folder, std::uint64_t snapshot_after_bytes = std::uint64_t{1} << 40)
+      : host_(context_, options(folder, snapshot_after_bytes), make(), adopt(), drop()) {
     started_ = isOk(host_.start());
   }
 
@@ -71,14 +73,15 @@
   }
 
  private:
-  static fleet::GroupHostOptions options(const std::string& folder, std::uint64_t snapshot_after_entries) {
+  static fleet::GroupHostOptions options(const std::string& folder, std::uint64_t snapshot_after_bytes) {
     fleet::GroupHostOptions options;
     options.group = 1;
     options.self = ReplicaId("10.0.0.1");
     options.data_folder = folder;
     options.formation_members = {ReplicaId("10.0.0.1")};
     options.may_form = true;
-    options.timing.snapshot_after_entries = snapshot_after_entries;
+    options.timing.snapshot_after_entries = kEntriesBeforeSnapshot;
+    options.timing.snapshot_after_bytes = snapshot_after_bytes;
     return options;
   }
   fleet::GroupHost::MachineFactory make() {
@@ -109,20 +112,34 @@
   return made;
 }
 
+/// Small entries until a snapshot of the whole state is there.
+bool applyUntilSnapshot(SingleStore& store) {
+  for (int i = 0; i < 2 * kEntriesBeforeSnapshot && store.status().snapshot_bytes == 0; ++i) {
+    if (!store.apply(EndJob{JobId("unknown"), TenantId()})) return false;
+  }
+  return store.runUntil([&] { return store.status().snapshot_bytes > 0; });
+}
+
+bool submitAll(SingleStore& store) {
+  for (int number = 0; number < kJobs; ++number) {
+    if (!store.apply(SubmitJob{job(number), {}, 0})) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 TEST_CASE("a store that takes a snapshot of a large state needs little memory beside the state", "[store][memory]") {
   const TemporaryFolder folder;
-  SingleStore store(folder.path(), kJobs);
+  SingleStore store(folder.path());
   REQUIRE(store.started());
   REQUIRE(store.lead());
-  for (int number = 0; number < kJobs - 2; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
+  REQUIRE(submitAll(store));
   REQUIRE(store.status().snapshot_bytes == 0);
   const std::size_t before = HeapMeter::held();
   HeapMeter::resetPeak();
-  // The last two entries make the snapshot due.
-  for (int number = kJobs - 2; number < kJobs; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
-  REQUIRE(store.runUntil([&] { return store.status().snapshot_bytes > 0; }));
+  REQUIRE(applyUntilSnapshot(store));
+  REQUIRE(store.status().snapshot_bytes > store.state().heldBytes());
   INFO("held " << before / kMegabyte << " MB, at the most " << HeapMeter::peak() / kMegabyte << " MB");
   CHECK(HeapMeter::peak() <= before + kRoomBesideState);
 }
@@ -130,17 +147,36 @@
 TEST_CASE("a store that starts with a snapshot of a large state needs little memory beside it", "[store][memory]") {
   const TemporaryFolder folder;
   {
-    SingleStore store(folder.path(), kJobs);
+    SingleStore store(folder.path());
     REQUIRE(store.lead());
-    for (int number = 0; number < kJobs; ++number) REQUIRE(store.apply(SubmitJob{job(number), {}, 0}));
-    REQUIRE(store.runUntil([&] { return store.status().snapshot_bytes > 0; }));
+    REQUIRE(submitAll(store));
+    REQUIRE(applyUntilSnapshot(store));
   }
   const std::size_t before = HeapMeter::held();
   HeapMeter::resetPeak();
-  SingleStore again(folder.path(), kJobs);
+  SingleStore again(folder.path());
   REQUIRE(again.lead());
   REQUIRE(again.state().jobs().size() == kJobs);
   const std::size_t state = HeapMeter::held() - before;
   INFO("state " << state / kMegabyte << " MB, at the most " << (HeapMeter::peak() - before) / kMegabyte << " MB");
   CHECK(HeapMeter::peak() - before <= state + kRoomBesideState);
 }
+
+TEST_CASE("a snapshot falls due by the bytes of its log, so that a start has no long one to read",
+          "[store][snapshot]") {
+  const TemporaryFolder folder;
+  SingleStore store(folder.path(), kMegabyte);
+  REQUIRE(store.lead());
+  REQUIRE(submitAll(store));
+  REQUIRE(store.runUntil([&] { return store.status().snapshot_bytes > 0; }));
+  REQUIRE(store.status().applied < kEntriesBeforeSnapshot);
+}
+
+TEST_CASE("a replica that has stopped holds no state beside the one that takes its place", "[store][memory]") {
+  JobState state;
+  state.apply(1, encodeTagged(JobCommand(SubmitJob{job(1), {}, 0})));
+  REQUIRE(state.heldBytes() > 0);
+  state.beginRestore();
+  REQUIRE(state.heldBytes() == 0);
+  REQUIRE(state.jobs().empty());
+}
