--- a/src/process/consensus/log.cpp
+++ b/src/process/consensus/log.cpp
@@ -175,6 +175,12 @@
   return bytes;
 }
 
+std::size_t Log::payloadBytesHeld() const {
+  std::size_t bytes = pending_.size();
+  for (const Held& held : entries_) bytes += held.entry.payload.size();
+  return bytes;
+}
+
 LogIndex Log::firstIndexOfLast(std::uint64_t bytes) const {
   std::uint64_t counted = 0;
   for (auto segment = segments_.rbegin(); segment != segments_.rend(); ++segment) {
--- a/src/process/consensus/log.hpp
+++ b/src/process/consensus/log.hpp
@@ -52,6 +52,8 @@
   /// Frees large payloads of commands that are durable, up to this index.
   void release(LogIndex index);
   std::uint64_t diskBytes() const;
+  /// Bytes of payloads that are held in memory. Looks at every entry.
+  std::size_t payloadBytesHeld() const;
   /// The first entry of the newest segments that hold about so many bytes, or a segment more.
   LogIndex firstIndexOfLast(std::uint64_t bytes) const;
 
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -50,6 +50,7 @@
   std::vector<PeerMessage> takeMessages() override;
   std::vector<RequestOutcome> takeOutcomes() override;
   GroupStatus status() const override;
+  std::size_t logBytesInMemory() const override { return log_->payloadBytesHeld(); }
   Role role() const override;
   Term term() const override { return record_.term; }
   std::optional<ReplicaId> leader() const override { return leaderName(); }
@@ -312,6 +313,8 @@
   std::uint64_t bytes_since_snapshot_ = 0;
   /// By how much more than the least amount the next snapshot is put off, as a share; other members draw another one.
   double snapshot_delay_ = 0;
+  /// None is begun before.
+  Instant next_snapshot_ = Instant::min();
 
   std::vector<ReplicaId> contacts_;
   std::size_t announcers_ = 0;
--- a/src/process/consensus/replica_snapshot.cpp
+++ b/src/process/consensus/replica_snapshot.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint64_t kMostIntervals = 4;
 /// The log kept behind a snapshot for members that are a little behind, by the bytes that a snapshot is due after.
 constexpr std::uint64_t kIntervalsKept = 2;
+/// What the state may hold back while the disk takes nothing; beyond it the snapshot is given up for a while.
+constexpr std::size_t kMostBytesHeldForDisk = 4 << 20;
+constexpr Duration kPauseAfterAbandoned = std::chrono::seconds(5);
 /// The most by which a snapshot is put off, as a share of the least amount applied before it.
 constexpr double kMostSnapshotDelay = 0.25;
 /// A snapshot waits for a transfer of the one before it up to this many times that amount.
@@ -49,8 +52,8 @@
 }
 
 void Replica::takeSnapshotIfDue() {
-  if (own_snapshot_ || incoming_ || restoring_ || snapshots_.writing() || !isSnapshotDue()) return;
-  beginSnapshot();
+  if (own_snapshot_ || incoming_ || restoring_ || snapshots_.writing() || now_ < next_snapshot_) return;
+  if (isSnapshotDue()) beginSnapshot();
 }
 
 void Replica::beginSnapshot() {
@@ -76,6 +79,11 @@
 
 void Replica::writeSnapshotSlice() {
   if (!own_snapshot_ || own_snapshot_->finished) return;
+  if (snapshots_.isSyncing()) {
+    const bool held_too_long = machine_->snapshotBytesHeld() > kMostBytesHeldForDisk;
+    if (held_too_long) abandonOwnSnapshot("the disk is slow");
+    return;
+  }
   std::uint64_t bytes = 0;
   while (bytes < kSliceBytes || machine_->snapshotBytesHeld() > kMostSnapshotBytesHeldBack) {
     const std::optional<std::string> piece = machine_->nextSnapshotPiece();
@@ -120,6 +128,7 @@
   logEvent(LogLevel::kInfo, "snapshot_abandoned",
            {{"group", options_.group}, {"index", own_snapshot_->header.index}, {"cause", cause}});
   own_snapshot_.reset();
+  next_snapshot_ = now_ + kPauseAfterAbandoned;
   machine_->abandonSnapshot();
   snapshots_.abandon();
 }
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -188,6 +188,8 @@
   virtual std::vector<PeerMessage> takeMessages() = 0;
   virtual std::vector<RequestOutcome> takeOutcomes() = 0;
   virtual GroupStatus status() const = 0;
+  /// Bytes of the log that are held in memory. Looks at every entry.
+  virtual std::size_t logBytesInMemory() const = 0;
   // Parts of the status that drivers ask for often.
   virtual Role role() const = 0;
   virtual Term term() const = 0;
--- a/src/process/consensus/snapshot_store.cpp
+++ b/src/process/consensus/snapshot_store.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::string_view kFilePrefix = "snapshot-";
 /// Synced bit by bit, so that no sync of the log waits long behind one of a whole snapshot.
-constexpr std::uint64_t kBytesBetweenSyncs = 4 << 20;
+constexpr std::uint64_t kBytesBetweenSyncs = 256 * 1024;
 
 /// Content of the pointer file.
 struct SnapshotPointer {
@@ -119,6 +119,7 @@
   writing_index_ = index;
   written_bytes_ = 0;
   unsynced_bytes_ = 0;
+  syncs_running_ = 0;
   sync_failure_.reset();
   ++attempt_;
   return okStatus();
@@ -135,12 +136,14 @@
 
 void SnapshotStore::syncInBackground() {
   unsynced_bytes_ = 0;
-  disk_.sync(fileName(writing_index_),
-             [self = std::weak_ptr<SnapshotStore*>(self_), attempt = attempt_](const Status& synced) {
-               const auto store = self.lock();
-               if (!store || (*store)->attempt_ != attempt || isOk(synced)) return;
-               (*store)->sync_failure_ = errorOf(synced);
-             });
+  ++syncs_running_;
+  auto on_synced = [self = std::weak_ptr<SnapshotStore*>(self_), attempt = attempt_](const Status& synced) {
+    const auto store = self.lock();
+    if (!store || (*store)->attempt_ != attempt) return;
+    --(*store)->syncs_running_;
+    if (!isOk(synced)) (*store)->sync_failure_ = errorOf(synced);
+  };
+  disk_.sync(fileName(writing_index_), std::move(on_synced));
 }
 
 void SnapshotStore::finish(const SnapshotHeader& header, std::function<void(const Status&)> done) {
--- a/src/process/consensus/snapshot_store.hpp
+++ b/src/process/consensus/snapshot_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -64,6 +65,8 @@
   /// Gives up the file that is being written; its `done` is not called.
   void abandon();
   bool writing() const { return writing_index_ != 0; }
+  /// A sync of what was appended has not ended: more would wait for the disk.
+  bool isSyncing() const { return writing() && syncs_running_ > 0; }
   /// Index of the current snapshot; zero for none.
   LogIndex currentIndex() const { return current_.index; }
   const SnapshotHeader& current() const { return current_; }
@@ -88,6 +91,7 @@
   LogIndex writing_index_ = 0;
   std::uint64_t written_bytes_ = 0;
   std::uint64_t unsynced_bytes_ = 0;
+  std::size_t syncs_running_ = 0;
   /// The first failure of a sync of that file.
   std::optional<Error> sync_failure_;
   /// Tells the callbacks of a file that was given up from those of its successor.
--- a/src/process/consensus/state_machine.cpp
+++ b/src/process/consensus/state_machine.cpp
@@ -7,7 +7,7 @@
 namespace hatchfork::consensus {
 namespace {
 
-constexpr std::size_t kPieceBytes = 1 << 20;
+constexpr std::size_t kPieceBytes = 256 * 1024;
 
 }  // namespace
 
--- a/src/process/consensus/state_machine.hpp
+++ b/src/process/consensus/state_machine.hpp
@@ -30,8 +30,9 @@
   /// Replaces the whole state by that of a snapshot.
   virtual Status restore(std::string_view bytes) = 0;
 
-  /// A snapshot in pieces, which joined stand for the state at `beginSnapshot`, whatever is applied between the pieces. A state that can be large overrides these functions; here it is one text, which is handed out
-  /// piece by piece. A snapshot that is begun anew, or restored meanwhile, ends the one that is under way.
+  /// A snapshot in pieces, which joined stand for the state at `beginSnapshot`, whatever is applied between the pieces.
+  /// A state that can be large overrides these functions; here it is one text, which is handed out piece by piece. A
+  /// snapshot that is begun anew, or restored meanwhile, ends the one that is under way.
   virtual void beginSnapshot();
   /// The next piece; absent once all were handed out, and where none is under way.
   virtual std::optional<std::string> nextSnapshotPiece();
--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -312,6 +312,23 @@
   }
 }
 
+TEST_CASE("a snapshot goes on only as fast as the disk takes it", "[consensus]") {
+  Timing timing;
+  timing.snapshot_after_entries = 20;
+  TestCluster cluster(1, 1, timing);
+  cluster.startAll();
+  const std::string large(100'000, 'x');
+  for (int i = 0; i < 19; ++i) REQUIRE(cluster.write("key" + std::to_string(i) + "=" + large));
+  sim::ReplicaHost& host = cluster.host(1);
+  host.disk().setSyncLatency(fromMillis(1500));
+  for (int i = 0; i < 5; ++i) REQUIRE(cluster.write("last=1"));
+  cluster.run(1000);
+  CHECK(host.group(0)->status().snapshot_bytes == 0);
+  cluster.run(20'000);
+  CHECK(host.group(0)->status().snapshot_bytes > 1'900'000);
+  CHECK_FALSE(host.group(0)->hasFault());
+}
+
 TEST_CASE("members take their snapshots at moments of their own", "[consensus]") {
   Timing timing;
   timing.snapshot_after_entries = 100;
