One budget for a store's memory, and one bound over the frames that peers don't take

FrameConnection counts what all connections hold: beyond the limit a peer that has not taken its share loses its connection, one that has taken all is always sent the next frame.

Not counted: texts of runs (bounded by number).

--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -1,6 +1,9 @@
 #include "connection/frame_connection.hpp"
 
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <limits>
 #include <utility>
 
 #include "common/log.hpp"
@@ -23,6 +26,11 @@
 /// A peer that takes no bytes and answers no probe for this long is given up.
 constexpr Duration kSilentPeerTimeout = std::chrono::seconds(2);
 
+/// Of all connections of the process, which may belong to several threads.
+std::atomic<std::size_t> outbox_limit{std::numeric_limits<std::size_t>::max()};
+std::atomic<std::size_t> outbox_total{0};
+std::atomic<std::size_t> connections{0};
+
 std::array<unsigned char, 4> encodeLength(std::uint32_t length) {
   return {static_cast<unsigned char>(length >> 24), static_cast<unsigned char>(length >> 16),
           static_cast<unsigned char>(length >> 8), static_cast<unsigned char>(length)};
@@ -39,6 +47,35 @@
   boost::system::error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   detectSilentPeer(socket_, kSilentPeerTimeout);
+  ++connections;
+}
+
+FrameConnection::~FrameConnection() {
+  noteOutbox(0, outbox_bytes_);
+  --connections;
+}
+
+void FrameConnection::setOutboxLimit(std::size_t bytes) {
+  outbox_limit = bytes;
+}
+
+std::size_t FrameConnection::outboxBytesOfProcess() {
+  return outbox_total;
+}
+
+void FrameConnection::noteOutbox(std::size_t added, std::size_t taken) {
+  outbox_bytes_ += added;
+  outbox_bytes_ -= taken;
+  outbox_total += added;
+  outbox_total -= taken;
+}
+
+bool FrameConnection::isOverfull(std::size_t frame_bytes) const {
+  const std::size_t queued = outbox_bytes_ + frame_bytes;
+  if (frame_bytes > kLargestFrame || queued > kMostQueuedBytes) return true;
+  // A peer that has taken all before may always be sent one frame.
+  if (outbox_bytes_ == 0 || outbox_total + frame_bytes <= outbox_limit) return false;
+  return queued > outbox_limit / std::max<std::size_t>(1, connections);
 }
 
 void FrameConnection::start() {
@@ -49,15 +86,16 @@
 
 void FrameConnection::send(const std::string& body) {
   if (!open_) return;
-  if (body.size() > kLargestFrame || outbox_bytes_ + body.size() > kMostQueuedBytes) {
-    logEvent(LogLevel::kWarning, "frame_queue_overflow", {{"queued", outbox_bytes_}, {"frame", body.size()}});
+  if (isOverfull(body.size())) {
+    logEvent(LogLevel::kWarning, "frame_queue_overflow",
+             {{"queued", outbox_bytes_}, {"frame", body.size()}, {"queued_by_all", outbox_total.load()}});
     close();
     return;
   }
   const std::array<unsigned char, 4> length = encodeLength(static_cast<std::uint32_t>(body.size()));
   std::string frame(length.begin(), length.end());
   frame += body;
-  outbox_bytes_ += frame.size();
+  noteOutbox(frame.size(), 0);
   outbox_.push_back(std::move(frame));
   if (writing_) return;
   writing_ = true;
@@ -105,7 +143,7 @@
     std::string frame = std::move(outbox_.front());
     outbox_.pop_front();
     co_await asio::async_write(socket_, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
-    outbox_bytes_ -= frame.size();
+    noteOutbox(0, frame.size());
     if (error) break;
     bytes_sent_ += frame.size();
   }
--- a/src/connection/frame_connection.hpp
+++ b/src/connection/frame_connection.hpp
@@ -22,6 +22,9 @@
   using CloseHandler = std::function<void()>;
 
   FrameConnection(tcp::socket socket, FrameHandler on_frame, CloseHandler on_close);
+  ~FrameConnection();
+  FrameConnection(const FrameConnection&) = delete;
+  FrameConnection& operator=(const FrameConnection&) = delete;
 
   /// Starts to read. Keep the object in a shared_ptr.
   void start();
@@ -29,6 +32,11 @@
   void send(const std::string& body);
   void close();
   bool isOpen() const { return open_; }
+  /// What all connections of the process may hold together that peers have not taken, in bytes. Beyond it a peer that
+  /// has not taken its share loses its connection. Unless set, each connection has a bound of its own alone.
+  static void setOutboxLimit(std::size_t bytes);
+  /// What all connections hold now. May be asked by any thread.
+  static std::size_t outboxBytesOfProcess();
   /// Bytes sent and received so far, frame headers included; the control plane's cost is read from these.
   std::uint64_t bytesSent() const { return bytes_sent_; }
   std::uint64_t bytesReceived() const { return bytes_received_; }
@@ -36,6 +44,9 @@
  private:
   Awaitable<void> readLoop();
   Awaitable<void> writeLoop();
+  /// True if the frame would be more than this connection may hold, by itself or beside all others.
+  bool isOverfull(std::size_t frame_bytes) const;
+  void noteOutbox(std::size_t added, std::size_t taken);
 
   tcp::socket socket_;
   FrameHandler on_frame_;
--- a/src/process/fleet/fleet_settings.cpp
+++ b/src/process/fleet/fleet_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "process/memory/memory_budget.hpp"
 #include "process/settings/settings_reader.hpp"
 
 namespace hatchfork::fleet {
@@ -87,6 +88,10 @@
   values.load = readLoadFeatures(reader);
   values.rate_limits.appointments = values.load.return_appointments;
   values.memory_mb = static_cast<std::uint32_t>(reader.integer("memory_mb", 16, kLargestMemory, 256));
+  if (role == ProcessRole::kStore) {
+    const Status divisible = memory::MemoryBudget::check(values.memory_mb);
+    if (!isOk(divisible)) reader.reject("memory_mb", errorOf(divisible).message, errorOf(divisible).remedy);
+  }
   values.grace = reader.seconds("grace_s", 0.5, 600, std::chrono::seconds(8));
   values.metrics = readMetrics(reader);
   const Status finished = reader.finish();
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -80,6 +80,7 @@
   /// Leads as far as this replica knows, confirmed by a quorum or not.
   bool isLeader() const { return replica_ && replica_->role() == consensus::Role::kLeader; }
   consensus::GroupStatus status() const;
+  std::size_t logBytesInMemory() const { return replica_ ? replica_->logBytesInMemory() : 0; }
   std::optional<ReplicaId> leader() const;
   consensus::Term term() const { return replica_ ? replica_->term() : 0; }
   /// Runs after each change of role, outcome or applied entry that this host has processed.
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -95,6 +95,12 @@
   return 1 + static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
 }
 
+std::size_t bodyBytesOf(const JobSubmission& job) {
+  std::size_t bytes = 0;
+  for (const OpaqueItem& item : job.items) bytes += item.body.size();
+  return bytes;
+}
+
 std::uint64_t tokensOf(const JobSubmission& job) {
   std::uint64_t tokens = 0;
   for (const OpaqueItem& item : job.items) tokens += item.tokens;
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -89,6 +89,9 @@
 /// Events whose data a text joins by line feeds.
 std::uint64_t eventsIn(std::string_view text);
 
+/// Bytes of the bodies of all items of a job.
+std::size_t bodyBytesOf(const JobSubmission& job);
+
 /// Tokens of all items of a job.
 std::uint64_t tokensOf(const JobSubmission& job);
 
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -46,6 +46,7 @@
       crash_relay_(crashes_,
                    [this](const ReplicaId& to, const FleetMessage& message) { return links_.send(to, message); }),
       crash_timer_(context_),
+      memory_(settings_.memory_mb),
       aggregator_(settings_.self(), engine_keys_,
                   [this](const ReplicaId& to, const fleet::LoadTotalsFrame& totals) { links_.send(to, totals); }),
       own_load_(
@@ -69,6 +70,7 @@
 StoreProgram::~StoreProgram() = default;
 
 Status StoreProgram::start() {
+  connection::FrameConnection::setOutboxLimit(memory_.part(memory::MemoryHolder::kOutboxes));
   JobExecutorOptions executor_options;
   executor_options.self = settings_.self();
   executor_options.zone = settings_.zone;
@@ -259,10 +261,7 @@
 
 void StoreProgram::fillMetrics(metrics::MetricsPage& page) const {
   // First, since collectors may keep only the beginning of a long page.
-  page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
-  page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
-  page.gauge("hatchfork_snapshot_held_bytes", "Bytes that are held only for a snapshot that is being written.",
-             static_cast<double>(state_->snapshotBytesHeld()));
+  fillMemoryMetrics(page);
   fleet::fillGroupMetrics(page, group_->status());
   const JobExecutorCounters& counters = executor_->counters();
   const auto items = [&page](const char* outcome, std::uint64_t value) {
@@ -333,6 +332,29 @@
                             frames_.passedOver() + feed_->framesPassedOver());
 }
 
+void StoreProgram::fillMemoryMetrics(metrics::MetricsPage& page) const {
+  using memory::MemoryHolder;
+  page.gauge("hatchfork_jobs_held", "Jobs that are kept.", static_cast<double>(state_->jobs().size()));
+  page.gauge("hatchfork_held_bytes", "Bytes of bodies and texts in memory.", static_cast<double>(state_->heldBytes()));
+  for (const MemoryHolder holder : {MemoryHolder::kState, MemoryHolder::kSnapshot, MemoryHolder::kLog,
+                                    MemoryHolder::kRequests, MemoryHolder::kOutboxes}) {
+    const std::vector<metrics::Label> labels = {{"holder", std::string(memory::nameOf(holder))}};
+    page.gauge("hatchfork_memory_held_bytes", "Bytes that a holder has, as last counted.",
+               static_cast<double>(memory_.held(holder)), labels);
+    page.gauge("hatchfork_memory_part_bytes", "Bytes that a holder may have.",
+               static_cast<double>(memory_.part(holder)), labels);
+  }
+}
+
+void StoreProgram::measureMemory() {
+  using memory::MemoryHolder;
+  memory_.note(MemoryHolder::kState, state_->heldBytes());
+  memory_.note(MemoryHolder::kSnapshot, state_->snapshotBytesHeld());
+  memory_.note(MemoryHolder::kLog, group_->logBytesInMemory());
+  memory_.note(MemoryHolder::kRequests, submission_bytes_);
+  memory_.note(MemoryHolder::kOutboxes, connection::FrameConnection::outboxBytesOfProcess());
+}
+
 void StoreProgram::fillLineMetrics(metrics::MetricsPage& page) const {
   const PlacementCounters& line = placement_.counters();
   const auto left = [&page](const char* outcome, std::uint64_t value) {
@@ -391,6 +413,7 @@
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
+  measureMemory();
   rate_limits_.expire(now);
   placement_.expire(now);
   crash_relay_.tick(now);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -18,6 +18,7 @@
 #include "process/fleet/load_reporter.hpp"
 #include "process/fleet/metrics_server.hpp"
 #include "process/fleet/peer_links.hpp"
+#include "process/memory/memory_budget.hpp"
 #include "process/store/crash_relay.hpp"
 #include "process/store/item_runner.hpp"
 #include "process/store/job_executor.hpp"
@@ -100,7 +101,11 @@
   void onView(const fleet::FleetView& view, const fleet::FleetChange& change);
   void takeDirectory(Instant now, const fleet::FleetView& view);
   std::vector<fleet::StorePresence> presence() const;
-  bool mayStoreMore() const;
+  /// Why a submission of so many bytes finds no room here; empty if it does.
+  std::string_view lacksRoomFor(std::size_t bytes) const;
+  /// Tells the budget what each holder has.
+  void measureMemory();
+  void fillMemoryMetrics(metrics::MetricsPage& page) const;
   void fillMetrics(metrics::MetricsPage& page) const;
   void fillLineMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> tickLoop();
@@ -123,6 +128,9 @@
   std::uint64_t crashes_looked_at_ = 0;
   bool keeping_crashes_ = false;
   JobState* state_ = nullptr;
+  memory::MemoryBudget memory_;
+  /// Encoded submissions that are proposed and have no outcome yet.
+  std::size_t submission_bytes_ = 0;
   std::unique_ptr<fleet::GroupHost> group_;
   std::unique_ptr<JobExecutor> executor_;
   std::unique_ptr<ItemRunner> runner_;
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -14,10 +14,6 @@
 namespace {
 
 constexpr std::size_t kMostResultBytes = 700u << 10;
-/// Share of the process's memory that bodies and texts may take; the log's tail, messages in flight and their copies
-/// need the rest.
-constexpr double kHeldShare = 0.38;
-constexpr double kBytesPerMegabyte = 1 << 20;
 
 StoreReply replyOf(const ProposalOutcome& outcome) {
   if (outcome.result == ProposalResult::kApplied && outcome.reply == kApplyUnknown) return UnknownReply{};
@@ -40,8 +36,13 @@
   std::visit([&](auto& body) { serve(std::move(body), reply); }, valueOf(request));
 }
 
-bool StoreProgram::mayStoreMore() const {
-  return static_cast<double>(state_->heldBytes()) < kHeldShare * settings_.memory_mb * kBytesPerMegabyte;
+std::string_view StoreProgram::lacksRoomFor(std::size_t bytes) const {
+  using memory::MemoryHolder;
+  if (state_->heldBytes() + bytes > memory_.part(MemoryHolder::kState)) return "full";
+  // A large job is taken where nothing else is under way.
+  const bool is_alone = submission_bytes_ == 0;
+  if (!is_alone && submission_bytes_ + bytes > memory_.part(MemoryHolder::kRequests)) return "too much under way";
+  return {};
 }
 
 void StoreProgram::serve(SubmitJobRequest request, ReplyFunction reply) {
@@ -53,15 +54,24 @@
     reply(is_own ? StoreReply(DoneReply{}) : StoreReply(UnknownReply{}));
     return;
   }
-  if (!mayStoreMore()) {
-    logEvent(LogLevel::kWarning, "job_refused", {{"job", id.value}, {"cause", "full"}, {"held", state_->heldBytes()}});
-    reply(UnavailableReply{false, "full"});
+  const std::size_t body_bytes = bodyBytesOf(request.job);
+  const std::string_view lacking = lacksRoomFor(body_bytes);
+  if (!lacking.empty()) {
+    logEvent(LogLevel::kWarning, "job_refused",
+             {{"job", id.value},
+              {"cause", lacking},
+              {"bytes", body_bytes},
+              {"held", state_->heldBytes()},
+              {"under_way", submission_bytes_}});
+    reply(UnavailableReply{false, std::string(lacking)});
     return;
   }
   const WaitingLimit limit = request.limit;
   const std::uint64_t tokens = tokensOf(request.job);
   SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
-  auto done = [this, id, items, limit, tokens, reply = std::move(reply)](const ProposalOutcome& outcome) {
+  submission_bytes_ += body_bytes;
+  auto done = [this, id, items, limit, tokens, body_bytes, reply = std::move(reply)](const ProposalOutcome& outcome) {
+    submission_bytes_ -= body_bytes;
     const bool applied = outcome.result == ProposalResult::kApplied;
     const bool over_limit = applied && outcome.reply == kApplyOverLimit;
     if (over_limit) ++over_limit_jobs_;
