--- a/tests/soak/large_jobs.py
+++ b/tests/soak/large_jobs.py
@@ -111,13 +111,16 @@
         store = self.fleet.of_role("store")[0]
         store.is_killed = True
         store.kill()
+        log = Path(store.file).with_suffix(".log")
+        logged = log.stat().st_size
         shutil.rmtree(Path(self.fleet.folder) / "data" / store.name)
         store.start()
         store.is_killed = False
 
         async def is_taken_up():
-            log = Path(store.file).with_suffix(".log").read_text(errors="replace")
-            return "event=snapshot_restored" in log
+            since = log.read_bytes()[logged:]
+            received = since.find(b"event=snapshot_receive_started")
+            return received >= 0 and b"event=snapshot_restored" in since[received:]
         await eventually(self.check, f"{store.name}, whose disk was lost, takes up a snapshot", is_taken_up, seconds=30)
 
     async def read_all(self):
