Results that pile up are proposed in entries of bounded size

What callers see: late and repeated items after a slow second of the group, leaders that fall one after the other. Change: 256 KB of texts an entry, up to four entries at once; what is refused waits for the next tick apart. Before, after (test, 30 whole texts of 100 KB taken up by a new leader): one entry of 2.97 MB -> at most 0.36 MB each, all 30 listed.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -116,10 +116,11 @@
   queue_.clear();
   held_.clear();
   results_.clear();
+  refused_results_.clear();
   failures_.clear();
   pending_failures_.clear();
   // What is still being proposed belongs to this leadership alone; the next one here must not wait for it.
-  proposing_ = false;
+  proposals_running_ = 0;
   proposing_failures_ = false;
   saving_ = false;
   board_.clear();
@@ -300,7 +301,7 @@
 }
 
 void JobExecutor::giveUpExpired(Instant now) {
-  proposeResults();
+  proposeRefusedResults();
   const WallMillis wall = connection::wallNow();
   std::vector<ItemPtr> expired;
   for (const auto& [id, runs] : items_) {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -262,7 +262,12 @@
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
   void dropOldJobs();
+  /// As many proposals as may run at once; what ends meanwhile shares the next ones.
   void proposeResults();
+  void proposeNextResults();
+  /// Takes the oldest results, as many as one proposal may list.
+  std::vector<ProposedResult> takeNextResults();
+  void proposeRefusedResults();
   const StoredJob* openJob(const ItemRun& run) const;
   const Route* routeOf(const StoredJob& job) const;
 
@@ -304,7 +309,9 @@
   std::set<std::uint64_t> pending_failures_;
   bool proposing_failures_ = false;
   std::vector<ProposedResult> results_;
-  bool proposing_ = false;
+  /// Those whose proposals were refused; they are proposed again from the next tick on.
+  std::vector<ProposedResult> refused_results_;
+  std::size_t proposals_running_ = 0;
   bool saving_ = false;
   /// The run whose progress was looked at last, to be saved.
   std::uint64_t last_saved_run_ = 0;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/log.hpp"
@@ -14,6 +15,9 @@
 /// Text of one proposal, in bytes: as much as replicas apply in one go. Heartbeats wait while an entry is encoded, sent
 /// and applied: with the progress of a thousand items in one entry, leaders lost their quorum 15 times in 33 s.
 constexpr std::size_t kMostSavedBytes = 128 * 1024;
+/// Texts of one entry of the log, and entries that wait for the group: while it is slow, results wait here, not in it.
+constexpr std::size_t kMostListedBytes = 256 * 1024;
+constexpr std::size_t kMostResultProposals = 4;
 
 }  // namespace
 
@@ -115,21 +119,35 @@
   }
 }
 
-/// One proposal at a time: what ends meanwhile shares the next one.
 void JobExecutor::proposeResults() {
-  if (proposing_ || results_.empty() || !leading_) return;
-  proposing_ = true;
-  auto proposed = std::make_shared<std::vector<ProposedResult>>(std::exchange(results_, {}));
+  while (leading_ && !results_.empty() && proposals_running_ < kMostResultProposals) proposeNextResults();
+}
+
+std::vector<JobExecutor::ProposedResult> JobExecutor::takeNextResults() {
+  std::size_t bytes = 0;
+  auto end = results_.begin();
+  while (end != results_.end() && bytes < kMostListedBytes) {
+    bytes += end->result.result.text.size();
+    ++end;
+  }
+  std::vector<ProposedResult> taken(std::make_move_iterator(results_.begin()), std::make_move_iterator(end));
+  results_.erase(results_.begin(), end);
+  return taken;
+}
+
+void JobExecutor::proposeNextResults() {
+  ++proposals_running_;
+  auto proposed = std::make_shared<std::vector<ProposedResult>>(takeNextResults());
   ListResults command;
   for (const ProposedResult& entry : *proposed) command.results.push_back(entry.result);
   propose_(std::move(command), [this, alive = alive_, proposed, term = term_](bool applied) {
     // What was proposed in an earlier leadership is left to the runs of this one.
     if (!*alive || !leading_ || term != term_) return;
-    proposing_ = false;
+    --proposals_running_;
     // A result that was not taken is proposed again later, since this may be called from within the proposal; one that
     // was taken after all is passed over.
     if (!applied) {
-      results_.insert(results_.begin(), proposed->begin(), proposed->end());
+      refused_results_.insert(refused_results_.end(), proposed->begin(), proposed->end());
       return;
     }
     listAgain(*proposed);
@@ -137,4 +155,11 @@
   });
 }
 
+void JobExecutor::proposeRefusedResults() {
+  results_.insert(results_.begin(), std::make_move_iterator(refused_results_.begin()),
+                  std::make_move_iterator(refused_results_.end()));
+  refused_results_.clear();
+  proposeResults();
+}
+
 }  // namespace hatchfork::store
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -90,6 +90,14 @@
     executor_->take(RunReport{kSelf, term, {news}, {lastOrder().number}});
   }
 
+  /// Bytes of the texts that the oldest proposal lists, and their number.
+  std::pair<std::size_t, std::size_t> listedByOldest() const {
+    const auto& results = std::get<ListResults>(proposals_.front().command).results;
+    std::size_t bytes = 0;
+    for (const JobResult& entry : results) bytes += entry.result.text.size();
+    return {bytes, results.size()};
+  }
+
   static void waitUntil(Instant time) {
     while (connection::monotonicNow() < time) {
     }
@@ -291,6 +299,44 @@
   REQUIRE(stage.job().results.front().text == (whole ? "one\ntwo" : "one\ntwo\nthree"));
 }
 
+TEST_CASE("results that pile up while the group is slow are proposed in entries of bounded size", "[store][executor]") {
+  constexpr std::size_t kRuns = 30;
+  constexpr std::size_t kTextBytes = 100 * 1024;
+  constexpr std::size_t kMostBytes = 256 * 1024 + kTextBytes;
+  ExecutorStage stage(fromMillis(40), kRuns);
+  stage.executor().setLeading(true, 1);
+  // Other stores ran them to their ends for the leader before.
+  fleet::RunOffer offer{kSelf, 1, {}};
+  for (std::size_t i = 0; i < kRuns; ++i) {
+    fleet::OfferedRun run;
+    run.number = 1000 + i;
+    run.sequence = 1;
+    run.job = JobId("j");
+    run.item = "i" + std::to_string(i);
+    run.engine = EngineId("e");
+    run.chain = run.number;
+    run.text = std::string(kTextBytes, 't');
+    run.has_text = true;
+    run.last_event = 1;
+    run.ended = true;
+    run.end = fleet::RunEnd::kWhole;
+    offer.runs.push_back(run);
+  }
+  stage.executor().take(offer);
+  const Instant later = connection::monotonicNow() + fromMillis(45);
+  stage.waitUntil(later);
+  stage.executor().tick(later);
+  std::size_t listed = 0;
+  while (stage.proposals() > 0) {
+    const auto [bytes, results] = stage.listedByOldest();
+    CHECK(bytes <= kMostBytes);
+    listed += results;
+    stage.endProposal(true);
+  }
+  CHECK(listed == kRuns);
+  CHECK(stage.job().results.size() == kRuns);
+}
+
 TEST_CASE("what a leader does not want of what it is offered is stopped", "[store][executor]") {
   ExecutorStage stage;
   stage.executor().setLeading(true, 1);
