--- a/src/process/consensus/replica_snapshot.cpp
+++ b/src/process/consensus/replica_snapshot.cpp
@@ -13,11 +13,13 @@
 /// A chunk without an answer is sent again after this many heartbeat intervals.
 constexpr int kChunkResendIntervals = 3;
 /// A slice of writing or taking up a snapshot: some milliseconds on a third of a core.
-constexpr std::uint64_t kSliceBytes = 256 * 1024;
+constexpr std::uint64_t kSliceBytes = 64 * 1024;
+/// A large snapshot is written in larger slices, so that it takes no longer than this many.
+constexpr std::uint64_t kMostSlices = 400;
 /// A snapshot of a large state is due after this many times the bytes that are due after for a small one.
-constexpr std::uint64_t kMostIntervals = 4;
+constexpr std::uint64_t kMostIntervals = 3;
 /// The log kept behind a snapshot for members that are a little behind, by the bytes that a snapshot is due after.
-constexpr std::uint64_t kIntervalsKept = 2;
+constexpr std::uint64_t kIntervalsKept = 1;
 /// What the state may hold back while the disk takes nothing; beyond it the snapshot is given up for a while.
 constexpr std::size_t kMostBytesHeldForDisk = 4 << 20;
 constexpr Duration kPauseAfterAbandoned = std::chrono::seconds(5);
@@ -84,8 +86,9 @@
     if (held_too_long) abandonOwnSnapshot("the disk is slow");
     return;
   }
+  const std::uint64_t slice_bytes = std::max(kSliceBytes, snapshots_.currentBytes() / kMostSlices);
   std::uint64_t bytes = 0;
-  while (bytes < kSliceBytes || machine_->snapshotBytesHeld() > kMostSnapshotBytesHeldBack) {
+  while (bytes < slice_bytes || machine_->snapshotBytesHeld() > kMostSnapshotBytesHeldBack) {
     const std::optional<std::string> piece = machine_->nextSnapshotPiece();
     if (!piece) {
       finishSnapshot();
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -46,7 +46,7 @@
   /// Entries kept behind a snapshot for slow followers, and applied entries between two snapshots.
   std::uint64_t snapshot_after_entries = 5000;
   /// Bytes of commands applied between two snapshots, where that comes first. A large state waits for more.
-  std::uint64_t snapshot_after_bytes = 8 << 20;
+  std::uint64_t snapshot_after_bytes = 16 << 20;
 };
 
 struct GroupOptions {
--- a/src/process/store/job_snapshot.cpp
+++ b/src/process/store/job_snapshot.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/cbor_writer.hpp"
 #include "common/codec.hpp"
 
 namespace hatchfork::store {
@@ -21,7 +22,7 @@
 }
 
 /// The field's name, and the mark of a list that is filled item by item.
-void beginList(std::string& out, std::string_view name) {
+void beginOpenList(std::string& out, std::string_view name) {
   appendCbor(out, Json(name));
   out += kListBegins;
 }
@@ -60,16 +61,45 @@
   return held == job.progress.end() ? nullptr : &held->second;
 }
 
-ItemProgress storedForm(const JobId& job, const std::string& item, const ItemRunProgress& progress) {
-  return ItemProgress{job,
-                      item,
-                      0,
-                      0,
-                      progress.last_event,
-                      progress.chain,
-                      progress.text,
-                      progress.failures,
-                      std::vector<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
+// As the fields are named where these types are defined.
+
+void appendItem(std::string& out, const OpaqueItem& item) {
+  cbor::beginMap(out, 5);
+  cbor::appendField(out, "id", item.id);
+  cbor::appendField(out, "target", item.target);
+  cbor::appendText(out, "headers");
+  cbor::beginList(out, item.headers.size());
+  for (const ItemHeader& header : item.headers) {
+    cbor::beginMap(out, 2);
+    cbor::appendField(out, "name", header.name);
+    cbor::appendField(out, "value", header.value);
+  }
+  cbor::appendField(out, "body", item.body);
+  cbor::appendField(out, "tokens", item.tokens);
+}
+
+void appendResult(std::string& out, const ItemResult& result) {
+  cbor::beginMap(out, 3);
+  cbor::appendField(out, "id", result.id);
+  appendCbor(out, Json("outcome"));
+  appendCbor(out, Json(result.outcome));
+  cbor::appendField(out, "text", result.text);
+}
+
+/// As `ItemProgress`, which follows on nothing here.
+void appendProgress(std::string& out, const JobId& job, const std::string& item, const ItemRunProgress& progress) {
+  cbor::beginMap(out, 9);
+  cbor::appendField(out, "job", job.value);
+  cbor::appendField(out, "item", item);
+  cbor::appendField(out, "after_event", std::uint64_t{0});
+  cbor::appendField(out, "after_chain", std::uint64_t{0});
+  cbor::appendField(out, "last_event", progress.last_event);
+  cbor::appendField(out, "chain", progress.chain);
+  cbor::appendField(out, "text", progress.text);
+  cbor::appendField(out, "failures", std::uint64_t{progress.failures});
+  cbor::appendText(out, "failed_runs");
+  cbor::beginList(out, progress.failed_runs.size());
+  for (const std::uint64_t run : progress.failed_runs) cbor::appendUnsigned(out, run);
 }
 
 std::size_t textBytes(const std::optional<ItemRunProgress>& progress) {
@@ -81,7 +111,7 @@
 std::string_view snapshotHead() {
   static const std::string head = [] {
     std::string bytes(1, kMapBegins);
-    beginList(bytes, "jobs");
+    beginOpenList(bytes, "jobs");
     return bytes;
   }();
   return head;
@@ -121,23 +151,21 @@
   piece += kMapBegins;
   appendCbor(piece, Json("ended"));
   appendCbor(piece, Json(before == nullptr ? job.ended : before->ended));
-  beginList(piece, "progress");
+  beginOpenList(piece, "progress");
   for (std::size_t position = 0; position < submission.items.size(); ++position) {
     const ItemRunProgress* progress = progressOf(job, before, position);
-    if (progress != nullptr) {
-      appendCbor(piece, Json(storedForm(submission.id, submission.items[position].id, *progress)));
-    }
+    if (progress != nullptr) appendProgress(piece, submission.id, submission.items[position].id, *progress);
   }
   piece += kEnds;
-  beginList(piece, "results");
-  for (std::size_t position = 0; position < results; ++position) appendCbor(piece, Json(job.results[position]));
+  beginOpenList(piece, "results");
+  for (std::size_t position = 0; position < results; ++position) appendResult(piece, job.results[position]);
   piece += kEnds;
   appendCbor(piece, Json("submission"));
   piece += kMapBegins;
   appendFieldsBesideItems(piece, submission);
-  beginList(piece, "items");
+  beginOpenList(piece, "items");
   for (std::size_t position = 0; position < submission.items.size(); ++position) {
-    appendCbor(piece, Json(itemOf(job, before, position)));
+    appendItem(piece, itemOf(job, before, position));
   }
   piece += kEnds;
   piece += kEnds;
