--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -116,6 +116,8 @@
   struct OwnSnapshot {
     SnapshotHeader header;
     Instant began_at{};
+    /// Bytes of the commands that were applied since the one before.
+    std::uint64_t log_bytes = 0;
     bool finished = false;
   };
   /// The state machine is taking up a snapshot; `applied_` is zero meanwhile, so that nobody reads it.
--- a/src/process/consensus/replica_snapshot.cpp
+++ b/src/process/consensus/replica_snapshot.cpp
@@ -66,14 +66,14 @@
     setFault(errorOf(begun));
     return;
   }
-  own_snapshot_ = OwnSnapshot{SnapshotHeader{applied_, *term, memberships_.at(applied_)}, now_, false};
+  const SnapshotHeader header{applied_, *term, memberships_.at(applied_)};
+  own_snapshot_ = OwnSnapshot{header, now_, std::exchange(bytes_since_snapshot_, 0), false};
   logEvent(LogLevel::kInfo, "snapshot_started",
            {{"group", options_.group},
             {"index", applied_},
             {"entries", applied_ - snapshots_.currentIndex()},
-            {"log_bytes", bytes_since_snapshot_},
+            {"log_bytes", own_snapshot_->log_bytes},
             {"last_bytes", snapshots_.currentBytes()}});
-  bytes_since_snapshot_ = 0;
   machine_->beginSnapshot();
   const Status written = snapshots_.append(encodeSnapshotHeader(own_snapshot_->header));
   if (!isOk(written)) setFault(errorOf(written));
@@ -130,6 +130,7 @@
   if (!own_snapshot_) return;
   logEvent(LogLevel::kInfo, "snapshot_abandoned",
            {{"group", options_.group}, {"index", own_snapshot_->header.index}, {"cause", cause}});
+  bytes_since_snapshot_ += own_snapshot_->log_bytes;
   own_snapshot_.reset();
   next_snapshot_ = now_ + kPauseAfterAbandoned;
   machine_->abandonSnapshot();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -262,8 +262,9 @@
   void yieldSlots(Instant now);
   void giveUpExpired(Instant now);
   void dropOldJobs();
-  /// As many proposals as may run at once; what ends meanwhile shares the next ones.
+  /// One proposal at a time, so that what ends meanwhile shares the next one; several where whole entries wait.
   void proposeResults();
+  bool mayProposeResults() const;
   void proposeNextResults();
   /// Takes the oldest results, as many as one proposal may list.
   std::vector<ProposedResult> takeNextResults();
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -120,7 +120,19 @@
 }
 
 void JobExecutor::proposeResults() {
-  while (leading_ && !results_.empty() && proposals_running_ < kMostResultProposals) proposeNextResults();
+  while (leading_ && !results_.empty() && mayProposeResults()) proposeNextResults();
+}
+
+bool JobExecutor::mayProposeResults() const {
+  if (proposals_running_ == 0) return true;
+  if (proposals_running_ >= kMostResultProposals) return false;
+  // What is less than a whole entry waits, since each entry costs the group a round.
+  std::size_t bytes = 0;
+  for (const ProposedResult& entry : results_) {
+    bytes += entry.result.result.text.size();
+    if (bytes >= kMostListedBytes) return true;
+  }
+  return false;
 }
 
 std::vector<JobExecutor::ProposedResult> JobExecutor::takeNextResults() {
