A request that ended engines runs at one engine of the fleet at a time, under a lease

Cause: every process let the content go at the same moment by the same clock, and decided by what it had heard of other runs. A run takes 30 to 100 ms, its news 15 ms, and callers return in the very millisecond that Retry-After told. Ruled out: lost news (all seven counted the three ends before), restarts, leaders (none then).

Change: from the second end on, and after a refusal, a run needs a lease that the leader of the stores grants after a quorum has confirmed it (TrialRequest; batch runs take theirs in the same table). It lasts 6 s and gateways do not return it; a whole answer clears the content, a crash renews the refusal. A new leader grants none for 6 s. Without a leader contents with three ends of their own stay refused; those with two go by local knowledge as before. Requests are checked again right before they are sent. Old stores answer the new request as not run, so old and new releases work side by side.

Looked for elsewhere: engines set aside return by each gateway's own clock, which costs one request a gateway and no engine (read, no run).

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -82,9 +82,12 @@
   AttemptEnd end = AttemptEnd::kNotSent;
   cause_ = "no_engine";
   if (query_.zones) cause_ += " in the allowed regions: " + request::namesOfAllowedRegions(route_, tenant_);
-  while (mayRetry(end) && !rejectsQuarantined()) {
+  while (mayRetry(end)) {
+    const bool is_rejected = co_await rejectsQuarantined();
+    if (is_rejected) break;
     const std::optional<EngineChoice> choice = co_await chooseEngine();
-    if (caller_left_ || !choice || rejectsEarly(*choice)) {
+    const bool may_attempt = co_await mayAttempt(choice);
+    if (!may_attempt) {
       if (placement_number_ != 0) context_.placement.noteEnded(placement_number_, EngineVerdict::kNeutral);
       break;
     }
@@ -175,6 +178,10 @@
   if (caller_left_ && end != AttemptEnd::kAnswered) end = AttemptEnd::kCallerLeft;
   const bool not_run = end == AttemptEnd::kDeclined || end == AttemptEnd::kNotSent;
   not_run ? ++refusals_ : ++runs_;
+  if (!not_run) {
+    trial_holder_.clear();
+    trial_granted_at_.reset();
+  }
   if (end == AttemptEnd::kDeclined) ++context_.counters.declined;
   const Instant ended_at = monotonicNow();
   const std::optional<request::AnswerTiming> timing = attemptTiming(ended_at);
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -10,6 +10,7 @@
 #include "connection/event_stream.hpp"
 #include "connection/http_server.hpp"
 #include "process/exchange/placement_client.hpp"
+#include "process/exchange/trial_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/metrics/metrics_page.hpp"
 #include "request/access/allowed_zones.hpp"
@@ -58,6 +59,7 @@
   /// True if requests queue at the placement store when no engine has a free slot.
   bool queues_at_store;
   fleet::CrashWatch& crashes;
+  TrialClient& trials;
   /// Answer framing observed for the request's service.
   request::AnswerFraming& framing;
   connection::SlowReaders& slow_readers;
@@ -109,8 +111,12 @@
   std::optional<PlacementClient::QueueTerms> placementWait() const;
   void recordQueueOutcome(const PlacementClient::Placement& place);
   /// True if the request must not be sent now because its content has crashed engines. Sets `cause_`, and the retry
-  /// delay if the content is quarantined.
-  bool rejectsQuarantined();
+  /// delay. Requests a trial lease for content that is likely to crash the next engine.
+  connection::Awaitable<bool> rejectsQuarantined();
+  /// True if the next run has its trial lease, or does without one; else sets `cause_` and the retry delay.
+  connection::Awaitable<bool> obtainTrial(request::CrashVerdict verdict);
+  /// Checks the chosen engine and the request's content immediately before an attempt.
+  connection::Awaitable<bool> mayAttempt(const std::optional<request::EngineChoice>& choice);
   connection::Awaitable<AttemptEnd> attempt(const request::EngineChoice& choice);
   connection::Awaitable<AttemptEnd> relay(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayBuffered(connection::EngineExchange& exchange);
@@ -160,6 +166,9 @@
   request::RequestFingerprint fingerprint_;
   Instant received_at_;
   Instant deadline_;
+  /// Name of the next run in trial leases, and the time at which its lease was granted.
+  std::string trial_holder_;
+  std::optional<Instant> trial_granted_at_;
   std::shared_ptr<connection::ExchangeControl> control_;
   bool caller_left_ = false;
   /// True if the placement store rejected the request because it could not start within its objective.
--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -14,17 +14,57 @@
 using request::EngineQuery;
 using request::EngineVerdict;
 
-bool ExchangeRun::rejectsQuarantined() {
+namespace {
+
+/// A run that has not begun this long after its lease was granted asks again, so that it begins under its lease.
+constexpr Duration kTrialStartLimit = fromMillis(500);
+
+}  // namespace
+
+Awaitable<bool> ExchangeRun::rejectsQuarantined() {
   fleet::CrashWatch& crashes = context_.crashes;
-  if (crashes.isQuiet()) return false;
+  if (crashes.isQuiet()) co_return false;
   const Instant now = monotonicNow();
-  const request::CrashVerdict verdict = crashes.judge(fingerprint_);
-  const bool is_refused = verdict.isRefused(now);
-  if (!is_refused && !crashes.mustWait(now, fingerprint_)) return false;
-  if (is_refused) retry_after_ = verdict.refused_until - now;
+  request::CrashVerdict verdict = crashes.judge(fingerprint_);
+  if (crashes.needsTrial(now, fingerprint_) && !crashes.mustWait(now, fingerprint_)) {
+    const bool has_trial = co_await obtainTrial(verdict);
+    if (!has_trial) co_return true;
+    // Another run may have crashed its engine during the wait for the lease.
+    verdict = crashes.judge(fingerprint_);
+  }
+  const Instant decided_at = monotonicNow();
+  const bool is_refused = verdict.isRefused(decided_at);
+  if (!is_refused && !crashes.mustWait(decided_at, fingerprint_)) co_return false;
+  if (is_refused) retry_after_ = verdict.refused_until - decided_at;
   cause_ = fmt::format("{} engines crashed while running a request with this content", verdict.crashes);
-  crashes.noteRefused(now, fingerprint_, id_);
-  return true;
+  crashes.noteRefused(decided_at, fingerprint_, id_);
+  co_return true;
+}
+
+Awaitable<bool> ExchangeRun::obtainTrial(request::CrashVerdict verdict) {
+  const Instant now = monotonicNow();
+  if (trial_granted_at_ && now < *trial_granted_at_ + kTrialStartLimit) co_return true;
+  if (trial_holder_.empty()) trial_holder_ = context_.crashes.newTrialHolder();
+  const TrialAnswer answer = co_await context_.trials.request(fingerprint_, trial_holder_, id_);
+  if (answer.is_granted) {
+    // The lease runs from its grant at the leader, which is later than `now`.
+    trial_granted_at_ = now;
+    co_return true;
+  }
+  // Without a leader, a request with fewer crashes goes by what this gateway has heard of other runs.
+  if (!answer.is_answered && !verdict.requires_lease) co_return true;
+  retry_after_ = answer.ask_again;
+  cause_ = fmt::format("{} engines crashed while running a request with this content, and no trial of it may begin now",
+                       verdict.crashes);
+  context_.crashes.noteRefused(monotonicNow(), fingerprint_, id_);
+  co_return false;
+}
+
+/// The request may have queued for its engine while others crashed engines.
+Awaitable<bool> ExchangeRun::mayAttempt(const std::optional<EngineChoice>& choice) {
+  if (caller_left_ || !choice || rejectsEarly(*choice)) co_return false;
+  const bool is_rejected = co_await rejectsQuarantined();
+  co_return !is_rejected && !caller_left_;
 }
 
 /// Sends a suspect to an engine that runs no other suspect, so that the next crash identifies the request that caused
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -74,6 +74,7 @@
       placement_(context_, settings_.name,
                  [this](const ReplicaId& to, const fleet::FleetMessage& message) { return stores_.send(to, message); }),
       crashes_(settings_.name, connection::wallNow()),
+      trials_(stores_),
       crash_timer_(context_),
       jobs_(*dialect_, stores_, drawSeed()),
       load_timer_(context_) {}
@@ -199,6 +200,7 @@
     engines_.closeIdle([this](const EngineId& engine) { return selector_.knows(engine); });
     rate_limits_.expire(monotonicNow());
     crashes_.expire(monotonicNow());
+    trials_.expire(monotonicNow());
     subscribeToCrashes();
   }
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -16,6 +16,7 @@
 #include "process/exchange/rate_limit_client.hpp"
 #include "process/exchange/start_gate.hpp"
 #include "process/exchange/store_client.hpp"
+#include "process/exchange/trial_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
 #include "process/fleet/fleet_settings.hpp"
@@ -110,6 +111,7 @@
   RateLimitClient rate_limits_;
   PlacementClient placement_;
   fleet::CrashWatch crashes_;
+  TrialClient trials_;
   /// Store that reports crashes to this gateway.
   ReplicaId crash_reporter_;
   /// Time at which the first view was received.
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -94,6 +94,15 @@
                static_cast<double>(crashes_.counters().crashes_seen));
   page.counter("hatchfork_requests_quarantined_total", "Refused here, since engines ended under such a request.",
                static_cast<double>(crashes_.counters().refused));
+  const TrialClientCounters& trials = trials_.counters();
+  const auto leases = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_trial_leases_total",
+                 "Leases requested here to run a request that is likely to end its engine.", static_cast<double>(value),
+                 {{"outcome", outcome}});
+  };
+  leases("granted", trials.granted);
+  leases("denied", trials.denied);
+  leases("unanswered", trials.unanswered);
   page.gauge("hatchfork_crash_suspects", "Contents under which an engine has ended, of the whole fleet.",
              static_cast<double>(crashes_.requestsKnown()));
   const JobApiCounters& jobs = jobs_.counters();
--- a/src/process/fleet/crash_watch.cpp
+++ b/src/process/fleet/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include "process/fleet/crash_watch.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 
@@ -43,6 +45,11 @@
                      [&](const auto& entry) { return entry.first.first == content && isCurrent(now, entry.second); });
 }
 
+bool CrashWatch::needsTrial(Instant now, const RequestFingerprint& content) {
+  const CrashVerdict verdict = judge(content);
+  return !verdict.isRefused(now) && (verdict.requires_lease || verdict.crashes >= kLikelyCrashes);
+}
+
 bool CrashWatch::isKeptApart(const RequestFingerprint& content) {
   const std::size_t crashes = judge(content).crashes;
   return crashes >= kLikelyCrashes || (crashes > 0 && ledger_.requests() <= kMostKeptApart);
@@ -58,6 +65,10 @@
   return engines;
 }
 
+std::string CrashWatch::newTrialHolder() {
+  return fmt::format("{}/trial-{}", node_, ++last_run_);
+}
+
 void CrashWatch::noteBegun(Instant now, const RequestFingerprint& content, const EngineId& engine) {
   const SuspectRun run{node_, content, engine, judge(content).crashes, false, ++last_run_, 0};
   takeRun(now, run);
--- a/src/process/fleet/crash_watch.hpp
+++ b/src/process/fleet/crash_watch.hpp
@@ -36,6 +36,9 @@
   request::CrashVerdict judge(const request::RequestFingerprint& content) { return ledger_.judge(content); }
   /// A request that was in flight at two engines that ended runs at one engine at a time.
   bool mustWait(Instant now, const request::RequestFingerprint& content);
+  /// True if the request may run only under a trial lease, at one engine of the fleet at a time: it was in flight at
+  /// two engines that ended, or its quarantine has ended. What this process has heard of other runs would be too late.
+  bool needsTrial(Instant now, const request::RequestFingerprint& content);
   /// True if runs of the request are told to the others, so that no other suspect goes to its engine. Where very many
   /// are suspected, only those are kept apart that are likely to end their engine.
   bool isKeptApart(const request::RequestFingerprint& content);
@@ -43,6 +46,9 @@
   /// which a request runs that is likely to end them.
   std::vector<EngineId> enginesToAvoid(Instant now, const request::RequestFingerprint& content);
 
+  /// Name of a run for which a trial lease is requested, unique in the fleet over restarts of the process.
+  std::string newTrialHolder();
+
   /// A suspect begins to run, or its run is over.
   void noteBegun(Instant now, const request::RequestFingerprint& content, const EngineId& engine);
   void noteEnded(Instant now, const request::RequestFingerprint& content, const EngineId& engine);
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -89,6 +89,7 @@
   if (!leading) return;
   const Instant now = monotonicNow();
   starts_from_ = now + options_.start_delay;
+  trials_.start(now);
   adopted_ = 0;
   // The load history of an earlier leadership is outdated.
   trough_ = request::TroughScheduler();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -22,6 +22,7 @@
 #include "request/admission/trough_scheduler.hpp"
 #include "request/batch/due_order.hpp"
 #include "request/batch/run_time_model.hpp"
+#include "request/crash/trial_leases.hpp"
 #include "request/exchange/engine_selector.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
@@ -89,6 +90,10 @@
   /// Performs retries, preemptions, lease renewals and retention; call several times a second.
   void tick(Instant now);
 
+  /// Decides, at the leader, on the lease to run once a request that is likely to crash its engine. Returns zero if
+  /// `holder` has it now, else the time after which it may be free. Batch runs take their leases here too.
+  Duration requestTrial(Instant now, const request::RequestFingerprint& content, const std::string& holder);
+
   bool isLeading() const { return leading_; }
   /// Returns the term of the last call of `setLeading`.
   std::uint64_t term() const { return term_; }
@@ -162,6 +167,8 @@
     /// during the item.
     request::RequestFingerprint content;
     bool is_suspect = false;
+    /// Holder of the run's trial lease; empty if it has none.
+    std::string trial_holder;
     bool stopped = false;
     /// Number of the run in flight, which identifies it in reports.
     std::uint64_t number = 0;
@@ -199,6 +206,8 @@
   /// can't start now; it may then have been moved out of the queue.
   std::optional<request::EngineChoice> chooseEngine(Instant now, const ItemPtr& run, const StoredJob& job,
                                                     request::EngineQuery& query);
+  /// Takes the trial lease for a run that starts, if its content needs one.
+  void takeTrial(Instant now, ItemRun& run);
   /// Moves an item during which engines crashed out of the queue until the given time.
   void park(const ItemPtr& run, Instant until);
   /// Moves parked items back to the queue that are due or no longer suspect.
@@ -288,6 +297,7 @@
   ProposeFunction propose_;
   SendFunction send_;
   fleet::CrashWatch& crashes_;
+  request::TrialLeases trials_;
   RunTable run_table_;
   request::EngineSelector selector_;
   request::WeightedSplit split_;
--- a/src/process/store/job_executor_crashes.cpp
+++ b/src/process/store/job_executor_crashes.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -6,7 +8,8 @@
 
 // Handling of items during which engines crashed. If possible, such an item is sent to an engine at which no other
 // suspect runs. It is parked while its content is refused because of its crashes, and, after two or more crashes, also
-// while its content runs elsewhere or only engines with suspects have a free slot.
+// while its content runs elsewhere or only engines with suspects have a free slot. From two crashes on, content runs
+// under a trial lease only, in batch items and online requests alike.
 namespace hatchfork::store {
 
 using request::EngineChoice;
@@ -34,6 +37,10 @@
     park(run, verdict.isRefused(now) ? verdict.refused_until : now + kRecheckInterval);
     return std::nullopt;
   }
+  if (crashes_.needsTrial(now, run->content) && trials_.timeUntilFree(now, run->content, {}) > Duration::zero()) {
+    park(run, now + kRecheckInterval);
+    return std::nullopt;
+  }
   const std::set<EngineId> excluded = query.excluded;
   for (const EngineId& engine : crashes_.enginesToAvoid(now, run->content)) query.excluded.insert(engine);
   std::optional<EngineChoice> choice = selector_.choose(now, query);
@@ -46,6 +53,33 @@
   return std::nullopt;
 }
 
+/// Each run has a lease of its own: the report of a crash may arrive after the end of the run that it interrupted.
+void JobExecutor::takeTrial(Instant now, ItemRun& run) {
+  run.trial_holder.clear();
+  if (crashes_.isQuiet() || run.content.empty() || !crashes_.needsTrial(now, run.content)) return;
+  run.trial_holder = fmt::format("{}/run-{}-{}", options_.self.value, term_, run.number);
+  requestTrial(now, run.content, run.trial_holder);
+}
+
+Duration JobExecutor::requestTrial(Instant now, const request::RequestFingerprint& content, const std::string& holder) {
+  const request::CrashVerdict verdict = crashes_.judge(content);
+  const bool is_refused = verdict.isRefused(now);
+  const Duration wait = is_refused ? verdict.refused_until - now : trials_.timeUntilFree(now, content, holder);
+  if (wait == Duration::zero()) trials_.grant(now, content, holder);
+  logEvent(LogLevel::kInfo, "trial_decided",
+           {{"content", content.value},
+            {"holder", holder},
+            {"granted", wait == Duration::zero()},
+            {"cause", is_refused                ? "quarantined"
+                      : wait > Duration::zero() ? "another lease"
+                                                : "free"},
+            {"engines_ended", verdict.crashes},
+            {"wait_ms", toMillis(wait)},
+            {"leases", trials_.size()},
+            {"term", term_}});
+  return wait;
+}
+
 void JobExecutor::park(const ItemPtr& run, Instant until) {
   logEvent(LogLevel::kInfo, "item_held",
            {{"job", run->job.value},
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -79,6 +79,7 @@
   order.chain = run->chain;
   order.saved_event = run->saved_event;
   order.saved_chain = run->saved_chain;
+  takeTrial(now, *run);
   if (run->is_suspect) crashes_.noteBegun(now, run->content, run->engine);
   logEvent(LogLevel::kInfo, "item_sent",
            {{"job", run->job.value},
@@ -241,6 +242,8 @@
   const Instant now = monotonicNow();
   selector_.end(now, run->ticket, verdict);
   if (run->is_suspect) crashes_.noteEnded(now, run->content, run->engine);
+  const bool may_have_crashed = end == RunEnd::kBroken || end == RunEnd::kClosed;
+  if (!may_have_crashed) trials_.release(run->content, run->trial_holder);
   notePace(now, *run);
   if (run->share.work > 0) {
     shares_.correct(run->tenant, toSeconds(now - run->started_at) * 1000 - run->share.work);
--- a/src/process/store/store_messages.hpp
+++ b/src/process/store/store_messages.hpp
@@ -8,6 +8,7 @@
 
 #include "common/codec.hpp"
 #include "common/ids.hpp"
+#include "request/crash/request_fingerprint.hpp"
 #include "version/batch_submission.hpp"
 
 /// Requests of gateways to stores, and the stores' answers.
@@ -48,7 +49,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndJobRequest, job, tenant)
 
-using StoreRequest = std::variant<SubmitJobRequest, ReadResultsRequest, ReadItemRequest, EndJobRequest>;
+/// Requests the lease to run once a request that is likely to crash its engine; only the leader grants it. Repeating it
+/// is harmless.
+struct TrialRequest {
+  static constexpr std::string_view kKind = "trial";
+  request::RequestFingerprint content;
+  /// Names the run, uniquely in the fleet.
+  std::string holder;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TrialRequest, content, holder)
+
+using StoreRequest = std::variant<SubmitJobRequest, ReadResultsRequest, ReadItemRequest, EndJobRequest, TrialRequest>;
 
 /// The submission or the end of a job was committed.
 struct DoneReply {
@@ -101,6 +112,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OverLimitReply, waiting_tokens, job_tokens, come_back_ms)
 
-using StoreReply = std::variant<DoneReply, ResultsReply, ItemReply, UnknownReply, UnavailableReply, OverLimitReply>;
+/// The leader's decision on a trial lease.
+struct TrialReply {
+  static constexpr std::string_view kKind = "trial";
+  bool is_granted = false;
+  /// Time after which the lease may be free, in milliseconds; zero if it is granted.
+  std::int64_t wait_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TrialReply, is_granted, wait_ms)
+
+using StoreReply =
+    std::variant<DoneReply, ResultsReply, ItemReply, UnknownReply, UnavailableReply, OverLimitReply, TrialReply>;
 
 }  // namespace hatchfork::store
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -87,6 +87,7 @@
   void serve(ReadResultsRequest request, ReplyFunction reply);
   void serve(ReadItemRequest request, ReplyFunction reply);
   void serve(EndJobRequest request, ReplyFunction reply);
+  void serve(TrialRequest request, ReplyFunction reply);
   StoreReply overLimitReply(const WaitingLimit& limit, std::uint64_t job_tokens) const;
   void propose(JobCommand command, ReplyFunction reply);
   /// Answers from the state once a quorum has confirmed that the state is as recent as this call.
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -114,6 +114,20 @@
       return;
     }
     const StoredJob* job = state_->find(request.job);
+/// Granted only once a quorum has confirmed the leadership, so that no two leaders grant a lease at the same time.
+void StoreProgram::serve(TrialRequest request, ReplyFunction reply) {
+  if (!executor_->isLeading()) {
+    reply(UnavailableReply{false, "not the leader"});
+    return;
+  }
+  auto answer = [this, request]() -> StoreReply {
+    if (!executor_->isLeading()) return UnavailableReply{false, "not the leader"};
+    const Duration wait = executor_->requestTrial(monotonicNow(), request.content, request.holder);
+    return TrialReply{wait == Duration::zero(), toMillis(wait)};
+  };
+  answerFresh(answer, std::move(reply));
+}
+
     if (job == nullptr || !job->isVisibleTo(request.tenant)) {
       reply(UnknownReply{});
       return;
--- a/src/request/crash/crash_ledger.cpp
+++ b/src/request/crash/crash_ledger.cpp
@@ -112,6 +112,11 @@
     explained.insert(engines.begin(), engines.end());
   }
   for (Entry* entry : open) entry->verdict.crashes = countUnexplained(entry->crashes, explained);
+  for (auto& [content, entry] : entries_) {
+    const bool is_quarantined = entry.verdict.refused_until != Instant::min();
+    const std::size_t crashes = countUnexplained(entry.crashes, {});
+    entry.verdict.requires_lease = is_quarantined || crashes >= limits_.quarantine_threshold;
+  }
 }
 
 Instant CrashLedger::expiresAt(const Entry& entry) const {
--- a/src/request/crash/crash_ledger.hpp
+++ b/src/request/crash/crash_ledger.hpp
@@ -56,6 +56,9 @@
   std::size_t crashes = 0;
   /// End of the quarantine; `Instant::min()` if the request is not refused.
   Instant refused_until = Instant::min();
+  /// True if the request was or is quarantined, or has as many crashes as that takes when none is explained by others.
+  /// It then runs only where no other run of it is possible.
+  bool requires_lease = false;
 
   bool isSuspect() const { return crashes > 0; }
   bool isRefused(Instant now) const { return now < refused_until; }
--- /dev/null
+++ b/src/request/crash/trial_leases.cpp
@@ -0,0 +1,36 @@
+#include "request/crash/trial_leases.hpp"
+
+#include <algorithm>
+
+namespace hatchfork::request {
+namespace {
+
+/// Covers the start of the run, the run up to a crash of its engine, and the report of the crash.
+constexpr Duration kTrialLease = std::chrono::seconds(6);
+
+}  // namespace
+
+void TrialLeases::start(Instant now) {
+  leases_.clear();
+  earlier_leases_until_ = now + kTrialLease;
+}
+
+Duration TrialLeases::timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder) const {
+  const auto found = leases_.find(content);
+  const bool is_held = found != leases_.end() && now < found->second.expires_at;
+  if (is_held && found->second.holder == holder) return Duration::zero();
+  const Instant free_at = std::max(earlier_leases_until_, is_held ? found->second.expires_at : now);
+  return std::max(Duration::zero(), free_at - now);
+}
+
+void TrialLeases::grant(Instant now, const RequestFingerprint& content, const std::string& holder) {
+  std::erase_if(leases_, [now](const auto& item) { return now >= item.second.expires_at; });
+  leases_[content] = Lease{holder, now + kTrialLease};
+}
+
+void TrialLeases::release(const RequestFingerprint& content, const std::string& holder) {
+  const auto found = leases_.find(content);
+  if (found != leases_.end() && found->second.holder == holder) leases_.erase(found);
+}
+
+}  // namespace hatchfork::request
--- /dev/null
+++ b/src/request/crash/trial_leases.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "common/time.hpp"
+#include "request/crash/request_fingerprint.hpp"
+
+namespace hatchfork::request {
+
+/// Leases of trial runs. A request that is likely to crash the next engine too, above all one whose quarantine has
+/// ended and whose callers then return to all gateways at the same moment, runs only at the holder of its lease. The
+/// outcome of that run decides for all others: a complete answer clears the request, and a crash quarantines it.
+///
+/// Kept by the leader of the stores only. A lease expires rather than being returned, so that the outcome of the run is
+/// known to the leader before the next lease is granted; the leader releases those of its own runs. Does no I/O;
+/// callers pass the current time. Not thread-safe.
+class TrialLeases {
+ public:
+  /// Starts a leadership. Leases of an earlier leader are unknown here, so none is granted until they have expired.
+  void start(Instant now);
+  /// Time until a lease of this content can be granted; zero if it is free, or held by `holder` already.
+  Duration timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder) const;
+  /// Grants the lease to `holder`, which names one run. Requires that `timeUntilFree` is zero.
+  void grant(Instant now, const RequestFingerprint& content, const std::string& holder);
+  /// Ends the lease of a run that has ended without a crash.
+  void release(const RequestFingerprint& content, const std::string& holder);
+  /// Number of leases that have not expired at the last grant.
+  std::size_t size() const { return leases_.size(); }
+
+ private:
+  struct Lease {
+    std::string holder;
+    Instant expires_at{};
+  };
+
+  Instant earlier_leases_until_ = Instant::min();
+  std::map<RequestFingerprint, Lease> leases_;
+};
+
+}  // namespace hatchfork::request
--- a/tests/process/store/crash_relay_test.cpp
+++ b/tests/process/store/crash_relay_test.cpp
@@ -154,6 +154,19 @@
   REQUIRE(relays.gateway(1).enginesToAvoid(at(50), other).empty());
 }
 
+TEST_CASE("a request needs a lease from its second crash on, and after its quarantine until it is cleared", "[crash]") {
+  CrashWatch watch("gateway");
+  watch.noteCrash(at(0), at(0), kContent, EngineId("e1"));
+  REQUIRE_FALSE(watch.needsTrial(at(10), kContent));
+  watch.noteCrash(at(1000), at(900), kContent, EngineId("e2"));
+  REQUIRE(watch.needsTrial(at(1010), kContent));
+  watch.noteCrash(at(2000), at(1900), kContent, EngineId("e3"));
+  REQUIRE_FALSE(watch.needsTrial(at(2010), kContent));
+  REQUIRE(watch.needsTrial(at(22010), kContent));
+  watch.noteAnswered(at(23000), kContent);
+  REQUIRE_FALSE(watch.needsTrial(at(23010), kContent));
+}
+
 TEST_CASE("the exit of an engine that announced its shutdown makes no request a suspect", "[crash]") {
   CrashWatch watch("gateway");
   watch.setServingCheck([](const EngineId& engine) { return engine != EngineId("leaving"); });
--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -397,6 +397,10 @@
   end.job = JobId("job-1");
   end.tenant = TenantId("crew");
   requests.add(end);
+  store::TrialRequest trial;
+  trial.content = request::RequestFingerprint("content");
+  trial.holder = "gateway-1/trial-7";
+  requests.add(trial);
   requests.moveTo(all);
 
   Samples<store::StoreReply> replies("reply");
@@ -423,6 +427,10 @@
   over_limit.job_tokens = 200;
   over_limit.come_back_ms = 700;
   replies.add(over_limit);
+  store::TrialReply trial_reply;
+  trial_reply.is_granted = true;
+  trial_reply.wait_ms = 40;
+  replies.add(trial_reply);
   replies.moveTo(all);
 }
 
--- a/tests/request/crash/crash_ledger_test.cpp
+++ b/tests/request/crash/crash_ledger_test.cpp
@@ -37,6 +37,20 @@
   REQUIRE_FALSE(ledger.judge(content("p")).isRefused(at(23100)));
 }
 
+// Guards against a request that was refused and is let through again, since another request came to explain one of its
+// crashes: it ran at eight gateways at once while the leader of the stores was being replaced.
+TEST_CASE("a request with three crashes of its own requires a lease, also if others explain some of them", "[crash]") {
+  CrashLedger ledger;
+  for (int number = 1; number <= 3; ++number) ledger.noteCrash(at(1000 * number), kRan, content("p"), engine(number));
+  REQUIRE(ledger.judge(content("p")).requires_lease);
+  for (int number = 3; number <= 6; ++number) ledger.noteCrash(at(1000 * number), kRan, content("q"), engine(number));
+  REQUIRE(ledger.judge(content("p")).crashes == 2);
+  REQUIRE_FALSE(ledger.judge(content("p")).isRefused(at(3500)));
+  REQUIRE(ledger.judge(content("p")).requires_lease);
+  ledger.noteCompleteAnswer(at(9000), content("p"));
+  REQUIRE_FALSE(ledger.judge(content("p")).requires_lease);
+}
+
 TEST_CASE("each further crash extends the quarantine of a request", "[crash]") {
   CrashLedger ledger;
   for (int number = 1; number <= 4; ++number) ledger.noteCrash(at(1000 * number), kRan, content("p"), engine(number));
--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -9,6 +9,12 @@
 send it again 0.2 to 0.8 s after it failed; other callers beside them, who must be served.
 
     python3 tests/soak/ending_requests.py --scenario online|kills|batch|restarts|gateways [--seed 1] [--seconds 20]
+
+When such a request had been refused for its first 20 s, all gateways let it through again at the same moment: six and
+seven engines ended within 105 ms, one for each gateway at which a caller came back. Here a caller at each of eight
+gateways comes back exactly at the time that was told; the leader of the stores is killed around it in the second one:
+
+    python3 tests/soak/ending_requests.py --scenario quarantine|quarantine-leaders [--seed 1] --seconds 34
 """
 import argparse
 import asyncio
@@ -43,7 +49,8 @@
     def __init__(self, options, folder):
         self.options = options
         self.random = random.Random(options.seed)
-        self.fleet = Fleet(folder, controls=5, stores=5, gateways=4, network=options.network)
+        gateways = 8 if options.scenario.startswith("quarantine") else 4
+        self.fleet = Fleet(folder, controls=5, stores=5, gateways=gateways, network=options.network)
         self.check = Check()
         self.begun = []
         self.engines = [EndingEngine(number, options.engine_port + number, self.fleet.controls, self.begun,
@@ -61,6 +68,53 @@
                 pass
             await asyncio.sleep(self.random.uniform(0.2, 0.8))
 
+    async def return_as_told(self, body, source):
+        """One caller until the request is refused for long; then one at each gateway, each at exactly the time it was told."""
+        after = 0
+        while self.loading and after <= CONTACT_S:
+            after = await self.send_once(self.random.choice(self.fleet.gateways), body, source)
+            if after <= CONTACT_S:
+                await asyncio.sleep(after or self.random.uniform(0.2, 0.8))
+        returns = time.monotonic() + after
+
+        async def one_caller(gateway):
+            until = returns
+            while self.loading:
+                while self.loading and time.monotonic() < until:
+                    await asyncio.sleep(min(0.2, max(0, until - time.monotonic())))
+                if self.loading:
+                    after = await self.send_once(gateway, body, source)
+                    until = time.monotonic() + (after or self.random.uniform(0.2, 0.8))
+        await asyncio.gather(*(one_caller(gateway) for gateway in self.fleet.gateways))
+
+    @staticmethod
+    async def send_once(gateway, body, source):
+        """Returns the time after which the request may come back, in seconds; zero if none was told."""
+        try:
+            _, fields, _ = await call(gateway, "POST", TARGETS[body], body, request_headers(), timeout=6, source=source)
+            return float(fields.get("retry-after", 0))
+        except CALL_ERRORS:
+            return 0
+
+    async def kill_leaders(self, started):
+        """Ends the leader of the stores again and again around the end of the first quarantine."""
+        await asyncio.sleep(17)
+        while time.monotonic() < started + self.options.seconds - 3:
+            stores = self.fleet.of_role("store")
+            leaders = [store for store in stores if self.leads(store)]
+            for process in leaders:
+                print(f"{time.monotonic() - started:6.2f} s  kill {process.name}, the leader", flush=True)
+                process.kill()
+                await asyncio.sleep(0.3)
+                process.start()
+            await asyncio.sleep(self.random.uniform(1, 3))
+
+    @staticmethod
+    def leads(store):
+        log = Path(store.file).with_suffix(".log").read_bytes()
+        return log.rfind(b"event=executor_started") > max(log.rfind(b"event=executor_stopped"),
+                                                          log.rfind(b"event=store_started"))
+
     async def restart_gateways(self, started):
         """One gateway after the other; the refused requests come to it until it has taken them or refused them for good."""
         await asyncio.sleep(6)
@@ -164,9 +218,14 @@
         job = None
         if scenario == "batch":
             job = await self.submit_ending()
+        elif scenario.startswith("quarantine"):
+            work += [asyncio.create_task(self.return_as_told(body, f"127.0.9.{number + 1}"))
+                     for number, body in enumerate(TARGETS)]
         else:
             work += [asyncio.create_task(self.send_ending(body, f"127.0.9.{number + 1}"))
                      for number, body in enumerate(TARGETS)]
+        if scenario == "quarantine-leaders":
+            work.append(asyncio.create_task(self.kill_leaders(started)))
         if scenario == "restarts":
             work.append(asyncio.create_task(self.kill_all_twice(started)))
         if scenario == "gateways":
@@ -178,12 +237,13 @@
             await self.read_results(job)
         self.loading = False
         await asyncio.gather(*work)
-        self.check_ends(scenario in ("kills", "restarts", "gateways"))
+        self.check_ends(scenario not in ("online", "batch"))
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts", "gateways"], required=True)
+    parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts", "gateways", "quarantine",
+                                                         "quarantine-leaders"], required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--network", default="127.0.5", help="first three numbers of the fleet's loopback addresses")
