A leader's log in memory is bounded, and copies of a submission share one entry

Each store bounded what it had under way for itself and gave it back when a proposal had waited 2 s, though its entry was still in the leader's log; each copy became an entry (a gateway asks the next store after 160 ms and all again 40 ms after a refusal, callers send again): 1,136 proposals for 75 jobs, up to 46 of one. Besides, payloads of the last 12 applied entries stay whatever their size, and the allocator keeps large buffers once one was freed (66 of 101 MB).

Change: the leader refuses a submission, as not run and not appended, while its log in memory has the parts of log and submissions; copies of one job's submission share its entry and outcome, at the leader and where they are passed on; that refusal ends a gateway's call; large requests are repeated after 160, 320, ... ms and refused undecoded where no leader is known; applied entries keep an eighth of the bound; buffers above 128 KB go back to the system.

--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -206,6 +206,8 @@
   /// Applies the next entry; false if it can't be read.
   bool applyNextEntry(std::uint64_t& bytes);
   void applyEntry(const LogEntry& entry);
+  /// Last applied entry whose payload need not stay in memory.
+  LogIndex lastEntryToRelease() const;
 
   // Reads (replica_read.cpp).
   void handle(const Identity& from, const Envelope& envelope, const ReadIndexRequest& request);
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -262,7 +262,7 @@
   if (fault_) return;
   bytes_since_snapshot_ += bytes;
   // Members that are far behind are served from the file.
-  if (applied_ > kEntriesKeptInMemory) log_->release(applied_ - kEntriesKeptInMemory);
+  log_->release(lastEntryToRelease());
   completeFollowerReads();
   completeLeaderReads();
   if (role_ == Role::kLeader) {
@@ -274,6 +274,17 @@
   if (machine_->snapshotBytesHeld() > kMaxBufferedSnapshotBytes) writeSnapshotSlice();
 }
 
+LogIndex Replica::lastEntryToRelease() const {
+  LogIndex index = applied_;
+  std::size_t kept_bytes = 0;
+  while (index >= log_->firstIndex() && applied_ - index < kEntriesKeptInMemory && !log_->isReleased(index)) {
+    kept_bytes += log_->at(index).payload.size();
+    if (kept_bytes > options_.max_kept_bytes) break;
+    --index;
+  }
+  return index;
+}
+
 void Replica::applyEntry(const LogEntry& entry) {
   std::string reply;
   if (entry.kind == EntryKind::kCommand) reply = machine_->apply(entry.index, entry.payload);
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -59,6 +59,8 @@
   /// folder is formatted, and stored there.
   bool may_form = true;
   Timing timing;
+  /// Payload bytes of applied entries that stay in memory for members that are a little behind.
+  std::size_t max_kept_bytes = std::size_t{4} << 20;
   /// Draws incarnations and election times. Zero takes the operating system's random numbers; simulations pass another
   /// one at each opening, since a wiped replica must draw a new incarnation.
   std::uint64_t random_seed = 0;
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr Duration kPauseBetweenRounds = fromMillis(40);
+/// A large request costs the stores much each time that it is sent, so its pauses are longer and double with each
+/// round.
+constexpr std::size_t kLargeRequestBytes = 64 * 1024;
+constexpr Duration kPauseOfLargeRequest = fromMillis(160);
 
 }  // namespace
 
@@ -114,6 +118,8 @@
   connection::Timer changed;
   std::optional<StoreReply> answer;
   ReplicaId answered_by;
+  /// Set once a store has answered that no store can serve the request.
+  bool is_final = false;
   /// Stores with a request in flight, and stores tried in this round.
   std::set<ReplicaId> in_flight;
   std::set<ReplicaId> asked;
@@ -126,6 +132,7 @@
     if (const auto* unavailable = std::get_if<UnavailableReply>(&reply)) {
       may_apply = may_apply || unavailable->may_apply;
       cause = unavailable->cause;
+      is_final = is_final || unavailable->is_final;
       return;
     }
     if (answer) return;
@@ -167,22 +174,29 @@
 Awaitable<StoreReply> StoreClient::call(const store::StoreRequest& request, StoreCallLimits limits) {
   const std::string encoded = encodeTagged(request);
   auto state = std::make_shared<CallState>(context_);
+  const bool is_large = encoded.size() >= kLargeRequestBytes;
+  Duration next_large_pause = kPauseOfLargeRequest;
   while (monotonicNow() < limits.deadline) {
-    const std::optional<ReplicaId> store = nextStore(*state);
+    if (state->is_final && state->in_flight.empty()) break;
+    const std::optional<ReplicaId> store = state->is_final ? std::nullopt : nextStore(*state);
     if (store) sendRequest(*store, encoded, std::min(limits.store_timeout, limits.deadline - monotonicNow()), state);
     const bool uncertain = state->may_apply || !state->in_flight.empty();
     if (!store && !uncertain && monotonicNow() + kPauseBetweenRounds >= limits.refuse_at) break;
     // Waits for an answer or the end of the hedging interval; if no store is left in this round, pauses and starts a
     // new round.
-    state->changed.expires_after(store ? limits.hedge_delay : kPauseBetweenRounds);
-    if (!store) state->asked.clear();
+    const Duration pause = is_large && uncertain ? next_large_pause : kPauseBetweenRounds;
+    state->changed.expires_after(store ? limits.hedge_delay : pause);
+    if (!store) {
+      state->asked.clear();
+      next_large_pause = 2 * pause;
+    }
     boost::system::error_code ignored;
     co_await state->changed.async_wait(connection::asio::redirect_error(connection::asio::use_awaitable, ignored));
     if (!state->answer) continue;
     preferred_ = state->answered_by;
     co_return std::move(*state->answer);
   }
-  co_return UnavailableReply{state->may_apply || !state->in_flight.empty(), state->cause};
+  co_return UnavailableReply{state->may_apply || !state->in_flight.empty(), state->cause, state->is_final};
 }
 
 }  // namespace hatchfork::exchange
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -42,8 +42,21 @@
   /// Unique among the proposals of one life of `from`.
   std::uint64_t number = 0;
   std::string command;
+  /// See `GroupHost::propose`; empty for none, and from older releases.
+  std::string subject;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProposalFrame, group, from, number, command)
+inline void to_json(nlohmann::json& json, const ProposalFrame& frame) {
+  json = nlohmann::json{
+      {"group", frame.group}, {"from", frame.from}, {"number", frame.number}, {"command", frame.command}};
+  if (!frame.subject.empty()) json["subject"] = frame.subject;
+}
+inline void from_json(const nlohmann::json& json, ProposalFrame& frame) {
+  json.at("group").get_to(frame.group);
+  json.at("from").get_to(frame.from);
+  json.at("number").get_to(frame.number);
+  json.at("command").get_to(frame.command);
+  frame.subject = json.value("subject", std::string());
+}
 
 enum class ProposalResult : std::uint8_t {
   /// Committed and applied.
@@ -63,7 +76,7 @@
   GroupId group = 0;
   std::uint64_t number = 0;
   ProposalResult result = ProposalResult::kUnknown;
-  /// What the state machine answered; only with `kApplied`.
+  /// What the state machine answered with `kApplied`; with `kNotRun` the cause, if it is known.
   std::string reply;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProposalReplyFrame, group, number, result, reply)
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -23,6 +23,10 @@
 constexpr Duration kPlanInterval = fromMillis(100);
 constexpr Duration kReopenDelay = fromMillis(500);
 constexpr Duration kReadTimeout = fromMillis(1500);
+/// After the leader has refused a submission for its full log, none is passed on to it for this long.
+constexpr Duration kLogFullPause = fromMillis(50);
+/// Part of `max_log_bytes` that applied entries may take.
+constexpr std::size_t kKeptShareOfLog = 8;
 
 std::string_view roleName(Role role) {
   switch (role) {
@@ -87,6 +91,7 @@
   options.initial_members = options_.formation_members;
   options.may_form = options_.may_form;
   options.timing = options_.timing;
+  if (options_.max_log_bytes > 0) options.max_kept_bytes = options_.max_log_bytes / kKeptShareOfLog;
   std::unique_ptr<consensus::StateMachine> machine = make_machine_();
   consensus::StateMachine* in_use = machine.get();
   auto opened = consensus::openReplicatedGroup(options, *disk_, std::move(machine), monotonicNow());
@@ -157,8 +162,9 @@
   if (!fault_seen_) {
     fault_seen_ = true;
     reopen_at_ = now + kReopenDelay;
+    subjects_.clear();
     for (auto& [number, pending] : std::exchange(pending_, {})) {
-      if (pending.proposal) pending.proposal(ProposalOutcome{ProposalResult::kUnknown, ""});
+      for (const Proposer& proposer : pending.proposers) proposer.done(ProposalOutcome{ProposalResult::kUnknown, ""});
       if (pending.read) pending.read(false);
     }
   }
@@ -190,13 +196,11 @@
   const std::string text = describeMembership(*target);
   logEvent(LogLevel::kInfo, "membership_change",
            {{"group", options_.group}, {"from", describeMembership(status.membership)}, {"to", text}});
-  Pending pending;
-  pending.proposal = [group = options_.group, text](const ProposalOutcome& outcome) {
+  auto done = [group = options_.group, text](const ProposalOutcome& outcome) {
     logEvent(LogLevel::kInfo, "membership_change_ended",
              {{"group", group}, {"to", text}, {"committed", outcome.result == ProposalResult::kApplied}});
   };
-  pending.deadline = now + std::chrono::seconds(10);
-  pending_.emplace(number, std::move(pending));
+  pending_[number].proposers.push_back(Proposer{done, now + std::chrono::seconds(10)});
   replica_->changeMembership(now, number, *target);
 }
 
@@ -210,47 +214,97 @@
   auto done = [this, to = frame.from, number = frame.number](const ProposalOutcome& outcome) {
     send_(to, ProposalReplyFrame{options_.group, number, outcome.result, outcome.reply});
   };
-  proposeHere(frame.command, monotonicNow() + kReadTimeout, done);
+  proposeHere(frame.command, Proposer{done, monotonicNow() + kReadTimeout}, frame.subject);
 }
 
 void GroupHost::receive(const ProposalReplyFrame& frame) {
   const auto found = forwarded_.find(frame.number);
   if (found == forwarded_.end()) return;
-  const ProposalHandler done = std::move(found->second.done);
+  const Forwarded forwarded = std::move(found->second);
   forwarded_.erase(found);
-  done(ProposalOutcome{frame.result, frame.reply});
+  if (frame.result == ProposalResult::kNotRun && frame.reply == kLogFull) {
+    leader_full_until_ = monotonicNow() + kLogFullPause;
+  }
+  for (const Proposer& proposer : forwarded.proposers) proposer.done(ProposalOutcome{frame.result, frame.reply});
 }
 
-void GroupHost::propose(std::string command, Duration timeout, ProposalHandler done) {
-  const Instant deadline = monotonicNow() + timeout;
+void GroupHost::propose(std::string command, Duration timeout, ProposalHandler done, std::string subject) {
+  Proposer proposer{std::move(done), monotonicNow() + timeout};
   const std::optional<ReplicaId> leading = leader();
   if (!leading) {
-    done(ProposalOutcome{ProposalResult::kNotRun, ""});
+    proposer.done(ProposalOutcome{ProposalResult::kNotRun, ""});
+  } else if (*leading == options_.self) {
+    proposeHere(std::move(command), std::move(proposer), std::move(subject));
+  } else {
+    forward(*leading, std::move(command), std::move(proposer), std::move(subject));
+  }
+}
+
+void GroupHost::forward(const ReplicaId& leader, std::string command, Proposer proposer, std::string subject) {
+  const auto same = std::find_if(forwarded_.begin(), forwarded_.end(), [&](const auto& entry) {
+    return !subject.empty() && entry.second.subject == subject && entry.second.leader == leader;
+  });
+  if (same != forwarded_.end()) {
+    same->second.proposers.push_back(std::move(proposer));
     return;
   }
-  if (*leading == options_.self) {
-    proposeHere(std::move(command), deadline, std::move(done));
+  if (!subject.empty() && monotonicNow() < leader_full_until_) {
+    proposer.done(ProposalOutcome{ProposalResult::kNotRun, std::string(kLogFull)});
     return;
   }
   const std::uint64_t number = ++last_number_;
-  if (!send_(*leading, ProposalFrame{options_.group, options_.self, number, std::move(command)})) {
-    done(ProposalOutcome{ProposalResult::kNotRun, ""});
+  if (!send_(leader, ProposalFrame{options_.group, options_.self, number, std::move(command), subject})) {
+    proposer.done(ProposalOutcome{ProposalResult::kNotRun, ""});
     return;
   }
-  forwarded_.emplace(number, Forwarded{std::move(done), deadline, *leading});
+  Forwarded& forwarded = forwarded_[number];
+  forwarded.proposers.push_back(std::move(proposer));
+  forwarded.subject = std::move(subject);
+  forwarded.leader = leader;
 }
 
-void GroupHost::proposeHere(std::string command, Instant deadline, ProposalHandler done) {
+void GroupHost::proposeHere(std::string command, Proposer proposer, std::string subject) {
   if (!replica_) {
-    done(ProposalOutcome{ProposalResult::kNotRun, ""});
+    proposer.done(ProposalOutcome{ProposalResult::kNotRun, ""});
     return;
   }
+  if (!subject.empty()) {
+    const auto first = subjects_.find(subject);
+    const bool is_in_log = first != subjects_.end();
+    const bool is_refused = !is_in_log && isLogFull(command.size());
+    if (is_in_log || is_refused) {
+      logEvent(LogLevel::kInfo, is_in_log ? "proposal_joined" : "proposal_refused",
+               {{"group", options_.group},
+                {"subject", subject},
+                {"bytes", command.size()},
+                {"log_bytes", logBytesInMemory()},
+                {"max_log_bytes", options_.max_log_bytes},
+                {"in_log", subjects_.size()}});
+    }
+    if (is_in_log) {
+      pending_[first->second].proposers.push_back(std::move(proposer));
+      return;
+    }
+    if (is_refused) {
+      proposer.done(ProposalOutcome{ProposalResult::kNotRun, std::string(kLogFull)});
+      return;
+    }
+  }
   const consensus::RequestNumber number = ++last_number_;
-  pending_.emplace(number, Pending{std::move(done), nullptr, deadline});
+  if (!subject.empty()) subjects_.emplace(subject, number);
+  Pending& pending = pending_[number];
+  pending.proposers.push_back(std::move(proposer));
+  pending.subject = std::move(subject);
   replica_->propose(monotonicNow(), number, std::move(command));
   flushSoon();
 }
 
+/// A command larger than the limit is appended if no other one is in the log.
+bool GroupHost::isLogFull(std::size_t bytes) const {
+  if (options_.max_log_bytes == 0 || subjects_.empty()) return false;
+  return logBytesInMemory() + bytes > options_.max_log_bytes;
+}
+
 void GroupHost::read(ReadHandler done) {
   if (!replica_) {
     done(false);
@@ -258,7 +312,9 @@
   }
   const Instant now = monotonicNow();
   const consensus::RequestNumber number = ++last_number_;
-  pending_.emplace(number, Pending{nullptr, std::move(done), now + kReadTimeout});
+  Pending& pending = pending_[number];
+  pending.read = std::move(done);
+  pending.read_deadline = now + kReadTimeout;
   replica_->read(now, number);
   flushSoon();
 }
@@ -295,37 +351,46 @@
   if (found == pending_.end()) return;
   const Pending pending = std::move(found->second);
   pending_.erase(found);
+  subjects_.erase(pending.subject);
   if (pending.read) {
     pending.read(std::holds_alternative<consensus::ReadReady>(outcome.result));
     return;
   }
+  ProposalOutcome told;
   if (const auto* applied = std::get_if<consensus::Applied>(&outcome.result)) {
-    pending.proposal(ProposalOutcome{ProposalResult::kApplied, applied->reply});
-    return;
+    told = ProposalOutcome{ProposalResult::kApplied, applied->reply};
+  } else if (!std::holds_alternative<consensus::OutcomeUnknown>(outcome.result)) {
+    told.result = ProposalResult::kNotRun;
   }
-  const bool unknown = std::holds_alternative<consensus::OutcomeUnknown>(outcome.result);
-  pending.proposal(ProposalOutcome{unknown ? ProposalResult::kUnknown : ProposalResult::kNotRun, ""});
+  for (const Proposer& proposer : pending.proposers) proposer.done(told);
 }
 
 void GroupHost::expire(Instant now) {
-  std::vector<Pending> late;
-  std::erase_if(pending_, [&](auto& entry) {
-    if (entry.second.deadline > now) return false;
-    late.push_back(std::move(entry.second));
-    return true;
+  std::vector<ReadHandler> late_reads;
+  std::vector<ProposalHandler> late;
+  const auto take_late = [&late](std::vector<Proposer>& proposers, Instant until) {
+    std::erase_if(proposers, [&](Proposer& proposer) {
+      if (proposer.deadline > until) return false;
+      late.push_back(std::move(proposer.done));
+      return true;
+    });
+  };
+  for (auto& [number, pending] : pending_) {
+    take_late(pending.proposers, now);
+    if (!pending.read || pending.read_deadline > now) continue;
+    late_reads.push_back(std::exchange(pending.read, nullptr));
+  }
+  std::erase_if(pending_, [](const auto& entry) {
+    const Pending& pending = entry.second;
+    return pending.proposers.empty() && pending.subject.empty() && !pending.read;
   });
-  std::vector<ProposalHandler> late_forwards;
   const std::optional<ReplicaId> leading = leader();
-  std::erase_if(forwarded_, [&](auto& entry) {
-    if (entry.second.deadline > now && leading == entry.second.leader) return false;
-    late_forwards.push_back(std::move(entry.second.done));
-    return true;
-  });
-  for (Pending& pending : late) {
-    if (pending.read) pending.read(false);
-    if (pending.proposal) pending.proposal(ProposalOutcome{ProposalResult::kUnknown, ""});
+  for (auto& [number, forwarded] : forwarded_) {
+    take_late(forwarded.proposers, leading == forwarded.leader ? now : Instant::max());
   }
-  for (ProposalHandler& done : late_forwards) done(ProposalOutcome{ProposalResult::kUnknown, ""});
+  std::erase_if(forwarded_, [](const auto& entry) { return entry.second.proposers.empty(); });
+  for (const ReadHandler& done : late_reads) done(false);
+  for (const ProposalHandler& done : late) done(ProposalOutcome{ProposalResult::kUnknown, ""});
 }
 
 void GroupHost::setContacts(std::vector<ReplicaId> contacts, std::size_t announcers) {
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "connection/asio.hpp"
@@ -27,9 +28,15 @@
   /// Upper bound of the wanted voters; odd.
   std::size_t most_voters = 3;
   consensus::Timing timing{fromMillis(50), fromMillis(200)};
+  /// Payload bytes of the log in memory beyond which the leader appends no further command with a subject; zero for no
+  /// limit.
+  std::size_t max_log_bytes = 0;
 };
 
-/// Outcome of a proposal; `reply` is the state machine's.
+/// Reply of a proposal that was not run because the leader's log is at `max_log_bytes`.
+inline constexpr std::string_view kLogFull = "log_full";
+
+/// Outcome of a proposal; `reply` is the state machine's, or the cause for `kNotRun`.
 struct ProposalOutcome {
   ProposalResult result = ProposalResult::kUnknown;
   std::string reply;
@@ -60,7 +67,11 @@
   void receive(const ProposalReplyFrame& frame);
 
   /// Replicates a command, here or at the leader. Calls back exactly once, within `timeout`.
-  void propose(std::string command, Duration timeout, ProposalHandler done);
+  ///
+  /// `subject` names what a caller's command is about, for example the job that it submits: while a command with the
+  /// same subject is in the leader's log and not applied, a further one is not appended and shares its outcome. Such
+  /// commands are refused while the log in memory is at `max_log_bytes`.
+  void propose(std::string command, Duration timeout, ProposalHandler done, std::string subject = {});
   /// Calls back once the state machine here is at least as fresh as this call, or with false.
   void read(ReadHandler done);
 
@@ -80,6 +91,8 @@
   /// Leads as far as this replica knows, confirmed by a quorum or not.
   bool isLeader() const { return replica_ && replica_->role() == consensus::Role::kLeader; }
   consensus::GroupStatus status() const;
+  /// Proposals and reads without an outcome, those that were passed on to the leader included.
+  std::size_t proposalsInFlight() const { return pending_.size() + forwarded_.size(); }
   std::size_t logBytesInMemory() const { return replica_ ? replica_->logBytesInMemory() : 0; }
   std::optional<ReplicaId> leader() const;
   consensus::Term term() const { return replica_ ? replica_->term() : 0; }
@@ -87,16 +100,21 @@
   void setProgressHandler(std::function<void()> on_progress) { on_progress_ = std::move(on_progress); }
 
  private:
+  /// A proposer that waits for an outcome.
+  struct Proposer {
+    ProposalHandler done;
+    Instant deadline;
+  };
   struct Pending {
-    ProposalHandler proposal;
+    /// Several share one entry. Entries with a subject stay pending until their outcome, also without proposers.
+    std::vector<Proposer> proposers;
+    std::string subject;
     ReadHandler read;
-    Instant deadline;
-  /// Proposals and reads without an outcome, those that were passed on to the leader included.
-  std::size_t proposalsInFlight() const { return pending_.size() + forwarded_.size(); }
+    Instant read_deadline = Instant::max();
   };
   struct Forwarded {
-    ProposalHandler done;
-    Instant deadline;
+    std::vector<Proposer> proposers;
+    std::string subject;
     /// Whom it was passed on to; another leader knows nothing of it.
     ReplicaId leader;
   };
@@ -112,7 +130,11 @@
   void reopenAfterFault(Instant now);
   void planMembership(Instant now);
   void logRoleChange();
-  void proposeHere(std::string command, Instant deadline, ProposalHandler done);
+  /// Passes a proposal on to the leader, unless one with its subject is under way there.
+  void forward(const ReplicaId& leader, std::string command, Proposer proposer, std::string subject);
+  void proposeHere(std::string command, Proposer proposer, std::string subject);
+  /// True if no further command of this size with a subject may be appended.
+  bool isLogFull(std::size_t bytes) const;
 
   connection::asio::io_context& context_;
   GroupHostOptions options_;
@@ -128,7 +150,10 @@
   std::set<ReplicaId> retiring_;
   consensus::Membership initial_;
   std::map<consensus::RequestNumber, Pending> pending_;
+  /// Numbers of the pending proposals with a subject.
+  std::map<std::string, consensus::RequestNumber> subjects_;
   std::map<std::uint64_t, Forwarded> forwarded_;
+  Instant leader_full_until_ = Instant::min();
   std::uint64_t last_number_ = 0;
   Instant started_at_{};
   Instant next_plan_{};
--- a/src/process/store/store_messages.hpp
+++ b/src/process/store/store_messages.hpp
@@ -98,8 +98,11 @@
   static constexpr std::string_view kKind = "unavailable";
   bool may_apply = false;
   std::string cause;
+  /// True if no other store can serve the request now either.
+  bool is_final = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UnavailableReply, may_apply, cause)
+/// Older releases send no `is_final`.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UnavailableReply, may_apply, cause, is_final)
 
 /// The job exceeds the limit of waiting tokens on its route. Final: no copy of this attempt takes effect.
 struct OverLimitReply {
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -9,6 +9,7 @@
 #include "common/log.hpp"
 #include "common/start_timeline.hpp"
 #include "connection/stop_signal.hpp"
+#include "process/memory/process_memory.hpp"
 #include "process/store/group_contacts.hpp"
 
 namespace hatchfork::store {
@@ -71,6 +72,7 @@
 StoreProgram::~StoreProgram() = default;
 
 Status StoreProgram::start() {
+  memory::returnLargeBuffers();
   connection::FrameConnection::setOutboxLimit(memory_.quota(memory::MemoryConsumer::kOutboxes));
   JobExecutorOptions executor_options;
   executor_options.self = settings_.self();
@@ -96,6 +98,8 @@
   options.timing = kStoreTiming;
   options.self = settings_.self();
   options.data_folder = settings_.data_folder;
+  options.max_log_bytes =
+      memory_.quota(memory::MemoryConsumer::kLog) + memory_.quota(memory::MemoryConsumer::kRequests);
   options.most_voters = std::max<std::size_t>(kMinVoters, 2 * settings_.tolerated_losses + 1);
   auto make_machine = [this] { return std::make_unique<JobState>([this](const JobId& job) { noteChange(job); }); };
   auto adopt_machine = [this](consensus::StateMachine& machine) {
@@ -378,11 +382,11 @@
 
 void StoreProgram::tick(Instant now) {
   suspensions_.look();
+  watchMemory(now);
   updateLeadership();
   proposeCrashes(now);
   executor_->tick(now);
   runner_->tick(now);
-  watchMemory(now);
   answerPendingReads(now);
   measureDrainRate(now);
   reportOwnLoad(now);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -105,8 +105,8 @@
   std::string_view memoryRefusalCause(std::size_t bytes) const;
   /// Reports the memory use of each consumer to the budget.
   void measureMemory();
-  void fillMemoryMetrics(metrics::MetricsPage& page) const;
   void watchMemory(Instant now);
+  void fillMemoryMetrics(metrics::MetricsPage& page) const;
   void fillMetrics(metrics::MetricsPage& page) const;
   void fillQueueMetrics(metrics::MetricsPage& page) const;
   connection::Awaitable<void> tickLoop();
@@ -131,7 +131,9 @@
   bool crash_proposal_in_flight_ = false;
   JobState* state_ = nullptr;
   memory::MemoryBudget memory_;
-  /// Bytes of item bodies in submissions that are proposed and have no outcome yet.
+  /// Jobs whose submissions are proposed and have no outcome yet, with the number of these submissions.
+  std::map<JobId, std::size_t> submissions_;
+  /// Bytes of item bodies in these jobs, each counted once.
   std::size_t submission_bytes_ = 0;
   std::unique_ptr<fleet::GroupHost> group_;
   std::unique_ptr<JobExecutor> executor_;
@@ -164,10 +166,10 @@
   std::list<PendingRead> pending_reads_;
   std::set<JobId> changed_jobs_;
   Instant next_trim_{};
+  Instant next_memory_log_{};
   /// Time at which a quorum last confirmed the leadership of this store.
   Instant confirmed_at_ = Instant::min();
   fleet::HandlerWatch handlers_;
-  Instant next_memory_log_{};
   connection::SuspensionWatch suspensions_;
   bool change_posted_ = false;
   bool stopping_ = false;
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "common/log.hpp"
@@ -14,10 +16,15 @@
 namespace {
 
 constexpr std::size_t kMaxResultBytes = 700u << 10;
+/// Large requests are submissions. Without a leader they are refused before they are decoded, which takes milliseconds.
+constexpr std::size_t kLargeRequestBytes = 64 * 1024;
 
 StoreReply replyOf(const ProposalOutcome& outcome) {
   if (outcome.result == ProposalResult::kApplied && outcome.reply == kApplyUnknown) return UnknownReply{};
   if (outcome.result == ProposalResult::kApplied) return DoneReply{};
+  if (outcome.result == ProposalResult::kNotRun && outcome.reply == fleet::kLogFull) {
+    return UnavailableReply{false, "the leader's log is full", /*is_final=*/true};
+  }
   const bool may_apply = outcome.result == ProposalResult::kUnknown;
   return UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"};
 }
@@ -28,6 +35,10 @@
   auto reply = [from, number = frame.number](const StoreReply& body) {
     from->send(encodeTagged(FleetMessage(fleet::StoreReplyFrame{number, encodeTagged(body)})));
   };
+  if (frame.request.size() >= kLargeRequestBytes && !group_->leader()) {
+    reply(UnavailableReply{false, "no leader"});
+    return;
+  }
   Result<StoreRequest> request = decodeTagged<StoreRequest>(frame.request);
   if (!isOk(request)) {
     reply(UnavailableReply{false, "malformed request"});
@@ -46,7 +57,8 @@
     return;
   }
   const std::size_t body_bytes = bodyBytesOf(request.job);
-  const std::string_view refusal_cause = memoryRefusalCause(body_bytes);
+  const bool is_under_way = submissions_.contains(id);
+  const std::string_view refusal_cause = is_under_way ? std::string_view() : memoryRefusalCause(body_bytes);
   if (!refusal_cause.empty()) {
     logEvent(LogLevel::kWarning, "job_refused",
              {{"job", id.value},
@@ -60,10 +72,16 @@
   }
   const WaitingLimit limit = request.limit;
   const std::uint64_t tokens = tokensOf(request.job);
+  // Copies of a submission under way, and resends of its caller, share its entry in the log.
+  std::string subject = fmt::format("job {}/{}", request.job.tenant.value, id.value);
   SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
-  submission_bytes_ += body_bytes;
+  if (submissions_[id]++ == 0) submission_bytes_ += body_bytes;
   auto done = [this, id, items, limit, tokens, body_bytes, reply = std::move(reply)](const ProposalOutcome& outcome) {
-    submission_bytes_ -= body_bytes;
+    const auto under_way = submissions_.find(id);
+    if (--under_way->second == 0) {
+      submissions_.erase(under_way);
+      submission_bytes_ -= body_bytes;
+    }
     const bool applied = outcome.result == ProposalResult::kApplied;
     const bool over_limit = applied && outcome.reply == kApplyOverLimit;
     if (over_limit) ++over_limit_jobs_;
@@ -75,7 +93,7 @@
               {"over_limit", over_limit}});
     reply(over_limit ? overLimitReply(limit, tokens) : replyOf(outcome));
   };
-  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
+  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done), std::move(subject));
 }
 
 /// Derives the time until the job fits from the rate at which tokens are finished.
@@ -96,6 +114,20 @@
   propose(EndJob{id, request.tenant}, logged);
 }
 
+/// Granted only once a quorum has confirmed the leadership, so that no two leaders grant a lease at the same time.
+void StoreProgram::serve(TrialRequest request, ReplyFunction reply) {
+  if (!executor_->isLeading()) {
+    reply(UnavailableReply{false, "not the leader"});
+    return;
+  }
+  auto answer = [this, request]() -> StoreReply {
+    if (!executor_->isLeading()) return UnavailableReply{false, "not the leader"};
+    const Duration wait = executor_->requestTrial(monotonicNow(), request.content, request.holder);
+    return TrialReply{wait == Duration::zero(), toMillis(wait)};
+  };
+  answerFresh(answer, std::move(reply));
+}
+
 void StoreProgram::propose(JobCommand command, ReplyFunction reply) {
   group_->propose(encodeTagged(command), kProposalTimeout,
                   [reply = std::move(reply)](const ProposalOutcome& outcome) { reply(replyOf(outcome)); });
@@ -114,20 +146,6 @@
       return;
     }
     const StoredJob* job = state_->find(request.job);
-/// Granted only once a quorum has confirmed the leadership, so that no two leaders grant a lease at the same time.
-void StoreProgram::serve(TrialRequest request, ReplyFunction reply) {
-  if (!executor_->isLeading()) {
-    reply(UnavailableReply{false, "not the leader"});
-    return;
-  }
-  auto answer = [this, request]() -> StoreReply {
-    if (!executor_->isLeading()) return UnavailableReply{false, "not the leader"};
-    const Duration wait = executor_->requestTrial(monotonicNow(), request.content, request.holder);
-    return TrialReply{wait == Duration::zero(), toMillis(wait)};
-  };
-  answerFresh(answer, std::move(reply));
-}
-
     if (job == nullptr || !job->isVisibleTo(request.tenant)) {
       reply(UnknownReply{});
       return;
--- a/tests/process/exchange/store_client_test.cpp
+++ b/tests/process/exchange/store_client_test.cpp
@@ -42,14 +42,14 @@
 };
 
 /// Makes one call once both stores are connected.
-CallResult callStores(connection::asio::io_context& context, Duration deadline) {
+CallResult callStores(connection::asio::io_context& context, Duration deadline,
+                      const store::StoreRequest& request = store::EndJobRequest{JobId("j")}) {
   StoreClient client(context, kPort, /*seed=*/0);
   client.setStores({ReplicaId("127.0.0.1"), ReplicaId("127.0.0.2")});
   CallResult result;
   auto run = [&]() -> connection::Awaitable<void> {
     co_await connection::sleepFor(fromMillis(300));
     const Instant began = monotonicNow();
-    const store::StoreRequest request = store::EndJobRequest{JobId("j")};
     const StoreCallLimits limits{began + deadline, fromMillis(5000), fromMillis(50), began + fromMillis(90)};
     store::StoreReply reply = co_await client.call(request, limits);
     result.took = monotonicNow() - began;
@@ -95,3 +95,29 @@
     REQUIRE(std::get<store::UnavailableReply>(*result.reply).may_apply);
   }
 }
+
+// Guards against an overloaded leader that gets each large submission again from every store, 40 ms after each refusal.
+TEST_CASE("a refusal for which no other store can make up ends the call at once", "[exchange][stores]") {
+  connection::asio::io_context context;
+  const store::StoreReply refusal = store::UnavailableReply{false, "the leader's log is full", /*is_final=*/true};
+  FakeStore first(context, "127.0.0.1", refusal);
+  FakeStore second(context, "127.0.0.2", refusal);
+  const CallResult result = callStores(context, fromMillis(4000));
+  REQUIRE(result.reply);
+  REQUIRE_FALSE(std::get<store::UnavailableReply>(*result.reply).may_apply);
+  REQUIRE(first.requests_received + second.requests_received == 1);
+}
+
+TEST_CASE("a large request is sent again less often than a small one", "[exchange][stores]") {
+  const store::StoreReply uncertain = store::UnavailableReply{true, "no quorum in time"};
+  const auto sends = [&](const store::StoreRequest& request) {
+    connection::asio::io_context context;
+    FakeStore first(context, "127.0.0.1", uncertain);
+    FakeStore second(context, "127.0.0.2", uncertain);
+    callStores(context, fromMillis(1000), request);
+    return first.requests_received + second.requests_received;
+  };
+  store::SubmitJobRequest large;
+  large.job.items.push_back(OpaqueItem{"i", "/x/1", {}, std::string(100'000, 'x'), 10});
+  REQUIRE(2 * sends(large) < sends(store::EndJobRequest{JobId("j")}));
+}
