--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -268,28 +268,7 @@
     proposer.done(ProposalOutcome{ProposalResult::kNotRun, ""});
     return;
   }
-  if (!subject.empty()) {
-    const auto first = subjects_.find(subject);
-    const bool is_in_log = first != subjects_.end();
-    const bool is_refused = !is_in_log && isLogFull(command.size());
-    if (is_in_log || is_refused) {
-      logEvent(LogLevel::kInfo, is_in_log ? "proposal_joined" : "proposal_refused",
-               {{"group", options_.group},
-                {"subject", subject},
-                {"bytes", command.size()},
-                {"log_bytes", logBytesInMemory()},
-                {"max_log_bytes", options_.max_log_bytes},
-                {"in_log", subjects_.size()}});
-    }
-    if (is_in_log) {
-      pending_[first->second].proposers.push_back(std::move(proposer));
-      return;
-    }
-    if (is_refused) {
-      proposer.done(ProposalOutcome{ProposalResult::kNotRun, std::string(kLogFull)});
-      return;
-    }
-  }
+  if (!subject.empty() && joinsOrRefuses(command.size(), proposer, subject)) return;
   const consensus::RequestNumber number = ++last_number_;
   if (!subject.empty()) subjects_.emplace(subject, number);
   Pending& pending = pending_[number];
@@ -299,6 +278,25 @@
   flushSoon();
 }
 
+bool GroupHost::joinsOrRefuses(std::size_t bytes, Proposer& proposer, const std::string& subject) {
+  const auto first = subjects_.find(subject);
+  const bool is_in_log = first != subjects_.end();
+  if (!is_in_log && !isLogFull(bytes)) return false;
+  logEvent(LogLevel::kInfo, is_in_log ? "proposal_joined" : "proposal_refused",
+           {{"group", options_.group},
+            {"subject", subject},
+            {"bytes", bytes},
+            {"log_bytes", logBytesInMemory()},
+            {"max_log_bytes", options_.max_log_bytes},
+            {"in_log", subjects_.size()}});
+  if (is_in_log) {
+    pending_[first->second].proposers.push_back(std::move(proposer));
+  } else {
+    proposer.done(ProposalOutcome{ProposalResult::kNotRun, std::string(kLogFull)});
+  }
+  return true;
+}
+
 /// A command larger than the limit is appended if no other one is in the log.
 bool GroupHost::isLogFull(std::size_t bytes) const {
   if (options_.max_log_bytes == 0 || subjects_.empty()) return false;
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -133,6 +133,8 @@
   /// Passes a proposal on to the leader, unless one with its subject is under way there.
   void forward(const ReplicaId& leader, std::string command, Proposer proposer, std::string subject);
   void proposeHere(std::string command, Proposer proposer, std::string subject);
+  /// Adds the proposer to the entry of its subject, or refuses it if the log is full; false if it is to be appended.
+  bool joinsOrRefuses(std::size_t bytes, Proposer& proposer, const std::string& subject);
   /// True if no further command of this size with a subject may be appended.
   bool isLogFull(std::size_t bytes) const;
 
@@ -153,6 +155,7 @@
   /// Numbers of the pending proposals with a subject.
   std::map<std::string, consensus::RequestNumber> subjects_;
   std::map<std::uint64_t, Forwarded> forwarded_;
+  /// Until when commands with a subject are not passed on, since the leader's log was full.
   Instant leader_full_until_ = Instant::min();
   std::uint64_t last_number_ = 0;
   Instant started_at_{};
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -105,6 +105,7 @@
   std::string_view memoryRefusalCause(std::size_t bytes) const;
   /// Reports the memory use of each consumer to the budget.
   void measureMemory();
+  /// Logs the memory of the process and of each consumer while it is near its limit.
   void watchMemory(Instant now);
   void fillMemoryMetrics(metrics::MetricsPage& page) const;
   void fillMetrics(metrics::MetricsPage& page) const;
