suspended_gateway waits until both engines serve

The test waited for one served request, which one engine can give.

Change: it waits until each engine has served a request. All checks and bounds are as before.

--- a/tests/soak/suspended_gateway.py
+++ b/tests/soak/suspended_gateway.py
@@ -50,10 +50,10 @@
         await engine.start()
     gateway = fleet.gateways[0]
 
-    async def serves():
+    async def serves_from_both():
         status, _, _ = await call(gateway, "POST", "/safe/a", b"x", request_headers(), timeout=2)
-        return status == 200
-    await eventually(check, "the gateway serves", serves, seconds=30)
+        return status == 200 and all(engine.runs for engine in engines)
+    await eventually(check, "the gateway serves from both engines", serves_from_both, seconds=30)
     request = new_id()
     asked = asyncio.create_task(call(gateway, "POST", "/safe/a", b"break", request_headers(request, remaining=4000)))
     await asyncio.sleep(0.15)
