Crashes are kept beyond the life of all processes from a request's second one on

Cause: the store group kept crashes only of requests that are refused, from the third one on. Since requests need a lease from the second crash on, and a new leader grants none for 6 s, they stand at two for seconds; a kill of all processes then makes the fleet forget both, and each life of it spends two further engines.

Ruled out: gateways that serve before they are told (told=true after_ms=20 at all); crashes not on disk in time; the wall clock.

Change: crashes are kept from the second one on, the worst requests' first. A whole answer has them removed again; those of requests with fewer than three are kept for ten minutes and evicted first. Log line crashes_kept.

--- a/src/process/fleet/crash_watch.hpp
+++ b/src/process/fleet/crash_watch.hpp
@@ -67,8 +67,12 @@
   CrashNotesFrame hello() const;
   /// All that is known, newest first, up to a bound.
   CrashNotesFrame everything(Instant now) const;
-  /// Ends of engines under requests that are refused for them, to be kept.
-  std::vector<request::CrashRecord> crashesOfQuarantined(Instant now) { return ledger_.crashesOfQuarantined(now); }
+  /// Crashes that must survive a simultaneous exit of all processes.
+  std::vector<request::CrashRecord> crashesToKeep(Instant now) { return ledger_.crashesToKeep(now); }
+  /// True if the request got a complete answer after this crash.
+  bool isCleared(Instant crashed_at, const request::RequestFingerprint& content) const {
+    return ledger_.isCleared(crashed_at, content);
+  }
   std::uint64_t digest() const { return ledger_.digest(); }
   /// Call about once a second.
   void expire(Instant now);
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -236,7 +236,8 @@
 }
 
 bool JobState::applyOne(const SaveCrashes& command) {
-  return kept_crashes_.add(command.crashes);
+  const bool has_removed = kept_crashes_.remove(command.cleared);
+  return kept_crashes_.add(command.crashes) || has_removed;
 }
 
 void JobState::changed(const JobId& job) const {
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -72,6 +72,8 @@
   void requestPreemption(const EngineId& engine);
   /// Applies the crashes that the group keeps of requests that crash engines; the leader also proposes missing crashes.
   void proposeCrashes(Instant now);
+  /// Returns the difference between the crashes that the group keeps and those that it should keep, in one command.
+  SaveCrashes missingCrashes(Instant now);
   /// Applies the crashes in the log of this store, before a leader has confirmed which of these entries are committed.
   void recoverCrashes(Instant now);
   void applyKeptCrashes(Instant now, const std::vector<StoredCrash>& crashes);
--- a/src/process/store/store_program_crashes.cpp
+++ b/src/process/store/store_program_crashes.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "common/log.hpp"
@@ -7,6 +8,7 @@
 // Requests that crash the engines they run on: the crashes that the group keeps, and the reports to other processes.
 namespace hatchfork::store {
 
+using connection::monotonicNow;
 using fleet::ProposalOutcome;
 using fleet::ProposalResult;
 
@@ -59,32 +61,52 @@
 }
 
 /// If all processes end at once, only the group's state preserves the crashes; without it, each crashing request would
-/// crash three more engines.
+/// crash further engines in each life of the fleet.
 void StoreProgram::proposeCrashes(Instant now) {
   const StoredCrashes& kept = state_->keptCrashes();
-  const WallMillis wall = connection::wallNow();
   if (std::exchange(kept_crashes_applied_, kept.version()) != kept.version()) {
     applyKeptCrashes(now, kept.all());
   }
   const std::uint64_t digest = crashes_.digest();
   if (!executor_->isLeading() || crash_proposal_in_flight_ || digest == crashes_compared_) return;
-  SaveCrashes command;
-  for (const request::CrashRecord& record : crashes_.crashesOfQuarantined(now)) {
-    if (kept.contains(record.content, record.engine)) continue;
-    if (command.crashes.size() >= kMaxCrashesPerCommand) break;
-    command.crashes.push_back({record.content, record.engine, wall - record.age_ms, record.ran_ms});
-  }
-  if (command.crashes.empty()) {
+  SaveCrashes command = missingCrashes(now);
+  if (command.crashes.empty() && command.cleared.empty()) {
     crashes_compared_ = digest;
     return;
   }
   crash_proposal_in_flight_ = true;
-  const bool is_complete = command.crashes.size() < kMaxCrashesPerCommand;
-  auto done = [this, digest, is_complete](const ProposalOutcome& outcome) {
+  const bool is_complete = command.crashes.size() < kMaxCrashesPerCommand && command.cleared.empty();
+  auto done = [this, now, digest, is_complete, crashes = command.crashes.size(),
+               cleared = command.cleared.size()](const ProposalOutcome& outcome) {
     crash_proposal_in_flight_ = false;
-    if (outcome.result == ProposalResult::kApplied && is_complete) crashes_compared_ = digest;
+    const bool is_applied = outcome.result == ProposalResult::kApplied;
+    logEvent(is_applied ? LogLevel::kInfo : LogLevel::kWarning, "crashes_kept",
+             {{"applied", is_applied},
+              {"crashes", crashes},
+              {"cleared", cleared},
+              {"took_ms", toMillis(monotonicNow() - now)},
+              {"requests", state_->keptCrashes().requests()}});
+    if (is_applied && is_complete) crashes_compared_ = digest;
   };
   group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
 }
 
+SaveCrashes StoreProgram::missingCrashes(Instant now) {
+  const StoredCrashes& kept = state_->keptCrashes();
+  const WallMillis wall = connection::wallNow();
+  std::set<request::RequestFingerprint> cleared;
+  for (const StoredCrash& crash : kept.all()) {
+    if (cleared.size() >= kMaxCrashesPerCommand) break;
+    if (crashes_.isCleared(now - fromMillis(wall - crash.ended_at), crash.content)) cleared.insert(crash.content);
+  }
+  SaveCrashes command;
+  command.cleared.assign(cleared.begin(), cleared.end());
+  for (const request::CrashRecord& record : crashes_.crashesToKeep(now)) {
+    if (kept.contains(record.content, record.engine)) continue;
+    if (command.crashes.size() >= kMaxCrashesPerCommand) break;
+    command.crashes.push_back({record.content, record.engine, wall - record.age_ms, record.ran_ms});
+  }
+  return command;
+}
+
 }  // namespace hatchfork::store
--- a/src/process/store/stored_crashes.cpp
+++ b/src/process/store/stored_crashes.cpp
@@ -1,6 +1,7 @@
 #include "process/store/stored_crashes.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hatchfork::store {
 namespace {
@@ -9,6 +10,10 @@
 constexpr std::size_t kMaxRequests = 1000;
 /// Equals the longest time for which a request is refused.
 constexpr WallMillis kRetentionMs = 6LL * 3600 * 1000;
+/// Equals the time for which processes remember the crashes of a request that is not refused.
+constexpr WallMillis kShortRetentionMs = 10LL * 60 * 1000;
+/// Number of crashes from which on a request may be refused.
+constexpr std::size_t kRefusalThreshold = 3;
 
 }  // namespace
 
@@ -18,6 +23,14 @@
   return last;
 }
 
+bool StoredCrashes::mayBeRefused(const EngineCrashes& engine_crashes) {
+  return engine_crashes.size() >= kRefusalThreshold;
+}
+
+WallMillis StoredCrashes::expiresAt(const EngineCrashes& engine_crashes) {
+  return lastCrashAt(engine_crashes) + (mayBeRefused(engine_crashes) ? kRetentionMs : kShortRetentionMs);
+}
+
 bool StoredCrashes::add(const std::vector<StoredCrash>& crashes) {
   bool is_new = false;
   WallMillis newest = 0;
@@ -31,13 +44,21 @@
   return true;
 }
 
+bool StoredCrashes::remove(const std::vector<request::RequestFingerprint>& contents) {
+  std::size_t removed = 0;
+  for (const request::RequestFingerprint& content : contents) removed += crashes_.erase(content);
+  if (removed > 0) ++version_;
+  return removed > 0;
+}
+
 void StoredCrashes::evict(WallMillis newest) {
-  std::erase_if(crashes_, [newest](const auto& entry) { return lastCrashAt(entry.second) + kRetentionMs < newest; });
+  std::erase_if(crashes_, [newest](const auto& entry) { return expiresAt(entry.second) < newest; });
   while (crashes_.size() > kMaxRequests) {
-    const auto oldest = std::min_element(crashes_.begin(), crashes_.end(), [](const auto& left, const auto& right) {
-      return lastCrashAt(left.second) < lastCrashAt(right.second);
+    const auto least = std::min_element(crashes_.begin(), crashes_.end(), [](const auto& left, const auto& right) {
+      return std::pair(mayBeRefused(left.second), lastCrashAt(left.second)) <
+             std::pair(mayBeRefused(right.second), lastCrashAt(right.second));
     });
-    crashes_.erase(oldest);
+    crashes_.erase(least);
   }
 }
 
--- a/src/process/store/stored_crashes.hpp
+++ b/src/process/store/stored_crashes.hpp
@@ -12,7 +12,7 @@
 
 namespace hatchfork::store {
 
-/// A crash of an engine during a request that is refused because of it. The time is wall-clock time, since the record
+/// A crash of an engine during a request that may be its cause. The time is wall-clock time, since the record
 /// outlives processes.
 struct StoredCrash {
   request::RequestFingerprint content;
@@ -23,23 +23,29 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoredCrash, content, engine, ended_at, ran_ms)
 
-/// Log command that stores crashes, so that they survive a simultaneous exit of all processes.
+/// Log command that stores crashes, so that they survive a simultaneous exit of all processes, and removes those of
+/// requests that have got a complete answer since.
 struct SaveCrashes {
   static constexpr std::string_view kKind = "crashes";
   std::vector<StoredCrash> crashes;
+  std::vector<request::RequestFingerprint> cleared;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SaveCrashes, crashes)
+/// Logs of older versions have no cleared requests.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SaveCrashes, crashes, cleared)
 
-/// The crashes that a store group has stored: bounded, and equal at all replicas. Requests are evicted once their last
-/// crash has expired; beyond the bound, those whose last crash is the oldest are evicted first.
+/// The crashes that a store group has stored: bounded, and equal at all replicas of one version. Requests are evicted
+/// once their last crash has expired; beyond the bound, those with too few crashes to be refused are evicted first, the
+/// oldest before the others.
 class StoredCrashes {
  public:
   /// Returns true if at least one of the crashes was not stored before.
   bool add(const std::vector<StoredCrash>& crashes);
+  /// Removes the crashes of these requests. Returns true if there were any.
+  bool remove(const std::vector<request::RequestFingerprint>& contents);
   bool contains(const request::RequestFingerprint& content, const EngineId& engine) const;
   std::vector<StoredCrash> all() const;
   std::size_t requests() const { return crashes_.size(); }
-  /// Increases whenever crashes are added.
+  /// Increases whenever crashes are added or removed.
   std::uint64_t version() const { return version_; }
 
  private:
@@ -50,6 +56,8 @@
   using EngineCrashes = std::map<EngineId, EngineCrash>;
 
   static WallMillis lastCrashAt(const EngineCrashes& engine_crashes);
+  static WallMillis expiresAt(const EngineCrashes& engine_crashes);
+  static bool mayBeRefused(const EngineCrashes& engine_crashes);
   void evict(WallMillis newest);
 
   std::map<request::RequestFingerprint, EngineCrashes> crashes_;
--- a/src/request/crash/crash_ledger.cpp
+++ b/src/request/crash/crash_ledger.cpp
@@ -44,10 +44,13 @@
   return {content, engine, toMillis(now - run.ended_at), toMillis(run.ended_at - run.began_at)};
 }
 
+bool CrashLedger::clears(const Entry& entry, Instant crashed_at) {
+  return entry.cleared_at != Instant::min() && crashed_at <= entry.cleared_at + kCrashTimeTolerance;
+}
+
 bool CrashLedger::noteCrash(Instant at, Duration ran, const RequestFingerprint& content, const EngineId& engine) {
   Entry& entry = entries_[content];
-  const bool is_cleared = at <= entry.cleared_at + kCrashTimeTolerance;
-  if (is_cleared || !entry.crashes.emplace(engine, Crash{at - ran, at}).second) return false;
+  if (clears(entry, at) || !entry.crashes.emplace(engine, Crash{at - ran, at}).second) return false;
   entry.last_crash = std::max(entry.last_crash, at);
   evictExcess();
   is_up_to_date_ = false;
@@ -159,16 +162,28 @@
   return records;
 }
 
-std::vector<CrashRecord> CrashLedger::crashesOfQuarantined(Instant now) {
+std::vector<CrashRecord> CrashLedger::crashesToKeep(Instant now) {
   if (!std::exchange(is_up_to_date_, true)) updateVerdicts();
+  std::vector<const Entries::value_type*> kept;
+  for (const auto& item : entries_) {
+    const CrashVerdict& verdict = item.second.verdict;
+    if (verdict.requires_lease || verdict.crashes >= limits_.kept_threshold) kept.push_back(&item);
+  }
+  std::stable_sort(kept.begin(), kept.end(), [](const auto* left, const auto* right) {
+    return left->second.crashes.size() > right->second.crashes.size();
+  });
   std::vector<CrashRecord> records;
-  for (const auto& [content, entry] : entries_) {
-    if (entry.verdict.refused_until == Instant::min()) continue;
-    for (const auto& crash : entry.crashes) records.push_back(makeRecord(now, content, crash));
+  for (const auto* item : kept) {
+    for (const auto& crash : item->second.crashes) records.push_back(makeRecord(now, item->first, crash));
   }
   return records;
 }
 
+bool CrashLedger::isCleared(Instant crashed_at, const RequestFingerprint& content) const {
+  const auto found = entries_.find(content);
+  return found != entries_.end() && clears(found->second, crashed_at);
+}
+
 std::vector<CompleteAnswerRecord> CrashLedger::innocents(Instant now, std::size_t most) const {
   std::vector<CompleteAnswerRecord> records;
   for (const auto& [content, entry] : entries_) {
--- a/src/request/crash/crash_ledger.hpp
+++ b/src/request/crash/crash_ledger.hpp
@@ -34,6 +34,9 @@
   /// Number of crashes, not explained by another request, from which on a request is refused. A lower number would
   /// refuse requests that merely shared an engine with a crashing request twice.
   std::size_t quarantine_threshold = 3;
+  /// Number of crashes from which on the records of a request are worth keeping beyond the life of all processes. One
+  /// crash is no evidence: each crash is recorded for all requests that were in flight.
+  std::size_t kept_threshold = 2;
   /// Number of crashes from which on requests are refused that were in flight at exactly the same engines and cannot be
   /// distinguished.
   std::size_t ambiguous_threshold = 5;
@@ -95,8 +98,11 @@
 
   /// Returns the newest crash records, at most `most`, the newest first.
   std::vector<CrashRecord> crashes(Instant now, std::size_t most) const;
-  /// Returns the crash records of all requests that are or were in quarantine.
-  std::vector<CrashRecord> crashesOfQuarantined(Instant now);
+  /// Returns the crash records that must survive a simultaneous exit of all processes: those of requests with
+  /// `kept_threshold` crashes or more, the requests with the most crashes first.
+  std::vector<CrashRecord> crashesToKeep(Instant now);
+  /// True if the request got a complete answer after this crash.
+  bool isCleared(Instant crashed_at, const RequestFingerprint& content) const;
   /// Returns the requests with a complete answer, at most `most`.
   std::vector<CompleteAnswerRecord> innocents(Instant now, std::size_t most) const;
   /// Hash of all crash records; equal for ledgers with the same crashes.
@@ -121,6 +127,8 @@
   /// Number of crashes at engines other than `explained`; crashes during overlapping runs count once.
   static std::size_t countUnexplained(const Crashes& crashes, const std::set<EngineId>& explained);
   static std::set<EngineId> unexplainedEngines(const Crashes& crashes, const std::set<EngineId>& explained);
+  /// True if the last complete answer is later than a crash at this time.
+  static bool clears(const Entry& entry, Instant crashed_at);
   static CrashRecord makeRecord(Instant now, const RequestFingerprint& content, const Crashes::value_type& crash);
   void updateVerdicts();
   Instant expiresAt(const Entry& entry) const;
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace hatchfork;
 using namespace hatchfork::store;
+using request::RequestFingerprint;
 
 namespace {
 
@@ -324,7 +325,7 @@
   JobState state;
   const auto keep = [&state](const std::string& content, const std::string& engine, WallMillis ended_at) {
     const StoredCrash crash{request::RequestFingerprint(content), EngineId(engine), ended_at, 30};
-    return state.apply(1, encodeTagged(JobCommand(SaveCrashes{{crash}})));
+    return state.apply(1, encodeTagged(JobCommand(SaveCrashes{{crash}, {}})));
   };
   REQUIRE(keep("a", "e1", 1000) == kApplyChanged);
   REQUIRE(keep("a", "e1", 1010) == kApplyUnchanged);
@@ -337,3 +338,32 @@
   REQUIRE(state.keptCrashes().requests() == 1000);
   REQUIRE_FALSE(state.keptCrashes().contains(request::RequestFingerprint("a"), EngineId("e1")));
 }
+
+// Guards against a request that was cleared by a complete answer and is a suspect again once all processes restart.
+TEST_CASE("crashes of a request that got a complete answer are removed", "[store][crash]") {
+  JobState state;
+  const RequestFingerprint content("a");
+  const SaveCrashes save{{{content, EngineId("e1"), 1000, 30}, {content, EngineId("e2"), 2000, 30}}, {}};
+  REQUIRE(state.apply(1, encodeTagged(JobCommand(save))) == kApplyChanged);
+  const SaveCrashes clear{{}, {content}};
+  REQUIRE(state.apply(2, encodeTagged(JobCommand(clear))) == kApplyChanged);
+  REQUIRE(state.apply(3, encodeTagged(JobCommand(clear))) == kApplyUnchanged);
+  REQUIRE(state.keptCrashes().requests() == 0);
+}
+
+// Guards against many requests with two crashes each crowding out one that is refused for hours.
+TEST_CASE("crashes of refused requests are kept the longest", "[store][crash]") {
+  JobState state;
+  std::uint64_t index = 0;
+  const auto keep = [&](const std::string& content, const std::string& engine, WallMillis ended_at) {
+    const StoredCrash crash{RequestFingerprint(content), EngineId(engine), ended_at, 30};
+    state.apply(++index, encodeTagged(JobCommand(SaveCrashes{{crash}, {}})));
+  };
+  for (const char* engine : {"e1", "e2", "e3"}) keep("refused", engine, 1000);
+  for (const char* engine : {"e1", "e2"}) keep("suspect", engine, 2000);
+  for (int number = 0; number < 1500; ++number) keep("b" + std::to_string(number), "e", 3000 + number);
+  REQUIRE(state.keptCrashes().contains(RequestFingerprint("refused"), EngineId("e3")));
+  REQUIRE_FALSE(state.keptCrashes().contains(RequestFingerprint("suspect"), EngineId("e1")));
+  keep("later", "e", 3600 * 1000);
+  REQUIRE(state.keptCrashes().requests() == 2);
+}
--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -503,6 +503,7 @@
   crash.ran_ms = 50;
   store::SaveCrashes crashes;
   crashes.crashes = {crash};
+  crashes.cleared = {request::RequestFingerprint("cleared-content")};
   return {submit, dropped_later, refused, save, list, end, drop, crashes};
 }
 
--- a/tests/request/crash/crash_ledger_test.cpp
+++ b/tests/request/crash/crash_ledger_test.cpp
@@ -51,6 +51,24 @@
   REQUIRE_FALSE(ledger.judge(content("p")).requires_lease);
 }
 
+// Guards against requests whose two crashes each life of the fleet had to learn anew, at the cost of two engines.
+TEST_CASE("crashes are kept from the second one of a request on, those of the worst requests first", "[crash]") {
+  CrashLedger ledger;
+  ledger.noteCrash(at(1000), kRan, content("once"), engine(1));
+  REQUIRE(ledger.crashesToKeep(at(1000)).empty());
+  for (int number = 2; number <= 3; ++number) ledger.noteCrash(at(1000 * number), kRan, content("a"), engine(number));
+  REQUIRE(ledger.crashesToKeep(at(3000)).size() == 2);
+  for (int number = 4; number <= 6; ++number) ledger.noteCrash(at(1000 * number), kRan, content("b"), engine(number));
+  const std::vector<CrashRecord> kept = ledger.crashesToKeep(at(6000));
+  REQUIRE(kept.size() == 5);
+  REQUIRE(kept.front().content == content("b"));
+  ledger.noteCompleteAnswer(at(7000), content("a"));
+  REQUIRE(ledger.crashesToKeep(at(7000)).size() == 3);
+  REQUIRE(ledger.isCleared(at(3000), content("a")));
+  REQUIRE_FALSE(ledger.isCleared(at(7100), content("a")));
+  REQUIRE_FALSE(ledger.isCleared(at(6000), content("b")));
+}
+
 TEST_CASE("each further crash extends the quarantine of a request", "[crash]") {
   CrashLedger ledger;
   for (int number = 1; number <= 4; ++number) ledger.noteCrash(at(1000 * number), kRan, content("p"), engine(number));
--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -15,6 +15,11 @@
 gateways comes back exactly at the time that was told; the leader of the stores is killed around it in the second one:
 
     python3 tests/soak/ending_requests.py --scenario quarantine|quarantine-leaders [--seed 1] --seconds 34
+
+Where all processes are killed before such a request has met its third end, each life of the fleet had to learn of it
+anew, at the cost of two engines: a kill one second after each second end shows it.
+
+    python3 tests/soak/ending_requests.py --scenario early-restarts [--seed 1] --seconds 24
 """
 import argparse
 import asyncio
@@ -190,6 +195,24 @@
                 process.kill()
             self.fleet.start_all()
 
+    async def kill_all_after_second_ends(self, started):
+        """All processes, four times, each time one second after some such request has met its second end, if any does."""
+        for _ in range(4):
+            already_begun = len(self.begun)
+            given_up = time.monotonic() + 2
+            while time.monotonic() < given_up and not self.has_second_end(self.begun[already_begun:]):
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(1)
+            print(f"{time.monotonic() - started:6.2f} s  kill all processes", flush=True)
+            for process in self.fleet.processes.values():
+                process.kill()
+            self.fleet.start_all()
+
+    @staticmethod
+    def has_second_end(begun):
+        bodies = [body for _, body, _ in begun]
+        return any(bodies.count(body) >= 2 for body in bodies)
+
     async def read_results(self, job):
         """The other items of the job are done."""
         async def done():
@@ -228,6 +251,8 @@
             work.append(asyncio.create_task(self.kill_leaders(started)))
         if scenario == "restarts":
             work.append(asyncio.create_task(self.kill_all_twice(started)))
+        if scenario == "early-restarts":
+            work.append(asyncio.create_task(self.kill_all_after_second_ends(started)))
         if scenario == "gateways":
             work.append(asyncio.create_task(self.restart_gateways(started)))
         if scenario == "kills":
@@ -243,7 +268,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts", "gateways", "quarantine",
-                                                         "quarantine-leaders"], required=True)
+                                                         "quarantine-leaders", "early-restarts"], required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--network", default="127.0.5", help="first three numbers of the fleet's loopback addresses")
