A gateway's share of a rate limit counts what owners granted, earlier owners' included

Cause: a gateway's share is what it admitted of late, divided by the usage that the owner reports. An owner that has just started counts from zero, so each gateway takes nearly the whole limit for its share. After an outage the same: gateways counted what they had admitted from their shares, the owner did not. Evidence: stores restarted, then stopped for 4 to 5.5 s: both gateways admitted 7 to 9 a second each, 10 allowed to both together.

Ruled out: the stall alone (53 in 5 s without the restart before it, same code).

Change: both sides count credits granted by owners. Usage that an earlier owner reported is kept and decays like the owner's meter; a report below 0.8 of the decayed last one shows a new owner. Nothing new crosses the wire.

--- a/src/request/limits/rate_limit_account.cpp
+++ b/src/request/limits/rate_limit_account.cpp
@@ -26,6 +26,9 @@
 /// Capacity of the local bucket, as the requests that its rate allows in this fraction of a window. A new owner starts
 /// with the same amount; the sum of both stays below the tenth of a window by which a limit may be exceeded.
 constexpr double kLocalBurstFraction = 0.04;
+/// A report of usage below this fraction of the decayed last one comes from an owner that has started anew. The margin
+/// covers responses that arrive late.
+constexpr double kNewOwnerFraction = 0.8;
 /// Upper bound of the retry delay that callers receive.
 constexpr Duration kLongestRetryDelay = std::chrono::seconds(2);
 /// Time without arrivals after which an account is idle.
@@ -77,6 +80,7 @@
 void RateLimitAccount::noteResponse(Instant now, const CreditResponse& answer) {
   const std::optional<Instant> sent_at = std::exchange(request_sent_at_, std::nullopt);
   unreachable_until_ = Instant{};
+  noteUsage(now, answer.used_per_second);
   last_response_at_ = now;
   last_response_ = answer;
   admitted_at_response_ = admitted_.rate(now);
@@ -90,12 +94,21 @@
   if (answer.granted < 1) over_limit_until_ = now + std::clamp(answer.wait, kShortestPause, kLongestPause);
 }
 
+void RateLimitAccount::noteUsage(Instant now, double used_per_second) {
+  if (!last_response_at_) return;
+  const double decay = std::exp(-toSeconds(now - *last_response_at_) / toSeconds(options_.window));
+  const double expected = last_response_.used_per_second * decay;
+  used_at_earlier_owners_ *= decay;
+  if (used_per_second < kNewOwnerFraction * expected) used_at_earlier_owners_ += expected;
+}
+
 /// Both rates are of the same moment. If the current local rate were divided by an older fleet-wide rate, the share
 /// would grow with each request admitted locally, and the shares of all gateways would exceed the limit while the
 /// traffic of a tenant increases and no owner answers.
 double RateLimitAccount::localShare() const {
-  if (last_response_.used_per_second <= 0) return 0;
-  return std::min(1.0, admitted_at_response_ / last_response_.used_per_second);
+  const double used = last_response_.used_per_second + used_at_earlier_owners_;
+  if (used <= 0) return 0;
+  return std::min(1.0, admitted_at_response_ / used);
 }
 
 void RateLimitAccount::noteNoResponse(Instant now, const TenantLimits& limits) {
@@ -115,9 +128,7 @@
 }
 
 bool RateLimitAccount::tryTakeLocalShare(Instant now) {
-  if (!local_bucket_.tryTake(now)) return false;
-  admitted_.note(now, 1);
-  return true;
+  return local_bucket_.tryTake(now);
 }
 
 Duration RateLimitAccount::retryDelay(Instant now, const TenantLimits& limits) {
--- a/src/request/limits/rate_limit_account.hpp
+++ b/src/request/limits/rate_limit_account.hpp
@@ -15,6 +15,8 @@
 /// State of the rate limit of one tenant at one gateway: the credits held, the credit request in flight and the local
 /// share. While the owner does not answer, the gateway admits requests from its local share of the limit: the fraction
 /// that this gateway had of the recent usage of all gateways, so that the shares of all gateways add up to the limit.
+/// Only credits of owners count as usage on both sides of this fraction: owners do not know what gateways admit from
+/// their shares. Usage that an earlier owner reported counts beside that of a new one, which knows only its own grants.
 /// Does no I/O; callers pass the current time. Not thread-safe.
 class RateLimitAccount {
  public:
@@ -57,6 +59,9 @@
   };
 
   void dropExpired(Instant now);
+  /// Takes over the usage that the owner reports. A report below what the last one has decayed to comes from an owner
+  /// that has started anew.
+  void noteUsage(Instant now, double used_per_second);
   /// Number of credits held.
   double heldCredits() const;
   /// Fraction of the usage of all gateways that is due to this gateway, from zero to one.
@@ -65,6 +70,7 @@
   RateLimitOptions options_;
   std::deque<CreditBatch> batches_;
   RateMeter arrivals_;
+  /// Requests admitted by credits of owners.
   RateMeter admitted_;
   Instant arrived_at_{};
   std::optional<Instant> request_sent_at_;
@@ -73,6 +79,8 @@
   double unreported_arrivals_ = 0;
   std::optional<Instant> last_response_at_;
   CreditResponse last_response_;
+  /// Usage per second that earlier owners had reported when the current one started anew, decayed since.
+  double used_at_earlier_owners_ = 0;
   /// Admission rate of this gateway, per second, when the owner last reported the rate of all gateways.
   double admitted_at_response_ = 0;
   Instant over_limit_until_{};
--- a/tests/request/limits/rate_limit_test.cpp
+++ b/tests/request/limits/rate_limit_test.cpp
@@ -168,6 +168,61 @@
   REQUIRE(admitted <= 106);
 }
 
+namespace {
+
+/// Gateways of a tenant that requests three times its limit, and the owner of that limit.
+struct LimitedFleet {
+  TenantLimits limits = limitOf(10, 10);
+  RateLimitOptions options = withSlack(5);
+  RateLimitOwner owner{options};
+  std::vector<RateLimitAccount> gateways = std::vector<RateLimitAccount>(2, RateLimitAccount(options));
+
+  /// Plays the milliseconds from `begin` to `end`; returns the number of requests admitted from local shares.
+  int play(std::int64_t begin, std::int64_t end, bool is_answered) {
+    int admitted_locally = 0;
+    for (std::int64_t time = begin; time < end; time += 70) {
+      for (RateLimitAccount& gateway : gateways) {
+        const Instant now = at(time);
+        gateway.noteArrival(now);
+        if (gateway.tryTake(now)) continue;
+        const std::optional<CreditRequest> request = gateway.nextRequest(now, 1);
+        if (request && is_answered) gateway.noteResponse(now, owner.answer(now, kCrew, limits, *request));
+        if (request && !is_answered) gateway.noteNoResponse(now, limits);
+        if (gateway.tryTake(now)) continue;
+        if (gateway.isOwnerUnreachable(now) && gateway.tryTakeLocalShare(now)) ++admitted_locally;
+      }
+    }
+    return admitted_locally;
+  }
+};
+
+/// Requests that may run from local shares in five seconds: those of the rate, and one at once at each gateway.
+constexpr int kMostLocallyAdmitted = 50 + 2;
+
+}  // namespace
+
+// Guards against gateways that each take the whole limit for their share, since an owner that has just started knows of
+// no usage: 76 requests ran in five seconds where 65 were allowed.
+TEST_CASE("local shares stay within the limit after a new owner has answered", "[limits][rate]") {
+  LimitedFleet fleet;
+  fleet.play(0, 20000, true);
+  fleet.owner = RateLimitOwner(fleet.options);
+  fleet.owner.noteTakeover(at(20000));
+  fleet.play(20000, 21000, true);
+  const int admitted = fleet.play(21000, 26000, false);
+  REQUIRE(admitted <= kMostLocallyAdmitted);
+  REQUIRE(admitted >= 35);
+}
+
+// Guards against local shares that grow with each outage, since the owner does not know what was admitted meanwhile.
+TEST_CASE("local shares stay within the limit in a second outage of one owner", "[limits][rate]") {
+  LimitedFleet fleet;
+  fleet.play(0, 20000, true);
+  REQUIRE(fleet.play(20000, 25000, false) <= kMostLocallyAdmitted);
+  fleet.play(25000, 25400, true);
+  REQUIRE(fleet.play(25400, 30400, false) <= kMostLocallyAdmitted);
+}
+
 TEST_CASE("each tenant has one owner, and removing a store reassigns only its own tenants", "[limits][rate]") {
   const std::vector<ReplicaId> all = {ReplicaId("10.0.0.1"), ReplicaId("10.0.0.2"), ReplicaId("10.0.0.3")};
   const std::vector<ReplicaId> fewer = {all[2], all[0]};
