At most 500 requests' crashes are kept, so that the store group evicts none of them

Cause (read in the code): with more requests to keep than the group holds, each proposal evicts others, and the leader proposes again every 50 ms without end. Keeping crashes from the second one on makes that many likelier. Change: the newest of the worst 500. Test: 1,500 requests with two crashes each, crash_ledger_test. Ruled out: an allowance by time, which would not end the proposals.

--- a/src/request/crash/crash_ledger.cpp
+++ b/src/request/crash/crash_ledger.cpp
@@ -170,8 +170,10 @@
     if (verdict.requires_lease || verdict.crashes >= limits_.kept_threshold) kept.push_back(&item);
   }
   std::stable_sort(kept.begin(), kept.end(), [](const auto* left, const auto* right) {
-    return left->second.crashes.size() > right->second.crashes.size();
+    return std::pair(left->second.crashes.size(), left->second.last_crash) >
+           std::pair(right->second.crashes.size(), right->second.last_crash);
   });
+  if (kept.size() > limits_.max_kept_requests) kept.resize(limits_.max_kept_requests);
   std::vector<CrashRecord> records;
   for (const auto* item : kept) {
     for (const auto& crash : item->second.crashes) records.push_back(makeRecord(now, item->first, crash));
--- a/src/request/crash/crash_ledger.hpp
+++ b/src/request/crash/crash_ledger.hpp
@@ -37,6 +37,9 @@
   /// Number of crashes from which on the records of a request are worth keeping beyond the life of all processes. One
   /// crash is no evidence: each crash is recorded for all requests that were in flight.
   std::size_t kept_threshold = 2;
+  /// Largest number of requests whose records are kept beyond the life of all processes, those with the most and newest
+  /// crashes. Less than the store group holds, so that it evicts none of them.
+  std::size_t max_kept_requests = 500;
   /// Number of crashes from which on requests are refused that were in flight at exactly the same engines and cannot be
   /// distinguished.
   std::size_t ambiguous_threshold = 5;
@@ -99,7 +102,7 @@
   /// Returns the newest crash records, at most `most`, the newest first.
   std::vector<CrashRecord> crashes(Instant now, std::size_t most) const;
   /// Returns the crash records that must survive a simultaneous exit of all processes: those of requests with
-  /// `kept_threshold` crashes or more, the requests with the most crashes first.
+  /// `kept_threshold` crashes or more, at most `max_kept_requests`, the requests with the most crashes first.
   std::vector<CrashRecord> crashesToKeep(Instant now);
   /// True if the request got a complete answer after this crash.
   bool isCleared(Instant crashed_at, const RequestFingerprint& content) const;
--- a/tests/request/crash/crash_ledger_test.cpp
+++ b/tests/request/crash/crash_ledger_test.cpp
@@ -69,6 +69,19 @@
   REQUIRE_FALSE(ledger.isCleared(at(6000), content("b")));
 }
 
+// Guards against proposals without end of crashes that the store group evicts at once.
+TEST_CASE("no more requests are kept than the store group holds, the newest ones", "[crash]") {
+  CrashLedger ledger;
+  for (int number = 0; number < 1500; ++number) {
+    const RequestFingerprint request = content("r" + std::to_string(number));
+    ledger.noteCrash(at(1000 + number), kRan, request, engine(2 * number));
+    ledger.noteCrash(at(5000 + number), kRan, request, engine(2 * number + 1));
+  }
+  const std::vector<CrashRecord> kept = ledger.crashesToKeep(at(7000));
+  REQUIRE(kept.size() == 2 * CrashLedgerLimits().max_kept_requests);
+  REQUIRE(kept.front().content == content("r1499"));
+}
+
 TEST_CASE("each further crash extends the quarantine of a request", "[crash]") {
   CrashLedger ledger;
   for (int number = 1; number <= 4; ++number) ledger.noteCrash(at(1000 * number), kRan, content("p"), engine(number));
