--- a/src/process/store/store_program_crashes.cpp
+++ b/src/process/store/store_program_crashes.cpp
@@ -43,9 +43,8 @@
   crash_relay_.takeStored(now, notes);
 }
 
-/// An engine crash is a fact whether or not its entry is committed. After a restart of the whole fleet, gateways serve
-/// for 0.4 to 0.8 s before the stores have a leader; without this recovery, requests that had been refused as crashing
-/// were sent up to four times in that period.
+/// An engine crash is a fact whether or not its entry is committed, and after a restart of the whole fleet gateways serve
+/// before the stores have a leader.
 void StoreProgram::recoverCrashes(Instant now) {
   std::size_t recovered = 0;
   applyKeptCrashes(now, state_->keptCrashes().all());
--- a/tests/soak/mixed_releases.py
+++ b/tests/soak/mixed_releases.py
@@ -10,10 +10,8 @@
 import argparse
 import asyncio
 import re
-import shutil
 import signal
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -200,25 +198,9 @@
     parser.add_argument("--old", type=Path, required=True)
     parser.add_argument("--new", type=Path, default=Path("build/bin/hatchfork"))
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--folder")
-    parser.add_argument("--stores", type=int, default=4)
-    parser.add_argument("--gateways", type=int, default=2)
-    parser.add_argument("--network", default="127.0.5")
-    parser.add_argument("--engine-port", type=int, default=8700)
+    soaks.add_fleet_arguments(parser, stores=4, network="127.0.5", engine_port=8700)
     options = parser.parse_args()
-    folder = Path(options.folder or tempfile.mkdtemp(prefix="hatchfork-mixed-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    mixed = MixedReleases(options, folder)
-    try:
-        asyncio.run(mixed.run())
-    finally:
-        mixed.fleet.kill_all()
-    if mixed.check.failed:
-        print(f"logs: {folder}")
-        return 1
-    if not options.folder:
-        shutil.rmtree(folder)
-    return 0
+    return soaks.run_soak(MixedReleases, options, "hatchfork-mixed-")
 
 
 if __name__ == "__main__":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -326,19 +326,20 @@
               f"texts={self.texts} resumed={self.resumed} most_runs_ending={self.most_ending} broken={self.check.failed}")
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=40, help="how long faults and load last")
+def add_fleet_arguments(parser, stores, network, engine_port):
+    """The arguments of all soaks; the values are defaults."""
     parser.add_argument("--folder", help="for settings, data and logs; else a temporary one, kept only after a failure")
-    parser.add_argument("--stores", type=int, default=5)
+    parser.add_argument("--stores", type=int, default=stores)
     parser.add_argument("--gateways", type=int, default=2)
-    parser.add_argument("--network", default="127.0.3", help="first three numbers of the fleet's loopback addresses")
-    parser.add_argument("--engine-port", type=int, default=8600, help="first port of the engines at 127.0.0.1")
-    options = parser.parse_args()
-    folder = Path(options.folder or tempfile.mkdtemp(prefix="hatchfork-soak-"))
+    parser.add_argument("--network", default=network, help="first three numbers of the fleet's loopback addresses")
+    parser.add_argument("--engine-port", type=int, default=engine_port, help="first port of the engines at 127.0.0.1")
+
+
+def run_soak(soak_class, options, prefix):
+    """Runs a soak to its end; gives the exit code. Logs are kept after a failure."""
+    folder = Path(options.folder or tempfile.mkdtemp(prefix=prefix))
     folder.mkdir(parents=True, exist_ok=True)
-    soak = Soak(options, folder)
+    soak = soak_class(options, folder)
     try:
         asyncio.run(soak.run())
     finally:
@@ -351,5 +352,14 @@
     return 0
 
 
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40, help="how long faults and load last")
+    add_fleet_arguments(parser, stores=5, network="127.0.3", engine_port=8600)
+    options = parser.parse_args()
+    return run_soak(Soak, options, "hatchfork-soak-")
+
+
 if __name__ == "__main__":
     sys.exit(main())
