--- a/src/process/store/store_program_crashes.cpp
+++ b/src/process/store/store_program_crashes.cpp
@@ -43,8 +43,8 @@
   crash_relay_.takeStored(now, notes);
 }
 
-/// An engine crash is a fact whether or not its entry is committed, and after a restart of the whole fleet gateways serve
-/// before the stores have a leader.
+/// An engine crash is a fact whether or not its entry is committed, and after a restart of the whole fleet gateways
+/// serve before the stores have a leader.
 void StoreProgram::recoverCrashes(Instant now) {
   std::size_t recovered = 0;
   applyKeptCrashes(now, state_->keptCrashes().all());
