--- a/tests/soak/breaking_engine.py
+++ b/tests/soak/breaking_engine.py
@@ -41,7 +41,7 @@
         try:
             for number in range(after + 1, last + 1):
                 await asyncio.sleep(self.event_delay)
-                await self.write(writer, f"id: {number}\ndata: {text}-{number}\n\n".encode(), is_framed)
+                await self.write(writer, f"id: {number}\ndata: {self.event_data(text, number)}\n\n".encode(), is_framed)
             if place is None:
                 writer.write(b"0\r\n\r\n")
                 await writer.drain()
@@ -56,6 +56,9 @@
         finally:
             self.running -= 1
 
+    def event_data(self, text, number):
+        return f"{text}-{number}"
+
     async def write(self, writer, piece, is_framed):
         writer.write(b"%x\r\n" % len(piece) + piece + b"\r\n" if is_framed else piece)
         await writer.drain()
--- /dev/null
+++ b/tests/soak/engine_versions.py
@@ -0,0 +1,234 @@
+#!/usr/bin/env python3
+"""Streams and items held text of two versions of an engine's software, which does not fit together: whatever engine was free
+went on with a broken text, in one answer, over a caller's tries, and from run to run of an item.
+
+Real processes on loopback; engines of two versions that break a share of their streams; callers that go on by themselves at
+any gateway after a break, naming in `Resumes` the request that brought the first event.
+
+    python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|one-version|items|items-rolling
+        [--seed 1] [--seconds 8]
+"""
+import argparse
+import asyncio
+import base64
+import json
+import random
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from breaking_engine import EVENTS  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from resuming_caller import StreamReader  # noqa: E402
+from stand_in import Check, call, eventually, new_id, request_headers  # noqa: E402
+from versioned_engine import VersionedEngine, versions_in  # noqa: E402
+
+ENGINES = 8
+CALLERS = 10
+BREAKS = 0.3  # share of the engines' streams
+PLACES = ("head", "inside", "between")
+OLD, NEW = "v1", "v2"
+MOST_TRIES = 8  # of a caller for one text
+# Of the streams that callers take up again while two engines of their version serve, those that go on, against the share
+# of new streams that begin.
+LEAST_GOING_ON = 0.95
+LEAST_COUNTED = 12  # streams taken up again, for that share
+TOLD_WITHIN = 0.5  # seconds until a caller hears that its stream can't go on
+ITEM_JOBS = 3
+ITEMS = 25  # of a job
+# Engines of the new version at first, and what happens meanwhile.
+SCENARIOS = {"mixed": (4, None), "uneven": (2, None), "rolling": (0, "replace_engines"), "gateways": (4, "kill_gateways"),
+             "stores": (4, "kill_stores"), "one-version": (0, None), "items": (4, "kill_stores"),
+             "items-rolling": (0, "replace_engines")}
+
+
+class EngineVersions:
+    """Callers, engines and checks of one run."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.fleet = Fleet(folder, controls=5, stores=5, gateways=3, network=options.network)
+        self.check = Check()
+        self.asked = {}
+        new = SCENARIOS[options.scenario][0]
+        self.engines = [self.engine(number, NEW if number < new else OLD) for number in range(ENGINES)]
+        self.begun = [0, 0]  # new streams: those that began, all
+        self.taken_up = [0, 0]  # streams taken up again while two engines of their version serve: those that go on, all
+        self.texts = 0
+        self.two_versions = 0
+        self.loading = True
+
+    def engine(self, number, version):
+        return VersionedEngine(number, self.options.engine_port + number, self.fleet.controls, self.asked, PLACES, BREAKS,
+                               version, event_delay=0.01)
+
+    def serving(self, version):
+        return sum(1 for engine in self.engines if engine.version == version and engine.state == "ready")
+
+    async def read_texts(self):
+        while self.loading:
+            await self.read_text(f"stream-{new_id()}")
+            self.texts += 1
+
+    async def read_text(self, text):
+        """Goes on after each break until the answer is closed as whole, or the caller is told that it can't go on."""
+        events, origin = [], None
+        for _ in range(MOST_TRIES):
+            request = new_id()
+            headers = request_headers(request)
+            version = events[0].rsplit("@", 1)[1] if events else None
+            served_before = self.serving(version) if events else 0
+            if events:
+                headers.update({"Last-Event-Id": str(len(events)), "Resumes": origin})
+            reader = StreamReader()
+            await reader.read(self.random.choice(self.fleet.gateways), "/talk/a", text.encode(), headers)
+            if not events:
+                self.count(self.begun, reader)
+            elif min(served_before, self.serving(version)) >= 2:
+                self.count(self.taken_up, reader)
+            if events and reader.status == 503:
+                self.check.that(reader.head_after < TOLD_WITHIN,
+                                f"{request} was told after {reader.head_after:.2f} s that its stream can't go on")
+                return
+            if not events and reader.events:
+                origin = request
+            self.take_events(request, text, events, reader)
+            if reader.status == 200 and reader.is_whole:
+                self.check.that(len(events) == EVENTS, f"{request} was closed as whole after event {len(events)}")
+                return
+            await asyncio.sleep(0.02)
+
+    @staticmethod
+    def count(shares, reader):
+        """What a gateway that is down does not answer says nothing; what an engine breaks again has gone on."""
+        if reader.status != 0:
+            shares[0] += reader.status == 200
+            shares[1] += 1
+
+    def take_events(self, request, text, events, reader):
+        for number, data in reader.events:
+            self.check.that(number == len(events) + 1, f"{request} got event {number} after event {len(events)}")
+            self.check.that(data.startswith(f"{text}-{number}@"), f"{request} got {data!r}, which is not its own")
+            events.append(data)
+        if reader.events and len(versions_in(events)) > 1:
+            self.two_versions += 1
+            self.check.that(False, f"{request} holds events of {versions_in(events)}")
+
+    async def replace_engines(self, started):
+        """One by one: the new engine starts, then the old one says that it leaves, serves on for a while and ends."""
+        for number in range(ENGINES):
+            await asyncio.sleep(self.options.seconds / (ENGINES + 3))
+            old = self.engines[number]
+            new = self.engine(ENGINES + number, NEW)
+            await new.start()
+            self.engines.append(new)
+            print(f"{time.monotonic() - started:6.2f} s  {old.id} of {OLD} gives way to {new.id} of {NEW}", flush=True)
+            old.state = "draining"
+            await old.beat()
+            await asyncio.sleep(0.5)
+            await old.stop()
+
+    async def kill_some(self, started, role):
+        while time.monotonic() < started + self.options.seconds - 3:
+            await asyncio.sleep(0.8)
+            process = self.random.choice(self.fleet.of_role(role))
+            print(f"{time.monotonic() - started:6.2f} s  kill {process.name}", flush=True)
+            process.kill()
+            await asyncio.sleep(0.3)
+            process.start()
+
+    async def kill_gateways(self, started):
+        await self.kill_some(started, "gateway")
+
+    async def kill_stores(self, started):
+        await self.kill_some(started, "store")
+
+    async def submit(self, job, items):
+        requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Model": "m", "X-Token-Usage": "10,10"},
+                     "Body": base64.b64encode(b"stream").decode(), "TokenCount": 20} for item in items]
+
+        async def accepted():
+            status, _, _ = await call(self.random.choice(self.fleet.gateways), "POST", "/batch/new",
+                                      json.dumps({"Requests": requests}),
+                                      {"X-Attempt-Id": job, "Content-Type": "application/json"}, timeout=4)
+            return status == 202
+        await eventually(self.check, f"job {job} is accepted", accepted)
+
+    async def check_items(self):
+        """Each item's text has every event once, written by one version."""
+        jobs = {new_id(): [new_id() for _ in range(ITEMS)] for _ in range(ITEM_JOBS)}
+        for job, items in jobs.items():
+            await self.submit(job, items)
+            await asyncio.sleep(self.options.seconds / 4)
+        for job, items in jobs.items():
+            async def finished():
+                status, _, page = await call(self.random.choice(self.fleet.gateways), "GET", f"/v1/lots/{job}?SinceRev=0")
+                self.results = json.loads(page)["Results"] if status == 200 else []
+                return len(self.results) == len(items)
+            await eventually(self.check, f"job {job} is finished", finished, seconds=40)
+            for result in self.results:
+                self.check_text(result["Id"], result["Text"].split("\n"))
+
+    def check_text(self, item, lines):
+        self.texts += 1
+        numbers = [line.rsplit("@", 1)[0].rsplit("-", 1)[1] for line in lines]
+        self.check.that(numbers == [str(number) for number in range(1, EVENTS + 1)], f"item {item} has events {numbers}")
+        if len(versions_in(lines)) > 1:
+            self.two_versions += 1
+            self.check.that(False, f"item {item} holds events of {versions_in(lines)}")
+
+    def check_shares(self):
+        begun, new = self.begun
+        going_on, taken_up = self.taken_up
+        if taken_up < LEAST_COUNTED or new == 0:
+            return
+        share = going_on / taken_up
+        self.check.that(share >= LEAST_GOING_ON * begun / new,
+                        f"{going_on} of {taken_up} streams taken up again go on, {begun} of {new} new ones begin")
+
+    async def run(self):
+        await self.fleet.form(self.check, self.engines)
+        started = time.monotonic()
+        event = SCENARIOS[self.options.scenario][1]
+        work = [asyncio.create_task(getattr(self, event)(started))] if event else []
+        if self.options.scenario.startswith("items"):
+            await self.check_items()
+        else:
+            work += [asyncio.create_task(self.read_texts()) for _ in range(CALLERS)]
+            await asyncio.sleep(self.options.seconds)
+            self.loading = False
+        await asyncio.gather(*work)
+        self.check_shares()
+        print(f"texts={self.texts} of_two_versions={self.two_versions} begun={self.begun[0]}/{self.begun[1]} "
+              f"taken_up_and_gone_on={self.taken_up[0]}/{self.taken_up[1]}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--scenario", choices=list(SCENARIOS), required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--network", default="127.0.13", help="first three numbers of the fleet's loopback addresses")
+    parser.add_argument("--engine-port", type=int, default=9300, help="first port of the engines at 127.0.0.1")
+    parser.add_argument("--keep", help="folder for settings, data and logs, kept")
+    options = parser.parse_args()
+    folder = Path(options.keep or tempfile.mkdtemp(prefix="engine-versions-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    run = EngineVersions(options, folder)
+    try:
+        asyncio.run(run.run())
+    finally:
+        run.fleet.kill_all()
+    if run.check.failed == 0 and options.keep is None:
+        shutil.rmtree(folder, ignore_errors=True)
+    print(f"{options.scenario}: seed={options.seed} broken={run.check.failed} logs={folder}")
+    sys.exit(1 if run.check.failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/resuming_caller.py
+++ b/tests/soak/resuming_caller.py
@@ -1,5 +1,6 @@
 """A caller that reads a stream event by event and goes on by itself after a break, as the pieces come."""
 import asyncio
+import time
 
 from stand_in import HOST
 
@@ -14,6 +15,7 @@
         self.events = []  # (id, data)
         self.is_whole = False  # closed as a complete answer
         self.body = b""
+        self.head_after = None  # seconds until the head of the answer
 
     async def read(self, address, target, body, headers, timeout=6):
         try:
@@ -22,6 +24,7 @@
             pass
 
     async def _read(self, address, target, body, headers):
+        began = time.monotonic()
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
@@ -30,6 +33,7 @@
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
             self.status = int(head[0].split(" ")[1])
+            self.head_after = time.monotonic() - began
             fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
             if fields.get("transfer-encoding") != "chunked":
                 self.body = await reader.readexactly(int(fields.get("content-length", 0)))
--- /dev/null
+++ b/tests/system/engine_versions.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# No text of two versions of an engine's software: what happened stands in tests/soak/engine_versions.py.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+status=0
+for scenario in mixed uneven rolling gateways stores one-version items items-rolling; do
+  python3 tests/soak/engine_versions.py --scenario "$scenario" --seed 1 || status=1
+done
+exit $status
