--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -30,6 +30,10 @@
 using GatewayId = StringId<struct GatewayIdTag>;
 /// A model engine (a back end).
 using EngineId = StringId<struct EngineIdTag>;
+/// Version of an engine's own software, as the engine reports it; not a version of model weights or of a document.
+/// Engines of one service may run several builds; what one build wrote can't be continued by another. Empty if the
+/// engine reports none.
+using EngineBuild = StringId<struct EngineBuildTag>;
 /// A served model or application, as callers name it in the `model` field.
 using ServiceId = StringId<struct ServiceIdTag>;
 /// A team that holds API keys.
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -65,6 +65,7 @@
   query_.zone = context_.zone;
   query_.zones = request::allowedZones(route_, tenant_, context_.regions);
   query_.prefix_affinity = route_.prefix_affinity;
+  query_.prefers_settled_builds = route_.kind == RouteKind::kStream && route_.resumable;
   query_.prompt = request::parsePromptShape(request_.header(names.prompt_parts), request_.header(names.token_usage));
 }
 
@@ -75,7 +76,9 @@
     caller_left_ = true;
     if (control_->cancel) control_->cancel();
   });
-  if (std::optional<Error> refusal = readResume()) {
+  std::optional<Error> refusal = readResume();
+  if (!refusal && position_.last()) refusal = co_await findResumedBuild();
+  if (refusal) {
     co_await refuseResume(std::move(*refusal));
     co_return;
   }
@@ -83,6 +86,7 @@
   cause_ = "no_engine";
   if (query_.zones) cause_ += " in the allowed regions: " + request::namesOfAllowedRegions(route_, tenant_);
   while (mayRetry(end)) {
+    query_.build = position_.build();
     const bool is_rejected = co_await rejectsQuarantined();
     if (is_rejected) break;
     const std::optional<EngineChoice> choice = co_await chooseEngine();
@@ -146,6 +150,7 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::attempt(const EngineChoice& choice) {
   engine_ = choice.engine.id;
+  engine_build_ = choice.engine.build;
   engine_incarnation_ = choice.engine.born;
   verdict_ = EngineVerdict::kNeutral;
   cause_.clear();
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -10,6 +10,7 @@
 #include "connection/event_stream.hpp"
 #include "connection/http_server.hpp"
 #include "process/exchange/placement_client.hpp"
+#include "process/exchange/stream_client.hpp"
 #include "process/exchange/trial_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/metrics/metrics_page.hpp"
@@ -60,9 +61,12 @@
   bool queues_at_store;
   fleet::CrashWatch& crashes;
   TrialClient& trials;
+  StreamClient& streams;
   /// Answer framing observed for the request's service.
   request::AnswerFraming& framing;
   connection::SlowReaders& slow_readers;
+  /// True if the engines that this gateway knows are the newest.
+  bool has_current_builds = false;
   /// Time of receipt, before any wait at the gateway.
   Instant received_at{};
 };
@@ -75,6 +79,7 @@
 /// - A refusal that states "not executed" is sent only if that holds for every attempt.
 /// - No part of an answer is relayed before its request identifier has matched.
 /// - Every attempt resumes after the last event that the caller has, whichever engine or gateway sent that event.
+/// - All events of a stream come from engines of one build, also over several requests of the caller.
 /// - Content that has crashed engines is not sent while it is quarantined, whichever gateway observed the crashes.
 class ExchangeRun {
  public:
@@ -134,6 +139,14 @@
   /// route is not resumable.
   std::optional<Error> readResume();
   connection::Awaitable<void> refuseResume(Error error);
+  /// Determines which build has to continue the stream that the caller resumes. Returns the error to send if that is
+  /// not known or no engine runs that build.
+  connection::Awaitable<std::optional<Error>> findResumedBuild();
+  Error unknownBuild(const UnknownStream& unknown) const;
+  /// True if only some of the service's engines may run the next attempt.
+  bool isBoundToBuild() const;
+  /// Records which build began the stream, once the caller is about to have its first event.
+  void noteStreamBegun();
   connection::Awaitable<bool> forwardEvents(std::string events);
   connection::Awaitable<void> conclude(AttemptEnd last);
   /// Returns the caller's headers to forward to engines, without its key and the headers that the gateway sets itself.
@@ -179,6 +192,7 @@
   /// Number of attempts that were declined or did not reach the engine.
   std::uint32_t refusals_ = 0;
   EngineId engine_;
+  EngineBuild engine_build_;
   WallMillis engine_incarnation_ = 0;
   request::TicketId ticket_ = 0;
   /// Identifies the attempt at the placement store; zero if there is none.
@@ -198,6 +212,9 @@
   unsigned answer_status_ = 0;
   /// Raw last event identifier from the request; empty if absent.
   std::string last_event_id_;
+  /// Identifies the stream over all requests of its caller; empty if the route is not resumable.
+  request::StreamKey stream_;
+  bool is_stream_recorded_ = false;
   std::optional<std::uint64_t> first_event_;
   /// Position of the last event that the caller has: initially from the request, then advanced by each relayed event.
   request::StreamPosition position_;
--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -62,6 +62,7 @@
 
 /// The request may have queued for its engine while others crashed engines.
 Awaitable<bool> ExchangeRun::mayAttempt(const std::optional<EngineChoice>& choice) {
+  if (!choice && isBoundToBuild()) cause_ = "no engine of build " + query_.build->value + " may run it";
   if (caller_left_ || !choice || rejectsEarly(*choice)) co_return false;
   const bool is_rejected = co_await rejectsQuarantined();
   co_return !is_rejected && !caller_left_;
@@ -84,7 +85,8 @@
 
 Awaitable<std::optional<EngineChoice>> ExchangeRun::chooseAmong(const EngineQuery& query) {
   placement_number_ = 0;
-  if (!context_.selector.isSticky(query)) {
+  // The placement store doesn't know of builds, and a stream that goes on must not wait behind new ones.
+  if (!context_.selector.isSticky(query) && !isBoundToBuild()) {
     const std::optional<PlacementClient::Placement> place = co_await requestPlacement(query);
     if (caller_left_ || rejected_in_queue_) {
       if (place && place->number != 0) context_.placement.noteEnded(place->number, EngineVerdict::kNeutral);
@@ -160,7 +162,7 @@
 }
 
 bool ExchangeRun::rejectsEarly(const EngineChoice& choice) {
-  if (runs_ + refusals_ > 0) return false;
+  if (runs_ + refusals_ > 0 || isBoundToBuild()) return false;
   const Duration wait(static_cast<Duration::rep>(choice.expected_first_ms * 1000));
   // A request that waited at this gateway, for example for a reserved credit, is still useful to its caller when late.
   if (monotonicNow() - received_at_ > route_.objective) return false;
--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -4,6 +4,7 @@
 
 #include "common/log.hpp"
 #include "process/exchange/exchange_run.hpp"
+#include "process/exchange/header_rules.hpp"
 
 // Relays event streams: filters an engine's events and determines how its answer ends.
 namespace hatchfork::exchange {
@@ -16,11 +17,26 @@
 using connection::monotonicNow;
 using request::EngineVerdict;
 
+namespace {
+
+/// Time for which a stream is recorded beyond the last moment at which its caller is expected to resume it.
+constexpr Duration kResumeMargin = std::chrono::seconds(2);
+constexpr Duration kMaxStreamLifetime = std::chrono::seconds(60);
+constexpr Duration kRetryWhenStoresSilent = fromMillis(150);
+
+std::string withoutLastEvent(const Dialect& dialect) {
+  return "send the request without " + dialect.headers().last_event_id + " to get the complete answer";
+}
+
+}  // namespace
+
 std::optional<Error> ExchangeRun::readResume() {
-  if (last_event_id_.empty() || route_.kind != RouteKind::kStream) return std::nullopt;
+  if (route_.kind != RouteKind::kStream) return std::nullopt;
+  if (route_.resumable) stream_ = request::streamKeyOf(fingerprint_, id_);
+  if (last_event_id_.empty()) return std::nullopt;
   const std::string& name = context_.dialect.headers().last_event_id;
   const std::optional<std::uint64_t> event = request::parseEventId(last_event_id_);
-  const std::string remedy = "send the request without " + name + " to get the complete answer";
+  const std::string remedy = withoutLastEvent(context_.dialect);
   if (route_.resumable && event) {
     position_ = request::StreamPosition(event);
     return std::nullopt;
@@ -29,10 +45,39 @@
   return Error{ErrorKind::kInvalidArgument, name + cause, remedy, Executed::kNo, std::nullopt};
 }
 
+Awaitable<std::optional<Error>> ExchangeRun::findResumedBuild() {
+  const std::string_view first_request = request_.header(context_.dialect.headers().resumed_request);
+  // A caller that does not name the request is served while any engine may continue, but its stream can't be recorded.
+  stream_ = first_request.empty() ? request::StreamKey() : request::streamKeyOf(fingerprint_, first_request);
+  ResumedStream resumed{stream_, query_.service, id_};
+  const StreamLookup found = co_await context_.streams.find(std::move(resumed), context_.has_current_builds);
+  if (const auto* unknown = std::get_if<UnknownStream>(&found)) co_return unknownBuild(*unknown);
+  const auto* build = std::get_if<EngineBuild>(&found);
+  if (build == nullptr) co_return std::nullopt;
+  position_ = request::StreamPosition(position_.last(), /*ended_by_close=*/false, *build);
+  if (context_.selector.hasOpenEngine(query_.service, *build)) co_return std::nullopt;
+  co_return Error{ErrorKind::kUnavailable, "no engine runs build " + build->value + ", which began this stream",
+                  withoutLastEvent(context_.dialect), Executed::kNo, std::nullopt};
+}
+
+Error ExchangeRun::unknownBuild(const UnknownStream& unknown) const {
+  if (unknown.is_certain) {
+    return Error{ErrorKind::kUnavailable, "the build of the engine that began this stream is not recorded",
+                 withoutLastEvent(context_.dialect), Executed::kNo, std::nullopt};
+  }
+  return Error{ErrorKind::kUnavailable, "the stores that may know the build that began this stream did not answer",
+               "retry, or " + withoutLastEvent(context_.dialect), Executed::kNo, kRetryWhenStoresSilent};
+}
+
+bool ExchangeRun::isBoundToBuild() const {
+  return query_.build && context_.selector.hasOtherBuilds(query_.service, *query_.build);
+}
+
 Awaitable<void> ExchangeRun::refuseResume(Error error) {
   ++context_.counters.refused;
   cause_ = error.message;
   connection::HttpResponse response = connection::errorResponse(error);
+  if (error.retry_after) setRetryAfter(response, *error.retry_after);
   const unsigned status = response.status;
   const bool sent = co_await writer_.send(std::move(response));
   logEnd(sent ? "resume_refused" : "caller_left", status);
@@ -55,7 +100,7 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayEvents(EngineExchange& exchange) {
   connection::EventSplitter splitter;
-  position_.beginAnswer();
+  position_.beginAnswer(engine_build_);
   while (true) {
     AnswerPiece piece = co_await exchange.read(deadline_);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
@@ -102,9 +147,21 @@
   if (!first_event_) first_event_ = event.id;
   ++events_;
   events += event.bytes;
+  if (position_.build() && !is_stream_recorded_) noteStreamBegun();
   return true;
 }
 
+void ExchangeRun::noteStreamBegun() {
+  is_stream_recorded_ = true;
+  if (stream_.empty()) return;
+  // The caller may wait for longer than the route's timeout, which ends this answer.
+  const auto remaining = readMilliseconds(request_.header(context_.dialect.headers().remaining_ms));
+  const Instant now = monotonicNow();
+  const Instant last_resume = std::max(deadline_, received_at_ + remaining.value_or(Duration::zero()));
+  const Duration lifetime = std::min(last_resume - now + kResumeMargin, kMaxStreamLifetime);
+  context_.streams.noteBegun(now, request::StreamRecord{stream_, query_.service, *position_.build()}, lifetime);
+}
+
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::endStream(const EngineExchange& exchange, bool is_framed) {
   const request::AnswerEnd answer = is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed;
   const request::TextEnd end = position_.judgeEnd(answer, context_.framing);
--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -44,6 +44,21 @@
   return limits;
 }
 
+/// Stores that answer requests: those that hold jobs, or all until these are known.
+std::vector<ReplicaId> answeringStores(const fleet::FleetView& view) {
+  return view.store_members.empty() ? fleet::addressesOf(view.stores) : view.store_members;
+}
+
+/// Of these, the stores that report at least this release.
+std::vector<ReplicaId> storesOfRelease(const fleet::FleetView& view, ReleaseNumber release) {
+  const PeerReleases releases = fleet::releasesOf(view.stores);
+  std::vector<ReplicaId> stores;
+  for (const ReplicaId& store : answeringStores(view)) {
+    if (releases.of(store) >= release) stores.push_back(store);
+  }
+  return stores;
+}
+
 request::SelectorLimits selectorLimits(const request::LoadFeatures& features) {
   request::SelectorLimits limits;
   limits.learns_pace = features.engine_pace;
@@ -75,6 +90,8 @@
                  [this](const ReplicaId& to, const fleet::FleetMessage& message) { return stores_.send(to, message); }),
       crashes_(settings_.name, connection::wallNow()),
       trials_(stores_),
+      streams_(context_,
+               [this](const ReplicaId& to, const fleet::FleetMessage& message) { return stores_.send(to, message); }),
       crash_timer_(context_),
       jobs_(*dialect_, stores_, drawSeed()),
       load_timer_(context_) {}
@@ -123,6 +140,8 @@
   crashes_.setNewsHandler([this] { scheduleCrashReport(); });
   loads_.setKind(fleet::LoadKind::kPlaced);
   stores_.setPlacementHandler([this](const fleet::PlacementAnswer& answer) { placement_.take(answer); });
+  stores_.setStreamHandler([this](const fleet::StreamAnswerFrame& answer) { streams_.take(answer); });
+  stores_.setConnectHandler([this](const ReplicaId& store) { streams_.onConnected(monotonicNow(), store); });
   stores_.setCreditHandler([this](const fleet::CreditAnswerFrame& answer) { rate_limits_.take(answer); });
   fleet::FeedClientOptions feed_options{settings_.name, settings_.control_port, settings_.seeds};
   auto on_view = [this](const fleet::FleetView& view, const fleet::FleetChange& change) { onView(view, change); };
@@ -149,6 +168,7 @@
   const Instant now = monotonicNow();
   if (change.directory) {
     linkStores(view);
+    streams_.setMixedServices(now, view.mixed_services);
     selector_.setEvacuated(now, view.evacuated.zones);
   }
   if (change.routes) takeRoutes(view.routes);
@@ -175,12 +195,10 @@
   loads_.setStores(view.stores);
   rate_limits_.setOwners(view.store_members);
   std::vector<ReplicaId> wanted = loads_.aggregators();
-  if (view.store_members.empty()) {
-    wanted = fleet::addressesOf(view.stores);
-  } else {
-    wanted.insert(wanted.end(), view.store_members.begin(), view.store_members.end());
-  }
+  const std::vector<ReplicaId> answering = answeringStores(view);
+  wanted.insert(wanted.end(), answering.begin(), answering.end());
   stores_.setStores(wanted);
+  streams_.setStores(monotonicNow(), storesOfRelease(view, kEngineBuildRelease));
 }
 
 bool GatewayProgram::isReady() const {
@@ -201,6 +219,7 @@
     rate_limits_.expire(monotonicNow());
     crashes_.expire(monotonicNow());
     trials_.expire(monotonicNow());
+    streams_.expire(monotonicNow());
     subscribeToCrashes();
   }
 }
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -16,6 +16,7 @@
 #include "process/exchange/rate_limit_client.hpp"
 #include "process/exchange/start_gate.hpp"
 #include "process/exchange/store_client.hpp"
+#include "process/exchange/stream_client.hpp"
 #include "process/exchange/trial_client.hpp"
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
@@ -112,6 +113,7 @@
   PlacementClient placement_;
   fleet::CrashWatch crashes_;
   TrialClient trials_;
+  StreamClient streams_;
   /// Store that reports crashes to this gateway.
   ReplicaId crash_reporter_;
   /// Time at which the first view was received.
--- a/src/process/exchange/gateway_program_metrics.cpp
+++ b/src/process/exchange/gateway_program_metrics.cpp
@@ -103,6 +103,22 @@
   leases("granted", trials.granted);
   leases("denied", trials.denied);
   leases("unanswered", trials.unanswered);
+  const StreamClientCounters& streams = streams_.counters();
+  page.counter("hatchfork_streams_begun_total", "Resumable streams that began here.",
+               static_cast<double>(streams.begun));
+  page.counter("hatchfork_stream_records_sent_total", "Records of these that were sent to stores.",
+               static_cast<double>(streams.records_sent));
+  page.counter("hatchfork_stream_questions_total", "Lookups of streams that asked the stores.",
+               static_cast<double>(streams.questions));
+  const auto lookups = [&page](const char* outcome, std::uint64_t value) {
+    page.counter("hatchfork_stream_lookups_total", "Streams that callers resumed here, by what was known of them.",
+                 static_cast<double>(value), {{"outcome", outcome}});
+  };
+  lookups("recorded", streams.found);
+  lookups("one_build", streams.any_build);
+  lookups("unknown", streams.unknown);
+  page.gauge("hatchfork_streams_recorded", "Streams that began here and may still be resumed.",
+             static_cast<double>(streams_.streams()));
   page.gauge("hatchfork_crash_suspects", "Contents under which an engine has ended, of the whole fleet.",
              static_cast<double>(crashes_.requestsKnown()));
   const JobApiCounters& jobs = jobs_.counters();
--- a/src/process/exchange/store_client.cpp
+++ b/src/process/exchange/store_client.cpp
@@ -49,8 +49,11 @@
 
 void StoreClient::onLinkState(const ReplicaId& store, bool connected) {
   logEvent(LogLevel::kInfo, connected ? "store_connected" : "store_lost", {{"store", store.value}});
-  if (connected) noteStartStep("store_linked");
-  if (connected) return;
+  if (connected) {
+    noteStartStep("store_linked");
+    if (on_connect_) on_connect_(store);
+    return;
+  }
   // Requests in flight at this store fail.
   std::vector<ReplyHandler> lost;
   std::erase_if(pending_, [&](auto& entry) {
@@ -90,6 +93,10 @@
     if (on_crashes_) on_crashes_(from, *crashes);
     return;
   }
+  if (const auto* stream = std::get_if<fleet::StreamAnswerFrame>(&decoded)) {
+    if (on_stream_) on_stream_(*stream);
+    return;
+  }
   const auto* frame = std::get_if<fleet::StoreReplyFrame>(&decoded);
   if (frame == nullptr) return;
   const auto found = pending_.find(frame->number);
--- a/src/process/exchange/store_client.hpp
+++ b/src/process/exchange/store_client.hpp
@@ -53,6 +53,14 @@
   void setCrashHandler(std::function<void(const ReplicaId& from, const fleet::CrashNotesFrame&)> on_crashes) {
     on_crashes_ = std::move(on_crashes);
   }
+  /// Sets the handler of answers about streams.
+  void setStreamHandler(std::function<void(const fleet::StreamAnswerFrame&)> on_stream) {
+    on_stream_ = std::move(on_stream);
+  }
+  /// Sets a callback for each connection to a store that is made.
+  void setConnectHandler(std::function<void(const ReplicaId& store)> on_connect) {
+    on_connect_ = std::move(on_connect);
+  }
   /// Number of frames skipped because their kind is unknown to this release.
   std::uint64_t framesPassedOver() const { return frames_.passedOver(); }
   /// Returns false if there is no connection to that store.
@@ -95,6 +103,8 @@
   std::function<void(const fleet::CreditAnswerFrame&)> on_credit_;
   std::function<void(const fleet::PlacementAnswer&)> on_placement_;
   std::function<void(const ReplicaId& from, const fleet::CrashNotesFrame&)> on_crashes_;
+  std::function<void(const fleet::StreamAnswerFrame&)> on_stream_;
+  std::function<void(const ReplicaId& store)> on_connect_;
   ReplicaId preferred_;
   std::uint64_t seed_;
 };
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kStoresSettledAfter = fromMillis(600);
 /// After this long it forms with fewer stores than wanted.
 constexpr Duration kFormAnywayAfter = std::chrono::seconds(5);
+/// A control process tells its release four times a second.
+constexpr Duration kOldReleaseSilence = std::chrono::seconds(3);
 constexpr Duration kLeadershipHandOverTime = fromMillis(1500);
 constexpr std::size_t kMostControlVoters = 7;
 constexpr std::size_t kFewestVoters = 3;
@@ -93,7 +95,8 @@
                          settings_.tolerated_losses,
                          settings_.zones,
                          [this]() -> const FleetState& { return *state_; },
-                         [this] { return monotonicNow() > started_at_ + kStoresKnownAfter; }};
+                         [this] { return monotonicNow() > started_at_ + kStoresKnownAfter; },
+                         [this] { return !hears_old_release_; }};
   operators_ = std::make_unique<OperatorApi>(std::move(api));
   connection::HttpServerOptions http_options;
   http_options.listen = settings_.operators;
@@ -152,6 +155,7 @@
   directory_.hearOf(now, frame.stores);
   engines_.hearOf(now, frame.engines);
   releases_.note(frame.from, frame.release);
+  if (frame.release < kEngineBuildRelease) old_release_heard_at_ = now;
   if (controls_.insert(frame.from).second) updateContacts();
 }
 
@@ -165,6 +169,16 @@
   return std::min(kThisRelease, releases_.lowestOf(others));
 }
 
+/// Replicas of an older release drop the builds from their state, so that all builds are committed anew after the last
+/// one was replaced.
+void ControlProgram::noteOldReleases(Instant now) {
+  const bool heard = old_release_heard_at_ != Instant::min() && now < old_release_heard_at_ + kOldReleaseSilence;
+  if (heard == hears_old_release_) return;
+  hears_old_release_ = heard;
+  if (!heard) engines_.confirmBuilds();
+  logEvent(LogLevel::kInfo, "engine_builds_kept", {{"kept", !heard}});
+}
+
 void ControlProgram::updateContacts() {
   const std::vector<ReplicaId> known = knownControls();
   group_->setContacts(known, known.size());
@@ -273,6 +287,7 @@
     noteStoreMembers();
     rememberStores(now);
     noteLeading(now);
+    noteOldReleases(now);
     if (now < next_silence_check_) continue;
     next_silence_check_ = now + settings_.engine_beat;
     engines_.expire(now);
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -61,6 +61,7 @@
   /// Keeps the members of the store group in the committed state.
   void noteStoreMembers();
   void noteLeading(Instant now);
+  void noteOldReleases(Instant now);
   void forgetSilentEngines(Instant now);
   /// Tells subscribers of changes, many together where they come in quick succession.
   void pushSoon();
@@ -102,6 +103,9 @@
   bool proving_ = false;
   bool has_proved_ = false;
   bool was_leading_ = false;
+  /// When a control process of a release that knows no builds told of itself last, and whether that was recently.
+  Instant old_release_heard_at_ = Instant::min();
+  bool hears_old_release_ = false;
   bool forming_stores_ = false;
   bool noting_members_ = false;
   connection::SuspensionWatch suspensions_;
--- a/src/process/fleet/engine_watch.cpp
+++ b/src/process/fleet/engine_watch.cpp
@@ -26,7 +26,7 @@
   if (order == IncarnationOrder::kOlder) return std::nullopt;
   const bool late = order == IncarnationOrder::kSame && heard.sequence > beat.sequence;
   if (!late) {
-    heard = Heard{now, now, beat.engine.born, beat.sequence};
+    heard = Heard{now, now, beat.engine.born, beat.sequence, heard.build_confirmation};
     heard_since_.push_back(beat.engine.id);
   }
   if (known == state.engines().end()) {
@@ -38,14 +38,21 @@
   EngineRecord as_known = beat.engine;
   if (as_known.born == 0) as_known.born = known_born;
   as_known.leaving = known->second.leaving;
+  if (as_known.build.empty()) as_known.build = known->second.build;
   // The time left shrinks with each beat; only turning cold and being warm again is news.
   const bool same_temperature = (beat.engine.cold_ms > 0) == (known->second.cold_ms > 0);
   if (same_temperature) as_known.cold_ms = known->second.cold_ms;
   const bool changed = !late && as_known != known->second;
-  if (starts_leaving || changed) return RegisterEngine{beat.engine};
+  if (starts_leaving || changed || needsConfirmation(beat)) return RegisterEngine{beat.engine};
   return std::nullopt;
 }
 
+bool EngineWatch::needsConfirmation(const EngineHeartbeat& beat) {
+  Heard& heard = heard_[beat.engine.id];
+  const std::uint64_t confirmed = std::exchange(heard.build_confirmation, build_confirmations_);
+  return !beat.engine.build.empty() && confirmed != build_confirmations_;
+}
+
 bool EngineWatch::isAddressTaken(Instant now, const EngineRecord& engine, const FleetState& state) const {
   const EngineRecord* const holder = state.engineAt(engine.address);
   if (holder == nullptr || holder->id == engine.id || holder->leaving) return false;
--- a/src/process/fleet/engine_watch.hpp
+++ b/src/process/fleet/engine_watch.hpp
@@ -27,6 +27,9 @@
   /// seen here at the earliest. They are taken for forgotten from then on. Looks at all engines: ask once a beat.
   std::vector<EngineId> silent(Instant now, Instant leading_since, const FleetState& state);
   void expire(Instant now);
+  /// From now on the next beat of each engine that tells its build needs a command, whether or not the state has the
+  /// build: other replicas may lack it.
+  void confirmBuilds() { ++build_confirmations_; }
 
  private:
   struct Heard {
@@ -37,11 +40,17 @@
     /// Of the newest life that was heard here; counts of a newer life begin anew.
     WallMillis born = 0;
     std::uint64_t sequence = 0;
+    /// Value of `build_confirmations_` at the last command for this engine.
+    std::uint64_t build_confirmation = 0;
   };
   /// True if another engine at the same address was heard so lately that a first beat must be a late one.
   bool isAddressTaken(Instant now, const EngineRecord& engine, const FleetState& state) const;
 
+  /// True if the engine's build is to be committed anew.
+  bool needsConfirmation(const EngineHeartbeat& beat);
+
   Duration beat_interval_;
+  std::uint64_t build_confirmations_ = 0;
   std::unordered_map<EngineId, Heard> heard_;
   std::vector<EngineId> heard_since_;
 };
--- a/src/process/fleet/feed_client.cpp
+++ b/src/process/fleet/feed_client.cpp
@@ -26,6 +26,9 @@
 /// Between two rounds in which no control process could be reached or proved its state; twice as much after each.
 constexpr Duration kFirstPauseBetweenRounds = fromMillis(5);
 constexpr Duration kPauseBetweenRounds = fromMillis(100);
+/// A proof may be as old as its lifetime at the control process when it arrives, so together this is less than the time
+/// for which a new build is not used for streams.
+constexpr Duration kBuildsCurrentFor = fromMillis(1000);
 constexpr Duration kPresenceInterval = fromMillis(400);
 
 }  // namespace
@@ -116,6 +119,10 @@
   }
 }
 
+bool FeedClient::hasCurrentBuilds(Instant now) const {
+  return proved_at_ != Instant::min() && now < proved_at_ + kBuildsCurrentFor;
+}
+
 std::string FeedClient::subscription() const {
   SubscribeFrame frame;
   frame.node = options_.node;
@@ -144,7 +151,8 @@
     if (!takeDocument(frame.document_version, *frame.document)) return;
     change.routes = true;
   }
-  if (frame.engines_revision > view_.engines_revision) {
+  // Engines without a new revision have changed in nothing but their build.
+  if (!frame.engines.empty()) {
     if (!readEngines(frame, change.engines)) return;
     view_.engines_revision = frame.engines_revision;
   }
@@ -193,9 +201,19 @@
   view_.store_group = std::move(update.store_group);
   // As above: a control process that has just started has heard of no leader yet.
   if (!update.store_members.empty()) view_.store_members = std::move(update.store_members);
+  if (update.tells_builds) takeMixedServices(update.mixed_services);
   takeEvacuated(std::move(update.evacuated));
 }
 
+void FeedClient::takeMixedServices(const std::vector<ServiceId>& services) {
+  std::set<ServiceId> mixed(services.begin(), services.end());
+  if (mixed == view_.mixed_services) return;
+  view_.mixed_services = std::move(mixed);
+  std::vector<std::string_view> names;
+  for (const ServiceId& service : view_.mixed_services) names.push_back(service.value);
+  logEvent(LogLevel::kInfo, "mixed_services_changed", {{"services", fmt::format("{}", fmt::join(names, ","))}});
+}
+
 /// The next control process may lag a little behind the one before.
 void FeedClient::takeEvacuated(EvacuatedZones evacuated) {
   if (evacuated.revision <= view_.evacuated.revision) return;
--- a/src/process/fleet/feed_client.hpp
+++ b/src/process/fleet/feed_client.hpp
@@ -27,6 +27,8 @@
   /// Stores that hold the jobs now; none before they are known.
   std::vector<ReplicaId> store_members;
   EvacuatedZones evacuated;
+  /// Services whose engines run several builds, or have done so within the lifetime of a stream.
+  std::set<ServiceId> mixed_services;
 };
 
 /// How a view differs from the one before.
@@ -71,6 +73,9 @@
   std::uint64_t framesPassedOver() const { return frames_.passedOver(); }
   /// When the newest proof of freshness arrived; the least instant before the first one.
   Instant provedAt() const { return proved_at_; }
+  /// True if every build that another process may already use for streams is in the view; see
+  /// `SelectorLimits::build_settle_time`.
+  bool hasCurrentBuilds(Instant now) const;
 
  private:
   connection::Awaitable<void> run();
@@ -84,6 +89,7 @@
   bool readEngines(const UpdateFrame& frame, EngineChanges& engines) const;
   void takeDirectory(DirectoryUpdate update);
   void takeEvacuated(EvacuatedZones evacuated);
+  void takeMixedServices(const std::vector<ServiceId>& services);
   std::string subscription() const;
   std::vector<ReplicaId> order();
 
--- a/src/process/fleet/feed_server.cpp
+++ b/src/process/fleet/feed_server.cpp
@@ -24,10 +24,10 @@
             {"engines_revision", frame.engines_revision},
             {"fresh", isFresh(now)}});
   noteStartStep("first_subscriber");
-  const Held claimed{frame.document_version, frame.engines_revision, 0};
+  const Held claimed{frame.document_version, frame.engines_revision, 0, 0};
   Held& held = subscribers_.emplace(from, claimed).first->second;
   if (!isFresh(now)) return;
-  refreshDirectory();
+  refreshDirectory(now);
   update(from, held);
 }
 
@@ -45,7 +45,7 @@
 
 void FeedServer::push(Instant now) {
   if (!isFresh(now)) return;
-  refreshDirectory();
+  refreshDirectory(now);
   for (auto& [connection, held] : subscribers_) update(connection, held);
 }
 
@@ -67,16 +67,19 @@
   held.document_version = std::max(held.document_version, state_->documentVersion());
   held.engines_revision = std::max(held.engines_revision, state_->enginesRevision());
   held.directory_revision = directory_revision_;
+  held.late_builds = state_->lateBuilds();
 }
 
-void FeedServer::refreshDirectory() {
-  DirectoryUpdate now{controls_,          stores_.addresses(), {}, state_->storeGroup(), stores_.groupMembers(),
-                      state_->evacuated()};
+void FeedServer::refreshDirectory(Instant now) {
+  DirectoryUpdate next{controls_,           stores_.addresses(),   {}, state_->storeGroup(), stores_.groupMembers(),
+                       state_->evacuated(), /*tells_builds=*/true, {}};
   // After a start no leader of the stores has been heard yet; what was committed is the newest there is.
-  if (now.store_members.empty()) now.store_members = state_->storeMembers();
-  for (const auto& [node, address] : state_->retiring()) now.retiring.push_back(address);
-  if (now == directory_) return;
-  directory_ = std::move(now);
+  if (next.store_members.empty()) next.store_members = state_->storeMembers();
+  for (const auto& [node, address] : state_->retiring()) next.retiring.push_back(address);
+  builds_.take(now, *state_);
+  next.mixed_services = builds_.mixedServices(now);
+  if (next == directory_) return;
+  directory_ = std::move(next);
   ++directory_revision_;
 }
 
@@ -85,17 +88,23 @@
   frame.document_version = state_->documentVersion();
   frame.engines_revision = state_->enginesRevision();
   if (frame.document_version > held.document_version) frame.document = state_->document();
-  if (frame.engines_revision > held.engines_revision) frame.engines = encodedEngines(held.engines_revision);
+  const bool lacks_engines = frame.engines_revision > held.engines_revision || state_->lateBuilds() > held.late_builds;
+  if (lacks_engines) frame.engines = encodedEngines(held);
   if (directory_revision_ != held.directory_revision) frame.directory = directory_;
   return frame;
 }
 
-std::vector<std::string> FeedServer::encodedEngines(std::uint64_t since) {
-  if (const auto changed = state_->enginesChangedSince(since)) return {encodeStruct(changesOf(*changed))};
+std::vector<std::string> FeedServer::encodedEngines(const Held& held) {
+  std::set<EngineId> late = state_->lateBuildsSince(held.late_builds);
+  if (auto changed = state_->enginesChangedSince(held.engines_revision)) {
+    changed->merge(late);
+    return {encodeStruct(changesOf(*changed))};
+  }
   refreshWholeList();
   std::vector<std::string> encoded{whole_list_};
-  const auto changed = state_->enginesChangedSince(whole_list_revision_);
-  if (changed && !changed->empty()) encoded.push_back(encodeStruct(changesOf(*changed)));
+  auto changed = state_->enginesChangedSince(whole_list_revision_);
+  if (changed) late.merge(*changed);
+  if (!late.empty()) encoded.push_back(encodeStruct(changesOf(late)));
   return encoded;
 }
 
--- a/src/process/fleet/feed_server.hpp
+++ b/src/process/fleet/feed_server.hpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "connection/frame_server.hpp"
+#include "process/fleet/build_history.hpp"
 #include "process/fleet/fleet_messages.hpp"
 #include "process/fleet/fleet_state.hpp"
 #include "process/fleet/store_directory.hpp"
@@ -24,6 +25,7 @@
     state_ = &state;
     encoded_.clear();
     whole_list_.clear();
+    for (auto& [connection, held] : subscribers_) held.late_builds = 0;
   }
 
   void subscribe(Instant now, const SubscribeFrame& frame, const ConnectionPtr& from);
@@ -43,26 +45,31 @@
     std::uint64_t engines_revision = 0;
     /// Zero: no directory yet.
     std::uint64_t directory_revision = 0;
+    /// Of this process: see `FleetState::lateBuilds`.
+    std::uint64_t late_builds = 0;
     auto operator<=>(const Held&) const = default;
   };
   /// Encodes what a subscriber that holds this lacks, or takes what was encoded for another one.
   const std::string& encodedUpdate(Held held);
   void update(const ConnectionPtr& connection, Held& held);
   /// What this process holds now.
-  Held newest() const { return Held{state_->documentVersion(), state_->enginesRevision(), directory_revision_}; }
+  Held newest() const {
+    return Held{state_->documentVersion(), state_->enginesRevision(), directory_revision_, state_->lateBuilds()};
+  }
   UpdateFrame updateFor(const Held& held);
-  /// The engines that a subscriber of that revision lacks.
-  std::vector<std::string> encodedEngines(std::uint64_t since);
+  /// The engines that a subscriber that holds this lacks.
+  std::vector<std::string> encodedEngines(const Held& held);
   EngineChanges changesOf(const std::set<EngineId>& engines) const;
   /// Encodes the list of all engines anew where too much has changed since it was.
   void refreshWholeList();
   /// Notes whether the directory has changed.
-  void refreshDirectory();
+  void refreshDirectory(Instant now);
 
   const FleetState* state_;
   const StoreDirectory& stores_;
   std::vector<ReplicaId> controls_;
   std::map<ConnectionPtr, Held> subscribers_;
+  BuildHistory builds_;
   DirectoryUpdate directory_;
   std::uint64_t directory_revision_ = 1;
   /// Encoded updates to `encoded_to_`, by what their receivers hold.
--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -14,6 +14,7 @@
 #include "process/fleet/limit_messages.hpp"
 #include "process/fleet/placement_messages.hpp"
 #include "process/fleet/run_messages.hpp"
+#include "process/fleet/stream_messages.hpp"
 #include "request/exchange/load_table.hpp"
 #include "version/engine_changes.hpp"
 #include "version/evacuated_zones.hpp"
@@ -199,11 +200,15 @@
   /// Stores that hold the jobs now, as the newest leader of the group told; none before one was heard.
   std::vector<ReplicaId> store_members;
   EvacuatedZones evacuated;
+  /// True from a control process that tells the builds of engines, and the services that run several of them or have
+  /// done so recently.
+  bool tells_builds = false;
+  std::vector<ServiceId> mixed_services;
   bool operator==(const DirectoryUpdate&) const = default;
 };
-/// Control processes of older releases tell nothing of evacuated zones.
+/// Control processes of older releases tell nothing of evacuated zones and of builds.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DirectoryUpdate, controls, stores, retiring, store_group, store_members,
-                                                evacuated)
+                                                evacuated, tells_builds, mixed_services)
 
 /// The parts of the fleet's state that the subscriber lacks, most often none. Each one proves that the versions it
 /// names were the newest at some moment shortly before.
@@ -308,6 +313,7 @@
     std::variant<GroupFrame, ProposalFrame, ProposalReplyFrame, DirectoryFrame, SubscribeFrame, UpdateFrame,
                  StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame, LoadDigestFrame, RunOrder,
                  RunLease, RunReport, RunOffer, CreditQuestionFrame, CreditAnswerFrame, PlacementQuestion,
-                 PlacementAnswer, PlacementNotes, BackgroundLoadFrame, GiveWayFrame, CrashNotesFrame>;
+                 PlacementAnswer, PlacementNotes, BackgroundLoadFrame, GiveWayFrame, CrashNotesFrame, StreamNotesFrame,
+                 StreamQuestionFrame, StreamAnswerFrame>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -16,6 +16,8 @@
 /// Changes of engines that are remembered for subscribers that lack only these: beyond as many as there are engines,
 /// the list of all of them is shorter.
 constexpr std::size_t kLeastEngineChanges = 4096;
+/// Retired builds of a service that are remembered: two upgrades within the longest life of a stream.
+constexpr std::size_t kMostRetiredBuilds = 4;
 
 /// The state as it travels in snapshots.
 struct FleetSnapshot {
@@ -33,11 +35,12 @@
   std::uint64_t store_members_term = 0;
   std::vector<ReplicaId> store_members;
   EvacuatedZones evacuated;
+  std::map<ServiceId, std::map<EngineBuild, std::uint64_t>> retired_builds;
 };
-/// Snapshots of older programs have no members of the store group.
+/// Snapshots of older programs have no members of the store group and no retired builds.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetSnapshot, document_version, document, engines, engines_revision,
                                                 departed, former, departed_born, former_born, store_group, retiring,
-                                                store_members_term, store_members, evacuated)
+                                                store_members_term, store_members, evacuated, retired_builds)
 
 /// A departed life that told no birth stands for every one of its engine.
 constexpr WallMillis kEveryLife = std::numeric_limits<WallMillis>::max();
@@ -70,7 +73,15 @@
     // A newer life has not said that it leaves.
     if (order == IncarnationOrder::kSame) next.leaving = next.leaving || known->second.leaving;
     if (next.born == 0) next.born = known->second.born;
+    // Registered by a control process of a release that knows no builds.
+    if (order == IncarnationOrder::kSame && next.build.empty()) next.build = known->second.build;
     if (known->second == next) return false;
+    EngineRecord with_build = known->second;
+    with_build.build = next.build;
+    if (with_build == next) {
+      changeBuild(known->second, next.build);
+      return true;
+    }
   }
   const auto at_address = engine_at_address_.find(engine.address);
   if (at_address != engine_at_address_.end() && at_address->second != engine.id) {
@@ -82,6 +93,9 @@
   if (known != engines_.end() && known->second.address != engine.address) {
     engine_at_address_.erase(known->second.address);
   }
+  // Counted before its former self is taken off, so that a build is not retired by a change of its only engine.
+  addBuild(next);
+  if (known != engines_.end()) removeBuild(known->second);
   engines_[engine.id] = next;
   engine_at_address_[engine.address] = engine.id;
   noteEngineChange(engine.id);
@@ -150,10 +164,46 @@
   if (found == engines_.end()) return;
   const auto at_address = engine_at_address_.find(found->second.address);
   if (at_address != engine_at_address_.end() && at_address->second == engine) engine_at_address_.erase(at_address);
+  removeBuild(found->second);
+  late_builds_.erase(engine);
   engines_.erase(found);
   noteEngineChange(engine);
 }
 
+void FleetState::changeBuild(EngineRecord& engine, const EngineBuild& build) {
+  removeBuild(engine);
+  engine.build = build;
+  addBuild(engine);
+  late_builds_[engine.id] = ++last_late_build_;
+}
+
+std::set<EngineId> FleetState::lateBuildsSince(std::uint64_t number) const {
+  std::set<EngineId> engines;
+  for (const auto& [engine, change] : late_builds_) {
+    if (change > number) engines.insert(engine);
+  }
+  return engines;
+}
+
+void FleetState::addBuild(const EngineRecord& engine) {
+  ++builds_[engine.service][engine.build];
+  const auto retired = retired_builds_.find(engine.service);
+  if (retired != retired_builds_.end()) retired->second.erase(engine.build);
+}
+
+void FleetState::removeBuild(const EngineRecord& engine) {
+  const auto service = builds_.find(engine.service);
+  const auto build = service->second.find(engine.build);
+  if (--build->second > 0) return;
+  service->second.erase(build);
+  if (service->second.empty()) builds_.erase(service);
+  std::map<EngineBuild, std::uint64_t>& retired = retired_builds_[engine.service];
+  retired[engine.build] = engines_revision_;
+  if (retired.size() <= kMostRetiredBuilds) return;
+  retired.erase(std::min_element(retired.begin(), retired.end(),
+                                 [](const auto& left, const auto& right) { return left.second < right.second; }));
+}
+
 void FleetState::noteEngineChange(const EngineId& engine) {
   ++engines_revision_;
   engine_changes_.push_back(engine);
@@ -226,6 +276,7 @@
   snapshot.store_members_term = store_members_term_;
   snapshot.store_members = store_members_;
   snapshot.evacuated = evacuated_;
+  snapshot.retired_builds = retired_builds_;
   return encodeStruct(snapshot);
 }
 
@@ -238,9 +289,13 @@
   engines_.clear();
   engine_at_address_.clear();
   engine_changes_.clear();
+  builds_.clear();
+  late_builds_.clear();
+  retired_builds_ = std::move(snapshot.retired_builds);
   for (EngineRecord& engine : snapshot.engines) {
     const EngineId id = engine.id;
     engine_at_address_[engine.address] = id;
+    ++builds_[engine.service][engine.build];
     engines_.emplace(id, std::move(engine));
   }
   engines_revision_ = snapshot.engines_revision;
--- a/src/process/fleet/fleet_state.hpp
+++ b/src/process/fleet/fleet_state.hpp
@@ -127,6 +127,16 @@
   /// Stores that hold the jobs, as far as a leader of their group has told; none before the first one did.
   const std::vector<ReplicaId>& storeMembers() const { return store_members_; }
   const EvacuatedZones& evacuated() const { return evacuated_; }
+  /// Builds that the engines of each service run.
+  const std::map<ServiceId, std::map<EngineBuild, std::size_t>>& builds() const { return builds_; }
+  /// Builds of each service whose last engine has left, the newest ones, and the revision of the engines at which it
+  /// did.
+  const std::map<ServiceId, std::map<EngineBuild, std::uint64_t>>& retiredBuilds() const { return retired_builds_; }
+  /// Number of changes of nothing but an engine's build. Releases that know no builds take these for no change, so the
+  /// revision of the engines stays as it is. Not replicated.
+  std::uint64_t lateBuilds() const { return last_late_build_; }
+  /// Engines with such a change after the given number of them.
+  std::set<EngineId> lateBuildsSince(std::uint64_t number) const;
   /// Stores to be emptied, by node name.
   const std::map<std::string, ReplicaId>& retiring() const { return retiring_; }
 
@@ -143,6 +153,10 @@
   void noteDeparted(const EngineId& engine, WallMillis born);
   void noteEngineChange(const EngineId& engine);
   void removeEngine(const EngineId& engine);
+  /// Takes a registered engine whose build alone has changed.
+  void changeBuild(EngineRecord& engine, const EngineBuild& build);
+  void addBuild(const EngineRecord& engine);
+  void removeBuild(const EngineRecord& engine);
   /// True if the engine was at the address before the one that is there now.
   bool isSuperseded(const EngineRecord& engine) const;
   /// The engine is no longer at its address, but has not departed.
@@ -171,6 +185,11 @@
   std::uint64_t store_members_term_ = 0;
   std::vector<ReplicaId> store_members_;
   EvacuatedZones evacuated_;
+  std::map<ServiceId, std::map<EngineBuild, std::size_t>> builds_;
+  std::map<ServiceId, std::map<EngineBuild, std::uint64_t>> retired_builds_;
+  /// Registered engines by the last change of nothing but their build.
+  std::map<EngineId, std::uint64_t> late_builds_;
+  std::uint64_t last_late_build_ = 0;
 };
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/operator_api.cpp
+++ b/src/process/fleet/operator_api.cpp
@@ -112,13 +112,15 @@
 }
 
 Awaitable<HttpResponse> OperatorApi::takeBeat(const EngineHeartbeatCall& call, const connection::HttpRequest& request) {
-  const Result<EngineHeartbeat> beat = context_.dialect.parseHeartbeat(call.engine, request.body);
+  Result<EngineHeartbeat> beat = context_.dialect.parseHeartbeat(call.engine, request.body);
   if (!isOk(beat)) {
     ++context_.entries_refused;
     logEvent(LogLevel::kWarning, "engine_entry_refused",
              {{"engine", call.engine.value}, {"caller", request.peer}, {"cause", errorOf(beat).message}});
     co_return connection::errorResponse(errorOf(beat));
   }
+  // A control process of an older release would drop the build from its state.
+  if (!context_.keeps_builds()) valueOf(beat).engine.build = EngineBuild();
   const std::optional<RegisterEngine> command =
       context_.engines.take(connection::monotonicNow(), valueOf(beat), context_.state());
   if (command) {
@@ -128,6 +130,7 @@
              {{"engine", engine.id.value},
               {"service", engine.service.value},
               {"address", engine.address},
+              {"build", engine.build.value},
               {"leaving", engine.leaving},
               {"born", engine.born},
               {"cold_ms", engine.cold_ms},
--- a/src/process/fleet/operator_api.hpp
+++ b/src/process/fleet/operator_api.hpp
@@ -31,6 +31,8 @@
   std::function<const FleetState&()> state;
   /// True once this process has run long enough to have heard of every store.
   std::function<bool()> knows_stores;
+  /// False while control processes of a release that drops the builds of engines take part.
+  std::function<bool()> keeps_builds;
   /// Beats that could not be read as an engine's.
   std::uint64_t entries_refused = 0;
 };
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -30,6 +30,8 @@
 constexpr Duration kAnswerHandoverTimeout = fromMillis(1500);
 /// Bounds the memory of runs: each run has a request, a text and buffers.
 constexpr std::size_t kRunsPerMegabyte = 2;
+/// Streams that are recorded here, of some 300 bytes each.
+constexpr std::size_t kMaxStreams = 20000;
 constexpr Duration kTrimInterval = std::chrono::seconds(1);
 constexpr std::size_t kMinVoters = 3;
 /// Heartbeat interval and election timeout. Heartbeats of a store under load may be late by 200 ms, and a series of
@@ -57,7 +59,8 @@
       placement_(
           std::random_device()(), settings_.zone, [this](const EngineId& engine) { requestPreemption(engine); },
           settings_.load),
-      rate_limits_(settings_.rate_limits) {
+      rate_limits_(settings_.rate_limits),
+      streams_(kMaxStreams) {
   own_load_.setKind(fleet::LoadKind::kBackground);
   placement_.setAnswerHandler([this](const void* connection, const fleet::PlacementAnswer& answer) {
     const auto link = placement_links_.find(connection);
@@ -230,6 +233,10 @@
     placement_.take(monotonicNow(), *notes, from.get());
   } else if (const auto* question = std::get_if<fleet::CreditQuestionFrame>(&decoded)) {
     onCreditQuestion(*question, from);
+  } else if (const auto* streams = std::get_if<fleet::StreamNotesFrame>(&decoded)) {
+    onStreamNotes(*streams);
+  } else if (const auto* stream = std::get_if<fleet::StreamQuestionFrame>(&decoded)) {
+    onStreamQuestion(*stream, from);
   } else if (const auto* crashes = std::get_if<fleet::CrashNotesFrame>(&decoded)) {
     const CrashRelay::Receiver receiver{from.get(), [from](const std::string& frame) { from->send(frame); }};
     crash_relay_.take(monotonicNow(), *crashes, receiver);
@@ -313,6 +320,8 @@
   placed("no_free_slot", placements.placed_without_free_slot);
   placed("no_engine", placements.unplaced);
   fillQueueMetrics(page);
+  page.gauge("hatchfork_streams_recorded", "Streams of several builds that gateways have recorded here.",
+             static_cast<double>(streams_.size()));
   page.gauge("hatchfork_rate_limit_buckets", "Tenants whose rate limits this store has kept lately.",
              static_cast<double>(rate_limits_.buckets()));
   const request::RetryCounters returns = rate_limits_.returns();
@@ -398,6 +407,7 @@
   next_trim_ = now + kTrimInterval;
   measureMemory();
   rate_limits_.expire(now);
+  streams_.expire(now);
   placement_.expire(now);
   crash_relay_.tick(now);
   runner_->closeIdle([this](const EngineId& engine) { return executor_->knowsEngine(engine); });
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -26,6 +26,7 @@
 #include "process/store/load_aggregator.hpp"
 #include "process/store/placement_service.hpp"
 #include "process/store/store_messages.hpp"
+#include "request/exchange/stream_table.hpp"
 #include "request/limits/drain_meter.hpp"
 #include "request/limits/rate_limit_owner.hpp"
 #include "version/dialect.hpp"
@@ -80,6 +81,8 @@
   /// Schedules the report of locally observed engine crashes, batched with other reports of the same moment.
   void scheduleCrashReport();
   void onCreditQuestion(const fleet::CreditQuestionFrame& frame, const ConnectionPtr& from);
+  void onStreamNotes(const fleet::StreamNotesFrame& frame);
+  void onStreamQuestion(const fleet::StreamQuestionFrame& frame, const ConnectionPtr& from);
   /// Updates the tenants' limits, and the stores that own them, from the latest view.
   void updateRateLimits(const fleet::FleetView& view);
   /// Reports the in-flight load of the leader's runs; reports once more, with no load, after leadership is lost.
@@ -162,6 +165,8 @@
   request::RateLimitOwner rate_limits_;
   std::vector<ReplicaId> limit_owners_;
   std::shared_ptr<const RouteTable> routes_;
+  /// Which build began the streams that gateways have recorded here.
+  request::StreamTable streams_;
   /// Rate at which tokens of items are finished, and the number of listed tokens at the last measurement.
   request::DrainMeter finished_tokens_;
   std::uint64_t listed_tokens_ = 0;
--- a/src/request/exchange/engine_selector.hpp
+++ b/src/request/exchange/engine_selector.hpp
@@ -132,6 +132,8 @@
   Duration max_ejection = fromMillis(5000);
   /// Maximum share of a service's engines that are out of rotation at once.
   double max_ejected_share = 0.5;
+  /// Time after which every process that may rely on its list of engines has received a new build.
+  Duration build_settle_time = std::chrono::seconds(2);
 };
 
 /// Properties of a request that determine the choice of an engine.
@@ -152,6 +154,11 @@
   std::set<EngineId> excluded;
   /// Zones whose engines may run the request; all if absent.
   std::optional<std::set<ZoneId>> zones;
+  /// Build whose engines alone may run the request, since they wrote its text so far; any if absent.
+  std::optional<EngineBuild> build;
+  /// Prefers builds that the service has run for `SelectorLimits::build_settle_time`: a stream that begins at an engine
+  /// of a new build may be resumed at a process that has not received that build yet.
+  bool prefers_settled_builds = false;
 };
 
 /// The chosen engine and the figures behind the choice, for the log.
@@ -237,6 +244,12 @@
   void end(Instant now, TicketId ticket, EngineVerdict verdict);
 
   bool knows(const EngineId& engine) const { return engines_.contains(engine); }
+  /// True if an open engine of the service runs this build.
+  bool hasOpenEngine(const ServiceId& service, const EngineBuild& build) const;
+  /// True if the service has registered engines of a build other than this one, leaving engines included.
+  bool hasOtherBuilds(const ServiceId& service, const EngineBuild& build) const;
+  /// True if the service has any open engine.
+  bool hasOpenEngine(const ServiceId& service) const;
   /// True if the engine is registered and not leaving, also in an evacuated zone.
   bool isServing(const EngineId& engine) const;
   /// Describes a choice made by another process; absent if the engine is not known here or must get no new requests.
@@ -286,7 +299,7 @@
   void takePace(Instant now, EngineState& state, std::uint32_t pace);
   /// The engine of a ticket; null once the engine is gone or has restarted.
   EngineState* engineOf(const Ticket& ticket);
-  void takeEngine(Instant now, const EngineRecord& record);
+  void takeEngine(Instant now, const EngineRecord& record, bool is_first_list);
   void dropEngine(const EngineId& engine);
   /// Adds an open engine to the pool of its service; closed engines are in no pool.
   void addToPool(EngineState& state);
@@ -297,8 +310,12 @@
   /// Requests per second that this process may send to the engine while it is cold; zero if unbounded.
   double coldRate(const EngineState& state) const;
   bool isCold(Instant now, const EngineState& state) const { return now < state.cold_until && coldRate(state) > 0; }
+  /// Counts an engine for its build. `is_first_list`: all builds of a process's first list of engines count as settled.
+  void addToBuilds(Instant now, const EngineRecord& record, bool is_first_list);
+  void removeFromBuilds(const EngineState& state);
   /// False if the engine was already tried for the request or is not allowed to run it.
-  static bool isAllowed(const EngineState& state, const EngineQuery& query);
+  static bool isAllowed(Instant now, const EngineState& state, const EngineQuery& query);
+  std::optional<EngineChoice> chooseAmongAllowed(Instant now, const EngineQuery& query);
   /// False for a cold engine that another process sends to, or whose rate bound is used up at the moment.
   bool admitsAnother(Instant now, const EngineState& state, const EngineQuery& query) const;
   /// Records a long prompt, which starts or extends the long lane of its service.
@@ -382,6 +399,12 @@
   std::set<ZoneId> evacuated_;
   std::map<ServiceId, RoutedService> services_;
   std::map<ServiceId, EnginePool> pools_;
+  /// Builds of the registered engines of each service.
+  struct BuildState {
+    std::size_t engines = 0;
+    Instant settled_at = Instant::min();
+  };
+  std::map<ServiceId, std::map<EngineBuild, BuildState>> builds_;
   /// Time of the last report of peer loads, number of reports so far, and mean interval between reports.
   Instant peer_loads_at_ = Instant::min();
   std::uint64_t peer_report_ = 0;
--- a/src/request/exchange/engine_selector_choice.cpp
+++ b/src/request/exchange/engine_selector_choice.cpp
@@ -20,7 +20,9 @@
   return service == services_.end() ? 0 : limits_.cold_share_used * service->second.cold_requests_per_second;
 }
 
-bool EngineSelector::isAllowed(const EngineState& state, const EngineQuery& query) {
+bool EngineSelector::isAllowed(Instant now, const EngineState& state, const EngineQuery& query) {
+  if (query.build && state.record.build != *query.build) return false;
+  if (query.prefers_settled_builds && now < state.build_settled_at) return false;
   if (query.zones && !query.zones->contains(state.record.zone)) return false;
   return !query.excluded.contains(state.record.id);
 }
@@ -36,9 +38,10 @@
   std::vector<EngineState*> ejected;
   bool any_in_rotation = false;
   const double reserve = query.background ? surgeReservePerEngine(now, query.service) * (1 - query.urgency) : 0;
-  const std::size_t examined = isSticky(query) ? pool.size() : limits_.max_examined;
+  const bool examines_all = isSticky(query) || query.build;
+  const std::size_t examined = examines_all ? pool.size() : limits_.max_examined;
   for (EngineState* const state : sampleConsecutive(pool.all(), examined, random_)) {
-    if (!isAllowed(*state, query) || !admitsAnother(now, *state, query)) continue;
+    if (!isAllowed(now, *state, query) || !admitsAnother(now, *state, query)) continue;
     any_in_rotation = any_in_rotation || now >= state->ejected_until;
     if (query.background && !hasBackgroundRoom(now, *state, reserve)) continue;
     if (query.needs_free_slot && !hasFreeSlot(now, *state, query)) continue;
@@ -80,6 +83,14 @@
 
 std::optional<EngineChoice> EngineSelector::choose(Instant now, const EngineQuery& query) {
   noteLongPrompt(now, query);
+  std::optional<EngineChoice> choice = chooseAmongAllowed(now, query);
+  if (choice || !query.prefers_settled_builds) return choice;
+  EngineQuery any_build = query;
+  any_build.prefers_settled_builds = false;
+  return chooseAmongAllowed(now, any_build);
+}
+
+std::optional<EngineChoice> EngineSelector::chooseAmongAllowed(Instant now, const EngineQuery& query) {
   const EnginePool* const pool = poolOf(query.service);
   if (pool == nullptr) return std::nullopt;
   const bool sticky = isSticky(query);
@@ -125,7 +136,7 @@
   const EngineState* best = nullptr;
   std::uniform_real_distribution<double> jitter(0.0, kMaxJitterMs);
   for (const EngineState* const state : drawn) {
-    if (now < state->ejected_until || !isAllowed(*state, query)) continue;
+    if (now < state->ejected_until || !isAllowed(now, *state, query)) continue;
     if (!admitsAnother(now, *state, query)) continue;
     if (query.background && !hasBackgroundRoom(now, *state, reserve)) continue;
     if (query.needs_free_slot && !hasFreeSlot(now, *state, query)) continue;
@@ -146,7 +157,7 @@
                                                            const EngineQuery& query, double expected_first_ms,
                                                            double running) const {
   const auto found = engines_.find(engine);
-  if (found == engines_.end() || !found->second.isOpen() || !isAllowed(found->second, query)) return std::nullopt;
+  if (found == engines_.end() || !found->second.isOpen() || !isAllowed(now, found->second, query)) return std::nullopt;
   EngineChoice choice = describe(now, found->second, query, expected_first_ms, 0, 1);
   choice.expected_first_ms = expected_first_ms;
   choice.estimated_running = running;
--- a/src/request/exchange/engine_state.hpp
+++ b/src/request/exchange/engine_state.hpp
@@ -45,6 +45,8 @@
   /// End of the cold period, and the earliest time of the next request within that period.
   Instant cold_until = Instant::min();
   Instant next_while_cold = Instant::min();
+  /// Time from which the build of the engine counts as settled.
+  Instant build_settled_at = Instant::min();
   std::uint32_t failures = 0;
   Instant ejected_until = Instant::min();
   /// When requests with a shared prefix were last sent here, by prefix identity.
--- a/src/request/exchange/stream_position.cpp
+++ b/src/request/exchange/stream_position.cpp
@@ -30,6 +30,7 @@
     is_aligned_ = false;
     return EventPlace::kGap;
   }
+  if (!build_) build_ = answering_build_;
   if (id) last_ = id;
   if (id) is_aligned_ = true;
   if (!id) is_resumable_ = false;
--- a/src/request/exchange/stream_position.hpp
+++ b/src/request/exchange/stream_position.hpp
@@ -3,6 +3,9 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
+
+#include "common/ids.hpp"
 
 namespace hatchfork::request {
 
@@ -53,18 +56,24 @@
   kBroken,
 };
 
-/// Position of a reader in a generated text, and whether the text is complete. Every attempt at an engine starts from
-/// this position, and every event and end is checked against it, for online streams and batch items alike. The
-/// identifiers of a text's events count up by one. Lives as long as the request or the run.
+/// Position of a reader in a generated text, which build of the engines' software writes the text, and whether the text
+/// is complete. Every attempt at an engine starts from this position and goes to an engine of this build, and every
+/// event and end is checked against it, for online streams and batch items alike. The identifiers of a text's events
+/// count up by one. Lives as long as the request or the run.
 class StreamPosition {
  public:
   /// `reader_has`: last event that the reader received earlier; absent if there is none. `ended_by_close`: the previous
-  /// answer ended there by an unproved close.
-  explicit StreamPosition(std::optional<std::uint64_t> reader_has = std::nullopt, bool ended_by_close = false)
-      : last_(reader_has), has_unproved_close_(ended_by_close) {}
+  /// answer ended there by an unproved close. `build`: build that wrote these events; absent if there are none, and if
+  /// any engine may continue them.
+  explicit StreamPosition(std::optional<std::uint64_t> reader_has = std::nullopt, bool ended_by_close = false,
+                          std::optional<EngineBuild> build = std::nullopt)
+      : last_(reader_has), build_(std::move(build)), has_unproved_close_(ended_by_close) {}
 
-  /// Starts a new answer, which was requested from the event after `last`.
-  void beginAnswer() { is_aligned_ = false; }
+  /// Starts a new answer of an engine of this build, which was requested from the event after `last`.
+  void beginAnswer(EngineBuild build) {
+    is_aligned_ = false;
+    answering_build_ = std::move(build);
+  }
   /// Classifies an event, and advances the position if the event is the next one. An event without data is not part of
   /// the text.
   EventPlace take(std::optional<std::uint64_t> id, bool has_data);
@@ -74,6 +83,8 @@
 
   /// Event after which the next attempt resumes; absent if the attempt starts from the first event.
   std::optional<std::uint64_t> last() const { return last_; }
+  /// Build that has to write the rest of the text; absent before the first event.
+  const std::optional<EngineBuild>& build() const { return build_; }
   /// False once an event without an identifier was accepted: no later attempt can resume after it.
   bool canResume() const { return is_resumable_; }
   /// True after an unproved close, until another event arrives.
@@ -81,6 +92,9 @@
 
  private:
   std::optional<std::uint64_t> last_;
+  std::optional<EngineBuild> build_;
+  /// Build of the engine that sends the current answer.
+  EngineBuild answering_build_;
   /// The last event that the reader has was seen in this answer, so an event without an identifier that follows is the
   /// next one.
   bool is_aligned_ = false;
--- a/src/version/dialect.hpp
+++ b/src/version/dialect.hpp
@@ -36,6 +36,8 @@
   std::string token_usage;
   /// Last event that the caller received; a resumed stream continues after it.
   std::string last_event_id;
+  /// Request whose answer brought the first event of a stream that the caller resumes.
+  std::string resumed_request;
   /// Longest time that a read may wait for new data (long polling), in milliseconds.
   std::string wait_ms;
   /// Tenant that the request belongs to, sent to the engine.
--- a/src/version/engine_record.hpp
+++ b/src/version/engine_record.hpp
@@ -27,12 +27,13 @@
   /// Remaining warm-up time in milliseconds, as reported when the engine became cold; zero while the engine is warm. A
   /// cold engine sustains only a few requests per second.
   std::int64_t cold_ms = 0;
+  EngineBuild build;
   bool operator==(const EngineRecord&) const = default;
 };
 /// Encodes an array without field names, because every process of a fleet receives the records of all engines.
 inline void to_json(nlohmann::json& json, const EngineRecord& engine) {
   json = nlohmann::json::array({engine.id, engine.service, engine.address, engine.zone, engine.slots, engine.leaving,
-                                engine.born, engine.cold_ms});
+                                engine.born, engine.cold_ms, engine.build});
 }
 /// Also accepts objects with field names, as in the logs and snapshots of older releases.
 inline void from_json(const nlohmann::json& json, EngineRecord& engine) {
@@ -46,6 +47,7 @@
   // Records of older releases have no start time.
   engine.born = is_array && json.size() > 6 ? json.at(6).get<WallMillis>() : 0;
   engine.cold_ms = is_array && json.size() > 7 ? json.at(7).get<std::int64_t>() : 0;
+  engine.build = is_array && json.size() > 8 ? json.at(8).get<EngineBuild>() : EngineBuild();
 }
 
 /// Order of two incarnations of an engine with the same identifier.
--- a/tests/platform/engine_entry_test.cpp
+++ b/tests/platform/engine_entry_test.cpp
@@ -22,10 +22,12 @@
 TEST_CASE("an entry is read with its birth, and without the fields that may be missing", "[platform][entry]") {
   nlohmann::json entry = soundEntry();
   REQUIRE(valueOf(readEngineEntry(kEngine, entry.dump())).engine.born == 1796253392211);
+  REQUIRE(valueOf(readEngineEntry(kEngine, entry.dump())).engine.build == EngineBuild("v1"));
   for (const char* name : {"born", "Version", "ColdRemainingMs", "New"}) entry.erase(name);
   const Result<EngineHeartbeat> beat = readEngineEntry(kEngine, entry.dump());
   REQUIRE(isOk(beat));
   REQUIRE(valueOf(beat).engine.born == 0);
+  REQUIRE(valueOf(beat).engine.build.empty());
   REQUIRE(valueOf(beat).engine.slots == 12);
 }
 
--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -183,6 +183,8 @@
   news.store_members = {ReplicaId("10.0.0.1")};
   news.evacuated.revision = 2;
   news.evacuated.zones = {ZoneId("z2")};
+  news.tells_builds = true;
+  news.mixed_services = {ServiceId("llm")};
   fleet::UpdateFrame update;
   update.document_version = 4;
   update.engines_revision = 9;
@@ -245,6 +247,28 @@
   samples.add(notes);
 }
 
+inline void addStreamFrames(Samples<fleet::FleetMessage>& samples) {
+  fleet::StreamNote note;
+  note.record.stream = request::StreamKey("abcd");
+  note.record.service = ServiceId("llm");
+  note.record.build = EngineBuild("v1");
+  note.lifetime_ms = 4000;
+  fleet::StreamNotesFrame notes;
+  notes.notes = {note};
+  samples.add(notes);
+  fleet::StreamQuestionFrame question;
+  question.number = 4;
+  question.stream = request::StreamKey("abcd");
+  question.service = ServiceId("llm");
+  samples.add(question);
+  fleet::StreamAnswerFrame answer;
+  answer.number = 4;
+  answer.is_recorded = true;
+  answer.build = EngineBuild("v1");
+  answer.has_one_build = true;
+  samples.add(answer);
+}
+
 inline void addLoadFrames(Samples<fleet::FleetMessage>& samples) {
   request::EngineShare share;
   share.engine = EngineId("i-2");
@@ -611,12 +635,14 @@
   Samples<fleet::FleetMessage> frames("frame");
   addControlFrames(frames);
   addStoreFrames(frames);
+  addStreamFrames(frames);
   addLoadFrames(frames);
   addRunFrames(frames);
   frames.moveTo(all);
   EngineChanges changes;
   changes.is_whole = true;
   changes.present = {engine("i-1")};
+  changes.present.front().build = EngineBuild("v1");
   changes.removed = {EngineId("i-22")};
   all.push_back({"engine_changes", encodeStruct(changes), rereadStruct<EngineChanges>});
   addStoreCalls(all);
--- a/tests/request/exchange/stream_position_test.cpp
+++ b/tests/request/exchange/stream_position_test.cpp
@@ -32,7 +32,7 @@
 
 TEST_CASE("an event without an identifier follows the previous event of its own answer", "[stream]") {
   StreamPosition position(2);
-  position.beginAnswer();
+  position.beginAnswer(hatchfork::EngineBuild("v1"));
   REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
   // The engine repeats events that the reader has: the event after event 1 is event 2, with or without an identifier.
   REQUIRE(position.take(1, true) == EventPlace::kRepeated);
@@ -47,7 +47,7 @@
     REQUIRE(position.take(std::nullopt, true) == EventPlace::kNext);
   }
   REQUIRE_FALSE(position.canResume());
-  position.beginAnswer();
+  position.beginAnswer(hatchfork::EngineBuild("v1"));
   REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
 }
 
@@ -124,3 +124,21 @@
     RC_ASSERT(position.last() == last);
   });
 }
+
+TEST_CASE("a text belongs to the build that wrote its first event", "[stream]") {
+  const hatchfork::EngineBuild first("v1");
+  const hatchfork::EngineBuild second("v2");
+  StreamPosition position;
+  REQUIRE_FALSE(position.build());
+  // An answer that breaks off before its first event leaves the choice open, as does an event without data.
+  position.beginAnswer(first);
+  REQUIRE(position.take(std::nullopt, false) == EventPlace::kNext);
+  REQUIRE_FALSE(position.build());
+  position.beginAnswer(second);
+  REQUIRE(position.take(1, true) == EventPlace::kNext);
+  REQUIRE(position.build() == second);
+  position.beginAnswer(first);
+  REQUIRE(position.take(2, true) == EventPlace::kNext);
+  REQUIRE(position.build() == second);
+  REQUIRE(StreamPosition(4, false, first).build() == first);
+}
