A batch item's text is continued only by the build that began it

Owners got results whose text two builds wrote: after a break, a preemption or a change of leader the next run went on at any engine.

An item that waits for its build lets later items pass; where no open engine of it is left, the text is dropped and the item begins anew, and its result is listed whole, since the group keeps the progress of the dropped text. Text of an unknown build (older releases) goes on only where the service runs one build.

--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -67,6 +67,7 @@
   TenantId tenant;
   EngineId engine;
   WallMillis engine_born = 0;
+  EngineBuild engine_build;
   std::string engine_address;
   /// The engine is asked to go on after this event; zero for a run from the start.
   std::uint64_t last_event = 0;
@@ -82,7 +83,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunOrder, from, term, number, job, item, host, tenant, engine,
                                                 engine_address, last_event, has_text, text, chain, saved_event,
-                                                saved_chain, after_close, engine_born)
+                                                saved_chain, after_close, engine_born, engine_build)
 
 /// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
 struct RunLease {
@@ -177,9 +178,13 @@
   RunEnd end = RunEnd::kBroken;
   request::EngineVerdict verdict = request::EngineVerdict::kNeutral;
   std::string cause;
+  /// Build that wrote the text; empty if it is not known.
+  EngineBuild build;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OfferedRun, number, sequence, job, item, engine, chain, saved_event, saved_chain,
-                                   text, has_text, last_event, ended, end, verdict, cause)
+/// Older releases tell no build.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OfferedRun, number, sequence, job, item, engine, chain, saved_event,
+                                                saved_chain, text, has_text, last_event, ended, end, verdict, cause,
+                                                build)
 
 /// What a store runs, or has run to its end lately, for earlier leaders; to a new one.
 struct RunOffer {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -90,6 +90,7 @@
   offer.end = run.news.end;
   offer.verdict = run.news.verdict;
   offer.cause = run.news.cause;
+  offer.build = run.order.engine_build;
   return offer;
 }
 
@@ -157,7 +158,10 @@
   auto run = std::make_shared<Run>();
   run->news.number = order.number;
   run->has_text = order.has_text;
-  if (order.last_event > 0) run->position = request::StreamPosition(order.last_event, order.after_close);
+  if (order.last_event > 0) {
+    run->position = request::StreamPosition(order.last_event, order.after_close, order.engine_build);
+  }
+  run->position.beginAnswer(order.engine_build);
   run->text = std::move(order.text);
   run->news.last_event = order.last_event;
   run->order = std::move(order);
--- a/src/process/store/job_commands.hpp
+++ b/src/process/store/job_commands.hpp
@@ -60,10 +60,12 @@
   /// Failed runs that this entry reports. Each run counts once, no matter how often and by how many leaders it is
   /// reported.
   std::vector<std::uint64_t> failed_runs;
+  /// Build of the engines that wrote the text; empty if it is not known.
+  EngineBuild build;
 };
-/// Entries that were logged by older versions do not name the runs.
+/// Entries that were logged by older versions name neither the runs nor the build.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ItemProgress, job, item, after_event, after_chain, last_event, chain,
-                                                text, failures, failed_runs)
+                                                text, failures, failed_runs, build)
 
 /// Stores progress, so that a new leader resumes items where its predecessor was. Progress that does not continue what
 /// is stored is skipped.
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -76,6 +76,7 @@
     for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
     run_table_.setRunners(std::move(runners));
     selector_.setEvacuated(now, view.evacuated.zones);
+    mixed_services_ = view.mixed_services;
   }
   selector_.takeEngines(now, change.engines);
   if (leading_) pump();
@@ -269,12 +270,19 @@
     }
     if (route == nullptr) continue;
     request::EngineQuery query = queryOf(*run, *job, *route);
+    dropOrphanedText(*run, query.service);
+    if (isBoundToBuild(*run, query.service)) query.build = run->build;
+    const auto allowed_zones = query.zones;
     request::TroughVerdict verdict;
     // A later item may need its slot for less time.
     if (!fitsTrough(now, *run, query, verdict)) continue;
+    // The zone with lasting capacity may have no engine of the build.
+    if (query.build) query.zones = allowed_zones;
     const std::optional<EngineChoice> choice = chooseEngine(now, run, *job, query);
     // The item was moved out of the queue.
     if (!choice && run->not_before > now) return true;
+    // Engines of other builds may have room for later items.
+    if (!choice && query.build) continue;
     if (!choice || !run_table_.chooseRunner(now, choice->engine.zone)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     startRun(now, run, *job, *choice, query, verdict);
@@ -303,6 +311,39 @@
   return query;
 }
 
+bool JobExecutor::isBoundToBuild(const ItemRun& run, const ServiceId& service) const {
+  if (!run.has_text || !run.last_event) return false;
+  // Text of an unknown build was written by an older release, or at an engine that reports no build.
+  return !run.build.empty() || mixed_services_.contains(service);
+}
+
+void JobExecutor::dropOrphanedText(ItemRun& run, const ServiceId& service) {
+  if (!isBoundToBuild(run, service) || selector_.hasOpenEngine(service, run.build)) return;
+  // Without any engine the item waits: engines of its build may come back.
+  if (!selector_.hasOpenEngine(service)) return;
+  ++counters_.texts_dropped;
+  logEvent(LogLevel::kInfo, "item_text_dropped",
+           {{"job", run.job.value},
+            {"request", run.item},
+            {"build", run.build.value},
+            {"last_event", run.last_event.value_or(0)},
+            {"cause", "no engine of this build is left"}});
+  // The group keeps the progress of the dropped text, also what is being proposed now, so the result is listed with its
+  // whole text.
+  run.diverged = true;
+  dropText(run);
+}
+
+void JobExecutor::dropText(ItemRun& run) {
+  run.last_event.reset();
+  run.after_close = false;
+  run.saved_bytes = 0;
+  run.text.clear();
+  run.events = 0;
+  run.has_text = false;
+  run.build = EngineBuild();
+}
+
 void JobExecutor::giveUpExpired(Instant now) {
   proposeRefusedResults();
   const WallMillis wall = connection::wallNow();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -49,6 +49,8 @@
   std::uint64_t completed = 0;
   std::uint64_t errored = 0;
   std::uint64_t broken = 0;
+  /// Texts that were dropped, since no engine of the build that wrote them is left.
+  std::uint64_t texts_dropped = 0;
   std::uint64_t preempted = 0;
   /// Number of failed runs that were counted against their items.
   std::uint64_t failures_stored = 0;
@@ -123,6 +125,8 @@
     std::string text;
     bool has_text = false;
     std::optional<std::uint64_t> last_event;
+    /// Build of the engine that runs the item, or that wrote its text; empty if it is not known.
+    EngineBuild build;
     /// True if the last run ended there by a closed connection, which does not prove that the text is whole.
     bool after_close = false;
     /// Last event and number of bytes of the text that the group has stored.
@@ -213,6 +217,11 @@
   /// Moves parked items back to the queue that are due or no longer suspect.
   void releaseParked(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
+  /// True if only engines of the build that wrote the item's text may continue it.
+  bool isBoundToBuild(const ItemRun& run, const ServiceId& service) const;
+  /// Drops the text of an item that no engine can continue, so that the item starts from the beginning.
+  void dropOrphanedText(ItemRun& run, const ServiceId& service);
+  static void dropText(ItemRun& run);
   /// Returns the time at which the job's results are due.
   Instant dueTimeOf(Instant now, const StoredJob& job);
   request::DueItem dueItemOf(const ItemRun& run) const;
@@ -303,6 +312,8 @@
   request::WeightedSplit split_;
   const JobState* state_ = nullptr;
   std::shared_ptr<const RouteTable> routes_;
+  /// Services of several builds; see `FleetView::mixed_services`.
+  std::set<ServiceId> mixed_services_;
   bool leading_ = false;
   std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -32,6 +32,7 @@
   run.saved_event = stored->second.last_event;
   run.saved_bytes = stored->second.text.size();
   run.saved_chain = stored->second.chain;
+  run.build = stored->second.build;
   run.last_event = run.saved_event;
   run.text = stored->second.text;
   run.has_text = true;
@@ -76,7 +77,8 @@
                           run->chain,
                           run->text.substr(run->saved_bytes),
                           run->failures,
-                          {}});
+                          {},
+                          run->build});
     saved.push_back({run, run->chain, *run->last_event});
     bytes += save.items.back().text.size();
   }
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -49,6 +49,7 @@
   run->first_event_at = Instant{};
   run->events_before = run->events;
   run->engine = choice.engine.id;
+  run->build = choice.engine.build;
   run->number = run_table_.begin(now, runner);
   run->ticket = selector_.begin(now, choice.engine.id, query);
   run->started_at = now;
@@ -71,6 +72,7 @@
   order.tenant = job.submission.tenant;
   order.engine = choice.engine.id;
   order.engine_born = choice.engine.born;
+  order.engine_build = choice.engine.build;
   order.engine_address = choice.engine.address;
   order.last_event = run->last_event.value_or(0);
   order.after_close = run->after_close;
@@ -85,6 +87,7 @@
            {{"job", run->job.value},
             {"request", run->item},
             {"engine", choice.engine.id.value},
+            {"build", choice.engine.build.value},
             {"runner", runner.value},
             {"run", run->number},
             {"attempt", run->attempts},
@@ -188,6 +191,7 @@
   run->is_suspect = false;
   run->first_event_at = Instant{};
   run->engine = offered.engine;
+  run->build = offered.build;
   run->number = offered.number;
   request::EngineQuery query;
   query.background = true;
@@ -294,12 +298,7 @@
       ++counters_.broken;
       run->not_before = now + kRetryAfterFailure;
       // Without event identifiers a later run can't resume where this one was interrupted.
-      if (!run->last_event) {
-        run->saved_bytes = 0;
-        run->text.clear();
-        run->events = 0;
-        run->has_text = false;
-      }
+      if (!run->last_event) dropText(*run);
       break;
   }
   if (run->pending_failures > 0) return;
--- a/src/process/store/job_snapshot.cpp
+++ b/src/process/store/job_snapshot.cpp
@@ -88,7 +88,7 @@
 
 /// Appends the progress in the format of `ItemProgress`, with no preceding event.
 void appendProgress(std::string& out, const JobId& job, const std::string& item, const ItemRunProgress& progress) {
-  cbor::beginMap(out, 9);
+  cbor::beginMap(out, 10);
   cbor::appendField(out, "job", job.value);
   cbor::appendField(out, "item", item);
   cbor::appendField(out, "after_event", std::uint64_t{0});
@@ -100,6 +100,7 @@
   cbor::appendText(out, "failed_runs");
   cbor::beginList(out, progress.failed_runs.size());
   for (const std::uint64_t run : progress.failed_runs) cbor::appendUnsigned(out, run);
+  cbor::appendField(out, "build", progress.build.value);
 }
 
 std::size_t textBytes(const std::optional<ItemRunProgress>& progress) {
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -201,6 +201,7 @@
     if (!follows || entry.last_event <= entry.after_event) continue;
     progress.last_event = entry.last_event;
     progress.chain = entry.chain;
+    progress.build = entry.build;
     appendExactly(progress.text, entry.text);
     held_bytes_ += entry.text.size();
     saved = true;
@@ -324,8 +325,12 @@
   for (ItemProgress& progress : entry.progress) {
     held_bytes_ += progress.text.size();
     job.progress[progress.item] =
-        ItemRunProgress{progress.last_event, progress.chain, std::move(progress.text), progress.failures,
-                        std::set<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end())};
+        ItemRunProgress{progress.last_event,
+                        progress.chain,
+                        std::move(progress.text),
+                        progress.failures,
+                        std::set<std::uint64_t>(progress.failed_runs.begin(), progress.failed_runs.end()),
+                        std::move(progress.build)};
   }
   changed(id);
 }
--- a/src/process/store/stored_job.hpp
+++ b/src/process/store/stored_job.hpp
@@ -19,6 +19,8 @@
   std::string text;
   std::uint32_t failures = 0;
   std::set<std::uint64_t> failed_runs;
+  /// Build of the engines that wrote the text; empty if it is not known.
+  EngineBuild build;
 };
 
 /// A job with its results and the progress of its open items.
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -49,7 +49,7 @@
     };
     executor_ = std::make_unique<JobExecutor>(options, *dialect_, propose, send, crashes_);
     executor_->setState(state_);
-    fleet::FleetView view;
+    fleet::FleetView& view = view_;
     view.routes = valueOf(dialect_->parseRoutes(kDocument));
     EngineRecord engine;
     engine.id = EngineId("e");
@@ -69,6 +69,23 @@
     apply(SubmitJob{job});
   }
 
+  /// Replaces the engines by one of each build, named after it, with this many slots each.
+  void setBuilds(const std::vector<std::string>& builds, std::uint32_t slots = 8) {
+    std::vector<EngineRecord> engines;
+    for (const std::string& build : builds) {
+      EngineRecord engine;
+      engine.id = EngineId("e-" + build);
+      engine.service = ServiceId("s");
+      engine.address = "10.0.1.2:" + std::to_string(80 + engines.size());
+      engine.slots = slots;
+      engine.build = EngineBuild(build);
+      engines.push_back(engine);
+    }
+    view_.mixed_services.clear();
+    if (builds.size() > 1) view_.mixed_services.insert(ServiceId("s"));
+    executor_->takeView(view_, fleet::FleetChange{false, true, wholeListOf(std::move(engines))});
+  }
+
   void apply(const JobCommand& command) { state_.apply(1, encodeTagged(command)); }
   JobExecutor& executor() { return *executor_; }
   fleet::CrashWatch& crashes() { return crashes_; }
@@ -129,6 +146,7 @@
     std::function<void(bool)> done;
   };
   std::unique_ptr<const Dialect> dialect_;
+  fleet::FleetView view_;
   JobState state_;
   std::vector<RunOrder> orders_;
   std::vector<fleet::RunLease> leases_;
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -54,6 +54,7 @@
     made.item = OpaqueItem{"item", "/x/1", {}, "body", 10};
     made.host = "a.example";
     made.engine = EngineId("e");
+    made.engine_build = EngineBuild("v1");
     made.engine_address = fmt::format("127.0.0.1:{}", engine_.port());
     made.last_event = last_event;
     made.has_text = last_event > 0;
@@ -261,6 +262,7 @@
   REQUIRE(run.ended);
   REQUIRE(run.end == RunEnd::kWhole);
   REQUIRE(run.text == "three\nfour");
+  REQUIRE(run.build == EngineBuild("v1"));
   fixture.runner().tick(monotonicNow() + fromMillis(9000));
   fixture.runner().take(RunLease{ReplicaId("10.0.0.4"), 3, {}});
   REQUIRE(fixture.offers().size() == 1);
--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -336,6 +336,7 @@
   order.tenant = TenantId("crew");
   order.engine = EngineId("i-2");
   order.engine_born = 1700000000123;
+  order.engine_build = EngineBuild("v1");
   order.engine_address = "10.1.0.1:9000";
   order.last_event = 4;
   order.after_close = true;
@@ -392,6 +393,7 @@
   offered.end = fleet::RunEnd::kYielded;
   offered.verdict = request::EngineVerdict::kDeclined;
   offered.cause = "cause";
+  offered.build = EngineBuild("v1");
   fleet::RunOffer offer;
   offer.from = ReplicaId("10.0.0.2");
   offer.term = 4;
@@ -506,6 +508,7 @@
   progress.text = "kept";
   progress.failures = 1;
   progress.failed_runs = {8};
+  progress.build = EngineBuild("v1");
   store::SaveProgress save;
   save.items = {progress};
   store::JobResult result;
