--- a/src/process/gateway/batch_item_run.hpp
+++ b/src/process/gateway/batch_item_run.hpp
@@ -27,6 +27,8 @@
   /// What the attempts so far have produced; the next one resumes after it.
   std::string text;
   std::uint32_t tokens = 0;
+  /// Build of the engine that writes the text.
+  EngineBuild build;
   std::vector<EngineId> failed_engines;
   std::uint32_t failures = 0;
   /// Set while the item waits after a pause.
@@ -47,6 +49,10 @@
   Stop stop = Stop::kNone;
 };
 
+/// Sets the build of the engine that runs the item next. Text of another build is dropped, so that the item starts from
+/// the beginning there.
+void continueAtBuild(BatchItemRun& item, EngineBuild build);
+
 /// Checks an item's body and finds the engine path for it: "/v1/chat/completions" with messages, else
 /// "/v1/completions".
 std::string pathOfItemBody(const std::string& body);
--- a/src/process/gateway/batch_runner.cpp
+++ b/src/process/gateway/batch_runner.cpp
@@ -172,6 +172,7 @@
   const bool leased = groups_[item->group].lease_until > now && traffic_.leaseInForce(now);
   const bool engine_there = traffic != nullptr && endpoint && traffic->router.mayDispatch(engine);
   if (may_run && leased && engine_there && item->stop == Stop::kNone) {
+    continueAtBuild(*item, traffic->router.buildOf(engine));
     connection::EngineCall call;
     call.endpoint = *endpoint;
     call.path = item->path;
--- a/src/process/gateway/online_handler.cpp
+++ b/src/process/gateway/online_handler.cpp
@@ -224,6 +224,7 @@
     }
     first = false;
     const EngineId engine = valueOf(choice).engine;
+    const EngineBuild build = service->router.buildOf(engine);
     ++failure.attempts;
     const AttemptEnd end = co_await runAttempt(caller, route, relay, engine, *service);
     if (end.outcome == AttemptOutcome::kWhole) {
@@ -255,6 +256,7 @@
     const bool resume = std::holds_alternative<request::Resume>(decision);
     ++(resume ? counters.resumes : counters.retries);
     route.excluded.push_back(engine);
+    if (relay.tokens > 0) route.build = build;
   }
   if (!relay.started) co_return final_error;
   ++counters.online_failed;
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -103,6 +103,7 @@
 
 bool Router::accepts(Instant now, const EngineRecord& record, const RouteRequest& request) {
   if (isLeaving(record)) return false;
+  if (request.build && record.engine.build != *request.build) return false;
   const auto& excluded = request.excluded;
   if (std::find(excluded.begin(), excluded.end(), record.engine.id) != excluded.end()) return false;
   if (!request.adapter.empty() && !contains(record.report.adapters, request.adapter)) return false;
@@ -225,6 +226,11 @@
   return record && !isLeaving(*record);
 }
 
+EngineBuild Router::buildOf(const EngineId& engine) const {
+  const EngineRecord* record = find(engine);
+  return record ? record->engine.build : EngineBuild();
+}
+
 std::uint32_t Router::onlineInFlight(const EngineId& engine) const {
   const EngineRecord* record = find(engine);
   return record ? record->online_in_flight : 0;
--- a/src/request/routing/router.hpp
+++ b/src/request/routing/router.hpp
@@ -57,6 +57,8 @@
   std::string adapter;
   /// Engines already tried.
   std::vector<EngineId> excluded;
+  /// Build that wrote the answer so far, whose engines alone may continue it; any if absent.
+  std::optional<EngineBuild> build;
 };
 
 struct RouteChoice {
@@ -111,6 +113,8 @@
   /// True if the engine may still get new work: in the subset and not leaving by any of the three marks. Check again
   /// right before the dispatch if time has passed since `choose`.
   bool mayDispatch(const EngineId& engine) const;
+  /// Empty if the engine is not in the subset or no build is configured for it.
+  EngineBuild buildOf(const EngineId& engine) const;
   /// Engines whose connections, load reports and cache events this gateway needs.
   const std::vector<EngineId>& subset() const { return subset_ids_; }
   std::uint32_t onlineInFlight(const EngineId& engine) const;
--- a/src/request/routing/service_fleet.hpp
+++ b/src/request/routing/service_fleet.hpp
@@ -19,6 +19,7 @@
   bool drained_by_operator = false;
   /// True if the platform list marks the engine's machine as leaving or does not name it any more.
   bool leaving_platform = false;
+  EngineBuild build;
 };
 
 /// A gateway that the control service reports as alive.
--- a/src/version/configuration_objects.hpp
+++ b/src/version/configuration_objects.hpp
@@ -44,8 +44,10 @@
   /// Maximum number of concurrent requests.
   std::uint32_t slots = 8;
   EngineIntent intent = EngineIntent::kServe;
+  /// Empty if the operator names none: such engines count as running one build.
+  EngineBuild build;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Engine, id, service, zone, host, port, slots, intent)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Engine, id, service, zone, host, port, slots, intent, build)
 
 enum class TenantRole { kTeam, kOperator, kAdmin };
 constexpr std::size_t kTenantRoles = 3;
--- a/src/version/gateway_version.cpp
+++ b/src/version/gateway_version.cpp
@@ -14,8 +14,8 @@
   for (const auto& [id, engine] : configuration.engines) {
     if (engine.service != service) continue;
     const bool is_leaving = std::find(leaving.begin(), leaving.end(), id) != leaving.end();
-    fleet->engines.push_back(
-        request::FleetEngine{id, engine.zone, engine.slots, engine.intent == EngineIntent::kDrain, is_leaving});
+    fleet->engines.push_back(request::FleetEngine{id, engine.zone, engine.slots, engine.intent == EngineIntent::kDrain,
+                                                  is_leaving, engine.build});
   }
   return fleet;
 }
--- a/tests/request/routing/router_test.cpp
+++ b/tests/request/routing/router_test.cpp
@@ -175,5 +175,20 @@
   for (const auto& [engine, count] : owners) CHECK(count == 1);
 }
 
+TEST_CASE("an answer is continued only by an engine of its build", "[router][build]") {
+  ServiceFleet fleet = makeFleet(4, 1, 1);
+  fleet.engines[0].build = EngineBuild("v1");
+  fleet.engines[1].build = EngineBuild("v2");
+  fleet.engines[2].build = EngineBuild("v2");
+  Router router = makeRouter(fleet);
+  RouteRequest request;
+  request.build = router.buildOf(fleet.engines[1].id);
+  for (int i = 0; i < 20; ++i) CHECK(router.buildOf(chosen(router, at(i), request).engine) == EngineBuild("v2"));
+  request.excluded = {fleet.engines[1].id, fleet.engines[2].id};
+  CHECK_FALSE(isOk(router.choose(at(30), request)));
+  request.build = EngineBuild();
+  CHECK(chosen(router, at(31), request).engine == fleet.engines[3].id);
+}
+
 }  // namespace
 }  // namespace hatchfork::request
