--- a/tests/soak/engine_versions.py
+++ b/tests/soak/engine_versions.py
@@ -5,7 +5,7 @@
 Real processes on loopback; engines of two versions that break a share of their streams; callers that go on by themselves at
 any gateway after a break, naming in `Resumes` the request that brought the first event.
 
-    python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|one-version|items|items-rolling
+    python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|overlapping|all|one-version|items|items-rolling
         [--seed 1] [--seconds 8]
 """
 import argparse
@@ -36,13 +36,15 @@
 # Of the streams that callers take up again while two engines of their version serve, those that go on, against the share
 # of new streams that begin.
 LEAST_GOING_ON = 0.95
+LEAST_AFTER_ALL = 0.5  # the same where all processes are killed at once, and all records with them
 LEAST_COUNTED = 12  # streams taken up again, for that share
 TOLD_WITHIN = 0.5  # seconds until a caller hears that its stream can't go on
 ITEM_JOBS = 3
 ITEMS = 25  # of a job
 # Engines of the new version at first, and what happens meanwhile.
 SCENARIOS = {"mixed": (4, None), "uneven": (2, None), "rolling": (0, "replace_engines"), "gateways": (4, "kill_gateways"),
-             "stores": (4, "kill_stores"), "one-version": (0, None), "items": (4, "kill_stores"),
+             "stores": (4, "kill_stores"), "overlapping": (2, "kill_and_replace"), "all": (4, "kill_all"),
+             "one-version": (0, None), "items": (4, "kill_stores"),
              "items-rolling": (0, "replace_engines")}
 
 
@@ -124,6 +126,8 @@
         for number in range(ENGINES):
             await asyncio.sleep(self.options.seconds / (ENGINES + 3))
             old = self.engines[number]
+            if old.version == NEW:
+                continue
             new = self.engine(ENGINES + number, NEW)
             await new.start()
             self.engines.append(new)
@@ -148,6 +152,17 @@
     async def kill_stores(self, started):
         await self.kill_some(started, "store")
 
+    async def kill_and_replace(self, started):
+        """Engines are replaced while gateways and stores are killed, in series that overlap."""
+        await asyncio.gather(self.replace_engines(started), self.kill_gateways(started), self.kill_stores(started))
+
+    async def kill_all(self, started):
+        await asyncio.sleep(self.options.seconds / 2)
+        print(f"{time.monotonic() - started:6.2f} s  kill all", flush=True)
+        for process in self.fleet.processes.values():
+            process.kill()
+        self.fleet.start_all()
+
     async def submit(self, job, items):
         requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Model": "m", "X-Token-Usage": "10,10"},
                      "Body": base64.b64encode(b"stream").decode(), "TokenCount": 20} for item in items]
@@ -188,7 +203,8 @@
         if taken_up < LEAST_COUNTED or new == 0:
             return
         share = going_on / taken_up
-        self.check.that(share >= LEAST_GOING_ON * begun / new,
+        least = LEAST_AFTER_ALL if self.options.scenario == "all" else LEAST_GOING_ON
+        self.check.that(share >= least * begun / new,
                         f"{going_on} of {taken_up} streams taken up again go on, {begun} of {new} new ones begin")
 
     async def run(self):
