--- a/tests/soak/engine_versions.py
+++ b/tests/soak/engine_versions.py
@@ -197,6 +197,27 @@
             self.two_versions += 1
             self.check.that(False, f"item {item} holds events of {versions_in(lines)}")
 
+    async def check_ill_named(self):
+        """A resume that does not name its own stream is refused at once, and no engine runs it."""
+        first = new_id()
+        await StreamReader().read(self.fleet.gateways[0], "/talk/a", b"stream-other", request_headers(first))
+        for named in (None, "", "nonsense", new_id(), first, "x" * 4000):
+            request = new_id()
+            headers = {**request_headers(request), "Last-Event-Id": "3"}
+            if named is not None:
+                headers["Resumes"] = named
+            reader = StreamReader()
+            await reader.read(self.fleet.gateways[1], "/talk/a", b"stream-mine", headers)
+            shown = None if named is None else named[:16]
+            self.check.that(reader.status == 503 and b'"executed":"no"' in reader.body,
+                            f"Resumes {shown!r} is answered {reader.status} {reader.body[:120]!r}")
+            self.check.that(request not in self.asked, f"Resumes {shown!r} reached an engine")
+            self.check.that(reader.status == 0 or reader.head_after < TOLD_WITHIN,
+                            f"Resumes {shown!r} is answered after {reader.head_after} s")
+        request = new_id()
+        await StreamReader().read(self.fleet.gateways[1], "/talk/a", b"stream-mine", {**request_headers(request), "Resumes": first})
+        self.check.that(request in self.asked, "a stream from its beginning did not reach an engine")
+
     def check_shares(self):
         begun, new = self.begun
         going_on, taken_up = self.taken_up
@@ -209,6 +230,8 @@
 
     async def run(self):
         await self.fleet.form(self.check, self.engines)
+        if self.options.scenario == "mixed":
+            await self.check_ill_named()
         started = time.monotonic()
         event = SCENARIOS[self.options.scenario][1]
         work = [asyncio.create_task(getattr(self, event)(started))] if event else []
