An item that waits for its build holds up no others, and begins anew in the end

Items of a build without room are now skipped at the cost of a look-up; an item drops its text once it has waited for as long as the text took. With one build nothing is bound. A record of another service is no record of a resumed stream's engines. Unit tests in job_executor_test (200 waiting items, two that are not bound) and stream_client_test.

--- a/src/process/exchange/stream_client.cpp
+++ b/src/process/exchange/stream_client.cpp
@@ -104,7 +104,9 @@
   const bool is_mixed = isMixed(resumed.service);
   StreamLookup result = UnknownStream{};
   std::size_t asked = 0;
-  if (const request::StreamRecord* record = streams_.find(began, resumed.stream)) {
+  const request::StreamRecord* record = streams_.find(began, resumed.stream);
+  // A build says nothing about the engines of another service, which a split route may choose.
+  if (record != nullptr && record->service == resumed.service) {
     result = record->build;
   } else if (is_current && !is_mixed) {
     result = AnyBuild{};
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t kMaxExaminedEntries = 64;
 /// Number of started runs after which the trough is planned again.
 constexpr std::size_t kStartsBetweenPlans = 8;
+/// An item waits at least this long for room at the engines of the build that wrote its text.
+constexpr Duration kMinBuildWait = fromMillis(500);
 /// Until a run has been observed, a whole run is estimated at the completion target divided by this.
 constexpr int kGuessedRunsPerTarget = 4;
 /// Maximum number of stored results from which a new leader estimates the length of items.
@@ -258,9 +260,17 @@
 bool JobExecutor::startNext(Instant now) {
   if (runs_.size() >= maxRunsNow(now)) return false;
   const bool starts_inherited = haveStoresReported(now);
-  const std::size_t examined = std::min(queue_.size(), kMaxExaminedEntries);
-  for (std::size_t i = 0; i < examined; ++i) {
+  // Builds without room, so that the many items that may wait for them do not hide the items behind them.
+  std::set<std::pair<ServiceId, EngineBuild>> full_builds;
+  std::size_t examined = 0;
+  for (std::size_t i = 0; i < queue_.size() && examined < kMaxExaminedEntries; ++i) {
     const ItemPtr run = queue_[i];
+    const bool is_bound = isBoundToBuild(*run, run->service);
+    if (is_bound && full_builds.contains({run->service, run->build})) {
+      noteFullBuild(now, *run);
+      continue;
+    }
+    ++examined;
     if (run->not_before > now || (run->is_inherited && !starts_inherited)) continue;
     const StoredJob* job = openJob(*run);
     const Route* route = job == nullptr ? nullptr : routeOf(*job);
@@ -282,7 +292,11 @@
     // The item was moved out of the queue.
     if (!choice && run->not_before > now) return true;
     // Engines of other builds may have room for later items.
-    if (!choice && query.build) continue;
+    if (!choice && query.build) {
+      full_builds.insert({run->service, run->build});
+      noteFullBuild(now, *run);
+      continue;
+    }
     if (!choice || !run_table_.chooseRunner(now, choice->engine.zone)) return false;
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     startRun(now, run, *job, *choice, query, verdict);
@@ -314,20 +328,32 @@
 bool JobExecutor::isBoundToBuild(const ItemRun& run, const ServiceId& service) const {
   if (!run.has_text || !run.last_event) return false;
   // Text of an unknown build was written by an older release, or at an engine that reports no build.
-  return !run.build.empty() || mixed_services_.contains(service);
+  return run.build.empty() ? mixed_services_.contains(service) : selector_.hasOtherBuilds(service, run.build);
+}
+
+/// Waiting costs as much as beginning anew once it has taken as long as the text did.
+void JobExecutor::noteFullBuild(Instant now, ItemRun& run) {
+  if (run.build_full_since == Instant{}) run.build_full_since = now;
+  const Duration text_time = run_times_.totalRunTime() - run_times_.remainingTime(run.events);
+  if (now - run.build_full_since < std::max(text_time, kMinBuildWait)) return;
+  discardText(run, "the engines of this build had no room for as long as the text took");
 }
 
 void JobExecutor::dropOrphanedText(ItemRun& run, const ServiceId& service) {
   if (!isBoundToBuild(run, service) || selector_.hasOpenEngine(service, run.build)) return;
   // Without any engine the item waits: engines of its build may come back.
   if (!selector_.hasOpenEngine(service)) return;
+  discardText(run, "no engine of this build is left");
+}
+
+void JobExecutor::discardText(ItemRun& run, std::string_view cause) {
   ++counters_.texts_dropped;
   logEvent(LogLevel::kInfo, "item_text_dropped",
            {{"job", run.job.value},
             {"request", run.item},
             {"build", run.build.value},
             {"last_event", run.last_event.value_or(0)},
-            {"cause", "no engine of this build is left"}});
+            {"cause", cause}});
   // The group keeps the progress of the dropped text, also what is being proposed now, so the result is listed with its
   // whole text.
   run.diverged = true;
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "process/fleet/crash_watch.hpp"
@@ -127,6 +128,8 @@
     std::optional<std::uint64_t> last_event;
     /// Build of the engine that runs the item, or that wrote its text; empty if it is not known.
     EngineBuild build;
+    /// Time since which the engines of this build have had no room for the item; unset while it runs.
+    Instant build_full_since{};
     /// True if the last run ended there by a closed connection, which does not prove that the text is whole.
     bool after_close = false;
     /// Last event and number of bytes of the text that the group has stored.
@@ -221,6 +224,11 @@
   bool isBoundToBuild(const ItemRun& run, const ServiceId& service) const;
   /// Drops the text of an item that no engine can continue, so that the item starts from the beginning.
   void dropOrphanedText(ItemRun& run, const ServiceId& service);
+  /// Records that the engines of the item's build have no room. Drops the text after a while, since engines of other
+  /// builds may have room.
+  void noteFullBuild(Instant now, ItemRun& run);
+  /// Drops text that the group may have stored.
+  void discardText(ItemRun& run, std::string_view cause);
   static void dropText(ItemRun& run);
   /// Returns the time at which the job's results are due.
   Instant dueTimeOf(Instant now, const StoredJob& job);
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -50,6 +50,7 @@
   run->events_before = run->events;
   run->engine = choice.engine.id;
   run->build = choice.engine.build;
+  run->build_full_since = Instant{};
   run->number = run_table_.begin(now, runner);
   run->ticket = selector_.begin(now, choice.engine.id, query);
   run->started_at = now;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -285,7 +285,7 @@
   items("broken", counters.broken);
   items("yielded", counters.preempted);
   page.counter("hatchfork_item_texts_dropped_total",
-               "Texts of items begun anew, since no engine of their build was left, at the leader.",
+               "Texts of items begun anew, since no engine of their build was left or had room, at the leader.",
                static_cast<double>(counters.texts_dropped));
   page.counter("hatchfork_item_failures_kept_total", "Failed runs counted for their items, at the leader.",
                static_cast<double>(counters.failures_stored));
--- a/src/process/store/store_program_streams.cpp
+++ b/src/process/store/store_program_streams.cpp
@@ -29,8 +29,8 @@
   const request::StreamRecord* record = streams_.find(now, frame.stream);
   fleet::StreamAnswerFrame answer;
   answer.number = frame.number;
-  answer.is_recorded = record != nullptr;
-  if (record != nullptr) answer.build = record->build;
+  answer.is_recorded = record != nullptr && record->service == frame.service;
+  if (answer.is_recorded) answer.build = record->build;
   answer.has_one_build = feed_->hasCurrentBuilds(now) && !feed_->view().mixed_services.contains(frame.service);
   logEvent(LogLevel::kInfo, "stream_asked_for",
            {{"stream", frame.stream.value},
--- a/tests/process/exchange/stream_client_test.cpp
+++ b/tests/process/exchange/stream_client_test.cpp
@@ -194,3 +194,13 @@
   gateway->client->setStores(monotonicNow(), fleet.names());
   for (int i = 0; i < 50; ++i) REQUIRE(fleet.copiesOf(StreamKey(std::to_string(i))) == 2);
 }
+
+TEST_CASE("a build of another service is no build of the stream's engines", "[exchange][build]") {
+  Fleet fleet;
+  const auto gateway = fleet.makeGateway();
+  gateway->client->setMixedServices(monotonicNow(), {kService});
+  gateway->client->noteBegun(monotonicNow(), StreamRecord{StreamKey("s"), ServiceId("other"), kFirst}, kLifetime);
+  REQUIRE(std::holds_alternative<UnknownStream>(Fleet::find(*gateway, "s")));
+  gateway->client->setMixedServices(monotonicNow(), {});
+  REQUIRE(std::holds_alternative<AnyBuild>(Fleet::find(*gateway, "s")));
+}
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -469,20 +469,28 @@
   }
 }
 
-TEST_CASE("an item that waits for its build does not hold up the others", "[store][executor][build]") {
-  ExecutorFixture fixture(Duration::zero(), 3);
+TEST_CASE("items that wait for their build do not hold up the others, and begin anew in the end",
+          "[store][executor][build]") {
+  constexpr std::size_t kWaiting = 200;
+  ExecutorFixture fixture(Duration::zero(), kWaiting + 2);
   fixture.setBuilds({"v1", "v2"}, 1);
-  ItemProgress progress{JobId("j"), "i", 0, 0, 2, 99, "one\ntwo", 0, {}, EngineBuild("v1")};
-  ItemProgress same = progress;
-  same.item = "i0";
-  fixture.apply(SaveProgress{{progress, same}});
+  SaveProgress save;
+  for (std::size_t i = 0; i < kWaiting; ++i) {
+    const std::string item = "i" + std::to_string(i);
+    save.items.push_back(ItemProgress{JobId("j"), item, 0, 0, 2, 99, "one\ntwo", 0, {}, EngineBuild("v1")});
+  }
+  fixture.apply(save);
   fixture.executor().setLeading(true, 1);
-  const Instant give_up = connection::monotonicNow() + std::chrono::seconds(4);
+  const Instant give_up = connection::monotonicNow() + std::chrono::seconds(15);
   while (fixture.orders() < 2 && connection::monotonicNow() < give_up) {
     fixture.executor().tick(connection::monotonicNow());
   }
   REQUIRE(fixture.orders() == 2);
   REQUIRE(fixture.executor().running() == 2);
+  while (fixture.executor().counters().texts_dropped == 0 && connection::monotonicNow() < give_up) {
+    fixture.executor().tick(connection::monotonicNow());
+  }
+  REQUIRE(fixture.executor().counters().texts_dropped > 0);
 }
 
 TEST_CASE("a run that is adopted keeps the build that writes it", "[store][executor][build]") {
