--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -134,6 +134,9 @@
   std::vector<Sample> samples_;
 };
 
+/// Fixed, since the sender's own release differs from release to release.
+constexpr ReleaseNumber kSampleRelease = 1;
+
 inline void addControlFrames(Samples<fleet::FleetMessage>& samples) {
   fleet::GroupFrame group;
   group.group = 1;
@@ -165,12 +168,14 @@
   directory.from = ReplicaId("10.0.0.3");
   directory.stores = {presence};
   directory.engines = {EngineId("i-1")};
+  directory.release = kSampleRelease;
   samples.add(directory);
   fleet::SubscribeFrame subscribe;
   subscribe.node = "store-1";
   subscribe.document_version = 4;
   subscribe.engines_revision = 9;
   subscribe.store = {presence};
+  subscribe.release = kSampleRelease;
   samples.add(subscribe);
   fleet::StoreAddress store;
   store.address = ReplicaId("10.0.0.1");
