--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -65,7 +65,7 @@
   /// Answer framing observed for the request's service.
   request::AnswerFraming& framing;
   connection::SlowReaders& slow_readers;
-  /// True if the engines that this gateway knows are the newest.
+  /// True if the gateway's list of engines is current.
   bool has_current_builds = false;
   /// Time of receipt, before any wait at the gateway.
   Instant received_at{};
--- a/src/process/exchange/stream_client.hpp
+++ b/src/process/exchange/stream_client.hpp
@@ -62,7 +62,7 @@
   void setMixedServices(Instant now, const std::set<ServiceId>& services);
   /// Records the first event of a stream. `lifetime`: time for which its caller may still resume it.
   void noteBegun(Instant now, request::StreamRecord record, Duration lifetime);
-  /// Looks up a stream. `is_current`: the engines that this gateway knows are the newest.
+  /// Looks up a stream. `is_current`: true if the gateway's list of engines is current.
   connection::Awaitable<StreamLookup> find(ResumedStream resumed, bool is_current);
   /// Handles a store's answer.
   void take(const fleet::StreamAnswerFrame& answer);
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -24,7 +24,7 @@
 constexpr Duration kStoresSettledAfter = fromMillis(600);
 /// After this long it forms with fewer stores than wanted.
 constexpr Duration kFormAnywayAfter = std::chrono::seconds(5);
-/// A control process tells its release four times a second.
+/// A control process sends its release four times a second.
 constexpr Duration kOldReleaseSilence = std::chrono::seconds(3);
 constexpr Duration kLeadershipHandOverTime = fromMillis(1500);
 constexpr std::size_t kMostControlVoters = 7;
@@ -96,7 +96,7 @@
                          settings_.zones,
                          [this]() -> const FleetState& { return *state_; },
                          [this] { return monotonicNow() > started_at_ + kStoresKnownAfter; },
-                         [this] { return !hears_old_release_; }};
+                         [this] { return !has_old_peers_; }};
   operators_ = std::make_unique<OperatorApi>(std::move(api));
   connection::HttpServerOptions http_options;
   http_options.listen = settings_.operators;
@@ -155,7 +155,7 @@
   directory_.hearOf(now, frame.stores);
   engines_.hearOf(now, frame.engines);
   releases_.note(frame.from, frame.release);
-  if (frame.release < kEngineBuildRelease) old_release_heard_at_ = now;
+  if (frame.release < kEngineBuildRelease) old_release_seen_at_ = now;
   if (controls_.insert(frame.from).second) updateContacts();
 }
 
@@ -172,11 +172,11 @@
 /// Replicas of an older release drop the builds from their state, so that all builds are committed anew after the last
 /// one was replaced.
 void ControlProgram::noteOldReleases(Instant now) {
-  const bool heard = old_release_heard_at_ != Instant::min() && now < old_release_heard_at_ + kOldReleaseSilence;
-  if (heard == hears_old_release_) return;
-  hears_old_release_ = heard;
-  if (!heard) engines_.confirmBuilds();
-  logEvent(LogLevel::kInfo, "engine_builds_kept", {{"kept", !heard}});
+  const bool has_old_peers = old_release_seen_at_ != Instant::min() && now < old_release_seen_at_ + kOldReleaseSilence;
+  if (has_old_peers == has_old_peers_) return;
+  has_old_peers_ = has_old_peers;
+  if (!has_old_peers) engines_.confirmBuilds();
+  logEvent(LogLevel::kInfo, "engine_builds_kept", {{"kept", !has_old_peers}});
 }
 
 void ControlProgram::updateContacts() {
--- a/src/process/fleet/control_program.hpp
+++ b/src/process/fleet/control_program.hpp
@@ -103,9 +103,9 @@
   bool proving_ = false;
   bool has_proved_ = false;
   bool was_leading_ = false;
-  /// When a control process of a release that knows no builds told of itself last, and whether that was recently.
-  Instant old_release_heard_at_ = Instant::min();
-  bool hears_old_release_ = false;
+  /// Time of the last frame of a control process that drops the builds of engines, and whether that was recently.
+  Instant old_release_seen_at_ = Instant::min();
+  bool has_old_peers_ = false;
   bool forming_stores_ = false;
   bool noting_members_ = false;
   connection::SuspensionWatch suspensions_;
--- a/src/process/fleet/engine_watch.hpp
+++ b/src/process/fleet/engine_watch.hpp
@@ -27,8 +27,8 @@
   /// seen here at the earliest. They are taken for forgotten from then on. Looks at all engines: ask once a beat.
   std::vector<EngineId> silent(Instant now, Instant leading_since, const FleetState& state);
   void expire(Instant now);
-  /// From now on the next beat of each engine that tells its build needs a command, whether or not the state has the
-  /// build: other replicas may lack it.
+  /// From now on the next heartbeat of each engine that reports its build needs a command, whether or not the state has
+  /// the build: other replicas may lack it.
   void confirmBuilds() { ++build_confirmations_; }
 
  private:
--- a/src/process/fleet/fleet_state.cpp
+++ b/src/process/fleet/fleet_state.cpp
@@ -73,7 +73,7 @@
     // A newer life has not said that it leaves.
     if (order == IncarnationOrder::kSame) next.leaving = next.leaving || known->second.leaving;
     if (next.born == 0) next.born = known->second.born;
-    // Registered by a control process of a release that knows no builds.
+    // The heartbeat came through a control process of a release without builds.
     if (order == IncarnationOrder::kSame && next.build.empty()) next.build = known->second.build;
     if (known->second == next) return false;
     EngineRecord with_build = known->second;
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -33,8 +33,6 @@
 constexpr std::size_t kMaxExaminedEntries = 64;
 /// Number of started runs after which the trough is planned again.
 constexpr std::size_t kStartsBetweenPlans = 8;
-/// An item waits at least this long for room at the engines of the build that wrote its text.
-constexpr Duration kMinBuildWait = fromMillis(500);
 /// Until a run has been observed, a whole run is estimated at the completion target divided by this.
 constexpr int kGuessedRunsPerTarget = 4;
 /// Maximum number of stored results from which a new leader estimates the length of items.
@@ -325,51 +323,6 @@
   return query;
 }
 
-bool JobExecutor::isBoundToBuild(const ItemRun& run, const ServiceId& service) const {
-  if (!run.has_text || !run.last_event) return false;
-  // Text of an unknown build was written by an older release, or at an engine that reports no build.
-  return run.build.empty() ? mixed_services_.contains(service) : selector_.hasOtherBuilds(service, run.build);
-}
-
-/// Waiting costs as much as beginning anew once it has taken as long as the text did.
-void JobExecutor::noteFullBuild(Instant now, ItemRun& run) {
-  if (run.build_full_since == Instant{}) run.build_full_since = now;
-  const Duration text_time = run_times_.totalRunTime() - run_times_.remainingTime(run.events);
-  if (now - run.build_full_since < std::max(text_time, kMinBuildWait)) return;
-  discardText(run, "the engines of this build had no room for as long as the text took");
-}
-
-void JobExecutor::dropOrphanedText(ItemRun& run, const ServiceId& service) {
-  if (!isBoundToBuild(run, service) || selector_.hasOpenEngine(service, run.build)) return;
-  // Without any engine the item waits: engines of its build may come back.
-  if (!selector_.hasOpenEngine(service)) return;
-  discardText(run, "no engine of this build is left");
-}
-
-void JobExecutor::discardText(ItemRun& run, std::string_view cause) {
-  ++counters_.texts_dropped;
-  logEvent(LogLevel::kInfo, "item_text_dropped",
-           {{"job", run.job.value},
-            {"request", run.item},
-            {"build", run.build.value},
-            {"last_event", run.last_event.value_or(0)},
-            {"cause", cause}});
-  // The group keeps the progress of the dropped text, also what is being proposed now, so the result is listed with its
-  // whole text.
-  run.diverged = true;
-  dropText(run);
-}
-
-void JobExecutor::dropText(ItemRun& run) {
-  run.last_event.reset();
-  run.after_close = false;
-  run.saved_bytes = 0;
-  run.text.clear();
-  run.events = 0;
-  run.has_text = false;
-  run.build = EngineBuild();
-}
-
 void JobExecutor::giveUpExpired(Instant now) {
   proposeRefusedResults();
   const WallMillis wall = connection::wallNow();
