--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -21,14 +21,11 @@
 
     python3 tests/soak/ending_requests.py --scenario early-restarts [--seed 1] --seconds 24
 """
-import argparse
 import asyncio
 import base64
 import json
 import random
-import shutil
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -36,6 +33,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from ending_engine import MARK, EndingEngine  # noqa: E402
 from fleet import Fleet  # noqa: E402
+from scenarios import run_scenario  # noqa: E402
 from stand_in import Check, call, eventually, new_id, request_headers  # noqa: E402
 
 CONTACT_S = 3.0  # knowledge of the third end reaches every machine in this time
@@ -47,6 +45,8 @@
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
 TARGETS = {b"ending-stream": "/talk/a", b"ending-safe": "/safe/a", b"ending-once": "/once/a"}
 
+SCENARIOS = ("online", "kills", "batch", "restarts", "gateways", "quarantine", "quarantine-leaders", "early-restarts")
+
 
 class EndingRequests:
     """Callers, engines and checks of one run."""
@@ -265,28 +265,6 @@
         self.check_ends(scenario not in ("online", "batch"))
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--scenario", choices=["online", "kills", "batch", "restarts", "gateways", "quarantine",
-                                                         "quarantine-leaders", "early-restarts"], required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20)
-    parser.add_argument("--network", default="127.0.5", help="first three numbers of the fleet's loopback addresses")
-    parser.add_argument("--engine-port", type=int, default=8700, help="first port of the engines at 127.0.0.1")
-    parser.add_argument("--keep", help="folder for settings, data and logs, kept")
-    options = parser.parse_args()
-    folder = Path(options.keep or tempfile.mkdtemp(prefix="ending-requests-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    run = EndingRequests(options, folder)
-    try:
-        asyncio.run(run.run())
-    finally:
-        run.fleet.kill_all()
-    if run.check.failed == 0 and options.keep is None:
-        shutil.rmtree(folder, ignore_errors=True)
-    print(f"{options.scenario}: seed={options.seed} broken={run.check.failed} logs={folder}")
-    sys.exit(1 if run.check.failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_scenario(EndingRequests, SCENARIOS, __doc__, prefix="ending-requests-", seconds=20, network="127.0.5",
+                 engine_port=8700)
--- a/tests/soak/engine_versions.py
+++ b/tests/soak/engine_versions.py
@@ -8,14 +8,11 @@
     python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|overlapping|all|one-version|items|items-rolling
         [--seed 1] [--seconds 8]
 """
-import argparse
 import asyncio
 import base64
 import json
 import random
-import shutil
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -24,6 +21,7 @@
 from breaking_engine import EVENTS  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from resuming_caller import StreamReader  # noqa: E402
+from scenarios import run_scenario  # noqa: E402
 from stand_in import Check, call, eventually, new_id, request_headers  # noqa: E402
 from versioned_engine import VersionedEngine, versions_in  # noqa: E402
 
@@ -39,6 +37,8 @@
 LEAST_AFTER_ALL = 0.5  # the same where all processes are killed at once, and all records with them
 LEAST_COUNTED = 12  # streams taken up again, for that share
 TOLD_WITHIN = 0.5  # seconds until a caller hears that its stream can't go on
+METRICS_PORT = 7003  # of gateways
+COSTS = ("hatchfork_streams_begun_total", "hatchfork_stream_records_sent_total", "hatchfork_stream_questions_total")
 ITEM_JOBS = 3
 ITEMS = 25  # of a job
 # Engines of the new version at first, and what happens meanwhile.
@@ -55,6 +55,8 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.fleet = Fleet(folder, controls=5, stores=5, gateways=3, network=options.network)
+        for gateway in self.fleet.of_role("gateway"):
+            gateway.file.write_text(gateway.file.read_text() + f'metrics = "{METRICS_PORT}/metrics"\n')
         self.check = Check()
         self.asked = {}
         new = SCENARIOS[options.scenario][0]
@@ -218,6 +220,24 @@
         await StreamReader().read(self.fleet.gateways[1], "/talk/a", b"stream-mine", {**request_headers(request), "Resumes": first})
         self.check.that(request in self.asked, "a stream from its beginning did not reach an engine")
 
+    async def costs(self):
+        """What all gateways have counted since their starts."""
+        sums = dict.fromkeys(COSTS, 0)
+        for gateway in self.fleet.gateways:
+            _, _, page = await call(gateway.replace(":7001", f":{METRICS_PORT}"), "GET", "/metrics")
+            for line in page.decode().splitlines():
+                name, _, value = line.partition(" ")
+                if name in sums:
+                    sums[name] += int(float(value))
+        return [sums[name] for name in COSTS]
+
+    async def check_costs(self):
+        begun, records, questions = await self.costs()
+        if self.options.scenario == "one-version":
+            self.check.that(begun > 0 and records == 0 and questions == 0,
+                            f"with one version, {begun} streams cost {records} records and {questions} questions")
+        print(f"streams_begun={begun} records_sent={records} questions={questions}")
+
     def check_shares(self):
         begun, new = self.begun
         going_on, taken_up = self.taken_up
@@ -242,32 +262,12 @@
             await asyncio.sleep(self.options.seconds)
             self.loading = False
         await asyncio.gather(*work)
+        await self.check_costs()
         self.check_shares()
         print(f"texts={self.texts} of_two_versions={self.two_versions} begun={self.begun[0]}/{self.begun[1]} "
               f"taken_up_and_gone_on={self.taken_up[0]}/{self.taken_up[1]}")
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--scenario", choices=list(SCENARIOS), required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8)
-    parser.add_argument("--network", default="127.0.13", help="first three numbers of the fleet's loopback addresses")
-    parser.add_argument("--engine-port", type=int, default=9300, help="first port of the engines at 127.0.0.1")
-    parser.add_argument("--keep", help="folder for settings, data and logs, kept")
-    options = parser.parse_args()
-    folder = Path(options.keep or tempfile.mkdtemp(prefix="engine-versions-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    run = EngineVersions(options, folder)
-    try:
-        asyncio.run(run.run())
-    finally:
-        run.fleet.kill_all()
-    if run.check.failed == 0 and options.keep is None:
-        shutil.rmtree(folder, ignore_errors=True)
-    print(f"{options.scenario}: seed={options.seed} broken={run.check.failed} logs={folder}")
-    sys.exit(1 if run.check.failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_scenario(EngineVersions, SCENARIOS, __doc__, prefix="engine-versions-", seconds=8, network="127.0.13",
+                 engine_port=9300)
--- a/tests/soak/resumed_streams.py
+++ b/tests/soak/resumed_streams.py
@@ -15,12 +15,9 @@
 
     python3 tests/soak/resumed_streams.py --scenario head|anywhere|kills|unframed|closed [--seed 1] [--seconds 8]
 """
-import argparse
 import asyncio
 import random
-import shutil
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -29,6 +26,7 @@
 from breaking_engine import EVENTS, BreakingEngine  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from resuming_caller import StreamReader  # noqa: E402
+from scenarios import run_scenario  # noqa: E402
 from stand_in import Check, new_id, request_headers  # noqa: E402
 
 CALLERS = 10
@@ -138,27 +136,5 @@
         print(f"answers={self.answers} resumed_by_callers={self.resumed} texts_whole={whole} texts={texts}")
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--scenario", choices=list(PLACES), required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8)
-    parser.add_argument("--network", default="127.0.7", help="first three numbers of the fleet's loopback addresses")
-    parser.add_argument("--engine-port", type=int, default=8900, help="first port of the engines at 127.0.0.1")
-    parser.add_argument("--keep", help="folder for settings, data and logs, kept")
-    options = parser.parse_args()
-    folder = Path(options.keep or tempfile.mkdtemp(prefix="resumed-streams-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    run = ResumedStreams(options, folder)
-    try:
-        asyncio.run(run.run())
-    finally:
-        run.fleet.kill_all()
-    if run.check.failed == 0 and options.keep is None:
-        shutil.rmtree(folder, ignore_errors=True)
-    print(f"{options.scenario}: seed={options.seed} broken={run.check.failed} logs={folder}")
-    sys.exit(1 if run.check.failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_scenario(ResumedStreams, PLACES, __doc__, prefix="resumed-streams-", seconds=8, network="127.0.7", engine_port=8900)
