Test: requests with one part in their prompts end one engine after the other

What callers see: requests that have one part of their prompts in common, and nothing else, crash each engine that begins to answer them; for all others of the route the engines are gone.

--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -29,6 +29,7 @@
         self.told_deadlines = {}  # request -> when each run began, the deadline it was told (seconds), its target
         self.finished = {}
         self.tenants = {}  # request -> the tenant it was named with
+        self.prompts = {}  # request -> the parts of its prompt
         self.running = 0
         self.state = "ready"
         self.sequence = 0
@@ -116,6 +117,7 @@
         deadline = now + int(headers.get("x-time-remaining-ms", 0)) / 1000
         self.told_deadlines.setdefault(request, []).append((now, deadline, target))
         self.tenants[request] = headers.get("x-tenant")
+        self.prompts[request] = headers.get("x-prompt-prefix")
         await self.begin_run(request, target, body, writer)
         if "key-" in headers.get("authorization", ""):
             print(f"FAILED: request {request} came with its caller's API key")
