A new leader of the stores grants leases of what is not quarantined at once

Cause: a leader grants no lease in its first 6 s, as leases of the leader before are unknown to it. For a refused content that costs nobody; a part in doubt is in sound requests too.

Change: only what is quarantined waits for leases of an earlier leader. For anything else, one run beside a possible earlier one costs one engine at most, and the leader's own leases still stand one by one.

Test: job_executor_trial_test, failing before by reading the code (no run of it on the code before).

--- a/src/process/store/job_executor_crashes.cpp
+++ b/src/process/store/job_executor_crashes.cpp
@@ -71,7 +71,9 @@
 Duration JobExecutor::timeUntilTrial(Instant now, const request::RequestFingerprint& subject,
                                      const std::string& holder) {
   trials_.endCrashed(subject, crashes_.lastCrashedRunBegan(subject));
-  return trials_.timeUntilFree(now, subject, holder);
+  // Sound requests may share a subject that is not quarantined, and would be turned away meanwhile.
+  const bool is_quarantined = crashes_.judge(subject).requires_lease;
+  return trials_.timeUntilFree(now, subject, holder, /*respects_earlier=*/is_quarantined);
 }
 
 Duration JobExecutor::requestTrial(Instant now, const request::RequestFingerprint& content, const std::string& holder) {
--- a/src/request/crash/trial_leases.cpp
+++ b/src/request/crash/trial_leases.cpp
@@ -17,11 +17,13 @@
   earlier_leases_until_ = now + kTrialLease;
 }
 
-Duration TrialLeases::timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder) const {
+Duration TrialLeases::timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder,
+                                    bool respects_earlier) const {
   const auto found = leases_.find(content);
   const bool is_held = found != leases_.end() && now < found->second.expires_at;
   if (is_held && found->second.holder == holder) return Duration::zero();
-  const Instant free_at = std::max(earlier_leases_until_, is_held ? found->second.expires_at : now);
+  const Instant earlier_until = respects_earlier ? earlier_leases_until_ : now;
+  const Instant free_at = std::max(earlier_until, is_held ? found->second.expires_at : now);
   return std::max(Duration::zero(), free_at - now);
 }
 
--- a/src/request/crash/trial_leases.hpp
+++ b/src/request/crash/trial_leases.hpp
@@ -17,10 +17,12 @@
 /// callers pass the current time. Not thread-safe.
 class TrialLeases {
  public:
-  /// Starts a leadership. Leases of an earlier leader are unknown here, so none is granted until they have expired.
+  /// Starts a leadership. Leases of an earlier leader are unknown here.
   void start(Instant now);
   /// Time until a lease of this content can be granted; zero if it is free, or held by `holder` already.
-  Duration timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder) const;
+  /// `respects_earlier`: false if a further run beside one under a lease of an earlier leader is tolerable.
+  Duration timeUntilFree(Instant now, const RequestFingerprint& content, const std::string& holder,
+                         bool respects_earlier = true) const;
   /// Grants the lease to `holder`, which names one run. Requires that `timeUntilFree` is zero.
   void grant(Instant now, const RequestFingerprint& content, const std::string& holder);
   /// Ends the lease of this subject if its run is known to have crashed its engine: `crashed_run_began` is the begin of
--- a/tests/process/store/job_executor_trial_test.cpp
+++ b/tests/process/store/job_executor_trial_test.cpp
@@ -61,6 +61,19 @@
   REQUIRE(fixture.executor().requestTrial(now + kLeaseOver, kContent, "gateway-1") == Duration::zero());
 }
 
+// Guards against sound requests that were turned away for six seconds after a change of leader.
+TEST_CASE("a new leader grants a lease of what is not quarantined at once, one at a time", "[store][executor][crash]") {
+  ExecutorFixture fixture;
+  const Instant now = connection::monotonicNow();
+  for (const int number : {0, 1}) {
+    const Instant at = now - fromMillis(1000 - 200 * number);
+    fixture.crashes().noteCrash(at, at - fromMillis(30), kContent, EngineId("crashed-" + std::to_string(number)));
+  }
+  fixture.executor().setLeading(true, 2);
+  REQUIRE(fixture.executor().requestTrial(now, kContent, "gateway-1") == Duration::zero());
+  REQUIRE(fixture.executor().requestTrial(now, kContent, "gateway-2") > Duration::zero());
+}
+
 TEST_CASE("a batch item whose quarantine has ended starts only under a lease", "[store][executor][crash]") {
   ExecutorFixture fixture;
   const JobSubmission& job = fixture.job().submission;
