A process that starts is sent the crashes of refused subjects first

Cause: what a process is sent at its start is the newest 1,000 records. Each end of an engine gives a record for each request in flight there, so after some 80 ends by themselves the records of a refused content or part were no longer among them, and the gateway would have sent it on until others told it. Found by looking for the same class elsewhere: what the refusal depends on was kept, and not handed over.

Change: records of subjects with several crashes go first.

--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -83,9 +83,8 @@
 /// - No part of an answer is relayed before its request identifier has matched.
 /// - Every attempt resumes after the last event that the caller has, whichever engine or gateway sent that event.
 /// - All events of a stream come from engines of one build, also over several requests of the caller.
-/// - A content or a prompt part that has crashed engines is not sent while it is quarantined, whichever gateway
-/// observed
-///   the crashes.
+/// - What has crashed engines, a content or a prompt part, is not sent while it is quarantined, whichever gateway
+///   observed the crashes.
 class ExchangeRun {
  public:
   /// `route` and `tenant` must belong to `routes`. `tenant` is null for an anonymous caller.
--- a/src/request/crash/crash_ledger.cpp
+++ b/src/request/crash/crash_ledger.cpp
@@ -198,14 +198,18 @@
 }
 
 std::vector<CrashRecord> CrashLedger::crashes(Instant now, std::size_t most) const {
-  std::vector<CrashRecord> records;
+  std::vector<CrashRecord> repeated;
+  std::vector<CrashRecord> single;
   for (const auto& [content, entry] : entries_) {
+    std::vector<CrashRecord>& records = entry.crashes.size() > 1 ? repeated : single;
     for (const auto& crash : entry.crashes) records.push_back(makeRecord(now, content, crash));
   }
-  std::sort(records.begin(), records.end(),
-            [](const CrashRecord& left, const CrashRecord& right) { return left.age_ms < right.age_ms; });
-  if (records.size() > most) records.resize(most);
-  return records;
+  const auto is_newer = [](const CrashRecord& left, const CrashRecord& right) { return left.age_ms < right.age_ms; };
+  std::sort(repeated.begin(), repeated.end(), is_newer);
+  std::sort(single.begin(), single.end(), is_newer);
+  repeated.insert(repeated.end(), single.begin(), single.end());
+  if (repeated.size() > most) repeated.resize(most);
+  return repeated;
 }
 
 std::vector<CrashRecord> CrashLedger::crashesToKeep(Instant now) {
--- a/src/request/crash/crash_ledger.hpp
+++ b/src/request/crash/crash_ledger.hpp
@@ -116,7 +116,7 @@
   /// Removes records whose retention has ended.
   void expire(Instant now);
 
-  /// Returns the newest crash records, at most `most`, the newest first.
+  /// Returns at most `most` crash records: first those of subjects with several crashes, each sort newest first.
   std::vector<CrashRecord> crashes(Instant now, std::size_t most) const;
   /// Returns the crash records that must survive a simultaneous exit of all processes: those of requests with
   /// `kept_threshold` crashes or more, at most `max_kept_requests`, the requests with the most crashes first.
--- a/src/request/crash/crash_subjects.hpp
+++ b/src/request/crash/crash_subjects.hpp
@@ -14,7 +14,7 @@
 struct CrashSubjects {
   CrashSubjects() = default;
   // Implicit, since a request without a prompt has no other subject.
-  CrashSubjects(RequestFingerprint request_content) : content(std::move(request_content)) {}  // NOLINT
+  CrashSubjects(RequestFingerprint request_content) : content(std::move(request_content)) {}
   CrashSubjects(RequestFingerprint request_content, std::vector<RequestFingerprint> prompt_parts)
       : content(std::move(request_content)), parts(std::move(prompt_parts)) {}
 
--- a/tests/process/store/crash_relay_test.cpp
+++ b/tests/process/store/crash_relay_test.cpp
@@ -272,3 +272,21 @@
   watch.noteAnswerBegun(at(2300), {bad});
   REQUIRE_FALSE(watch.needsTrial(at(2310), another));
 }
+
+// Guards against a gateway that starts and is not sent the crashes of what is refused, since many newer crashes of
+// other requests filled the message.
+TEST_CASE("a process that starts receives the crashes of refused subjects before newer ones of others", "[crash]") {
+  CrashWatch watch("store");
+  const RequestFingerprint bad = request::fingerprintOfPart(ServiceId("s"), 2);
+  for (const int number : {1, 2, 3}) {
+    watch.noteCrash(at(1000 * number), at(1000 * number - 60), {kContent, {bad}},
+                    EngineId("e" + std::to_string(number)));
+  }
+  for (int number = 0; number < 1500; ++number) {
+    const std::string name = std::to_string(number);
+    watch.noteCrash(at(4000 + number), at(3900), RequestFingerprint("other" + name), EngineId("o" + name));
+  }
+  CrashWatch started("gateway");
+  started.take(at(6000), watch.everything(at(6000)));
+  REQUIRE(started.judge({RequestFingerprint("x"), {bad}}).crashes == 3);
+}
