--- a/src/request/crash/crash_subjects.hpp
+++ b/src/request/crash/crash_subjects.hpp
@@ -30,4 +30,5 @@
 RequestFingerprint fingerprintOfPart(const ServiceId& service, std::uint64_t part);
 /// True for names made by `fingerprintOfPart`.
 bool isPromptPart(const RequestFingerprint& subject);
+
 }  // namespace hatchfork::request
