--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -42,9 +42,12 @@
       }
       proposals_.push_back({std::move(command), std::move(done)});
     };
-    auto send = [this](const ReplicaId&, const fleet::FleetMessage& message) {
+    auto send = [this](const ReplicaId& to, const fleet::FleetMessage& message) {
       if (const auto* order = std::get_if<RunOrder>(&message)) orders_.push_back(*order);
-      if (const auto* lease = std::get_if<fleet::RunLease>(&message)) leases_.push_back(*lease);
+      if (const auto* lease = std::get_if<fleet::RunLease>(&message)) {
+        leases_.push_back(*lease);
+        untaken_leases_.emplace_back(to, *lease);
+      }
       return true;
     };
     executor_ = std::make_unique<JobExecutor>(options, *dialect_, propose, send, crashes_);
@@ -86,6 +89,23 @@
     executor_->takeView(view_, fleet::FleetChange{false, true, wholeListOf(std::move(engines))});
   }
 
+  /// Sets the stores that may run items, besides this one.
+  void setStores(const std::vector<ReplicaId>& stores) {
+    view_.stores.clear();
+    for (const ReplicaId& store : stores) {
+      fleet::StoreAddress& address = view_.stores.emplace_back();
+      address.address = store;
+    }
+    executor_->takeView(view_, fleet::FleetChange{true, true, {}});
+  }
+  /// Returns the leases since the last call, with the stores that they were sent to.
+  std::vector<std::pair<ReplicaId, fleet::RunLease>> takeLeases() { return std::exchange(untaken_leases_, {}); }
+  /// Delivers a frame of a store.
+  void deliver(const fleet::FleetMessage& message) {
+    if (const auto* report = std::get_if<RunReport>(&message)) executor_->take(*report);
+    if (const auto* offer = std::get_if<fleet::RunOffer>(&message)) executor_->take(*offer);
+  }
+
   void apply(const JobCommand& command) { state_.apply(1, encodeTagged(command)); }
   JobExecutor& executor() { return *executor_; }
   fleet::CrashWatch& crashes() { return crashes_; }
@@ -150,6 +170,7 @@
   JobState state_;
   std::vector<RunOrder> orders_;
   std::vector<fleet::RunLease> leases_;
+  std::vector<std::pair<ReplicaId, fleet::RunLease>> untaken_leases_;
   std::vector<Proposal> proposals_;
   fleet::CrashWatch crashes_{"store"};
   std::unique_ptr<JobExecutor> executor_;
--- /dev/null
+++ b/tests/process/store/take_over_test.cpp
@@ -0,0 +1,149 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+
+#include "connection/asio.hpp"
+#include "process/store/item_runner.hpp"
+#include "tests/process/store/executor_fixture.hpp"
+
+// The take-over of runs in flight by a new leader: a real executor, and real runners of other stores.
+using namespace hatchfork;
+using namespace hatchfork::store;
+using fleet::FleetMessage;
+
+namespace {
+
+/// What a new leader's thread can decode between two heartbeats, beside its other work, on a third of a core.
+constexpr std::size_t kMaxBytesPerTurn = 128 * 1024;
+constexpr std::size_t kRunners = 4;
+constexpr std::size_t kRunsPerRunner = 60;
+constexpr std::size_t kTextBytes = 8 * 1024;
+/// Turns after which a take-over that makes no progress is given up.
+constexpr std::size_t kMaxTurns = 400;
+
+/// An engine that accepts connections and never answers.
+class SilentEngine {
+ public:
+  explicit SilentEngine(connection::asio::io_context& context)
+      : acceptor_(context, {connection::asio::ip::make_address("127.0.0.1"), 0}) {}
+  std::string address() const { return fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port()); }
+
+ private:
+  connection::tcp::acceptor acceptor_;
+};
+
+/// A new leader and stores with runs in flight for its predecessor. Each turn delivers the leader's leases, then the
+/// frames that the stores sent to it.
+class TakeOver {
+ public:
+  TakeOver() : engine_(context_), dialect_(platform::makePlatformDialect()), leader_(Duration::zero(), 0) {
+    for (std::size_t i = 0; i < kRunners; ++i) addRunner(ReplicaId(fmt::format("10.0.0.{}", i + 2)));
+    leader_.setStores(runnerNames());
+    addJob();
+    for (std::size_t i = 0; i < kRunners * kRunsPerRunner; ++i) order(i);
+  }
+
+  /// Bytes of the frames that the leader has received in this turn.
+  std::size_t turn() {
+    leader_.executor().tick(connection::monotonicNow());
+    for (const auto& [to, lease] : leader_.takeLeases()) {
+      if (runners_.contains(to)) runners_.at(to)->take(copyOf(lease));
+    }
+    context_.restart();
+    context_.run_for(fromMillis(5));
+    for (auto& [id, runner] : runners_) runner->tick(connection::monotonicNow());
+    std::size_t bytes = 0;
+    for (FleetMessage& message : std::exchange(sent_, {})) {
+      const std::string frame = encodeTagged(message);
+      bytes += frame.size();
+      leader_.deliver(valueOf(decodeTagged<FleetMessage>(frame)));
+    }
+    return bytes;
+  }
+
+  ExecutorFixture& leader() { return leader_; }
+  ItemRunner& runner(const ReplicaId& id) { return *runners_.at(id); }
+
+  static std::string itemName(std::size_t i) { return fmt::format("item-{:04}", i); }
+  static std::string textOf(std::size_t i) { return fmt::format("{:04}", i) + std::string(kTextBytes, 'x'); }
+
+ private:
+  /// Each frame passes through its encoding, as between processes.
+  static fleet::RunLease copyOf(const fleet::RunLease& lease) {
+    return std::get<fleet::RunLease>(valueOf(decodeTagged<FleetMessage>(encodeTagged(FleetMessage(lease)))));
+  }
+
+  std::vector<ReplicaId> runnerNames() const {
+    std::vector<ReplicaId> names;
+    for (const auto& [id, runner] : runners_) names.push_back(id);
+    return names;
+  }
+
+  void addRunner(const ReplicaId& id) {
+    auto report = [this](const ReplicaId&, FleetMessage message) { sent_.push_back(std::move(message)); };
+    runners_[id] = std::make_unique<ItemRunner>(context_, *dialect_, id, report, crashes_);
+  }
+
+  void addJob() {
+    JobSubmission job;
+    job.id = JobId("taken-over");
+    job.host = "a.example";
+    job.path = "/x/";
+    job.submitted_at = connection::wallNow();
+    for (std::size_t i = 0; i < kRunners * kRunsPerRunner; ++i) {
+      job.items.push_back(OpaqueItem{itemName(i), "/x/1", {}, "body", 10});
+    }
+    leader_.apply(SubmitJob{job});
+  }
+
+  /// A run of the predecessor, whose item has some text already.
+  void order(std::size_t i) {
+    RunOrder made;
+    made.from = ReplicaId("10.0.0.99");
+    made.term = 1;
+    made.number = 100 + i;
+    made.job = JobId("taken-over");
+    made.item = OpaqueItem{itemName(i), "/x/1", {}, "body", 10};
+    made.host = "a.example";
+    made.engine = EngineId("e");
+    made.engine_address = engine_.address();
+    made.last_event = 9;
+    made.has_text = true;
+    made.text = textOf(i);
+    made.chain = 1000 + i;
+    std::next(runners_.begin(), static_cast<std::ptrdiff_t>(i % kRunners))->second->take(std::move(made));
+  }
+
+  connection::asio::io_context context_;
+  SilentEngine engine_;
+  std::unique_ptr<const Dialect> dialect_;
+  fleet::CrashWatch crashes_{"store"};
+  ExecutorFixture leader_;
+  std::map<ReplicaId, std::unique_ptr<ItemRunner>> runners_;
+  std::deque<FleetMessage> sent_;
+};
+
+}  // namespace
+
+// Guards against leaders that lose their quorum while they read the texts of all runs in their first turns.
+TEST_CASE("what stores send a new leader in one turn of its thread is bounded, whatever is in flight",
+          "[store][takeover]") {
+  TakeOver fixture;
+  fixture.leader().executor().setLeading(true, 2);
+  std::map<std::string, std::string> saved;
+  std::size_t most_bytes = 0;
+  for (std::size_t turn = 0; turn < kMaxTurns && saved.size() < kRunners * kRunsPerRunner; ++turn) {
+    most_bytes = std::max(most_bytes, fixture.turn());
+    while (fixture.leader().proposals() > 0) {
+      for (const ItemProgress& progress : fixture.leader().proposedProgress()) saved[progress.item] += progress.text;
+      fixture.leader().endProposal(true);
+    }
+  }
+  REQUIRE(fixture.leader().executor().running() == kRunners * kRunsPerRunner);
+  REQUIRE(saved.size() == kRunners * kRunsPerRunner);
+  for (std::size_t i = 0; i < saved.size(); ++i) REQUIRE(saved.at(TakeOver::itemName(i)) == TakeOver::textOf(i));
+  REQUIRE(most_bytes <= kMaxBytesPerTurn);
+}
