--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -196,8 +196,13 @@
   placement_.setEvacuated(now, view.evacuated.zones);
 }
 
+Result<std::optional<FleetMessage>> StoreProgram::readFrame(const std::string& body) {
+  const fleet::HandlerWatch::Timer timer(handlers_, "decode");
+  return frames_.read(body);
+}
+
 void StoreProgram::onFrame(const std::string& body, const ConnectionPtr& from) {
-  const Result<std::optional<FleetMessage>> message = frames_.read(body);
+  const Result<std::optional<FleetMessage>> message = readFrame(body);
   if (!isOk(message)) {
     logEvent(LogLevel::kWarning, "frame_refused", {{"cause", describe(errorOf(message))}});
     from->close();
@@ -292,7 +297,9 @@
 
 Awaitable<void> StoreProgram::tickLoop() {
   while (true) {
+    const Instant due = monotonicNow() + kTickInterval;
     co_await connection::sleepFor(kTickInterval);
+    handlers_.noteLateness(monotonicNow() - due);
     const fleet::HandlerWatch::Timer timer(handlers_, "tick");
     tick(monotonicNow());
   }
@@ -314,6 +321,7 @@
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
+  handlers_.logPeriod(now);
   measureMemory();
   rate_limits_.expire(now);
   streams_.expire(now);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -59,6 +59,7 @@
 
   Status start();
   void onFrame(const std::string& body, const ConnectionPtr& from);
+  Result<std::optional<fleet::FleetMessage>> readFrame(const std::string& body);
   void dispatch(const fleet::FleetMessage& message, const ConnectionPtr& from);
   void tick(Instant now);
   void onLoadReport(const fleet::LoadReportFrame& report, const ConnectionPtr& from);
