--- a/src/process/fleet/fleet_messages.hpp
+++ b/src/process/fleet/fleet_messages.hpp
@@ -314,6 +314,6 @@
                  StoreRequestFrame, StoreReplyFrame, LoadReportFrame, LoadTotalsFrame, LoadDigestFrame, RunOrder,
                  RunLease, RunReport, RunOffer, CreditQuestionFrame, CreditAnswerFrame, PlacementQuestion,
                  PlacementAnswer, PlacementNotes, BackgroundLoadFrame, GiveWayFrame, CrashNotesFrame, StreamNotesFrame,
-                 StreamQuestionFrame, StreamAnswerFrame>;
+                 StreamQuestionFrame, StreamAnswerFrame, RunSummaries, RunTexts>;
 
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -86,21 +86,45 @@
   std::uint64_t chain = 0;
   std::uint64_t saved_event = 0;
   std::uint64_t saved_chain = 0;
+  /// See `RunLease::reads_summaries`.
+  bool reads_summaries = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunOrder, from, term, number, job, item, host, tenant, engine,
                                                 engine_address, last_event, has_text, text, chain, saved_event,
-                                                saved_chain, after_close, engine_born, engine_build, service)
+                                                saved_chain, after_close, engine_born, engine_build, service,
+                                                reads_summaries)
 
-/// The leader's sign of life to the stores that run items for it, and the runs that it wants broken off.
+/// A leader's request for the text of a run that a store has summarised.
+struct TextRequest {
+  std::uint64_t number = 0;
+  /// Bytes at the start of the text that the leader has already.
+  std::uint64_t offset = 0;
+};
+inline void to_json(nlohmann::json& json, const TextRequest& request) {
+  json = nlohmann::json::array({request.number, request.offset});
+}
+inline void from_json(const nlohmann::json& json, TextRequest& request) {
+  json.at(0).get_to(request.number);
+  json.at(1).get_to(request.offset);
+}
+
+/// The leader's heartbeat to the stores that run items for it, with what it asks of their runs.
 struct RunLease {
   static constexpr std::string_view kKind = "rl";
   ReplicaId from;
   std::uint64_t term = 0;
+  /// Runs that the store has to abort.
   std::vector<std::uint64_t> stopped;
   /// Runs whose answers the group keeps, so that they need not be told again.
   std::vector<std::uint64_t> kept_answers;
+  /// The leader takes `RunSummaries` instead of a `RunOffer`, and asks for the texts; false from older releases.
+  bool reads_summaries = false;
+  std::vector<TextRequest> wanted_texts;
+  /// Ended runs whose results the group has listed, so that they need not be offered to another leader.
+  std::vector<std::uint64_t> listed;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunLease, from, term, stopped, kept_answers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunLease, from, term, stopped, kept_answers, reads_summaries,
+                                                wanted_texts, listed)
 
 /// What has come of one run since the last report.
 struct RunNews {
@@ -202,4 +226,94 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunOffer, from, term, runs)
 
+/// A run that was ordered by an earlier leader, without its text.
+struct RunSummary {
+  std::uint64_t number = 0;
+  /// Of the last news; the next ones go on from it.
+  std::uint64_t sequence = 0;
+  JobId job;
+  std::string item;
+  EngineId engine;
+  /// Build that wrote the text; empty if it is not known.
+  EngineBuild build;
+  std::uint64_t chain = 0;
+  /// What the group had stored of the item when the run was ordered.
+  std::uint64_t saved_event = 0;
+  std::uint64_t saved_chain = 0;
+  /// Bytes and last event of the item's whole text so far; zero events where it can't be resumed.
+  std::uint64_t text_bytes = 0;
+  std::uint64_t last_event = 0;
+  bool ended = false;
+};
+inline void to_json(nlohmann::json& json, const RunSummary& run) {
+  json = nlohmann::json::array({run.number, run.sequence, run.job, run.item, run.engine, run.build, run.chain,
+                                run.saved_event, run.saved_chain, run.text_bytes, run.last_event, run.ended});
+}
+inline void from_json(const nlohmann::json& json, RunSummary& run) {
+  json.at(0).get_to(run.number);
+  json.at(1).get_to(run.sequence);
+  json.at(2).get_to(run.job);
+  json.at(3).get_to(run.item);
+  json.at(4).get_to(run.engine);
+  json.at(5).get_to(run.build);
+  json.at(6).get_to(run.chain);
+  json.at(7).get_to(run.saved_event);
+  json.at(8).get_to(run.saved_chain);
+  json.at(9).get_to(run.text_bytes);
+  json.at(10).get_to(run.last_event);
+  json.at(11).get_to(run.ended);
+}
+
+/// What a store runs, or has run to its end lately, for earlier leaders; to a new one that reads summaries. The store
+/// reports no news of these runs before the leader has asked for their texts.
+struct RunSummaries {
+  static constexpr std::string_view kKind = "rs";
+  ReplicaId from;
+  /// Term of the leader that it is sent to.
+  std::uint64_t term = 0;
+  std::vector<RunSummary> runs;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunSummaries, from, term, runs)
+
+/// The text of a run that a leader asked for, and the run's state. Later news go on from it.
+struct RunText {
+  std::uint64_t number = 0;
+  std::uint64_t sequence = 0;
+  /// Bytes of the item's text that are left out at its start.
+  std::uint64_t offset = 0;
+  std::string text;
+  bool has_text = false;
+  /// Last event that the text contains; zero where it can't be resumed.
+  std::uint64_t last_event = 0;
+  bool ended = false;
+  RunEnd end = RunEnd::kBroken;
+  request::EngineVerdict verdict = request::EngineVerdict::kNeutral;
+  std::string cause;
+};
+inline void to_json(nlohmann::json& json, const RunText& text) {
+  json = nlohmann::json::array({text.number, text.sequence, text.offset, text.text, text.has_text, text.last_event,
+                                text.ended, text.end, static_cast<unsigned>(text.verdict), text.cause});
+}
+inline void from_json(const nlohmann::json& json, RunText& text) {
+  json.at(0).get_to(text.number);
+  json.at(1).get_to(text.sequence);
+  json.at(2).get_to(text.offset);
+  json.at(3).get_to(text.text);
+  json.at(4).get_to(text.has_text);
+  json.at(5).get_to(text.last_event);
+  json.at(6).get_to(text.ended);
+  json.at(7).get_to(text.end);
+  text.verdict = static_cast<request::EngineVerdict>(json.at(8).get<unsigned>());
+  json.at(9).get_to(text.cause);
+}
+
+/// The answer to `RunLease::wanted_texts`.
+struct RunTexts {
+  static constexpr std::string_view kKind = "rt";
+  ReplicaId from;
+  std::uint64_t term = 0;
+  std::vector<RunText> texts;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunTexts, from, term, texts)
+
 }  // namespace hatchfork::fleet
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -58,19 +58,19 @@
   *alive_ = false;
 }
 
-void ItemRunner::setLeader(const ReplicaId& leader, std::uint64_t term) {
+void ItemRunner::setLeader(const ReplicaId& leader, std::uint64_t term, bool reads_summaries) {
   last_leader_contact_ = monotonicNow();
   if (term == term_ && leader == leader_) return;
   leader_ = leader;
   term_ = term;
   reports_until_ = last_leader_contact_ + kNewLeaderReportTime;
-  offerRuns();
+  offerRuns(reads_summaries);
   report();
 }
 
 void ItemRunner::take(fleet::RunOrder order) {
   if (order.term < term_) return;
-  setLeader(order.from, order.term);
+  setLeader(order.from, order.term, order.reads_summaries);
   if (runs_.contains(order.number)) return;
   auto run = std::make_shared<Run>();
   run->news.number = order.number;
@@ -90,12 +90,15 @@
 
 void ItemRunner::take(const fleet::RunLease& lease) {
   if (lease.term < term_) return;
-  setLeader(lease.from, lease.term);
+  setLeader(lease.from, lease.term, lease.reads_summaries);
   for (const std::uint64_t number : lease.stopped) stop(number);
   removeConfirmedAnswers(lease.kept_answers);
+  dropListedRuns(lease.listed);
+  sendTexts(lease.wanted_texts);
 }
 
 void ItemRunner::stop(std::uint64_t number) {
+  withheld_ends_.erase(number);
   const auto found = runs_.find(number);
   if (found == runs_.end()) return;
   const RunPtr run = found->second;
@@ -110,6 +113,7 @@
     if (run->control && run->control->cancel) run->control->cancel();
   }
   unreported_ends_.clear();
+  withheld_ends_.clear();
 }
 
 void ItemRunner::abortAll() {
@@ -131,7 +135,7 @@
   dropOldEndedRuns(now);
   dropOldAnswers(now);
   if (!hasReport(now)) return;
-  const bool has_runs = !runs_.empty() || !unreported_ends_.empty();
+  const bool has_runs = !runs_.empty() || !unreported_ends_.empty() || !withheld_ends_.empty();
   if (has_runs && now > last_leader_contact_ + kLeaseDuration) {
     logEvent(LogLevel::kWarning, "run_lease_ended", {{"leader", leader_.value}, {"running", runs_.size()}});
     stopAll();
@@ -151,7 +155,8 @@
 }
 
 bool ItemRunner::hasReport(Instant now) const {
-  return !runs_.empty() || !unreported_ends_.empty() || !answers_.empty() || now < reports_until_;
+  return !runs_.empty() || !unreported_ends_.empty() || !withheld_ends_.empty() || !answers_.empty() ||
+         now < reports_until_;
 }
 
 void ItemRunner::report() {
@@ -162,9 +167,10 @@
     if (report.answers.size() >= kMaxAnswersPerReport) break;
     report.answers.push_back(entry.answer);
   }
+  report.running.assign(withheld_ends_.begin(), withheld_ends_.end());
   for (const auto& [number, run] : runs_) {
     report.running.push_back(number);
-    if (!std::exchange(run->has_news, false)) continue;
+    if (run->is_withheld || !std::exchange(run->has_news, false)) continue;
     ++run->news.sequence;
     report.news.push_back(run->news);
     run->news.text.clear();
@@ -349,6 +355,10 @@
   if (has_answer) crashes_.noteAnswered(monotonicNow(), run->fingerprint);
   retainAnswer(*run);
   retainEndedRun(*run);
+  if (run->is_withheld) {
+    withheld_ends_.insert(run->order.number);
+    return;
+  }
   unreported_ends_.push_back(std::move(run->news));
   reportSoon();
 }
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,8 @@
     Instant started_at{};
     /// True if the engine closed the connection.
     bool closed_by_engine = false;
+    /// True while the leader has a summary of this run and has not asked for its text; no news are reported meanwhile.
+    bool is_withheld = false;
     /// Position in the item's text, including the text of earlier runs.
     request::StreamPosition position;
     /// Text of the item so far, including that of earlier runs.
@@ -86,7 +89,7 @@
   };
   using RunPtr = std::shared_ptr<Run>;
 
-  void setLeader(const ReplicaId& leader, std::uint64_t term);
+  void setLeader(const ReplicaId& leader, std::uint64_t term, bool reads_summaries);
   void stop(std::uint64_t number);
   void stopAll();
   connection::Awaitable<void> run(RunPtr run);
@@ -107,12 +110,23 @@
   void retainAnswer(const Run& run);
   void removeConfirmedAnswers(const std::vector<std::uint64_t>& confirmed);
   void dropOldAnswers(Instant now);
-  /// Retains a run that has completed its text.
+  /// Retains a run that has completed its text, or whose end was not reported.
   void retainEndedRun(const Run& run);
+  void dropListedRuns(const std::vector<std::uint64_t>& listed);
   void dropOldEndedRuns(Instant now);
+  /// Returns the run's offer without its text.
   static fleet::OfferedRun offerOf(const Run& run);
+  static fleet::RunSummary summaryOf(const fleet::OfferedRun& run, std::uint64_t text_bytes);
+  static fleet::RunText textOf(const fleet::OfferedRun& run, const std::string& text, std::uint64_t offset);
+  static void clearNews(Run& run);
   /// Offers a new leader the runs in flight here and those that ended recently.
-  void offerRuns();
+  void offerRuns(bool reads_summaries);
+  void sendOffer();
+  /// Sends the offer without texts, and withholds all news until the leader asks for the texts.
+  void sendSummaries();
+  void sendTexts(const std::vector<fleet::TextRequest>& wanted);
+  /// Returns the text of a run that is withheld or has ended; empty for any other run.
+  std::optional<fleet::RunText> takeText(const fleet::TextRequest& wanted);
   void reportSoon();
   bool hasReport(Instant now) const;
   void report();
@@ -129,6 +143,8 @@
   /// Ended runs that have not been reported.
   std::vector<fleet::RunNews> unreported_ends_;
   std::deque<EndedRun> ended_runs_;
+  /// Runs that ended while they were withheld; the leader takes them for running until it asks for their texts.
+  std::set<std::uint64_t> withheld_ends_;
   std::deque<UnconfirmedAnswer> answers_;
   ReplicaId leader_;
   std::uint64_t term_ = 0;
--- a/src/process/store/item_runner_retention.cpp
+++ b/src/process/store/item_runner_retention.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <utility>
+
 #include "common/log.hpp"
 #include "process/store/item_runner.hpp"
 
@@ -28,7 +31,6 @@
   offer.chain = run.order.chain;
   offer.saved_event = run.order.saved_event;
   offer.saved_chain = run.order.saved_chain;
-  offer.text = run.text;
   offer.has_text = run.has_text;
   offer.last_event = run.position.canResume() ? run.position.last().value_or(0) : 0;
   offer.ended = run.news.ended;
@@ -39,23 +41,106 @@
   return offer;
 }
 
-void ItemRunner::offerRuns() {
+fleet::RunSummary ItemRunner::summaryOf(const fleet::OfferedRun& run, std::uint64_t text_bytes) {
+  fleet::RunSummary summary;
+  summary.number = run.number;
+  summary.sequence = run.sequence;
+  summary.job = run.job;
+  summary.item = run.item;
+  summary.engine = run.engine;
+  summary.build = run.build;
+  summary.chain = run.chain;
+  summary.saved_event = run.saved_event;
+  summary.saved_chain = run.saved_chain;
+  summary.text_bytes = text_bytes;
+  summary.last_event = run.last_event;
+  summary.ended = run.ended;
+  return summary;
+}
+
+void ItemRunner::offerRuns(bool reads_summaries) {
   unreported_ends_.clear();
+  withheld_ends_.clear();
+  for (const auto& [number, run] : runs_) {
+    // The offer, or the text that is asked for, contains the news that had not been reported yet.
+    clearNews(*run);
+    run->is_withheld = reads_summaries;
+  }
+  if (runs_.empty() && ended_runs_.empty()) return;
+  logEvent(LogLevel::kInfo, "runs_offered",
+           {{"leader", leader_.value},
+            {"term", term_},
+            {"running", runs_.size()},
+            {"ended", ended_runs_.size()},
+            {"with_texts", !reads_summaries}});
+  reads_summaries ? sendSummaries() : sendOffer();
+}
+
+void ItemRunner::clearNews(Run& run) {
+  run.has_news = false;
+  run.news.text.clear();
+  run.news.events = 0;
+}
+
+void ItemRunner::sendOffer() {
   fleet::RunOffer offer{self_, term_, {}};
   for (const auto& [number, run] : runs_) {
-    // The offer contains the news that had not been reported yet.
-    run->has_news = false;
-    run->news.text.clear();
-    run->news.events = 0;
-    offer.runs.push_back(offerOf(*run));
+    fleet::OfferedRun offered = offerOf(*run);
+    offered.text = run->text;
+    offer.runs.push_back(std::move(offered));
   }
   for (const EndedRun& ended : ended_runs_) offer.runs.push_back(ended.offer);
-  if (offer.runs.empty()) return;
-  logEvent(LogLevel::kInfo, "runs_offered",
-           {{"leader", leader_.value}, {"term", term_}, {"running", runs_.size()}, {"ended", ended_runs_.size()}});
   report_(leader_, std::move(offer));
 }
 
+void ItemRunner::sendSummaries() {
+  fleet::RunSummaries summaries{self_, term_, {}};
+  for (const auto& [number, run] : runs_) summaries.runs.push_back(summaryOf(offerOf(*run), run->text.size()));
+  for (const EndedRun& ended : ended_runs_) {
+    summaries.runs.push_back(summaryOf(ended.offer, ended.offer.text.size()));
+  }
+  report_(leader_, std::move(summaries));
+}
+
+void ItemRunner::sendTexts(const std::vector<fleet::TextRequest>& wanted) {
+  if (wanted.empty()) return;
+  fleet::RunTexts texts{self_, term_, {}};
+  for (const fleet::TextRequest& request : wanted) {
+    if (std::optional<fleet::RunText> text = takeText(request)) texts.texts.push_back(std::move(*text));
+  }
+  report_(leader_, std::move(texts));
+}
+
+std::optional<fleet::RunText> ItemRunner::takeText(const fleet::TextRequest& wanted) {
+  const auto running = runs_.find(wanted.number);
+  if (running != runs_.end()) {
+    Run& run = *running->second;
+    if (!std::exchange(run.is_withheld, false)) return std::nullopt;
+    clearNews(run);
+    return textOf(offerOf(run), run.text, wanted.offset);
+  }
+  const auto ended = std::find_if(ended_runs_.begin(), ended_runs_.end(),
+                                  [&](const EndedRun& entry) { return entry.offer.number == wanted.number; });
+  withheld_ends_.erase(wanted.number);
+  if (ended == ended_runs_.end()) return std::nullopt;
+  return textOf(ended->offer, ended->offer.text, wanted.offset);
+}
+
+fleet::RunText ItemRunner::textOf(const fleet::OfferedRun& run, const std::string& text, std::uint64_t offset) {
+  fleet::RunText sent;
+  sent.number = run.number;
+  sent.sequence = run.sequence;
+  sent.offset = std::min<std::uint64_t>(offset, text.size());
+  sent.text = text.substr(sent.offset);
+  sent.has_text = run.has_text;
+  sent.last_event = run.last_event;
+  sent.ended = run.ended;
+  sent.end = run.end;
+  sent.verdict = run.verdict;
+  sent.cause = run.cause;
+  return sent;
+}
+
 /// A report may be lost, or arrive after its leader has lost its leadership or has given the run up as lost. In none of
 /// these cases may the item be sent again as if it had not been answered, so answers are repeated until confirmed.
 void ItemRunner::retainAnswer(const Run& run) {
@@ -89,11 +174,23 @@
 }
 
 void ItemRunner::retainEndedRun(const Run& run) {
-  if (run.news.end == RunEnd::kWhole) ended_runs_.push_back(EndedRun{offerOf(run), monotonicNow()});
+  if (run.news.end != RunEnd::kWhole && !run.is_withheld) return;
+  EndedRun ended{offerOf(run), monotonicNow()};
+  ended.offer.text = run.text;
+  ended_runs_.push_back(std::move(ended));
+}
+
+void ItemRunner::dropListedRuns(const std::vector<std::uint64_t>& listed) {
+  if (listed.empty()) return;
+  const std::set<std::uint64_t> numbers(listed.begin(), listed.end());
+  std::erase_if(ended_runs_, [&](const EndedRun& ended) { return numbers.contains(ended.offer.number); });
 }
 
 void ItemRunner::dropOldEndedRuns(Instant now) {
-  while (!ended_runs_.empty() && now > ended_runs_.front().ended_at + kEndedRunRetention) ended_runs_.pop_front();
+  while (!ended_runs_.empty() && now > ended_runs_.front().ended_at + kEndedRunRetention) {
+    withheld_ends_.erase(ended_runs_.front().offer.number);
+    ended_runs_.pop_front();
+  }
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -127,6 +127,7 @@
   proposals_running_ = 0;
   proposing_failures_ = false;
   saving_ = false;
+  text_requests_.clear();
   run_table_.clear();
 }
 
@@ -178,6 +179,7 @@
 void JobExecutor::tick(Instant now) {
   if (!leading_) return;
   breakRuns(run_table_.takeLost(now));
+  breakRuns(text_requests_.overdue(now));
   preemptExcessRuns(now);
   proposeFailures();
   saveProgress(now);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -16,6 +16,7 @@
 #include "process/fleet/feed_client.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_table.hpp"
+#include "process/store/text_requests.hpp"
 #include "request/access/allowed_zones.hpp"
 #include "request/admission/fair_share.hpp"
 #include "request/admission/load_features.hpp"
@@ -88,6 +89,10 @@
   void take(const fleet::RunReport& report);
   /// Takes a store's offer of runs for earlier leaders: runs of open items are adopted, all others are stopped.
   void take(const fleet::RunOffer& offer);
+  /// Takes the summaries that stores send instead of an offer; the texts of adopted runs are requested afterwards.
+  void take(const fleet::RunSummaries& summaries);
+  /// Takes texts of adopted runs that this leader has requested.
+  void take(const fleet::RunTexts& texts);
   /// Preempts one run at this engine at once, because an online request needs its slot.
   void preemptAt(const EngineId& engine);
   /// Performs retries, preemptions, lease renewals and retention; call several times a second.
@@ -142,6 +147,8 @@
     /// continues that of the runs before it.
     std::uint64_t saved_chain = 0;
     std::uint64_t chain = 0;
+    /// Chain of an adopted run whose text has not arrived yet.
+    std::uint64_t adopted_chain = 0;
     /// True if the group has stored progress of another chain: the result is then listed with its whole text.
     bool diverged = false;
     /// Number of failed runs that the group has stored.
@@ -172,6 +179,8 @@
     Instant first_event_at{};
     std::uint64_t events_before = 0;
     EngineId engine;
+    /// Store that runs the item, or ran it last.
+    ReplicaId runner;
     /// What crashes of the item's engines may be attributed to; without a content until first needed.
     request::CrashSubjects crash_subjects;
     /// True if this run was announced to other processes because engines crashed during the item, and under which name.
@@ -269,8 +278,21 @@
   /// True if each store has reported its answers to runs of earlier leaders, or the time limit for that has passed.
   bool haveStoresReported(Instant now) const;
   /// Returns the item of an offered run if it is open and has no run in flight, else null.
-  ItemPtr itemForOffer(const fleet::OfferedRun& offered) const;
+  ItemPtr itemForOffer(const JobId& job, const std::string& item) const;
   void adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered);
+  /// Adopts a run whose text is requested later. Until then the item has the text that the group has stored.
+  void adoptSummary(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::RunSummary& summary);
+  /// Records the item as running in an adopted run.
+  void noteAdopted(Instant now, const ItemPtr& run, std::uint64_t number, const EngineId& engine,
+                   const EngineBuild& build);
+  /// True if the text of a run of an earlier leader is certain to continue the stored progress.
+  static bool continuesSaved(const ItemRun& run, std::uint64_t chain, std::uint64_t last_event,
+                             std::uint64_t saved_event, std::uint64_t saved_chain);
+  /// Removes items that are in flight or have an outcome from the queues.
+  void removeStartedItems();
+  /// Requests the next texts of adopted runs, as many as may be under way at once.
+  void requestTexts(Instant now);
+  void takeText(const ItemPtr& run, const fleet::RunText& text);
   void takeNews(const ItemPtr& run, const fleet::RunNews& news);
   /// Ends a run at this leader, and decides on the next step of its item.
   void endRun(const ItemPtr& run, RunEnd end, request::EngineVerdict verdict, const std::string& cause);
@@ -284,6 +306,8 @@
   JobResult resultOf(const ItemRun& run, ItemOutcome outcome, bool whole_text) const;
   /// Proposes results that the state skipped again, with their whole text.
   void proposeSkippedAgain(const std::vector<ProposedResult>& proposed);
+  /// Tells the stores which ended runs they need not retain, since the group has listed the results.
+  void noteListed(const std::vector<ProposedResult>& proposed);
   /// Proposes the progress of running items, so that the group stores it.
   void saveProgress(Instant now);
   /// Takes an engine's answer to a run of this or an earlier leader, which may have been given up as lost.
@@ -324,6 +348,8 @@
   fleet::CrashWatch& crashes_;
   request::TrialLeases trials_;
   RunTable run_table_;
+  /// Texts of adopted runs that have not arrived yet.
+  TextRequests text_requests_;
   request::EngineSelector selector_;
   request::WeightedSplit split_;
   const JobState* state_ = nullptr;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -167,10 +167,18 @@
       return;
     }
     proposeSkippedAgain(*proposed);
+    noteListed(*proposed);
     proposeResults();
   });
 }
 
+void JobExecutor::noteListed(const std::vector<ProposedResult>& proposed) {
+  for (const ProposedResult& entry : proposed) {
+    const ItemRun& run = *entry.run;
+    if (!run.runner.empty() && openJob(run) == nullptr) run_table_.noteListed(run.runner, run.number);
+  }
+}
+
 void JobExecutor::proposeRefusedResults() {
   results_.insert(results_.begin(), std::make_move_iterator(refused_results_.begin()),
                   std::make_move_iterator(refused_results_.end()));
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -49,6 +49,7 @@
   run->first_event_at = Instant{};
   run->events_before = run->events;
   run->engine = choice.engine.id;
+  run->runner = runner;
   run->build = choice.engine.build;
   run->build_full_since = Instant{};
   run->number = run_table_.begin(now, runner);
@@ -83,6 +84,7 @@
   order.chain = run->chain;
   order.saved_event = run->saved_event;
   order.saved_chain = run->saved_chain;
+  order.reads_summaries = true;
   takeTrial(now, *run);
   run->is_hold_logged = false;
   if (run->is_suspect) run->announced_as = crashes_.noteBegun(now, run->crash_subjects, run->engine);
@@ -117,6 +119,7 @@
 void JobExecutor::abandonRun(ItemRun& run) {
   if (run.is_suspect) crashes_.noteEnded(monotonicNow(), run.announced_as, run.engine);
   run_table_.stop(run.number);
+  text_requests_.remove(run.number);
   selector_.end(monotonicNow(), run.ticket, EngineVerdict::kNeutral);
   runs_.erase(run.number);
   run.running = false;
@@ -124,7 +127,14 @@
 
 void JobExecutor::sendLeases(Instant now) {
   for (auto& [runner, content] : run_table_.takeLeases(now)) {
-    fleet::RunLease lease{options_.self, term_, std::move(content.stopped), std::move(content.kept_answers)};
+    fleet::RunLease lease;
+    lease.from = options_.self;
+    lease.term = term_;
+    lease.stopped = std::move(content.stopped);
+    lease.kept_answers = std::move(content.kept_answers);
+    lease.reads_summaries = true;
+    lease.wanted_texts = std::move(content.wanted_texts);
+    lease.listed = std::move(content.listed);
     send_(runner, fleet::FleetMessage(std::move(lease)));
   }
 }
@@ -148,68 +158,14 @@
   pump();
 }
 
-void JobExecutor::take(const fleet::RunOffer& offer) {
-  if (!leading_ || offer.term != term_) return;
+void JobExecutor::takeNews(const ItemPtr& run, const fleet::RunNews& news) {
   const Instant now = monotonicNow();
-  std::size_t adopted = 0;
-  for (const fleet::OfferedRun& offered : offer.runs) {
-    const ItemPtr run = itemForOffer(offered);
-    if (!run) {
-      if (!offered.ended) run_table_.refuse(offer.from, offered.number);
-      continue;
-    }
-    adoptRun(now, offer.from, run, offered);
-    ++adopted;
-  }
-  adopted_ += adopted;
-  logEvent(LogLevel::kInfo, "runs_adopted",
-           {{"runner", offer.from.value}, {"term", term_}, {"offered", offer.runs.size()}, {"adopted", adopted}});
-  std::erase_if(queue_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
-  std::erase_if(parked_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
-}
-
-JobExecutor::ItemPtr JobExecutor::itemForOffer(const fleet::OfferedRun& offered) const {
-  const auto job = items_.find(offered.job);
-  if (job == items_.end()) return nullptr;
-  const auto found = job->second.find(offered.item);
-  if (found == job->second.end()) return nullptr;
-  const ItemPtr& run = found->second;
-  const bool is_free = !run->running && !run->stopped && !run->has_outcome && run->pending_failures == 0;
-  return is_free && openJob(*run) != nullptr ? run : nullptr;
-}
-
-/// The offered text is complete up to its last event, so it replaces the stored progress. It is certain to continue the
-/// stored progress only if that was reported by this same run, or if none was stored since the run was ordered.
-void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
-  const bool same_run = run->saved_chain == offered.chain && run->saved_event <= offered.last_event;
-  const bool nothing_since = run->saved_chain == offered.saved_chain && run->saved_event == offered.saved_event;
-  run->diverged = run->saved_event > 0 && !same_run && !nothing_since;
-  run->chain = offered.chain;
-  run->text = offered.text;
-  run->has_text = offered.has_text;
-  run->last_event.reset();
-  if (offered.last_event > 0) run->last_event = offered.last_event;
-  run->events = offered.has_text ? eventsIn(offered.text) : 0;
-  run->running = true;
-  run->is_suspect = false;
-  run->first_event_at = Instant{};
-  run->engine = offered.engine;
-  run->build = offered.build;
-  run->number = offered.number;
-  request::EngineQuery query;
-  query.background = true;
-  run->ticket = selector_.begin(now, offered.engine, query);
-  runs_[run->number] = run;
-  if (offered.ended) {
-    endRun(run, offered.end, offered.verdict, offered.cause);
+  // The text before these news was lost with the connection that carried it.
+  if (text_requests_.needs(news.number)) {
+    run_table_.stop(news.number);
+    endRun(run, RunEnd::kBroken, EngineVerdict::kNeutral, "text lost");
     return;
   }
-  if (offered.has_text) selector_.noteFirstByte(now, run->ticket);
-  run_table_.adopt(now, runner, offered.number, offered.sequence);
-}
-
-void JobExecutor::takeNews(const ItemPtr& run, const fleet::RunNews& news) {
-  const Instant now = monotonicNow();
   if (news.engine_slots > 0) {
     selector_.noteLoad(now, run->engine,
                        request::EngineLoad{news.engine_running, news.engine_waiting, news.engine_slots});
@@ -237,6 +193,7 @@
 
 void JobExecutor::breakRuns(const std::vector<std::uint64_t>& numbers) {
   for (const std::uint64_t number : numbers) {
+    run_table_.stop(number);
     const auto found = runs_.find(number);
     if (found == runs_.end()) continue;
     const ItemPtr run = found->second;
@@ -259,6 +216,8 @@
   if (end == RunEnd::kWhole) run_times_.noteCompletedItem(run->events);
   runs_.erase(run->number);
   run->running = false;
+  // Without its text, the run has added nothing to what the group has stored.
+  if (text_requests_.remove(run->number) && openJob(*run) != nullptr) loadSavedProgress(*run);
   finishRun(run, end, cause);
 }
 
--- /dev/null
+++ b/src/process/store/job_executor_takeover.cpp
@@ -0,0 +1,179 @@
+#include <algorithm>
+#include <utility>
+
+#include "common/log.hpp"
+#include "connection/asio.hpp"
+#include "process/store/job_executor.hpp"
+
+// Taking over the runs of earlier leaders. A new leader must answer heartbeats from its first moment, so it learns
+// which runs there are at once, and reads their texts afterwards, a bounded amount at a time.
+namespace hatchfork::store {
+
+using connection::monotonicNow;
+
+void JobExecutor::take(const fleet::RunOffer& offer) {
+  if (!leading_ || offer.term != term_) return;
+  const Instant now = monotonicNow();
+  std::size_t adopted = 0;
+  for (const fleet::OfferedRun& offered : offer.runs) {
+    const ItemPtr run = itemForOffer(offered.job, offered.item);
+    if (!run) {
+      if (!offered.ended) run_table_.refuse(offer.from, offered.number);
+      continue;
+    }
+    adoptRun(now, offer.from, run, offered);
+    ++adopted;
+  }
+  adopted_ += adopted;
+  logEvent(LogLevel::kInfo, "runs_adopted",
+           {{"runner", offer.from.value}, {"term", term_}, {"offered", offer.runs.size()}, {"adopted", adopted}});
+  removeStartedItems();
+}
+
+void JobExecutor::take(const fleet::RunSummaries& summaries) {
+  if (!leading_ || summaries.term != term_) return;
+  const Instant now = monotonicNow();
+  std::size_t adopted = 0;
+  std::uint64_t text_bytes = 0;
+  for (const fleet::RunSummary& summary : summaries.runs) {
+    const ItemPtr run = itemForOffer(summary.job, summary.item);
+    text_bytes += summary.text_bytes;
+    if (!run) {
+      if (!summary.ended) run_table_.refuse(summaries.from, summary.number);
+      continue;
+    }
+    adoptSummary(now, summaries.from, run, summary);
+    ++adopted;
+  }
+  adopted_ += adopted;
+  logEvent(LogLevel::kInfo, "runs_adopted",
+           {{"runner", summaries.from.value},
+            {"term", term_},
+            {"offered", summaries.runs.size()},
+            {"adopted", adopted},
+            {"text_bytes", text_bytes},
+            {"texts_needed", text_requests_.size()}});
+  removeStartedItems();
+  requestTexts(now);
+}
+
+void JobExecutor::removeStartedItems() {
+  std::erase_if(queue_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
+  std::erase_if(parked_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
+}
+
+JobExecutor::ItemPtr JobExecutor::itemForOffer(const JobId& id, const std::string& item) const {
+  const auto job = items_.find(id);
+  if (job == items_.end()) return nullptr;
+  const auto found = job->second.find(item);
+  if (found == job->second.end()) return nullptr;
+  const ItemPtr& run = found->second;
+  const bool is_free = !run->running && !run->stopped && !run->has_outcome && run->pending_failures == 0;
+  return is_free && openJob(*run) != nullptr ? run : nullptr;
+}
+
+/// It does if the stored progress was reported by this same run, or if none was stored since the run was ordered.
+bool JobExecutor::continuesSaved(const ItemRun& run, std::uint64_t chain, std::uint64_t last_event,
+                                 std::uint64_t saved_event, std::uint64_t saved_chain) {
+  const bool same_run = run.saved_chain == chain && run.saved_event <= last_event;
+  const bool nothing_since = run.saved_chain == saved_chain && run.saved_event == saved_event;
+  return same_run || nothing_since;
+}
+
+void JobExecutor::noteAdopted(Instant now, const ItemPtr& run, std::uint64_t number, const EngineId& engine,
+                              const EngineBuild& build) {
+  run->running = true;
+  run->is_suspect = false;
+  run->first_event_at = Instant{};
+  run->engine = engine;
+  run->build = build;
+  run->number = number;
+  request::EngineQuery query;
+  query.background = true;
+  run->ticket = selector_.begin(now, engine, query);
+  runs_[number] = run;
+}
+
+/// The offered text is complete up to its last event, so it replaces the stored progress.
+void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
+  const bool continues =
+      continuesSaved(*run, offered.chain, offered.last_event, offered.saved_event, offered.saved_chain);
+  run->diverged = run->saved_event > 0 && !continues;
+  run->chain = offered.chain;
+  run->runner = runner;
+  run->text = offered.text;
+  run->has_text = offered.has_text;
+  run->last_event.reset();
+  if (offered.last_event > 0) run->last_event = offered.last_event;
+  run->events = offered.has_text ? eventsIn(offered.text) : 0;
+  noteAdopted(now, run, offered.number, offered.engine, offered.build);
+  if (offered.ended) {
+    endRun(run, offered.end, offered.verdict, offered.cause);
+    return;
+  }
+  if (offered.has_text) selector_.noteFirstByte(now, run->ticket);
+  run_table_.adopt(now, runner, offered.number, offered.sequence);
+}
+
+void JobExecutor::adoptSummary(Instant now, const ReplicaId& runner, const ItemPtr& run,
+                               const fleet::RunSummary& summary) {
+  const bool continues =
+      continuesSaved(*run, summary.chain, summary.last_event, summary.saved_event, summary.saved_chain);
+  const bool has_start = continues && run->saved_event > 0 && run->saved_bytes <= summary.text_bytes;
+  NeededText needed;
+  needed.runner = runner;
+  needed.request = fleet::TextRequest{summary.number, has_start ? run->saved_bytes : 0};
+  needed.bytes = summary.text_bytes - needed.request.offset;
+  run->runner = runner;
+  run->adopted_chain = summary.chain;
+  noteAdopted(now, run, summary.number, summary.engine, summary.build);
+  if (summary.text_bytes > 0) selector_.noteFirstByte(now, run->ticket);
+  text_requests_.add(std::move(needed), summary.ended);
+  if (!summary.ended) run_table_.adopt(now, runner, summary.number, summary.sequence);
+}
+
+void JobExecutor::requestTexts(Instant now) {
+  const std::vector<NeededText> next = text_requests_.takeNext(now);
+  for (const NeededText& text : next) run_table_.requestText(text.runner, text.request);
+  if (!next.empty()) sendLeases(now);
+}
+
+void JobExecutor::take(const fleet::RunTexts& texts) {
+  if (!leading_ || texts.term != term_) return;
+  for (const fleet::RunText& text : texts.texts) {
+    const auto found = runs_.find(text.number);
+    if (found == runs_.end() || !text_requests_.needs(text.number)) continue;
+    const ItemPtr run = found->second;
+    takeText(run, text);
+  }
+  requestTexts(monotonicNow());
+  if (text_requests_.size() > 0) return;
+  logEvent(LogLevel::kInfo, "texts_read", {{"term", term_}, {"running", runs_.size()}});
+}
+
+void JobExecutor::takeText(const ItemPtr& run, const fleet::RunText& text) {
+  const bool is_whole = text.offset == 0;
+  const bool continues = text.offset == text_requests_.offsetOf(text.number) && text.offset == run->saved_bytes;
+  text_requests_.remove(text.number);
+  if (!is_whole && !continues) {
+    run_table_.stop(text.number);
+    endRun(run, RunEnd::kBroken, request::EngineVerdict::kNeutral, "text does not continue the stored one");
+    return;
+  }
+  run->diverged = run->saved_event > 0 && is_whole;
+  if (is_whole) run->text.clear();
+  run->text += text.text;
+  run->has_text = text.has_text;
+  run->chain = run->adopted_chain;
+  run->last_event.reset();
+  if (text.last_event > 0) run->last_event = text.last_event;
+  run->events = text.has_text ? eventsIn(run->text) : 0;
+  if (!text.ended) {
+    run_table_.setSequence(text.number, text.sequence);
+    return;
+  }
+  run_table_.remove(text.number);
+  endRun(run, text.end, text.verdict, text.cause);
+}
+
+}  // namespace hatchfork::store
--- a/src/process/store/run_table.cpp
+++ b/src/process/store/run_table.cpp
@@ -76,6 +76,11 @@
   entry.runs.insert(number);
 }
 
+void RunTable::setSequence(std::uint64_t number, std::uint64_t sequence) {
+  const auto run = runs_.find(number);
+  if (run != runs_.end()) run->second.sequence = sequence;
+}
+
 void RunTable::avoid(Instant now, const ReplicaId& runner) {
   avoided_until_[runner] = now + limits_.avoidance_time;
 }
@@ -110,12 +115,12 @@
   }
   const auto current = stores_.find(report.from);
   if (current == stores_.end()) return checked;
-  for (const std::uint64_t number : std::set<std::uint64_t>(current->second.runs)) {
+  for (const std::uint64_t number : current->second.runs) {
     const bool is_recent = now < runs_.at(number).ordered_at + limits_.order_timeout;
     if (reported.contains(number) || (is_recent && runs_.at(number).sequence == 0)) continue;
     checked.lost.push_back(number);
-    stop(number);
   }
+  for (const std::uint64_t number : checked.lost) stop(number);
   return checked;
 }
 
@@ -156,6 +161,7 @@
   if (is_reminder_due) next_reminder_ = now + limits_.reminder_interval;
   next_lease_ = now + (is_announcing ? limits_.announce_interval : limits_.lease_interval);
   for (const auto& [id, runner] : stores_) leases.try_emplace(id);
+  for (auto& [id, numbers] : std::exchange(listed_, {})) leases[id].listed = std::move(numbers);
   if (!is_announcing && !is_reminder_due) return leases;
   for (const auto& [runner, zone] : runners_) leases.try_emplace(runner);
   return leases;
@@ -165,6 +171,7 @@
   runs_.clear();
   stores_.clear();
   next_leases_.clear();
+  listed_.clear();
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/run_table.hpp
+++ b/src/process/store/run_table.hpp
@@ -54,6 +54,9 @@
   std::vector<std::uint64_t> stopped;
   /// Runs of which the group has stored the answer.
   std::vector<std::uint64_t> kept_answers;
+  std::vector<fleet::TextRequest> wanted_texts;
+  /// Ended runs of which the group has listed the result.
+  std::vector<std::uint64_t> listed;
 };
 
 /// The leader's table of the runs that it has ordered: at which store each is in flight, and which are lost. No I/O, no
@@ -83,6 +86,16 @@
   void acknowledgeAnswer(const ReplicaId& runner, std::uint64_t number) {
     next_leases_[runner].kept_answers.push_back(number);
   }
+  /// Asks the store, with the next lease, for the text of a run.
+  void requestText(const ReplicaId& runner, fleet::TextRequest request) {
+    next_leases_[runner].wanted_texts.push_back(request);
+  }
+  /// Tells the store, with the next periodic lease, that it need not retain the ended run for another leader.
+  void noteListed(const ReplicaId& runner, std::uint64_t number) { listed_[runner].push_back(number); }
+  /// Sets the number of the last news of a run, whose text was received apart from reports.
+  void setSequence(std::uint64_t number, std::uint64_t sequence);
+  /// Removes a run that has ended.
+  void remove(std::uint64_t number) { forget(number); }
   /// Excludes an unreachable store from new runs for a while.
   void avoid(Instant now, const ReplicaId& runner);
   /// Checks a report against the table, and updates the table from it.
@@ -126,6 +139,8 @@
   std::map<ReplicaId, Instant> avoided_until_;
   /// Contents of the next leases.
   std::map<ReplicaId, LeaseContent> next_leases_;
+  /// Ended runs with listed results, for the next periodic leases.
+  std::map<ReplicaId, std::vector<std::uint64_t>> listed_;
   std::uint64_t last_number_ = 0;
   Instant next_lease_{};
   Instant announced_until_{};
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -254,6 +254,10 @@
     executor_->take(*report);
   } else if (const auto* offer = std::get_if<fleet::RunOffer>(&decoded)) {
     executor_->take(*offer);
+  } else if (const auto* summaries = std::get_if<fleet::RunSummaries>(&decoded)) {
+    executor_->take(*summaries);
+  } else if (const auto* texts = std::get_if<fleet::RunTexts>(&decoded)) {
+    executor_->take(*texts);
   }
 }
 
@@ -265,6 +269,8 @@
     if (const auto* lease = std::get_if<fleet::RunLease>(&message)) runner_->take(*lease);
     if (const auto* report = std::get_if<fleet::RunReport>(&message)) executor_->take(*report);
     if (const auto* offer = std::get_if<fleet::RunOffer>(&message)) executor_->take(*offer);
+    if (const auto* summaries = std::get_if<fleet::RunSummaries>(&message)) executor_->take(*summaries);
+    if (const auto* texts = std::get_if<fleet::RunTexts>(&message)) executor_->take(*texts);
   });
   return true;
 }
--- a/src/version/release.hpp
+++ b/src/version/release.hpp
@@ -19,7 +19,7 @@
 /// Release of a process that reports none: a release older than release numbers, or a peer that has not reported yet.
 inline constexpr ReleaseNumber kUnknownRelease = 0;
 /// Release of this program.
-inline constexpr ReleaseNumber kThisRelease = 2;
+inline constexpr ReleaseNumber kThisRelease = 3;
 /// First release whose control processes keep the builds of engines, and whose stores keep records of streams.
 inline constexpr ReleaseNumber kEngineBuildRelease = 2;
 
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -104,6 +104,8 @@
   void deliver(const fleet::FleetMessage& message) {
     if (const auto* report = std::get_if<RunReport>(&message)) executor_->take(*report);
     if (const auto* offer = std::get_if<fleet::RunOffer>(&message)) executor_->take(*offer);
+    if (const auto* summaries = std::get_if<fleet::RunSummaries>(&message)) executor_->take(*summaries);
+    if (const auto* texts = std::get_if<fleet::RunTexts>(&message)) executor_->take(*texts);
   }
 
   void apply(const JobCommand& command) { state_.apply(1, encodeTagged(command)); }
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -43,6 +43,8 @@
             [this](const ReplicaId& to, const fleet::FleetMessage& message) {
               if (const auto* report = std::get_if<RunReport>(&message)) reports_.push_back(*report);
               if (const auto* offer = std::get_if<fleet::RunOffer>(&message)) offers_.emplace_back(to, *offer);
+              if (const auto* sent = std::get_if<fleet::RunSummaries>(&message)) summaries_.push_back(*sent);
+              if (const auto* sent = std::get_if<fleet::RunTexts>(&message)) texts_.push_back(*sent);
             },
             crashes_) {}
 
@@ -65,6 +67,8 @@
   ItemRunner& runner() { return runner_; }
   const std::vector<std::pair<ReplicaId, fleet::RunOffer>>& offers() const { return offers_; }
   const std::vector<RunReport>& reports() const { return reports_; }
+  const std::vector<fleet::RunSummaries>& summaries() const { return summaries_; }
+  const std::vector<fleet::RunTexts>& texts() const { return texts_; }
   const connection::ScriptedEngine& engine() const { return engine_; }
 
   /// Handles events until `count` news were reported, or for five seconds.
@@ -88,6 +92,8 @@
   std::unique_ptr<const Dialect> dialect_;
   std::vector<RunReport> reports_;
   std::vector<std::pair<ReplicaId, fleet::RunOffer>> offers_;
+  std::vector<fleet::RunSummaries> summaries_;
+  std::vector<fleet::RunTexts> texts_;
   fleet::CrashWatch crashes_{"store"};
   ItemRunner runner_;
 };
@@ -267,3 +273,91 @@
   fixture.runner().take(RunLease{ReplicaId("10.0.0.4"), 3, {}});
   REQUIRE(fixture.offers().size() == 1);
 }
+
+namespace {
+
+/// A lease of a leader that reads summaries.
+RunLease summaryLease(std::uint64_t term) {
+  RunLease lease;
+  lease.from = ReplicaId("10.0.0.3");
+  lease.term = term;
+  lease.reads_summaries = true;
+  return lease;
+}
+
+}  // namespace
+
+TEST_CASE("a leader that reads summaries gets the text of a run when it asks, and only news from then on",
+          "[store][runner][takeover]") {
+  RunnerFixture fixture(eventStream(/*whole=*/false));
+  fixture.order(1, 7, /*last_event=*/2);
+  fixture.waitForNews(1);
+  const std::size_t reported = fixture.news().size();
+  fixture.runner().take(summaryLease(2));
+  REQUIRE(fixture.offers().empty());
+  REQUIRE(fixture.summaries().size() == 1);
+  const fleet::RunSummary& summary = fixture.summaries().front().runs.front();
+  REQUIRE(summary.number == 7);
+  REQUIRE(summary.chain == 5);
+  REQUIRE(summary.text_bytes == std::string("before\nthree\nfour").size());
+  REQUIRE(summary.last_event == 4);
+  REQUIRE(summary.build == EngineBuild("v1"));
+  REQUIRE_FALSE(summary.ended);
+  fixture.runner().tick(monotonicNow() + fromMillis(300));
+  REQUIRE(fixture.reports().back().running == std::vector<std::uint64_t>{7});
+  REQUIRE(fixture.news().size() == reported);
+  RunLease lease = summaryLease(2);
+  lease.wanted_texts = {{7, std::string("before").size()}};
+  fixture.runner().take(lease);
+  // A second request finds nothing, since the text was sent.
+  fixture.runner().take(lease);
+  REQUIRE(fixture.texts().front().texts.size() == 1);
+  REQUIRE(fixture.texts().back().texts.empty());
+  const fleet::RunText& text = fixture.texts().front().texts.front();
+  REQUIRE(text.offset == 6);
+  REQUIRE(text.text == "\nthree\nfour");
+  REQUIRE(text.last_event == 4);
+  REQUIRE(text.sequence == summary.sequence);
+  REQUIRE_FALSE(text.ended);
+}
+
+TEST_CASE("a run that ends before its leader has asked for its text counts as running until then",
+          "[store][runner][takeover]") {
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.order(1, 7, /*last_event=*/0);
+  fixture.runner().take(summaryLease(2));
+  REQUIRE(fixture.summaries().size() == 1);
+  while (fixture.runner().running() > 0) fixture.run(fromMillis(20));
+  fixture.runner().tick(monotonicNow() + fromMillis(300));
+  REQUIRE(fixture.news().empty());
+  REQUIRE(fixture.reports().back().running == std::vector<std::uint64_t>{7});
+  RunLease lease = summaryLease(2);
+  SECTION("asked for") {
+    lease.wanted_texts = {{7, 0}};
+    fixture.runner().take(lease);
+    const fleet::RunText& text = fixture.texts().back().texts.front();
+    REQUIRE(text.ended);
+    REQUIRE(text.end == RunEnd::kWhole);
+    REQUIRE(text.text == "three\nfour");
+  }
+  SECTION("stopped") {
+    lease.stopped = {7};
+    fixture.runner().take(lease);
+  }
+  fixture.runner().tick(monotonicNow() + fromMillis(600));
+  REQUIRE(fixture.reports().back().running.empty());
+}
+
+TEST_CASE("an ended run is offered to no other leader once its result is listed", "[store][runner][takeover]") {
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.order(1, 7, /*last_event=*/0);
+  fixture.waitForNews(1);
+  while (fixture.runner().running() > 0) fixture.run(fromMillis(20));
+  RunLease lease{kLeader, 1, {}};
+  lease.listed = {7};
+  fixture.runner().take(lease);
+  fixture.runner().take(summaryLease(2));
+  fixture.runner().take(RunLease{ReplicaId("10.0.0.4"), 3, {}});
+  REQUIRE(fixture.summaries().empty());
+  REQUIRE(fixture.offers().empty());
+}
--- a/tests/process/store/take_over_test.cpp
+++ b/tests/process/store/take_over_test.cpp
@@ -147,3 +147,122 @@
   for (std::size_t i = 0; i < saved.size(); ++i) REQUIRE(saved.at(TakeOver::itemName(i)) == TakeOver::textOf(i));
   REQUIRE(most_bytes <= kMaxBytesPerTurn);
 }
+
+namespace {
+
+const ReplicaId kRunner("10.0.0.2");
+constexpr std::uint64_t kRun = 100;
+constexpr std::uint64_t kChain = 7;
+
+/// The group has stored "abcde", up to event 5, of the fixture's only item.
+SaveProgress storedProgress(std::uint64_t chain) {
+  ItemProgress progress;
+  progress.job = JobId("j");
+  progress.item = "i";
+  progress.last_event = 5;
+  progress.chain = chain;
+  progress.text = "abcde";
+  return SaveProgress{{progress}};
+}
+
+fleet::RunSummaries summaries(bool ended) {
+  fleet::RunSummary summary;
+  summary.number = kRun;
+  summary.sequence = 3;
+  summary.job = JobId("j");
+  summary.item = "i";
+  summary.engine = EngineId("e");
+  summary.chain = kChain;
+  summary.text_bytes = 8;
+  summary.last_event = 6;
+  summary.ended = ended;
+  return fleet::RunSummaries{kRunner, 2, {summary}};
+}
+
+fleet::RunTexts texts(std::uint64_t offset, const std::string& text, bool ended) {
+  fleet::RunText sent;
+  sent.number = kRun;
+  sent.sequence = 3;
+  sent.offset = offset;
+  sent.text = text;
+  sent.has_text = true;
+  sent.last_event = 6;
+  sent.ended = ended;
+  if (ended) sent.end = fleet::RunEnd::kWhole;
+  return fleet::RunTexts{kRunner, 2, {sent}};
+}
+
+RunReport reportOf(std::uint64_t sequence, const std::string& text, bool whole) {
+  RunNews news;
+  news.number = kRun;
+  news.sequence = sequence;
+  news.text = text;
+  news.last_event = 7;
+  news.ended = whole;
+  if (whole) news.end = fleet::RunEnd::kWhole;
+  return RunReport{kRunner, 2, {news}, {}};
+}
+
+/// A new leader that has taken the summary of a run.
+std::unique_ptr<ExecutorFixture> newLeader(std::uint64_t stored_chain, bool ended) {
+  auto fixture = std::make_unique<ExecutorFixture>(std::chrono::hours(1));
+  fixture->setStores({kRunner});
+  fixture->apply(storedProgress(stored_chain));
+  fixture->executor().setLeading(true, 2);
+  fixture->takeLeases();
+  fixture->deliver(summaries(ended));
+  return fixture;
+}
+
+/// The only text that the leader has asked for.
+fleet::TextRequest wantedText(ExecutorFixture& fixture) {
+  std::vector<fleet::TextRequest> wanted;
+  for (const auto& [to, lease] : fixture.takeLeases()) {
+    wanted.insert(wanted.end(), lease.wanted_texts.begin(), lease.wanted_texts.end());
+  }
+  REQUIRE(wanted.size() == 1);
+  REQUIRE(wanted.front().number == kRun);
+  return wanted.front();
+}
+
+}  // namespace
+
+TEST_CASE("a new leader asks for a text from where the stored one ends, and lists only what follows",
+          "[store][takeover]") {
+  const auto fixture = newLeader(kChain, /*ended=*/false);
+  REQUIRE(fixture->executor().running() == 1);
+  REQUIRE(wantedText(*fixture).offset == 5);
+  fixture->deliver(texts(5, "fgh", /*ended=*/false));
+  fixture->deliver(reportOf(4, "ijk", /*whole=*/true));
+  REQUIRE(fixture->listedByOldest() == std::pair<std::size_t, std::size_t>{6, 1});
+  fixture->endProposal(true);
+  REQUIRE(fixture->job().results.front().text == "abcdefghijk");
+  // The store need not retain the run for another leader.
+  ExecutorFixture::waitUntil(connection::monotonicNow() + fromMillis(60));
+  fixture->executor().tick(connection::monotonicNow());
+  const auto leases = fixture->takeLeases();
+  const bool is_told = std::any_of(leases.begin(), leases.end(), [](const auto& entry) {
+    return entry.first == kRunner && entry.second.listed == std::vector<std::uint64_t>{kRun};
+  });
+  REQUIRE(is_told);
+}
+
+TEST_CASE("a new leader asks for the whole text of a run that does not continue the stored one", "[store][takeover]") {
+  const auto fixture = newLeader(kChain + 1, /*ended=*/true);
+  REQUIRE(wantedText(*fixture).offset == 0);
+  fixture->deliver(texts(0, "ABCDEFGH", /*ended=*/true));
+  REQUIRE(fixture->listedByOldest() == std::pair<std::size_t, std::size_t>{8, 1});
+  fixture->endProposal(true);
+  REQUIRE(fixture->job().results.front().text == "ABCDEFGH");
+}
+
+TEST_CASE("news of a run whose text was lost stop it, and the item goes on from the stored text", "[store][takeover]") {
+  const auto fixture = newLeader(kChain, /*ended=*/false);
+  fixture->deliver(reportOf(4, "ijk", /*whole=*/true));
+  REQUIRE(fixture->executor().running() == 0);
+  REQUIRE(fixture->executor().waiting() == 1);
+  REQUIRE(fixture->proposals() == 0);
+  // A text that comes after all is not taken.
+  fixture->deliver(texts(5, "fgh", /*ended=*/true));
+  REQUIRE(fixture->proposals() == 0);
+}
--- a/tests/recorded/frame_samples.hpp
+++ b/tests/recorded/frame_samples.hpp
@@ -278,4 +278,41 @@
   samples.add(offer);
 }
 
+inline void addTakeOverFrames(Samples<fleet::FleetMessage>& samples) {
+  fleet::RunSummary summary;
+  summary.number = 12;
+  summary.sequence = 4;
+  summary.job = JobId("j");
+  summary.item = "i2";
+  summary.engine = EngineId("i-1");
+  summary.build = EngineBuild("v1");
+  summary.chain = 6;
+  summary.saved_event = 3;
+  summary.saved_chain = 5;
+  summary.text_bytes = 900;
+  summary.last_event = 8;
+  summary.ended = true;
+  fleet::RunSummaries summaries;
+  summaries.from = ReplicaId("10.0.0.2");
+  summaries.term = 4;
+  summaries.runs = {summary};
+  samples.add(summaries);
+  fleet::RunText text;
+  text.number = 12;
+  text.sequence = 4;
+  text.offset = 500;
+  text.text = "rest";
+  text.has_text = true;
+  text.last_event = 8;
+  text.ended = true;
+  text.end = fleet::RunEnd::kWhole;
+  text.verdict = request::EngineVerdict::kGood;
+  text.cause = "whole";
+  fleet::RunTexts texts;
+  texts.from = ReplicaId("10.0.0.2");
+  texts.term = 4;
+  texts.texts = {text};
+  samples.add(texts);
+}
+
 }  // namespace hatchfork::recorded
--- a/tests/recorded/samples.hpp
+++ b/tests/recorded/samples.hpp
@@ -18,6 +18,7 @@
   addStreamFrames(frames);
   addLoadFrames(frames);
   addRunFrames(frames);
+  addTakeOverFrames(frames);
   frames.moveTo(all);
   EngineChanges changes;
   changes.is_whole = true;
