A leader whose entries a quorum acknowledges stays in office

Cause: only replies to heartbeats counted as a sign of the quorum. A leader whose followers stored entry after entry stepped down when these replies were late. Change: checkQuorum also counts the time at which acknowledged entries were sent. Reads and isConfirmedLeader count heartbeats alone, as before, since an acknowledgement may be that of an earlier copy of the entries.

Test: a simulated leader that gets acknowledgements of entries and no reply to heartbeats for 3 s keeps its term, and loses it within 2 s once entries stop.

--- a/bench/sim/replica_host.cpp
+++ b/bench/sim/replica_host.cpp
@@ -169,6 +169,7 @@
 }
 
 void ReplicaHost::deliver(const consensus::PeerMessage& message) {
+  if (filter_ && !filter_(message)) return;
   run([this, message] {
     slots_.at(message.group).group->receive(simulation_.now(), message);
     drain(message.group);
--- a/bench/sim/replica_host.hpp
+++ b/bench/sim/replica_host.hpp
@@ -63,6 +63,9 @@
   void read(GroupId group, OutcomeCallback done);
   void changeMembership(GroupId group, const consensus::Membership& target, OutcomeCallback done);
 
+  /// Drops the incoming messages for which the filter returns false.
+  void setIncomingFilter(std::function<bool(const consensus::PeerMessage&)> filter) { filter_ = std::move(filter); }
+
   /// Runs `work` in the process: now, after the pause while frozen, or never if the process ends before.
   void run(std::function<void()> work);
   /// Counts processes of this machine; work of an earlier one must not touch a later one.
@@ -85,6 +88,7 @@
   ReplicaHostOptions options_;
   MachineFactory factory_;
   PeerLookup peer_;
+  std::function<bool(const consensus::PeerMessage&)> filter_;
   SimulatedDisk disk_;
   std::vector<Slot> slots_;
   std::map<GroupId, consensus::GroupStatus> last_status_;
--- a/src/process/consensus/progress.hpp
+++ b/src/process/consensus/progress.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 
@@ -21,6 +22,7 @@
 struct SentBatch {
   LogIndex last_index = 0;
   std::uint64_t bytes = 0;
+  Instant sent_at{};
 };
 
 /// A leader's view of one peer's replication.
@@ -41,6 +43,9 @@
   Instant added_at{};
   /// When the newest acknowledged heartbeat round was sent.
   Instant confirmed_at = Instant::min();
+  /// When the newest acknowledged append request was sent. Keeps a leader in office; proves no read, since an
+  /// acknowledgement of an earlier copy of the entries counts too.
+  Instant appended_at = Instant::min();
   LogIndex snapshot_index = 0;
   std::uint64_t snapshot_offset = 0;
   /// True if a chunk is in flight; sent at `chunk_sent_at`.
@@ -61,6 +66,7 @@
     match = index > match ? index : match;
     next = next > match ? next : match + 1;
     while (!in_flight.empty() && in_flight.front().last_index <= match) {
+      appended_at = std::max(appended_at, in_flight.front().sent_at);
       in_flight_bytes -= in_flight.front().bytes;
       in_flight.pop_front();
     }
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -184,6 +184,8 @@
   template <class Value, class Function>
   Value quorumValue(Value own, Value least, Function value) const;
   Instant quorumConfirmedAt() const;
+  /// Time at which a quorum was last sent a heartbeat or entries that it has acknowledged.
+  Instant quorumHeardAt() const;
 
   // Replication (replica_replication.cpp).
   void sendHeartbeatRound();
--- a/src/process/consensus/replica_election.cpp
+++ b/src/process/consensus/replica_election.cpp
@@ -223,7 +223,7 @@
 }
 
 void Replica::leaveLeadership(std::string_view cause) {
-  const Instant confirmed = std::max(quorumConfirmedAt(), elected_at_);
+  const Instant confirmed = std::max(quorumHeardAt(), elected_at_);
   logEvent(LogLevel::kInfo, "leadership_lost",
            {{"group", options_.group},
             {"term", record_.term},
@@ -247,8 +247,13 @@
   return quorumValue(now_, Instant::min(), [](const Progress& progress) { return progress.confirmed_at; });
 }
 
+Instant Replica::quorumHeardAt() const {
+  return quorumValue(now_, Instant::min(),
+                     [](const Progress& progress) { return std::max(progress.confirmed_at, progress.appended_at); });
+}
+
 void Replica::checkQuorum() {
-  const Instant confirmed = std::max(quorumConfirmedAt(), elected_at_);
+  const Instant confirmed = std::max(quorumHeardAt(), elected_at_);
   const Duration timeout = options_.timing.election_timeout;
   if (now_ < confirmed + timeout) return;
   // Replies of the quorum may be unread, here or at equally busy peers, but only for a bounded time.
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -103,7 +103,7 @@
   if (progress.state == ReplicationState::kReplicate) {
     if (progress.in_flight.empty()) progress.progressed_at = now_;
     progress.next = index;
-    progress.in_flight.push_back(SentBatch{index - 1, bytes});
+    progress.in_flight.push_back(SentBatch{index - 1, bytes, now_});
     progress.in_flight_bytes += bytes;
   }
   send(peer, std::move(request));
--- a/tests/process/consensus/replica_test.cpp
+++ b/tests/process/consensus/replica_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "process/consensus/messages.hpp"
 #include "tests/process/consensus/test_cluster.hpp"
 
 namespace hatchfork::consensus {
@@ -430,6 +431,29 @@
   CHECK(leader->group(0)->status().term == term);
 }
 
+// Guards against leaders that step down while their followers store entry after entry.
+TEST_CASE("a leader whose entries are acknowledged stays in office while replies to heartbeats are late",
+          "[consensus]") {
+  TestCluster cluster(1);
+  cluster.startAll();
+  REQUIRE(cluster.write("a=1"));
+  sim::ReplicaHost* leader = cluster.leader();
+  const Term term = leader->group(0)->status().term;
+  leader->setIncomingFilter([](const PeerMessage& message) {
+    const Result<Envelope> envelope = decodeEnvelope(message.body);
+    return !std::holds_alternative<HeartbeatReply>(valueOf(envelope).body);
+  });
+  for (int i = 0; i < 100; ++i) {
+    leader->propose(0, "key=" + std::to_string(i), [](const RequestOutcome&) {});
+    cluster.run(30);
+  }
+  CHECK(leader->group(0)->status().term == term);
+  CHECK(leader->group(0)->role() == Role::kLeader);
+  // Without entries and replies it is as good as cut off.
+  cluster.run(2000);
+  CHECK(leader->group(0)->status().term > term);
+}
+
 TEST_CASE("entries that arrive during a sync share the next one", "[consensus]") {
   TestCluster cluster(1, 1);
   cluster.startAll();
