Reports and changes of a moment share one pass over the queue

Cause: the leader of the stores went through its queue after each report of a run and each change of a job. Evidence: thread_busy on large Midlands at half speed, logic untouched: 754 reports took 210 of 603 busy milliseconds of a second. Change: a pass 10 ms after the first of them.

Test: two changes and a report schedule one pass; it starts what there is room for.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -79,7 +79,7 @@
     mixed_services_ = view.mixed_services;
   }
   selector_.takeEngines(now, change.engines);
-  if (leading_) pump();
+  if (leading_) pumpSoon();
 }
 
 void JobExecutor::setLeading(bool leading, std::uint64_t term) {
@@ -139,7 +139,7 @@
     return;
   }
   if (!items_.contains(id)) enqueueOpenItems(*job);
-  pump();
+  pumpSoon();
 }
 
 void JobExecutor::enqueueOpenItems(const StoredJob& job) {
@@ -192,6 +192,19 @@
   dropOldJobs();
 }
 
+void JobExecutor::pumpSoon() {
+  if (!schedule_start_) {
+    pump();
+    return;
+  }
+  if (!std::exchange(start_scheduled_, true)) schedule_start_();
+}
+
+void JobExecutor::startWaiting() {
+  start_scheduled_ = false;
+  pump();
+}
+
 void JobExecutor::pump() {
   if (!leading_ || !routes_) return;
   const Instant now = monotonicNow();
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -93,6 +93,11 @@
   void take(const fleet::RunSummaries& summaries);
   /// Takes texts of adopted runs that this leader has requested.
   void take(const fleet::RunTexts& texts);
+  /// Sets what schedules the next call of `startWaiting`, so that many reports and changes share one pass over the
+  /// queue. Without it items start within the call that made room for them.
+  void setStartScheduler(std::function<void()> schedule_start) { schedule_start_ = std::move(schedule_start); }
+  /// Starts the waiting items that there is room for.
+  void startWaiting();
   /// Preempts one run at this engine at once, because an online request needs its slot.
   void preemptAt(const EngineId& engine);
   /// Performs retries, preemptions, lease renewals and retention; call several times a second.
@@ -219,6 +224,8 @@
   void enqueueOpenItems(const StoredJob& job);
   void stopItems(const JobId& job);
   void pump();
+  /// Calls `pump` now, or has it called by `startWaiting` soon.
+  void pumpSoon();
   /// Returns the maximum number of runs in flight, which increases during the slow start of a new leader and is
   /// unlimited afterwards.
   std::size_t maxRunsNow(Instant now) const;
@@ -345,6 +352,8 @@
   const Dialect& dialect_;
   ProposeFunction propose_;
   SendFunction send_;
+  std::function<void()> schedule_start_;
+  bool start_scheduled_ = false;
   fleet::CrashWatch& crashes_;
   request::TrialLeases trials_;
   RunTable run_table_;
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -81,7 +81,7 @@
     }
     for (const ProposedFailure& failure : proposed) settleFailure(failure);
     proposeFailures();
-    pump();
+    pumpSoon();
   });
 }
 
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -155,7 +155,7 @@
   }
   breakRuns(checked.lost);
   for (const fleet::ItemAnswer& answer : report.answers) takeAnswer(report.from, answer);
-  pump();
+  pumpSoon();
 }
 
 void JobExecutor::takeNews(const ItemPtr& run, const fleet::RunNews& news) {
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -25,6 +25,8 @@
 /// All stores form a single group.
 constexpr GroupId kStoreGroup = 1;
 constexpr Duration kTickInterval = fromMillis(50);
+/// Delay of starts of waiting items, so that the reports and changes of a moment share one pass over the queue.
+constexpr Duration kStartDelay = fromMillis(10);
 constexpr Duration kLeadershipTransferTimeout = fromMillis(1500);
 /// A stopping store waits this long for the next leader to store the answers of engines to its runs.
 constexpr Duration kAnswerHandoverTimeout = fromMillis(1500);
@@ -50,6 +52,7 @@
       crash_relay_(crashes_,
                    [this](const ReplicaId& to, const FleetMessage& message) { return links_.send(to, message); }),
       crash_timer_(context_),
+      start_timer_(context_),
       memory_(settings_.memory_mb),
       aggregator_(settings_.self(), engine_keys_,
                   [this](const ReplicaId& to, const fleet::LoadTotalsFrame& totals) { links_.send(to, totals); }),
@@ -92,6 +95,7 @@
   };
   auto send_run = [this](const ReplicaId& to, const FleetMessage& message) { return sendToStore(to, message); };
   executor_ = std::make_unique<JobExecutor>(executor_options, *dialect_, propose_command, send_run, crashes_);
+  executor_->setStartScheduler([this] { scheduleStart(); });
   auto report = [this](const ReplicaId& leader, const FleetMessage& news) { sendToStore(leader, news); };
   runner_ = std::make_unique<ItemRunner>(context_, *dialect_, settings_.self(), report, crashes_);
   crashes_.setServingCheck([this](const EngineId& engine) { return executor_->isServing(engine); });
@@ -285,6 +289,15 @@
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
 }
 
+void StoreProgram::scheduleStart() {
+  start_timer_.expires_after(kStartDelay);
+  start_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    const fleet::HandlerWatch::Timer timer(handlers_, "start_waiting");
+    executor_->startWaiting();
+  });
+}
+
 void StoreProgram::noteChange(const JobId& job) {
   changed_jobs_.insert(job);
   if (std::exchange(change_posted_, true)) return;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -102,6 +102,8 @@
   bool sendToStore(const ReplicaId& to, const fleet::FleetMessage& message);
   void updateLeadership();
   void noteChange(const JobId& job);
+  /// Has the executor start waiting items after a moment, in which further reports may arrive.
+  void scheduleStart();
   void answerPendingReads(Instant now);
   void measureDrainRate(Instant now);
   void onView(const fleet::FleetView& view, const fleet::FleetChange& change);
@@ -130,6 +132,7 @@
   fleet::CrashWatch crashes_;
   CrashRelay crash_relay_;
   connection::Timer crash_timer_;
+  connection::Timer start_timer_;
   bool crash_timer_armed_ = false;
   /// Version of the stored crashes that was applied last, digest of the observed crashes that were last compared with
   /// the stored crashes, and whether a proposal is in flight.
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -379,3 +379,27 @@
   leadWithLoadCycles(fixture, 1);
   REQUIRE(fixture.orders() == 1);
 }
+
+TEST_CASE("reports and changes of a moment share one pass over the queue", "[store][executor]") {
+  ExecutorFixture fixture;
+  std::size_t scheduled = 0;
+  fixture.executor().setStartScheduler([&] { ++scheduled; });
+  fixture.executor().setLeading(true, 1);
+  JobSubmission job;
+  job.id = JobId("later");
+  job.host = "a.example";
+  job.path = "/x/";
+  job.submitted_at = connection::wallNow();
+  job.items.push_back(OpaqueItem{"i", "/x/1", {}, "body", 10});
+  fixture.apply(SubmitJob{job});
+  const std::size_t before = fixture.orders();
+  fixture.executor().noteChange(JobId("later"));
+  fixture.executor().noteChange(JobId("j"));
+  fixture.report(1, 1, "one", 1, true);
+  REQUIRE(scheduled == 1);
+  REQUIRE(fixture.orders() == before);
+  fixture.executor().startWaiting();
+  REQUIRE(fixture.orders() == before + 1);
+  fixture.executor().noteChange(JobId("j"));
+  REQUIRE(scheduled == 2);
+}
