--- a/tests/process/fleet/peer_links_test.cpp
+++ b/tests/process/fleet/peer_links_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <list>
+#include <memory>
 
 #include "connection/frame_server.hpp"
 
@@ -54,7 +55,7 @@
 TEST_CASE("an urgent frame reaches a peer that has not taken the bulk before it", "[fleet][links]") {
   connection::asio::io_context context;
   SlowPeer peer(context);
-  PeerLinks links(context, peer.port());
+  auto links = std::make_unique<PeerLinks>(context, peer.port());
   const auto run_until = [&](const std::function<bool()>& condition) {
     const Instant give_up = monotonicNow() + std::chrono::seconds(10);
     while (!condition() && monotonicNow() < give_up) {
@@ -63,10 +64,13 @@
     }
     return condition();
   };
-  links.send(kPeer, frame("hello"), Lane::kBulk);
+  links->send(kPeer, frame("hello"), Lane::kBulk);
   REQUIRE(run_until([&] { return peer.connections() == 1; }));
-  REQUIRE(links.send(kPeer, frame(std::string(kBulkBytes, 'x')), Lane::kBulk));
+  REQUIRE(links->send(kPeer, frame(std::string(kBulkBytes, 'x')), Lane::kBulk));
   REQUIRE(run_until([&] { return peer.available(0) > 0; }));
-  REQUIRE(links.send(kPeer, frame("heartbeat"), Lane::kUrgent));
+  REQUIRE(links->send(kPeer, frame("heartbeat"), Lane::kUrgent));
   REQUIRE(run_until([&] { return peer.connections() == 2 && peer.available(1) > 0; }));
+  // Lets the connections end, whose frames count for the whole process.
+  links.reset();
+  run_until([] { return connection::FrameConnection::outboxBytesOfProcess() == 0; });
 }
