A new leader preempts no adopted run for load that its predecessor reported

What callers saw: batch that begins again after each loss of a leader, though its runs went on.

Cause: for up to a second after a leader is gone, what it reported of its runs counts as load of others. The next leader has adopted the same runs and counts them too, so each engine seems to be above its slots.

Change: a leader that has adopted runs preempts none for excess load in the first second after its start delay.

Test: the run was preempted 100 ms after the take-over before; now only when the load is still reported after that second.

--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -333,6 +333,8 @@
   /// Compares stored progress with the proposed `chain` and `last_event`.
   void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
   void preemptRun(const ItemPtr& run, const std::string& cause);
+  /// True while the known loads may contain adopted runs as load of the previous leader, besides their own.
+  bool mayCountRunsTwice(Instant now) const;
   /// Preempts runs at engines that have more requests than slots; they resume later after their last event.
   void preemptExcessRuns(Instant now);
   void giveUpExpired(Instant now);
--- a/src/process/store/job_executor_trough.cpp
+++ b/src/process/store/job_executor_trough.cpp
@@ -17,6 +17,8 @@
 /// Reported online load expires after this time.
 constexpr Duration kLoadLifetime = fromMillis(1000);
 constexpr Duration kWaitLogInterval = std::chrono::seconds(1);
+/// Time for which reports of the previous leader may still count the runs that a new leader has adopted.
+constexpr Duration kPreviousLoadLifetime = std::chrono::seconds(1);
 
 std::int64_t periodOf(const request::TroughVerdict& verdict) {
   return verdict.period ? toMillis(*verdict.period) : 0;
@@ -167,8 +169,12 @@
   return chosen;
 }
 
+bool JobExecutor::mayCountRunsTwice(Instant now) const {
+  return adopted_ > 0 && now < starts_from_ + kPreviousLoadLifetime;
+}
+
 void JobExecutor::preemptExcessRuns(Instant now) {
-  if (now < next_preemption_) return;
+  if (now < next_preemption_ || mayCountRunsTwice(now)) return;
   next_preemption_ = now + kPreemptionInterval;
   const std::map<EngineId, double> excess = excessRuns(now);
   if (excess.empty()) return;
--- a/tests/process/store/take_over_test.cpp
+++ b/tests/process/store/take_over_test.cpp
@@ -266,3 +266,24 @@
   fixture->deliver(texts(5, "fgh", /*ended=*/true));
   REQUIRE(fixture->proposals() == 0);
 }
+
+// Guards against leaders that preempt the runs they have just taken over, because their predecessor's load counts too.
+TEST_CASE("a new leader preempts no adopted run for load that its predecessor has reported", "[store][takeover]") {
+  ExecutorFixture fixture;
+  fixture.setStores({kRunner});
+  fixture.apply(storedProgress(kChain));
+  fixture.executor().setLeading(true, 2);
+  fixture.deliver(summaries(/*ended=*/false));
+  REQUIRE(fixture.executor().running() == 1);
+  // The engine has eight slots, which the predecessor's runs fill, this one among them.
+  const std::vector<request::EngineShare> others = {request::EngineShare{EngineId("e"), 8, 0}};
+  const Instant now = connection::monotonicNow();
+  fixture.executor().notePeerLoads(now, others);
+  fixture.executor().tick(now + fromMillis(100));
+  REQUIRE(fixture.executor().running() == 1);
+  REQUIRE_FALSE(fixture.hasStopped(kRun));
+  // Load that is still reported once the predecessor's reports have expired is that of others.
+  fixture.executor().notePeerLoads(now + fromMillis(1200), others);
+  fixture.executor().tick(now + fromMillis(1250));
+  REQUIRE(fixture.hasStopped(kRun));
+}
