An item whose failure is stored before its run ends at a new leader is run again

Where the group had stored the failure by then, the end found it counted and left the item out of the queue: no leader ran it again before the next change of leader.

Test: after the answer is stored and the failed end comes, no item waited before; it waits now, with one failure stored.

--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -246,7 +246,9 @@
       return;
     case RunEnd::kFailed:
       countFailure(run, run->number);
-      return;
+      // The failure may be stored already, reported as an answer before the run ended here.
+      run->not_before = now + kRetryAfterFailure;
+      break;
     case RunEnd::kDeclined:
       run->not_before = now + kRetryAfterDecline;
       break;
--- a/tests/process/store/take_over_test.cpp
+++ b/tests/process/store/take_over_test.cpp
@@ -287,3 +287,20 @@
   fixture.executor().tick(now + fromMillis(1250));
   REQUIRE(fixture.hasStopped(kRun));
 }
+
+// Guards against items that no leader runs again, because their failure was stored before their run ended here.
+TEST_CASE("an item whose failure is stored before the text of its run arrives is run again", "[store][takeover]") {
+  const auto fixture = newLeader(kChain, /*ended=*/false);
+  RunReport report{kRunner, 2, {}, {kRun}};
+  report.answers.push_back(fleet::ItemAnswer{kRun, JobId("j"), "i", fleet::RunEnd::kFailed});
+  fixture->deliver(report);
+  REQUIRE(fixture->proposals() == 1);
+  fixture->endProposal(true);
+  REQUIRE(fixture->executor().running() == 1);
+  fleet::RunTexts ended = texts(5, "fgh", /*ended=*/true);
+  ended.texts.front().end = fleet::RunEnd::kFailed;
+  fixture->deliver(ended);
+  REQUIRE(fixture->executor().running() == 0);
+  REQUIRE(fixture->executor().waiting() == 1);
+  REQUIRE(fixture->executor().counters().failures_stored == 1);
+}
