--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -190,8 +190,6 @@
   // Replication (replica_replication.cpp).
   void sendHeartbeatRound();
   void replicateToPeers();
-  /// Finds out whether entries in flight to a peer that makes no progress were lost.
-  void checkForLoss(const Identity& peer, Progress& progress);
   void replicateTo(const Identity& peer, Progress& progress);
   void sendAppend(const Identity& peer, Progress& progress);
   void handle(const Identity& from, const Envelope& envelope, const Heartbeat& heartbeat);
--- a/src/process/consensus/replica_replication.cpp
+++ b/src/process/consensus/replica_replication.cpp
@@ -52,28 +52,10 @@
   }
   const Duration resend_after = kResendIntervals * options_.timing.heartbeat_interval;
   const bool stalled = progress.match < log_->lastIndex() && now_ >= progress.progressed_at + resend_after;
-  if (stalled) checkForLoss(from, progress);
+  if (stalled && progress.state != ReplicationState::kSnapshot) progress.startProbe(now_);
   completeLeaderReads();
 }
 
-/// Replies to heartbeats may overtake entries, so they do not prove that entries were lost. An empty request does,
-/// since it follows the entries in flight: a peer that lacks these refuses it, and one that has yet to read them
-/// acknowledges it after them. Sending the entries again instead would add to the queue that they wait in.
-void Replica::checkForLoss(const Identity& peer, Progress& progress) {
-  if (progress.state == ReplicationState::kSnapshot) return;
-  const std::optional<Term> previous_term = log_->termAt(progress.next - 1);
-  if (progress.state == ReplicationState::kProbe || !previous_term) {
-    progress.startProbe(now_);
-    return;
-  }
-  progress.progressed_at = now_;
-  AppendRequest request;
-  request.previous_index = progress.next - 1;
-  request.previous_term = *previous_term;
-  request.committed = committed_;
-  send(peer, std::move(request));
-}
-
 void Replica::replicateToPeers() {
   for (const Identity& peer : peers()) {
     const auto progress = progress_.find(peer);
