Revert heartbeats on a connection of their own

Heartbeats that overtake entries keep a leader in office that replicates nothing; why the entries stood still is not known.

--- a/src/process/consensus/messages.cpp
+++ b/src/process/consensus/messages.cpp
@@ -2,11 +2,6 @@
 
 namespace hatchfork::consensus {
 
-bool isUrgent(const MessageBody& body) {
-  return std::holds_alternative<Heartbeat>(body) || std::holds_alternative<HeartbeatReply>(body) ||
-         std::holds_alternative<VoteRequest>(body) || std::holds_alternative<VoteReply>(body);
-}
-
 std::string encodeEnvelope(const Envelope& envelope) {
   nlohmann::json json = taggedToJson(envelope.body);
   json["f"] = envelope.from_incarnation;
--- a/src/process/consensus/messages.hpp
+++ b/src/process/consensus/messages.hpp
@@ -138,9 +138,6 @@
   MessageBody body;
 };
 
-/// True for messages that confirm or change the leadership. They need no order among themselves or with others.
-bool isUrgent(const MessageBody& body);
-
 std::string encodeEnvelope(const Envelope& envelope);
 /// Fails with `kProtocol` on malformed bytes.
 Result<Envelope> decodeEnvelope(std::string_view bytes);
--- a/src/process/consensus/replica.cpp
+++ b/src/process/consensus/replica.cpp
@@ -155,9 +155,8 @@
 }
 
 void Replica::send(const Identity& to, MessageBody body) {
-  const bool is_urgent = isUrgent(body);
   Envelope envelope{self_.incarnation, to.incarnation, record_.term, std::move(body)};
-  messages_.push_back(PeerMessage{options_.group, self_.id, to.id, encodeEnvelope(envelope), is_urgent});
+  messages_.push_back(PeerMessage{options_.group, self_.id, to.id, encodeEnvelope(envelope)});
 }
 
 void Replica::finish(RequestNumber request, decltype(RequestOutcome::result) result) {
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -72,9 +72,6 @@
   ReplicaId from;
   ReplicaId to;
   std::string body;
-  /// True if the message must not wait behind entries and other bulk: heartbeats, votes and the replies to them. It may
-  /// overtake all others.
-  bool is_urgent = false;
 };
 
 /// Identifies one call of `propose` or `read` at this replica.
--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -59,9 +59,7 @@
     state_ = static_cast<FleetState*>(&machine);
     if (feed_) feed_->setState(*state_);
   };
-  auto send = [this](const ReplicaId& to, const FleetMessage& message, Lane lane) {
-    return links_.send(to, message, lane);
-  };
+  auto send = [this](const ReplicaId& to, const FleetMessage& message) { return links_.send(to, message); };
   group_ = std::make_unique<GroupHost>(context_, options, make_machine, adopt_machine, send);
   const Status group_started = group_->start();
   if (!isOk(group_started)) return group_started;
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -212,7 +212,7 @@
 
 void GroupHost::receive(const ProposalFrame& frame) {
   auto done = [this, to = frame.from, number = frame.number](const ProposalOutcome& outcome) {
-    send_(to, ProposalReplyFrame{options_.group, number, outcome.result, outcome.reply}, Lane::kBulk);
+    send_(to, ProposalReplyFrame{options_.group, number, outcome.result, outcome.reply});
   };
   proposeHere(frame.command, Proposer{done, monotonicNow() + kReadTimeout}, frame.subject);
 }
@@ -253,7 +253,7 @@
     return;
   }
   const std::uint64_t number = ++last_number_;
-  if (!send_(leader, ProposalFrame{options_.group, options_.self, number, std::move(command), subject}, Lane::kBulk)) {
+  if (!send_(leader, ProposalFrame{options_.group, options_.self, number, std::move(command), subject})) {
     proposer.done(ProposalOutcome{ProposalResult::kNotRun, ""});
     return;
   }
@@ -334,8 +334,7 @@
   }
   for (consensus::PeerMessage& message : replica_->takeMessages()) {
     const ReplicaId to = message.to;
-    const Lane lane = message.is_urgent ? Lane::kUrgent : Lane::kBulk;
-    send_(to, GroupFrame{message.group, std::move(message.from), std::move(message.to), std::move(message.body)}, lane);
+    send_(to, GroupFrame{message.group, std::move(message.from), std::move(message.to), std::move(message.body)});
   }
   for (const consensus::RequestOutcome& outcome : replica_->takeOutcomes()) finish(outcome);
   if (isConfirmedLeader()) noteStartStep("first_commit");
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -14,7 +14,6 @@
 #include "process/consensus/membership_plan.hpp"
 #include "process/consensus/replicated_group.hpp"
 #include "process/fleet/fleet_messages.hpp"
-#include "process/fleet/lane.hpp"
 #include "process/storage/posix_disk.hpp"
 
 namespace hatchfork::fleet {
@@ -52,7 +51,7 @@
   /// Learns of the state machine in use, at the start and whenever the replica is opened anew.
   using MachineAdopter = std::function<void(consensus::StateMachine&)>;
   /// Sends a frame to the replica of that name; false if it was surely not sent.
-  using SendFunction = std::function<bool(const ReplicaId& to, const FleetMessage& message, Lane lane)>;
+  using SendFunction = std::function<bool(const ReplicaId& to, const FleetMessage& message)>;
   using ProposalHandler = std::function<void(ProposalOutcome)>;
   using ReadHandler = std::function<void(bool fresh)>;
 
--- a/src/process/fleet/peer_links.hpp
+++ b/src/process/fleet/peer_links.hpp
@@ -3,17 +3,14 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <utility>
 
 #include "connection/frame_connection.hpp"
 #include "process/fleet/fleet_messages.hpp"
-#include "process/fleet/lane.hpp"
 
 namespace hatchfork::fleet {
 
-/// Links to the other processes of one role, a connection for each lane, made when first used and dropped when unused
-/// for long. Frames to a process that can't be reached are dropped: senders repeat by their own timers. Belongs to one
-/// thread.
+/// Links to the other processes of one role, made when first used and dropped when unused for long. Frames to a
+/// process that can't be reached are dropped: senders repeat by their own timers. Belongs to one thread.
 class PeerLinks {
  public:
   PeerLinks(connection::asio::io_context& context, std::uint16_t port) : context_(context), port_(port) {}
@@ -22,8 +19,8 @@
   ~PeerLinks();
 
   /// False if there is no connection now, so that the frame was surely not sent.
-  bool send(const ReplicaId& to, const FleetMessage& message, Lane lane = Lane::kBulk);
-  /// A frame came from the peer: links to it that wait for their next try connect at once.
+  bool send(const ReplicaId& to, const FleetMessage& message);
+  /// A frame came from the peer: a link to it that waits for its next try connects at once.
   void noteUp(const ReplicaId& peer);
   /// Ends links that carried nothing for a while.
   void dropUnused(Instant now);
@@ -34,13 +31,10 @@
     Instant used_at{};
   };
 
-  /// Returns the link, made if there is none.
-  connection::ReconnectingLink& linkTo(const ReplicaId& to, Lane lane);
-
   connection::asio::io_context& context_;
   std::uint16_t port_;
   std::function<void(const std::string& body)> on_frame_;
-  std::map<std::pair<ReplicaId, Lane>, Link> links_;
+  std::map<ReplicaId, Link> links_;
 };
 
 }  // namespace hatchfork::fleet
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -115,9 +115,7 @@
     kept_crashes_applied_ = 0;
     executor_->setState(*state_);
   };
-  auto send = [this](const ReplicaId& to, const FleetMessage& message, fleet::Lane lane) {
-    return links_.send(to, message, lane);
-  };
+  auto send = [this](const ReplicaId& to, const FleetMessage& message) { return links_.send(to, message); };
   group_ = std::make_unique<fleet::GroupHost>(context_, options, make_machine, adopt_machine, send);
   const Status group_started = group_->start();
   if (!isOk(group_started)) return group_started;
--- a/tests/process/fleet/group_host_test.cpp
+++ b/tests/process/fleet/group_host_test.cpp
@@ -31,7 +31,7 @@
     options.max_log_bytes = kMaxLogBytes;
     host_.emplace(
         context_, options, [] { return std::make_unique<store::JobState>(); }, [](consensus::StateMachine&) {},
-        [](const ReplicaId&, const FleetMessage&, Lane) { return false; });
+        [](const ReplicaId&, const FleetMessage&) { return false; });
     REQUIRE(isOk(host_->start()));
     REQUIRE(runUntil([this] { return host_->isConfirmedLeader(); }));
   }
--- a/tests/process/store/store_group_memory_test.cpp
+++ b/tests/process/store/store_group_memory_test.cpp
@@ -91,7 +91,7 @@
     return [this](consensus::StateMachine& machine) { state_ = static_cast<JobState*>(&machine); };
   }
   static fleet::GroupHost::SendFunction drop() {
-    return [](const ReplicaId&, const fleet::FleetMessage&, fleet::Lane) { return false; };
+    return [](const ReplicaId&, const fleet::FleetMessage&) { return false; };
   }
 
   connection::asio::io_context context_;
--- a/tests/recorded/recorded_group.hpp
+++ b/tests/recorded/recorded_group.hpp
@@ -61,7 +61,7 @@
     return [this](consensus::StateMachine& machine) { state_ = static_cast<fleet::FleetState*>(&machine); };
   }
   static fleet::GroupHost::SendFunction drop() {
-    return [](const ReplicaId&, const fleet::FleetMessage&, fleet::Lane) { return false; };
+    return [](const ReplicaId&, const fleet::FleetMessage&) { return false; };
   }
   bool runUntil(const std::function<bool()>& condition) {
     const Instant give_up = connection::monotonicNow() + std::chrono::seconds(20);
