--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -412,7 +412,7 @@
         ended = fleet.ended_by_themselves()
         if ended:
             record(f"processes ended by themselves: {ended}")
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except Exception as error:  # an error of the script says nothing about the product
         record(f"could not run: {error!r}")
         print("could not run:", repr(error))
         return 2
