--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -334,7 +334,7 @@
 void JobExecutor::giveUpExpired(Instant now) {
   proposeRefusedResults();
   const WallMillis wall = connection::wallNow();
-  std::vector<ItemPtr> expired;
+  std::vector<std::pair<ItemPtr, std::string_view>> expired;
   for (const auto& [id, runs] : items_) {
     const StoredJob* job = state_->find(id);
     if (job == nullptr) continue;
@@ -350,14 +350,20 @@
     const bool too_old =
         route != nullptr && route->retention > Duration::zero() && age > route->retention + kClockMargin;
     if (!route_gone && !too_old) continue;
+    const std::string_view cause = route_gone ? "no route" : "retention passed";
     for (const auto& [item, run] : runs) {
-      if (!run->running && openJob(*run) != nullptr) expired.push_back(run);
+      if (!run->running && openJob(*run) != nullptr) expired.emplace_back(run, cause);
     }
   }
-  for (const ItemPtr& run : expired) {
+  for (const auto& [run, cause] : expired) {
     if (run->stopped) continue;
     run->stopped = true;
-    logEvent(LogLevel::kInfo, "item_given_up", {{"job", run->job.value}, {"request", run->item}});
+    logEvent(LogLevel::kInfo, "item_given_up",
+             {{"job", run->job.value},
+              {"request", run->item},
+              {"cause", cause},
+              {"version", routes_ ? routes_->version() : 0},
+              {"failures", run->failures}});
     finishItem(run, ItemOutcome::kErrored);
   }
   std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
--- a/src/process/store/job_executor_takeover.cpp
+++ b/src/process/store/job_executor_takeover.cpp
@@ -161,6 +161,15 @@
     return;
   }
   run->diverged = run->saved_event > 0 && is_whole;
+  logEvent(LogLevel::kInfo, "run_text_read",
+           {{"job", run->job.value},
+            {"request", run->item},
+            {"run", text.number},
+            {"offset", text.offset},
+            {"bytes", text.text.size()},
+            {"stored_event", run->saved_event},
+            {"stored_bytes", run->saved_bytes},
+            {"last_event", text.last_event}});
   if (is_whole) run->text.clear();
   run->text += text.text;
   run->has_text = text.has_text;
