Accepted items are given up only by a configuration that is proved to be the newest

Cause: `routeOf` gave null for "no configuration has come yet" and for "the configuration has no such route". `giveUpExpired` took both for a removed route, and a store that starts gets no configuration until a control process proves its own to be the newest, which takes a quorum there. The class: an act that can't be undone, decided by a view that is missing, outdated, or older than what it judges. Also: what an earlier leadership had seen of a route counted for a later one.

Change: `JobRoutes` holds the routes and says whether they may decide for good on a job: a control process has proved them to be the newest within 1.5 s, for at least 1 s without a gap (proofs that were delayed with their reader may come late), and they are no older than the configuration under which a gateway accepted the job. That version is a new field of the submission, absent (zero) from older releases. A route counts as removed after 4 s of such views without it. Leaders without such a view go on running and listing what they can.

The stores of item_answers_test are proved their views while time passes, as by control processes; its checks are unchanged.

--- a/src/process/exchange/gateway_program_requests.cpp
+++ b/src/process/exchange/gateway_program_requests.cpp
@@ -158,7 +158,7 @@
       co_return;
     }
     const TenantId submitter = tenant == nullptr ? TenantId() : tenant->id;
-    HttpResponse response = co_await jobs_.submit(*route, submitter, request);
+    HttpResponse response = co_await jobs_.submit(*route, routes->version(), submitter, request);
     co_await writer.send(std::move(response));
     co_return;
   }
--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-Awaitable<HttpResponse> JobApi::submit(const Route& route, const TenantId& tenant,
+Awaitable<HttpResponse> JobApi::submit(const Route& route, std::uint64_t configuration_version, const TenantId& tenant,
                                        const connection::HttpRequest& request) {
   ++counters_.submitted;
   const Instant began = monotonicNow();
@@ -92,6 +92,7 @@
   job.host = std::string(host.substr(0, host.rfind(':')));
   job.path = request.path;
   job.submitted_at = connection::wallNow();
+  job.configuration_version = configuration_version;
   const std::size_t items = job.items.size();
   WaitingLimit limit{route.host, route.prefix, route.most_waiting_tokens, tenant};
   const store::StoreRequest submission = store::SubmitJobRequest{std::move(job), std::move(limit), attempts_()};
@@ -102,6 +103,7 @@
            {{"request", id},
             {"tenant", tenant.value},
             {"route", route.name},
+            {"version", configuration_version},
             {"items", items},
             {"outcome", nameOf(reply)},
             {"cause", unavailable != nullptr ? unavailable->cause : std::string("-")},
--- a/src/process/exchange/job_api.hpp
+++ b/src/process/exchange/job_api.hpp
@@ -31,7 +31,9 @@
       : dialect_(dialect), stores_(stores), attempts_(seed) {}
 
   /// `tenant` of these calls is the caller's tenant, empty for anonymous callers. Jobs of other tenants are not found.
-  connection::Awaitable<connection::HttpResponse> submit(const Route& route, const TenantId& tenant,
+  /// `configuration_version`: that of the configuration with the route.
+  connection::Awaitable<connection::HttpResponse> submit(const Route& route, std::uint64_t configuration_version,
+                                                         const TenantId& tenant,
                                                          const connection::HttpRequest& request);
   connection::Awaitable<connection::HttpResponse> respond(const JobCall& call, const TenantId& tenant,
                                                           const connection::HttpRequest& request);
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -27,8 +27,6 @@
 constexpr Duration kClockMargin = fromMillis(2500);
 /// A finished job is dropped this long after its submission.
 constexpr Duration kFinishedJobRetention = std::chrono::minutes(10);
-/// A route must be missing for this long before the open items of its jobs are given up.
-constexpr Duration kMissingRouteTimeout = std::chrono::seconds(4);
 /// Number of queue entries that one pass examines for an item that may start.
 constexpr std::size_t kMaxExaminedEntries = 64;
 /// Number of started runs after which the trough is planned again.
@@ -63,11 +61,12 @@
 }
 
 /// Runs continue to their end at engines of evacuated zones; no new run starts there.
-void JobExecutor::takeView(const fleet::FleetView& view, const fleet::FleetChange& change) {
-  const Instant now = monotonicNow();
+void JobExecutor::takeView(Instant now, const fleet::FleetView& view, const fleet::FleetChange& change) {
+  routes_.noteProof(now);
+  if (change.isEmpty()) return;
   if (change.routes) {
-    routes_ = view.routes;
-    selector_.setServices(routes_->services());
+    routes_.setTable(view.routes);
+    selector_.setServices(view.routes->services());
     findBatchServices();
   }
   if (change.directory) {
@@ -102,7 +101,11 @@
   const auto failing =
       std::count_if(queue_.begin(), queue_.end(), [](const ItemPtr& run) { return run->failures > 0; });
   logEvent(LogLevel::kInfo, "executor_started",
-           {{"term", term}, {"jobs", items_.size()}, {"waiting", queue_.size()}, {"items_with_failures", failing}});
+           {{"term", term},
+            {"jobs", items_.size()},
+            {"waiting", queue_.size()},
+            {"items_with_failures", failing},
+            {"version", routes_.version()}});
   sendLeases(now);
   pump();
 }
@@ -129,6 +132,7 @@
   saving_ = false;
   text_requests_.clear();
   run_table_.clear();
+  routes_.forgetAll();
 }
 
 void JobExecutor::noteChange(const JobId& id) {
@@ -146,7 +150,7 @@
   if (job.isFinished()) return;
   std::map<std::string, ItemPtr>& runs = items_[job.submission.id];
   const Instant due = dueTimeOf(monotonicNow(), job);
-  const Route* route = routeOf(job);
+  const Route* route = routes_.find(job);
   const ServiceId service = route == nullptr || route->split.empty() ? ServiceId() : route->split.front().service;
   for (const OpaqueItem& item : job.submission.items) {
     if (!job.open_items.contains(item.id) || runs.contains(item.id)) continue;
@@ -171,6 +175,7 @@
     if (run->running) abandonRun(*run);
   }
   items_.erase(found);
+  routes_.forget(job);
   std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
   std::erase_if(parked_, [](const ItemPtr& run) { return run->stopped; });
   sendLeases(connection::monotonicNow());
@@ -206,7 +211,7 @@
 }
 
 void JobExecutor::pump() {
-  if (!leading_ || !routes_) return;
+  if (!leading_ || routes_.table() == nullptr) return;
   const Instant now = monotonicNow();
   if (now < starts_from_) return;
   orderQueue(now);
@@ -220,10 +225,6 @@
   }
 }
 
-const Route* JobExecutor::routeOf(const StoredJob& job) const {
-  return routes_ ? routes_->find(job.submission.host, job.submission.path) : nullptr;
-}
-
 const StoredJob* JobExecutor::openJob(const ItemRun& run) const {
   const StoredJob* job = state_->find(run.job);
   const bool open = job != nullptr && !job->ended && job->open_items.contains(run.item);
@@ -231,7 +232,7 @@
 }
 
 Instant JobExecutor::dueTimeOf(Instant now, const StoredJob& job) {
-  const Route* route = routeOf(job);
+  const Route* route = routes_.find(job);
   if (route == nullptr || route->completion_target == Duration::zero()) return Instant::max();
   run_times_.setInitialEstimate(route->completion_target / kGuessedRunsPerTarget);
   const std::int64_t age_ms = std::max<std::int64_t>(0, connection::wallNow() - job.submission.submitted_at);
@@ -286,7 +287,7 @@
     ++examined;
     if (run->not_before > now || (run->is_inherited && !starts_inherited)) continue;
     const StoredJob* job = openJob(*run);
-    const Route* route = job == nullptr ? nullptr : routeOf(*job);
+    const Route* route = job == nullptr ? nullptr : routes_.find(*job);
     if (job == nullptr || run->stopped) {
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
       return true;
@@ -323,7 +324,7 @@
   request::EngineQuery query;
   query.service = split_.choose(route);
   query.zone = options_.zone;
-  query.zones = request::allowedZones(route, routes_->tenants().find(job.submission.tenant), options_.regions);
+  query.zones = request::allowedZones(route, routes_.table()->tenants().find(job.submission.tenant), options_.regions);
   query.prefix_affinity = route.prefix_affinity;
   query.background = true;
   query.urgency = urgencyOf(monotonicNow(), run);
@@ -331,45 +332,46 @@
   return query;
 }
 
+std::string_view JobExecutor::giveUpCause(Instant now, const StoredJob& job) {
+  if (routes_.isRemoved(now, job)) return "its route was removed";
+  const Route* route = routes_.find(job);
+  if (route == nullptr || route->retention == Duration::zero() || !routes_.isAuthoritative(now, job)) return {};
+  const Duration age = fromMillis(connection::wallNow() - job.submission.submitted_at);
+  return age > route->retention + kClockMargin ? "its retention has passed" : std::string_view();
+}
+
 void JobExecutor::giveUpExpired(Instant now) {
   proposeRefusedResults();
-  const WallMillis wall = connection::wallNow();
   std::vector<std::pair<ItemPtr, std::string_view>> expired;
   for (const auto& [id, runs] : items_) {
     const StoredJob* job = state_->find(id);
     if (job == nullptr) continue;
-    const Route* route = routeOf(*job);
-    if (route != nullptr) {
-      route_missing_since_.erase(id);
-    } else {
-      route_missing_since_.emplace(id, now);
-    }
-    const auto missing = route_missing_since_.find(id);
-    const bool route_gone = missing != route_missing_since_.end() && now > missing->second + kMissingRouteTimeout;
-    const Duration age = fromMillis(wall - job->submission.submitted_at);
-    const bool too_old =
-        route != nullptr && route->retention > Duration::zero() && age > route->retention + kClockMargin;
-    if (!route_gone && !too_old) continue;
-    const std::string_view cause = route_gone ? "no route" : "retention passed";
+    const std::string_view cause = giveUpCause(now, *job);
+    if (cause.empty()) continue;
     for (const auto& [item, run] : runs) {
       if (!run->running && openJob(*run) != nullptr) expired.emplace_back(run, cause);
     }
   }
   for (const auto& [run, cause] : expired) {
-    if (run->stopped) continue;
-    run->stopped = true;
-    logEvent(LogLevel::kInfo, "item_given_up",
-             {{"job", run->job.value},
-              {"request", run->item},
-              {"cause", cause},
-              {"version", routes_ ? routes_->version() : 0},
-              {"failures", run->failures}});
-    finishItem(run, ItemOutcome::kErrored);
+    if (!run->stopped) giveUp(run, cause);
   }
   std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
   std::erase_if(parked_, [](const ItemPtr& run) { return run->stopped; });
 }
 
+void JobExecutor::giveUp(const ItemPtr& run, std::string_view cause) {
+  run->stopped = true;
+  const StoredJob* job = openJob(*run);
+  logEvent(LogLevel::kInfo, "item_given_up",
+           {{"job", run->job.value},
+            {"request", run->item},
+            {"cause", cause},
+            {"version", routes_.version()},
+            {"accepted_under", job == nullptr ? 0 : job->submission.configuration_version},
+            {"failures", run->failures}});
+  finishItem(run, ItemOutcome::kErrored);
+}
+
 void JobExecutor::dropOldJobs() {
   const WallMillis wall = connection::wallNow();
   DropJobs drop;
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -14,6 +14,7 @@
 
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
+#include "process/store/job_routes.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_table.hpp"
 #include "process/store/text_requests.hpp"
@@ -80,7 +81,8 @@
 
   /// Sets the group's state, which must outlive its use here.
   void setState(const JobState& state) { state_ = &state; }
-  void takeView(const fleet::FleetView& view, const fleet::FleetChange& change);
+  /// Takes the view of the fleet; call it for each proof that the view is the newest, also where nothing has changed.
+  void takeView(Instant now, const fleet::FleetView& view, const fleet::FleetChange& change);
   /// Starts or stops running items, with the term of the leadership.
   void setLeading(bool leading, std::uint64_t term);
   /// Notifies the executor that a job was submitted, changed or ended.
@@ -338,6 +340,10 @@
   /// Preempts runs at engines that have more requests than slots; they resume later after their last event.
   void preemptExcessRuns(Instant now);
   void giveUpExpired(Instant now);
+  /// Returns why the open items of a job are to be given up now; empty if they are not.
+  std::string_view giveUpCause(Instant now, const StoredJob& job);
+  /// Lists an item that does not run as errored.
+  void giveUp(const ItemPtr& run, std::string_view cause);
   void dropOldJobs();
   /// Proposes results one proposal at a time, so that runs that end meanwhile share the next one; several at a time
   /// only while results for whole entries are waiting.
@@ -348,7 +354,6 @@
   std::vector<ProposedResult> takeNextResults();
   void proposeRefusedResults();
   const StoredJob* openJob(const ItemRun& run) const;
-  const Route* routeOf(const StoredJob& job) const;
 
   JobExecutorOptions options_;
   const Dialect& dialect_;
@@ -364,7 +369,7 @@
   request::EngineSelector selector_;
   request::WeightedSplit split_;
   const JobState* state_ = nullptr;
-  std::shared_ptr<const RouteTable> routes_;
+  JobRoutes routes_;
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
   bool leading_ = false;
@@ -403,7 +408,6 @@
   std::uint64_t last_saved_run_ = 0;
   /// Generates the names of chains.
   std::mt19937_64 chains_;
-  std::map<JobId, Instant> route_missing_since_;
   Instant next_cleanup_{};
   Instant next_preemption_{};
   JobExecutorCounters counters_;
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -94,7 +94,7 @@
   const auto stored = job->progress.find(run->item);
   if (stored != job->progress.end()) run->failures = stored->second.failures;
   ++counters_.failures_stored;
-  const Route* route = routeOf(*job);
+  const Route* route = routes_.find(*job);
   const std::uint32_t max_attempts = route == nullptr ? 1 : std::max<std::uint32_t>(1, route->most_attempts);
   const bool attempts_used = route != nullptr && run->failures >= max_attempts;
   logEvent(LogLevel::kInfo, "item_failure_kept",
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -109,7 +109,7 @@
             {"online_expected", fmt::format("{:.0f}", verdict.online_expected)},
             {"wave_period_ms", verdict.period ? toMillis(*verdict.period) : 0},
             {"turn", fmt::format("{:.2f}", run->turn)},
-            {"version", routes_->version()}});
+            {"version", routes_.version()}});
   if (send_(runner, fleet::FleetMessage(std::move(order)))) return;
   run_table_.avoid(now, runner);
   run_table_.stop(run->number);
--- a/src/process/store/job_executor_trough.cpp
+++ b/src/process/store/job_executor_trough.cpp
@@ -31,12 +31,12 @@
 }
 
 bool JobExecutor::sharesFairly() const {
-  return options_.load.fair_shares && routes_ && routes_->tenants().size() > 1;
+  return options_.load.fair_shares && routes_.table() != nullptr && routes_.table()->tenants().size() > 1;
 }
 
 void JobExecutor::findBatchServices() {
   batch_services_.clear();
-  for (const Route& route : routes_->routes()) {
+  for (const Route& route : routes_.table()->routes()) {
     if (route.kind != RouteKind::kBatch) continue;
     for (const WeightedService& service : route.split) batch_services_.insert(service.service);
   }
--- a/src/process/store/job_snapshot.cpp
+++ b/src/process/store/job_snapshot.cpp
@@ -35,6 +35,7 @@
   head.host = submission.host;
   head.path = submission.path;
   head.submitted_at = submission.submitted_at;
+  head.configuration_version = submission.configuration_version;
   const Json fields = head;
   for (const auto& [name, value] : fields.items()) {
     if (name == "items") continue;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -186,7 +186,7 @@
     engine_keys_.take(change.engines);
     placement_.takeEngines(now, change.engines);
   }
-  if (!change.isEmpty()) executor_->takeView(view, change);
+  executor_->takeView(now, view, change);
 }
 
 void StoreProgram::applyDirectory(Instant now, const fleet::FleetView& view) {
--- a/src/version/batch_submission.hpp
+++ b/src/version/batch_submission.hpp
@@ -40,10 +40,13 @@
   std::string path;
   /// Wall clock of the accepting gateway, in milliseconds, minus the time that the caller had already waited.
   std::int64_t submitted_at = 0;
+  /// Version of the configuration under which the gateway accepted the job; zero if it is not known.
+  std::uint64_t configuration_version = 0;
   std::vector<OpaqueItem> items;
 };
-/// Defaults apply because logs of older releases have no tenants.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSubmission, id, tenant, host, path, submitted_at, items)
+/// Defaults apply because logs of older releases have neither tenants nor versions of configurations.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSubmission, id, tenant, host, path, submitted_at,
+                                                configuration_version, items)
 
 /// Limit of the tokens of one tenant's unfinished items on one route.
 struct WaitingLimit {
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -28,8 +28,10 @@
 /// An executor whose group and stores are simulated by the test.
 class ExecutorFixture {
  public:
+  /// `document`: the configuration that the executor knows at first; empty for none.
   explicit ExecutorFixture(Duration start_delay = Duration::zero(), std::size_t more_items = 0,
-                           request::LoadFeatures load = {}, std::int64_t age_ms = 0)
+                           request::LoadFeatures load = {}, std::int64_t age_ms = 0,
+                           std::string_view document = kDocument)
       : dialect_(platform::makePlatformDialect()) {
     JobExecutorOptions options;
     options.self = kSelf;
@@ -52,14 +54,14 @@
     };
     executor_ = std::make_unique<JobExecutor>(options, *dialect_, propose, send, crashes_);
     executor_->setState(state_);
-    fleet::FleetView& view = view_;
-    view.routes = valueOf(dialect_->parseRoutes(kDocument));
+    if (!document.empty()) view_.routes = valueOf(dialect_->parseRoutes(std::string(document)));
     EngineRecord engine;
     engine.id = EngineId("e");
     engine.service = ServiceId("s");
     engine.address = "10.0.1.1:80";
     engine.slots = 8;
-    executor_->takeView(view, fleet::FleetChange{true, true, wholeListOf({engine})});
+    executor_->takeView(connection::monotonicNow(), view_,
+                        fleet::FleetChange{!document.empty(), true, wholeListOf({engine})});
     JobSubmission job;
     job.id = JobId("j");
     job.host = "a.example";
@@ -86,7 +88,8 @@
     }
     view_.mixed_services.clear();
     if (builds.size() > 1) view_.mixed_services.insert(ServiceId("s"));
-    executor_->takeView(view_, fleet::FleetChange{false, true, wholeListOf(std::move(engines))});
+    executor_->takeView(connection::monotonicNow(), view_,
+                        fleet::FleetChange{false, true, wholeListOf(std::move(engines))});
   }
 
   /// Sets the stores that may run items, besides this one.
@@ -96,8 +99,15 @@
       fleet::StoreAddress& address = view_.stores.emplace_back();
       address.address = store;
     }
-    executor_->takeView(view_, fleet::FleetChange{true, true, {}});
+    executor_->takeView(connection::monotonicNow(), view_, fleet::FleetChange{true, true, {}});
   }
+  /// Puts a configuration in force.
+  void takeDocument(Instant now, std::string_view document) {
+    view_.routes = valueOf(dialect_->parseRoutes(std::string(document)));
+    executor_->takeView(now, view_, fleet::FleetChange{true, false, {}});
+  }
+  /// Delivers a proof that the view is the newest one.
+  void prove(Instant now) { executor_->takeView(now, view_, {}); }
   /// Returns the leases since the last call, with the stores that they were sent to.
   std::vector<std::pair<ReplicaId, fleet::RunLease>> takeLeases() { return std::exchange(untaken_leases_, {}); }
   /// Delivers a frame of a store.
--- a/tests/process/store/item_answers_test.cpp
+++ b/tests/process/store/item_answers_test.cpp
@@ -64,6 +64,8 @@
       if (now < next_tick_) continue;
       next_tick_ = now + fromMillis(20);
       for (Store& store : stores_) {
+        // The control processes prove the view all the time.
+        store.executor->takeView(now, view(), {});
         store.executor->tick(now);
         store.runner->tick(now);
       }
@@ -107,7 +109,7 @@
     store.executor = std::make_unique<JobExecutor>(options, *dialect_, propose, send, crashes_);
     store.runner = std::make_unique<ItemRunner>(context_, *dialect_, id, send, crashes_);
     store.executor->setState(state_);
-    store.executor->takeView(view(), fleet::FleetChange{true, true, wholeListOf({engine()})});
+    store.executor->takeView(monotonicNow(), view(), fleet::FleetChange{true, true, wholeListOf({engine()})});
     stores_.push_back(std::move(store));
   }
 
--- a/tests/process/store/job_snapshot_test.cpp
+++ b/tests/process/store/job_snapshot_test.cpp
@@ -72,6 +72,7 @@
     made.host = "a.example";
     made.path = "/x/1";
     made.submitted_at = draw(1000);
+    made.configuration_version = static_cast<std::uint64_t>(draw(1000));
     const int items = 1 + draw(kMostItems);
     for (int i = 0; i < items; ++i) {
       made.items.push_back(OpaqueItem{"item-" + std::to_string(i), "/x/1", {{"X-A", text()}}, text(), 10});
@@ -142,6 +143,17 @@
   REQUIRE(cut.snapshot() == state.snapshot());
 }
 
+TEST_CASE("a snapshot keeps under which configuration a job was accepted", "[store][snapshot]") {
+  JobState state;
+  JobSubmission job;
+  job.id = JobId("j");
+  job.configuration_version = 7;
+  state.apply(1, encodeTagged(JobCommand(SubmitJob{job})));
+  JobState copy;
+  REQUIRE(isOk(copy.restore(state.snapshot())));
+  REQUIRE(copy.find(JobId("j"))->submission.configuration_version == 7);
+}
+
 TEST_CASE("a snapshot without its tail is refused", "[store][snapshot]") {
   JobState state;
   state.beginSnapshot();
--- a/tests/recorded/sample.hpp
+++ b/tests/recorded/sample.hpp
@@ -89,6 +89,7 @@
   job.host = "shift.example";
   job.path = "/batch/new";
   job.submitted_at = 1700000000456;
+  job.configuration_version = 4;
   job.items = {item("item-1"), item("item-22")};
   return job;
 }
