Items that were taken up before the first configuration get their due times once it comes

What callers would see: after a restart of the leading store with control out of reach, urgent items run last.

Change: what an item's order follows from its route is set whenever routes come, and left alone while a route is unknown.

Before: "items that a leader took up before its first configuration run in the order of their due times" fails (the first order is not that of the urgent job). After: it passes.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -68,6 +68,9 @@
     routes_.setTable(view.routes);
     selector_.setServices(view.routes->services());
     findBatchServices();
+    for (const auto& [id, runs] : items_) {
+      if (const StoredJob* job = state_->find(id)) applyRoute(now, *job);
+    }
   }
   if (change.directory) {
     std::map<ReplicaId, ZoneId> runners;
@@ -149,21 +152,29 @@
 void JobExecutor::enqueueOpenItems(const StoredJob& job) {
   if (job.isFinished()) return;
   std::map<std::string, ItemPtr>& runs = items_[job.submission.id];
-  const Instant due = dueTimeOf(monotonicNow(), job);
-  const Route* route = routes_.find(job);
-  const ServiceId service = route == nullptr || route->split.empty() ? ServiceId() : route->split.front().service;
   for (const OpaqueItem& item : job.submission.items) {
     if (!job.open_items.contains(item.id) || runs.contains(item.id)) continue;
     auto run = std::make_shared<ItemRun>();
     run->job = job.submission.id;
     run->item = item.id;
-    run->due = due;
     run->tenant = job.submission.tenant;
-    run->service = service;
     loadSavedProgress(*run);
     runs.emplace(item.id, run);
     queue_.push_back(run);
   }
+  applyRoute(monotonicNow(), job);
+  next_order_ = Instant{};
+}
+
+void JobExecutor::applyRoute(Instant now, const StoredJob& job) {
+  const Route* route = routes_.find(job);
+  if (route == nullptr) return;
+  const Instant due = dueTimeOf(now, job, *route);
+  const ServiceId service = route->split.empty() ? ServiceId() : route->split.front().service;
+  for (const auto& [item, run] : items_[job.submission.id]) {
+    run->due = due;
+    run->service = service;
+  }
   next_order_ = Instant{};
 }
 
@@ -231,12 +242,11 @@
   return open ? job : nullptr;
 }
 
-Instant JobExecutor::dueTimeOf(Instant now, const StoredJob& job) {
-  const Route* route = routes_.find(job);
-  if (route == nullptr || route->completion_target == Duration::zero()) return Instant::max();
-  run_times_.setInitialEstimate(route->completion_target / kGuessedRunsPerTarget);
+Instant JobExecutor::dueTimeOf(Instant now, const StoredJob& job, const Route& route) {
+  if (route.completion_target == Duration::zero()) return Instant::max();
+  run_times_.setInitialEstimate(route.completion_target / kGuessedRunsPerTarget);
   const std::int64_t age_ms = std::max<std::int64_t>(0, connection::wallNow() - job.submission.submitted_at);
-  return now + route->completion_target - fromMillis(age_ms);
+  return now + route.completion_target - fromMillis(age_ms);
 }
 
 request::DueItem JobExecutor::dueItemOf(const ItemRun& run) const {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -224,6 +224,8 @@
 
   void stopLeading();
   void enqueueOpenItems(const StoredJob& job);
+  /// Sets what the order of a job's items follows from its route; leaves it as it is while the route is not known.
+  void applyRoute(Instant now, const StoredJob& job);
   void stopItems(const JobId& job);
   void pump();
   /// Calls `pump` now, or has it called by `startWaiting` soon.
@@ -257,7 +259,7 @@
   void discardText(ItemRun& run, std::string_view cause);
   static void dropText(ItemRun& run);
   /// Returns the time at which the job's results are due.
-  Instant dueTimeOf(Instant now, const StoredJob& job);
+  Instant dueTimeOf(Instant now, const StoredJob& job, const Route& route);
   request::DueItem dueItemOf(const ItemRun& run) const;
   double urgencyOf(Instant now, const ItemRun& run) const;
   /// Sorts the queue by the order in which items should run, at most once per `kOrderInterval`.
--- a/tests/process/store/job_executor_routes_test.cpp
+++ b/tests/process/store/job_executor_routes_test.cpp
@@ -191,3 +191,16 @@
     REQUIRE_FALSE(fixture.isGivenUp());
   }
 }
+
+// Guards against urgent items that run last because their leader took them up before it knew their due times.
+TEST_CASE("items that a leader took up before its first configuration run in the order of their due times",
+          "[store][executor][routes]") {
+  LeaderFixture fixture("");
+  JobSubmission urgent = jobOn("x", "z", 1);
+  urgent.submitted_at -= 5000;
+  fixture.apply(SubmitJob{urgent});
+  fixture.executor().setLeading(true, 1);
+  fixture.takeDocument(fixture.now(), documentOf(1, {"x"}));
+  REQUIRE(fixture.orders() == 1);
+  REQUIRE(fixture.lastOrder().job == JobId("z"));
+}
