Items without a route hold up no others

What callers would see: while a route is gone, or not known yet, items of other routes wait behind its items.

Cause: one pass over the queue examines 64 entries, and entries without a route were examined again and again.

Change: such items are held outside the queue until the routes change (`item_undecided` in the log).

Before: "items without a route hold up no others" fails: of 201 items without a route and one with one, none is ordered. After: the one with a route is ordered at once, the others when their route returns.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -1,6 +1,7 @@
 #include "process/store/job_executor.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -71,6 +72,8 @@
     for (const auto& [id, runs] : items_) {
       if (const StoredJob* job = state_->find(id)) applyRoute(now, *job);
     }
+    std::move(undecided_.begin(), undecided_.end(), std::back_inserter(queue_));
+    undecided_.clear();
   }
   if (change.directory) {
     std::map<ReplicaId, ZoneId> runners;
@@ -125,6 +128,7 @@
   items_.clear();
   queue_.clear();
   parked_.clear();
+  undecided_.clear();
   results_.clear();
   refused_results_.clear();
   failures_.clear();
@@ -187,8 +191,7 @@
   }
   items_.erase(found);
   routes_.forget(job);
-  std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
-  std::erase_if(parked_, [](const ItemPtr& run) { return run->stopped; });
+  eraseWaiting([](const ItemPtr& run) { return run->stopped; });
   sendLeases(connection::monotonicNow());
 }
 
@@ -302,7 +305,10 @@
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
       return true;
     }
-    if (route == nullptr) continue;
+    if (route == nullptr) {
+      holdUndecided(run, "no route");
+      return true;
+    }
     request::EngineQuery query = queryOf(*run, *job, *route);
     dropOrphanedText(*run, query.service);
     if (isBoundToBuild(*run, query.service)) query.build = run->build;
@@ -342,6 +348,19 @@
   return query;
 }
 
+void JobExecutor::holdUndecided(const ItemPtr& run, std::string_view cause) {
+  const StoredJob* job = openJob(*run);
+  logEvent(LogLevel::kInfo, "item_undecided",
+           {{"job", run->job.value},
+            {"request", run->item},
+            {"cause", cause},
+            {"version", routes_.version()},
+            {"accepted_under", job == nullptr ? 0 : job->submission.configuration_version},
+            {"failures", run->failures}});
+  std::erase(queue_, run);
+  undecided_.push_back(run);
+}
+
 std::string_view JobExecutor::giveUpCause(Instant now, const StoredJob& job) {
   if (routes_.isRemoved(now, job)) return "its route was removed";
   const Route* route = routes_.find(job);
@@ -365,8 +384,7 @@
   for (const auto& [run, cause] : expired) {
     if (!run->stopped) giveUp(run, cause);
   }
-  std::erase_if(queue_, [](const ItemPtr& run) { return run->stopped; });
-  std::erase_if(parked_, [](const ItemPtr& run) { return run->stopped; });
+  eraseWaiting([](const ItemPtr& run) { return run->stopped; });
 }
 
 void JobExecutor::giveUp(const ItemPtr& run, std::string_view cause) {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -122,7 +122,7 @@
   bool knowsEngine(const EngineId& engine) const { return selector_.knows(engine); }
   bool isServing(const EngineId& engine) const { return selector_.isServing(engine); }
   std::size_t running() const { return runs_.size(); }
-  std::size_t waiting() const { return queue_.size() + parked_.size(); }
+  std::size_t waiting() const { return queue_.size() + parked_.size() + undecided_.size(); }
   const request::TroughScheduler& trough() const { return trough_; }
   const std::set<ServiceId>& batchServices() const { return batch_services_; }
   Duration estimatedRunTime() const { return run_times_.totalRunTime(); }
@@ -245,6 +245,8 @@
   void takeTrial(Instant now, ItemRun& run);
   /// Moves an item during which engines crashed out of the queue until the given time.
   void park(const ItemPtr& run, Instant until);
+  /// Moves an item out of the queue that the routes in force allow neither to run nor to be given up.
+  void holdUndecided(const ItemPtr& run, std::string_view cause);
   /// Moves parked items back to the queue that are due or no longer suspect.
   void releaseParked(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
@@ -333,6 +335,9 @@
   /// Schedules the item again after its failure was stored, or lists it as errored if its attempts are used up.
   void settleFailure(const ProposedFailure& failure);
   void removeFromQueue(const ItemPtr& run);
+  /// Removes the items that don't run from all queues for which `predicate` is true.
+  template <class Predicate>
+  void eraseWaiting(const Predicate& predicate);
   void loadSavedProgress(ItemRun& run) const;
   /// Compares stored progress with the proposed `chain` and `last_event`.
   void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
@@ -381,6 +386,9 @@
   std::deque<ItemPtr> queue_;
   /// Items during which engines crashed, parked outside the queue so that they don't block other items.
   std::vector<ItemPtr> parked_;
+  /// Items that the routes in force allow neither to run nor to be given up, held outside the queue so that they don't
+  /// block other items. They return when the routes change.
+  std::vector<ItemPtr> undecided_;
   Instant next_order_{};
   /// No run starts before this time after a change of leader.
   Instant starts_from_{};
@@ -417,4 +425,11 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+template <class Predicate>
+void JobExecutor::eraseWaiting(const Predicate& predicate) {
+  std::erase_if(queue_, predicate);
+  std::erase_if(parked_, predicate);
+  std::erase_if(undecided_, predicate);
+}
+
 }  // namespace hatchfork::store
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -39,8 +39,7 @@
 }
 
 void JobExecutor::removeFromQueue(const ItemPtr& run) {
-  std::erase(queue_, run);
-  std::erase(parked_, run);
+  eraseWaiting([&run](const ItemPtr& waiting) { return waiting == run; });
 }
 
 void JobExecutor::failPermanently(const ItemPtr& run) {
--- a/src/process/store/job_executor_takeover.cpp
+++ b/src/process/store/job_executor_takeover.cpp
@@ -58,8 +58,7 @@
 }
 
 void JobExecutor::removeStartedItems() {
-  std::erase_if(queue_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
-  std::erase_if(parked_, [](const ItemPtr& run) { return run->running || run->has_outcome; });
+  eraseWaiting([](const ItemPtr& run) { return run->running || run->has_outcome; });
 }
 
 JobExecutor::ItemPtr JobExecutor::itemForOffer(const JobId& id, const std::string& item) const {
--- a/tests/process/store/job_executor_routes_test.cpp
+++ b/tests/process/store/job_executor_routes_test.cpp
@@ -204,3 +204,22 @@
   REQUIRE(fixture.orders() == 1);
   REQUIRE(fixture.lastOrder().job == JobId("z"));
 }
+
+// Guards against items of a route that is gone which keep all later items from running.
+TEST_CASE("items without a route hold up no others", "[store][executor][routes]") {
+  constexpr std::size_t kMoreItems = 200;
+  constexpr Duration kStartDelay = fromMillis(40);
+  LeaderFixture fixture(documentOf(1, {"x", "other"}), 0, kMoreItems, kStartDelay);
+  fixture.executor().setLeading(true, 1);
+  fixture.submit(jobOn("other", "k", 1));
+  fixture.takeDocument(fixture.now(), documentOf(2, {"other"}));
+  ExecutorFixture::waitUntil(connection::monotonicNow() + kStartDelay + fromMillis(5));
+  fixture.executor().tick(connection::monotonicNow());
+  REQUIRE(fixture.orders() == 1);
+  REQUIRE(fixture.lastOrder().job == JobId("k"));
+  REQUIRE(fixture.executor().waiting() == kMoreItems + 1);
+  fixture.takeDocument(fixture.now(), documentOf(3, {"x", "other"}));
+  fixture.report(1, 1, "text", 1, /*whole=*/true);
+  REQUIRE(fixture.orders() == 2);
+  REQUIRE(fixture.lastOrder().job == JobId("j"));
+}
