An item's attempts are used up only by a configuration that is proved to be the newest

Cause: `settleFailure` judged by whatever routes the leader held; and only the end of a run was looked at, so a new leader ordered an item again whose attempts were used up already.

Change: an item whose attempts are used up is neither ordered nor listed until the routes may decide for good on its job; then it is listed, or it runs on if they allow more.

Before: "an item whose attempts are used up by an outdated view is neither run nor given up by it" and "a new leader gives up an item whose attempts are used up without running it again" fail. After: both pass.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -208,6 +208,7 @@
   if (now < next_cleanup_) return;
   next_cleanup_ = now + kCleanupInterval;
   giveUpExpired(now);
+  giveUpFailed(now);
   dropOldJobs();
 }
 
@@ -305,8 +306,8 @@
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
       return true;
     }
-    if (route == nullptr) {
-      holdUndecided(run, "no route");
+    if (route == nullptr || hasUsedAttempts(*run, *route)) {
+      holdUndecided(run, route == nullptr ? "no route" : "its attempts are used up");
       return true;
     }
     request::EngineQuery query = queryOf(*run, *job, *route);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -334,6 +334,10 @@
   void proposeFailures();
   /// Schedules the item again after its failure was stored, or lists it as errored if its attempts are used up.
   void settleFailure(const ProposedFailure& failure);
+  /// True if the item has failed as often as the route in force allows.
+  static bool hasUsedAttempts(const ItemRun& run, const Route& route);
+  /// Lists items as errored that were held because their attempts are used up, if the routes in force may decide that.
+  void giveUpFailed(Instant now);
   void removeFromQueue(const ItemPtr& run);
   /// Removes the items that don't run from all queues for which `predicate` is true.
   template <class Predicate>
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -12,6 +12,10 @@
 
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 
+std::uint32_t mostAttempts(const Route& route) {
+  return std::max<std::uint32_t>(1, route.most_attempts);
+}
+
 }  // namespace
 
 JobExecutor::ItemPtr JobExecutor::openItem(const JobId& id, const std::string& item) const {
@@ -93,24 +97,41 @@
   const auto stored = job->progress.find(run->item);
   if (stored != job->progress.end()) run->failures = stored->second.failures;
   ++counters_.failures_stored;
+  const Instant now = connection::monotonicNow();
   const Route* route = routes_.find(*job);
-  const std::uint32_t max_attempts = route == nullptr ? 1 : std::max<std::uint32_t>(1, route->most_attempts);
-  const bool attempts_used = route != nullptr && run->failures >= max_attempts;
+  const bool is_authoritative = routes_.isAuthoritative(now, *job);
   logEvent(LogLevel::kInfo, "item_failure_kept",
            {{"job", run->job.value},
             {"request", run->item},
             {"run", failure.number},
             {"failures", run->failures},
-            {"most", max_attempts},
+            {"most", route == nullptr ? 0 : mostAttempts(*route)},
+            {"version", routes_.version()},
+            {"authoritative", is_authoritative},
             {"term", term_}});
-  if (attempts_used) {
+  if (route != nullptr && hasUsedAttempts(*run, *route) && is_authoritative) {
     failPermanently(run);
     return;
   }
   if (run->running || run->pending_failures > 0) return;
-  run->not_before = std::max(run->not_before, connection::monotonicNow() + kRetryAfterFailure);
+  run->not_before = std::max(run->not_before, now + kRetryAfterFailure);
   queue_.push_back(run);
   next_order_ = Instant{};
 }
 
+bool JobExecutor::hasUsedAttempts(const ItemRun& run, const Route& route) {
+  return run.failures >= mostAttempts(route);
+}
+
+void JobExecutor::giveUpFailed(Instant now) {
+  const std::vector<ItemPtr> held = undecided_;
+  for (const ItemPtr& run : held) {
+    const StoredJob* job = openJob(*run);
+    const Route* route = job == nullptr ? nullptr : routes_.find(*job);
+    if (route == nullptr || !routes_.isAuthoritative(now, *job)) continue;
+    if (hasUsedAttempts(*run, *route)) giveUp(run, "its attempts are used up");
+  }
+  eraseWaiting([](const ItemPtr& run) { return run->stopped; });
+}
+
 }  // namespace hatchfork::store
--- a/tests/process/store/job_executor_routes_test.cpp
+++ b/tests/process/store/job_executor_routes_test.cpp
@@ -223,3 +223,54 @@
   REQUIRE(fixture.orders() == 2);
   REQUIRE(fixture.lastOrder().job == JobId("j"));
 }
+
+namespace {
+
+constexpr Duration kLongerThanRetryDelay = fromMillis(200);
+
+SaveProgress failuresOf(const std::string& item, std::uint32_t failures) {
+  ItemProgress progress;
+  progress.job = JobId("j");
+  progress.item = item;
+  progress.failures = failures;
+  return SaveProgress{{progress}};
+}
+
+}  // namespace
+
+// Guards against items listed as errored although a newer configuration allows them more attempts.
+TEST_CASE("an item whose attempts are used up by an outdated view is neither run nor given up by it",
+          "[store][executor][routes]") {
+  LeaderFixture fixture("");
+  fixture.executor().setLeading(true, 1);
+  fixture.takeDocument(fixture.now() - std::chrono::seconds(5), documentOf(1, {"x"}, /*most_attempts=*/1));
+  REQUIRE(fixture.orders() == 1);
+  fixture.failLastRun();
+  ExecutorFixture::waitUntil(connection::monotonicNow() + kLongerThanRetryDelay);
+  fixture.passUnproved(std::chrono::seconds(10));
+  REQUIRE_FALSE(fixture.isGivenUp());
+  REQUIRE(fixture.orders() == 1);
+  SECTION("a newer configuration allows more") {
+    fixture.takeDocument(fixture.now(), documentOf(2, {"x"}, /*most_attempts=*/3));
+    REQUIRE(fixture.orders() == 2);
+    fixture.passProved(std::chrono::seconds(5));
+    REQUIRE_FALSE(fixture.isGivenUp());
+  }
+  SECTION("the view is proved to be the newest") {
+    fixture.passProved(std::chrono::seconds(5));
+    REQUIRE(fixture.isGivenUp());
+    REQUIRE(fixture.job().results.front().outcome == ItemOutcome::kErrored);
+    REQUIRE(fixture.orders() == 1);
+  }
+}
+
+// Guards against a further run of an item by each leader that is lost between its last failure and its result.
+TEST_CASE("a new leader gives up an item whose attempts are used up without running it again",
+          "[store][executor][routes]") {
+  LeaderFixture fixture(documentOf(1, {"x"}));
+  fixture.apply(failuresOf("i", 3));
+  fixture.executor().setLeading(true, 1);
+  fixture.passProved(std::chrono::seconds(5));
+  REQUIRE(fixture.orders() == 0);
+  REQUIRE(fixture.isGivenUp());
+}
