Whether a text begins with the stored one is compared, and not remembered by a leader

Cause: `diverged`, `saved_event`, `saved_chain` and `saved_bytes` of the leader's memory say whether an item's text begins with what the group has stored. After a text was dropped, the order of the new run still named the stored progress, and the next leader took the run for its continuation: it asked for the bytes behind the stored ones. The class: a fact that decides how durable state may be used, kept where a change of leader, or a path that forgets to update it, loses it.

Ruled out: the listing of results (the leader that dropped the text lists right texts, and the joins lie at the stored event, not at the last one that arrived), the store that runs the item (its text is right from its first byte).

The same cause elsewhere, each shown by a test that fails on the code before: - a text read whole by one leader, whose run breaks and is ordered again: the next leader joins it ("x1 a2 a3 ..."); no release of engines, nothing dropped; - a run offered late, after another one has replaced it at the same leader: "abcdeXYZfgh"; - text without identifiers that can't be resumed, under one leader, without any loss: "oneONE [DONE]".

Change: nothing of this is remembered any more. What is stored stands in the group's state, and the leader compares the item's text with it when it saves, lists or orders. At a take-over the leader sends a hash of the bytes that it has, and the store that runs the item sends what follows only if its own text begins with the same bytes, else its whole text. So neither an order nor a leader can be wrong about it.

Old and new: fields are added only (`compares_texts` of the summaries, a third entry of a text request). A store of the release before compares nothing and is asked for whole texts; a leader of the release before sends no hash and gets what it asks for, and orders and summaries name stored progress only where the text begins with it, which that release goes by. An order of that release for a run from the beginning is taken for one that continues nothing.

Tests changed: "a new leader asks for the whole text of a run that does not continue the stored one" asked the leader for a decision that the store now makes; in its place stand one test of the leader (lists the whole text that the store sends) and one of the store (sends it for other bytes, and for more bytes than it has).

--- a/src/process/fleet/run_messages.cpp
+++ b/src/process/fleet/run_messages.cpp
@@ -1,5 +1,7 @@
 #include "process/fleet/run_messages.hpp"
 
+#include <xxhash.h>
+
 namespace hatchfork::fleet {
 
 request::RequestFingerprint contentOf(const TenantId& tenant, const std::string& host, const OpaqueItem& item) {
@@ -16,4 +18,8 @@
   return request::parsePromptShape(parts, usage);
 }
 
+std::uint64_t textHashOf(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
 }  // namespace hatchfork::fleet
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,8 @@
 request::RequestFingerprint contentOf(const TenantId& tenant, const std::string& host, const OpaqueItem& item);
 /// The prompt that an item's headers describe.
 request::PromptShape promptOf(const HeaderNames& names, const OpaqueItem& item);
+/// A hash by which two processes compare texts of one item; the same in all releases.
+std::uint64_t textHashOf(std::string_view text);
 
 /// How a run of an item ended.
 enum class RunEnd : std::uint8_t {
@@ -82,8 +85,10 @@
   /// There is text already, so that what comes next follows on a line feed; and that text, for an offer.
   bool has_text = false;
   std::string text;
-  /// Chain of runs that this one continues, and what the group kept of the item when it was ordered.
+  /// Chain of runs that this one continues.
   std::uint64_t chain = 0;
+  /// The stored progress that the text begins with; zero if it begins with none. Leaders of older releases also name
+  /// progress that the text does not begin with.
   std::uint64_t saved_event = 0;
   std::uint64_t saved_chain = 0;
   /// See `RunLease::reads_summaries`.
@@ -97,15 +102,21 @@
 /// A leader's request for the text of a run that a store has summarised.
 struct TextRequest {
   std::uint64_t number = 0;
-  /// Bytes at the start of the text that the leader has already.
+  /// Bytes of the text that the leader has already, which may or may not be the start of the run's text.
   std::uint64_t offset = 0;
+  /// Hash of these bytes. If the run's text begins with other bytes, the store sends the whole text. Absent from
+  /// leaders of older releases, which get the text from `offset` on.
+  std::optional<std::uint64_t> start_hash;
 };
 inline void to_json(nlohmann::json& json, const TextRequest& request) {
   json = nlohmann::json::array({request.number, request.offset});
+  if (request.start_hash) json.push_back(*request.start_hash);
 }
 inline void from_json(const nlohmann::json& json, TextRequest& request) {
   json.at(0).get_to(request.number);
   json.at(1).get_to(request.offset);
+  request.start_hash.reset();
+  if (json.size() > 2) request.start_hash = json.at(2).get<std::uint64_t>();
 }
 
 /// The leader's heartbeat to the stores that run items for it, with what it asks of their runs.
@@ -237,7 +248,7 @@
   /// Build that wrote the text; empty if it is not known.
   EngineBuild build;
   std::uint64_t chain = 0;
-  /// What the group had stored of the item when the run was ordered.
+  /// See `RunOrder`; for leaders of older releases, which ask for the text after that progress.
   std::uint64_t saved_event = 0;
   std::uint64_t saved_chain = 0;
   /// Bytes and last event of the item's whole text so far; zero events where it can't be resumed.
@@ -272,8 +283,10 @@
   /// Term of the leader that it is sent to.
   std::uint64_t term = 0;
   std::vector<RunSummary> runs;
+  /// The store compares the start of a text with the hash of a request; false from older releases.
+  bool compares_texts = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunSummaries, from, term, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunSummaries, from, term, runs, compares_texts)
 
 /// The text of a run that a leader asked for, and the run's state. Later news go on from it.
 struct RunText {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -72,6 +72,11 @@
   if (order.term < term_) return;
   setLeader(order.from, order.term, order.reads_summaries);
   if (runs_.contains(order.number)) return;
+  // Leaders of older releases name the stored progress even if they have dropped the text that begins with it.
+  if (!order.has_text) {
+    order.saved_event = 0;
+    order.saved_chain = 0;
+  }
   auto run = std::make_shared<Run>();
   run->news.number = order.number;
   run->has_text = order.has_text;
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -117,7 +117,8 @@
   /// Returns the run's offer without its text.
   static fleet::OfferedRun offerOf(const Run& run);
   static fleet::RunSummary summaryOf(const fleet::OfferedRun& run, std::uint64_t text_bytes);
-  static fleet::RunText textOf(const fleet::OfferedRun& run, const std::string& text, std::uint64_t offset);
+  /// Returns the text after the bytes that the leader has, or the whole text if it does not begin with these bytes.
+  static fleet::RunText textOf(const fleet::OfferedRun& run, const std::string& text, const fleet::TextRequest& wanted);
   static void clearNews(Run& run);
   /// Offers a new leader the runs in flight here and those that ended recently.
   void offerRuns(bool reads_summaries);
--- a/src/process/store/item_runner_retention.cpp
+++ b/src/process/store/item_runner_retention.cpp
@@ -94,7 +94,10 @@
 }
 
 void ItemRunner::sendSummaries() {
-  fleet::RunSummaries summaries{self_, term_, {}};
+  fleet::RunSummaries summaries;
+  summaries.from = self_;
+  summaries.term = term_;
+  summaries.compares_texts = true;
   for (const auto& [number, run] : runs_) summaries.runs.push_back(summaryOf(offerOf(*run), run->text.size()));
   for (const EndedRun& ended : ended_runs_) {
     summaries.runs.push_back(summaryOf(ended.offer, ended.offer.text.size()));
@@ -117,20 +120,24 @@
     Run& run = *running->second;
     if (!std::exchange(run.is_withheld, false)) return std::nullopt;
     clearNews(run);
-    return textOf(offerOf(run), run.text, wanted.offset);
+    return textOf(offerOf(run), run.text, wanted);
   }
   const auto ended = std::find_if(ended_runs_.begin(), ended_runs_.end(),
                                   [&](const EndedRun& entry) { return entry.offer.number == wanted.number; });
   withheld_ends_.erase(wanted.number);
   if (ended == ended_runs_.end()) return std::nullopt;
-  return textOf(ended->offer, ended->offer.text, wanted.offset);
+  return textOf(ended->offer, ended->offer.text, wanted);
 }
 
-fleet::RunText ItemRunner::textOf(const fleet::OfferedRun& run, const std::string& text, std::uint64_t offset) {
+fleet::RunText ItemRunner::textOf(const fleet::OfferedRun& run, const std::string& text,
+                                  const fleet::TextRequest& wanted) {
+  const std::uint64_t offset = std::min<std::uint64_t>(wanted.offset, text.size());
+  const std::string_view start = std::string_view(text).substr(0, offset);
+  const bool begins_alike = offset == wanted.offset && fleet::textHashOf(start) == wanted.start_hash;
   fleet::RunText sent;
   sent.number = run.number;
   sent.sequence = run.sequence;
-  sent.offset = std::min<std::uint64_t>(offset, text.size());
+  sent.offset = begins_alike || !wanted.start_hash ? offset : 0;
   sent.text = text.substr(sent.offset);
   sent.has_text = run.has_text;
   sent.last_event = run.last_event;
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -146,18 +146,11 @@
     Instant build_full_since{};
     /// True if the last run ended there by a closed connection, which does not prove that the text is whole.
     bool after_close = false;
-    /// Last event and number of bytes of the text that the group has stored.
-    std::uint64_t saved_event = 0;
-    std::size_t saved_bytes = 0;
     Instant next_save{};
-    /// Chain that the stored progress belongs to, and chain of the run that is in flight or ended last, whose text
-    /// continues that of the runs before it.
-    std::uint64_t saved_chain = 0;
+    /// Chain of the run that is in flight or ended last, whose text continues that of the runs before it.
     std::uint64_t chain = 0;
     /// Chain of an adopted run whose text has not arrived yet.
     std::uint64_t adopted_chain = 0;
-    /// True if the group has stored progress of another chain: the result is then listed with its whole text.
-    bool diverged = false;
     /// Number of failed runs that the group has stored.
     std::uint32_t failures = 0;
     /// Number of failures that are being proposed; the item is not ordered before they are stored.
@@ -205,11 +198,11 @@
   };
   using ItemPtr = std::shared_ptr<ItemRun>;
   using RunEnd = fleet::RunEnd;
-  /// Progress of a run that is being proposed.
-  struct ProposedProgress {
-    ItemPtr run;
+  /// The beginning of an item's text that the group has stored; all zero if it has stored none.
+  struct StoredStart {
+    std::uint64_t event = 0;
     std::uint64_t chain = 0;
-    std::uint64_t last_event = 0;
+    std::size_t bytes = 0;
   };
   /// A failed run that is being proposed, and its item.
   struct ProposedFailure {
@@ -257,7 +250,7 @@
   /// Records that the engines of the item's build have no room. Drops the text after a while, since engines of other
   /// builds may have room.
   void noteFullBuild(Instant now, ItemRun& run);
-  /// Drops text that the group may have stored.
+  /// Drops an item's text, whose beginning the group may have stored, and logs why.
   void discardText(ItemRun& run, std::string_view cause);
   static void dropText(ItemRun& run);
   /// Returns the time at which the job's results are due.
@@ -294,13 +287,12 @@
   ItemPtr itemForOffer(const JobId& job, const std::string& item) const;
   void adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered);
   /// Adopts a run whose text is requested later. Until then the item has the text that the group has stored.
-  void adoptSummary(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::RunSummary& summary);
+  /// `compares_texts`: see `RunSummaries`.
+  void adoptSummary(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::RunSummary& summary,
+                    bool compares_texts);
   /// Records the item as running in an adopted run.
   void noteAdopted(Instant now, const ItemPtr& run, std::uint64_t number, const EngineId& engine,
                    const EngineBuild& build);
-  /// True if the text of a run of an earlier leader is certain to continue the stored progress.
-  static bool continuesSaved(const ItemRun& run, std::uint64_t chain, std::uint64_t last_event,
-                             std::uint64_t saved_event, std::uint64_t saved_chain);
   /// Removes items that are in flight or have an outcome from the queues.
   void removeStartedItems();
   /// Requests the next texts of adopted runs, as many as may be under way at once.
@@ -342,9 +334,13 @@
   /// Removes the items that don't run from all queues for which `predicate` is true.
   template <class Predicate>
   void eraseWaiting(const Predicate& predicate);
+  /// Sets the item to the progress that the group has stored, from which the next run resumes.
   void loadSavedProgress(ItemRun& run) const;
-  /// Compares stored progress with the proposed `chain` and `last_event`.
-  void noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const;
+  /// Returns the text that the group has stored of the item, with its last event; null if it has stored none.
+  const ItemRunProgress* storedProgress(const ItemRun& run) const;
+  /// Returns what the group has stored if the item's text begins with it, else nothing: the text then can't be added to
+  /// the stored one.
+  std::optional<StoredStart> storedStart(const ItemRun& run) const;
   void preemptRun(const ItemPtr& run, const std::string& cause);
   /// True while the known loads may contain adopted runs as load of the previous leader, besides their own.
   bool mayCountRunsTwice(Instant now) const;
--- a/src/process/store/job_executor_builds.cpp
+++ b/src/process/store/job_executor_builds.cpp
@@ -41,16 +41,12 @@
             {"build", run.build.value},
             {"last_event", run.last_event.value_or(0)},
             {"cause", cause}});
-  // The group keeps the progress of the dropped text, also what is being proposed now, so the result is listed with its
-  // whole text.
-  run.diverged = true;
   dropText(run);
 }
 
 void JobExecutor::dropText(ItemRun& run) {
   run.last_event.reset();
   run.after_close = false;
-  run.saved_bytes = 0;
   run.text.clear();
   run.events = 0;
   run.has_text = false;
--- a/src/process/store/job_executor_results.cpp
+++ b/src/process/store/job_executor_results.cpp
@@ -5,7 +5,9 @@
 #include "common/log.hpp"
 #include "process/store/job_executor.hpp"
 
-// Storing the progress of running items in the group, and proposing results.
+// Storing the progress of running items in the group, and proposing results. Whether an item's text begins with the
+// stored one is compared each time and not remembered: texts are dropped and replaced, and a new leader remembers
+// nothing.
 namespace hatchfork::store {
 
 namespace {
@@ -22,43 +24,40 @@
 
 }  // namespace
 
-/// Sets the item to the progress that the group has stored, from which the next run resumes.
 void JobExecutor::loadSavedProgress(ItemRun& run) const {
+  dropText(run);
   const StoredJob* job = state_->find(run.job);
-  const auto stored = job->progress.find(run.item);
-  if (stored == job->progress.end()) return;
-  run.failures = stored->second.failures;
-  if (stored->second.last_event == 0) return;
-  run.saved_event = stored->second.last_event;
-  run.saved_bytes = stored->second.text.size();
-  run.saved_chain = stored->second.chain;
-  run.build = stored->second.build;
-  run.last_event = run.saved_event;
-  run.text = stored->second.text;
+  if (job == nullptr) return;
+  const auto progress = job->progress.find(run.item);
+  if (progress != job->progress.end()) run.failures = progress->second.failures;
+  const ItemRunProgress* stored = storedProgress(run);
+  if (stored == nullptr) return;
+  run.build = stored->build;
+  run.last_event = stored->last_event;
+  run.text = stored->text;
   run.has_text = true;
   run.events = eventsIn(run.text);
 }
 
-/// Called after a save. If other progress than the proposed one is stored, the text no longer continues it.
-void JobExecutor::noteSavedProgress(ItemRun& run, std::uint64_t chain, std::uint64_t last_event) const {
+const ItemRunProgress* JobExecutor::storedProgress(const ItemRun& run) const {
   const StoredJob* job = state_->find(run.job);
-  if (job == nullptr) return;
-  const auto stored = job->progress.find(run.item);
-  if (stored == job->progress.end()) return;
-  if (stored->second.chain == chain && stored->second.last_event == last_event) {
-    run.saved_event = last_event;
-    run.saved_bytes = stored->second.text.size();
-    run.saved_chain = chain;
-    return;
-  }
-  run.diverged =
-      run.diverged || stored->second.chain != run.saved_chain || stored->second.last_event != run.saved_event;
+  if (job == nullptr) return nullptr;
+  const auto progress = job->progress.find(run.item);
+  // Without an event, only failures are stored.
+  const bool has_text = progress != job->progress.end() && progress->second.last_event > 0;
+  return has_text ? &progress->second : nullptr;
+}
+
+std::optional<JobExecutor::StoredStart> JobExecutor::storedStart(const ItemRun& run) const {
+  const ItemRunProgress* stored = storedProgress(run);
+  if (stored == nullptr) return StoredStart{};
+  if (!run.has_text || !run.text.starts_with(stored->text)) return std::nullopt;
+  return StoredStart{stored->last_event, stored->chain, stored->text.size()};
 }
 
 void JobExecutor::saveProgress(Instant now) {
   if (saving_) return;
   SaveProgress save;
-  std::vector<ProposedProgress> saved;
   std::size_t bytes = 0;
   // Continues after the run that was examined last, so that no run is skipped for long.
   auto next = runs_.upper_bound(last_saved_run_);
@@ -66,28 +65,26 @@
     if (next == runs_.end()) next = runs_.begin();
     last_saved_run_ = next->first;
     const ItemPtr& run = next->second;
-    const bool has_news = !run->diverged && run->last_event && *run->last_event > run->saved_event;
-    if (!has_news || now < run->next_save) continue;
+    if (!run->last_event || now < run->next_save) continue;
+    const std::optional<StoredStart> stored = storedStart(*run);
+    if (!stored || *run->last_event <= stored->event) continue;
     run->next_save = now + kSaveInterval;
     save.items.push_back({run->job,
                           run->item,
-                          run->saved_event,
-                          run->saved_chain,
+                          stored->event,
+                          stored->chain,
                           *run->last_event,
                           run->chain,
-                          run->text.substr(run->saved_bytes),
+                          run->text.substr(stored->bytes),
                           run->failures,
                           {},
                           run->build});
-    saved.push_back({run, run->chain, *run->last_event});
     bytes += save.items.back().text.size();
   }
   if (save.items.empty()) return;
   saving_ = true;
-  propose_(std::move(save), [this, alive = alive_, saved = std::move(saved), term = term_](bool) {
-    if (!*alive || !leading_ || term != term_) return;
-    saving_ = false;
-    for (const ProposedProgress& entry : saved) noteSavedProgress(*entry.run, entry.chain, entry.last_event);
+  propose_(std::move(save), [this, alive = alive_, term = term_](bool) {
+    if (*alive && leading_ && term == term_) saving_ = false;
   });
 }
 
@@ -104,10 +101,10 @@
   result.result.id = run.item;
   result.result.outcome = outcome;
   if (outcome == ItemOutcome::kErrored) return result;
-  const bool whole = whole_text || run.diverged || run.saved_event == 0;
-  result.after_event = whole ? 0 : run.saved_event;
-  result.after_chain = whole ? 0 : run.saved_chain;
-  result.result.text = whole ? run.text : run.text.substr(run.saved_bytes);
+  const StoredStart stored = whole_text ? StoredStart{} : storedStart(run).value_or(StoredStart{});
+  result.after_event = stored.event;
+  result.after_chain = stored.chain;
+  result.result.text = run.text.substr(stored.bytes);
   return result;
 }
 
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -82,8 +82,9 @@
   order.has_text = run->has_text;
   order.text = run->text;
   order.chain = run->chain;
-  order.saved_event = run->saved_event;
-  order.saved_chain = run->saved_chain;
+  const StoredStart stored = storedStart(*run).value_or(StoredStart{});
+  order.saved_event = stored.event;
+  order.saved_chain = stored.chain;
   order.reads_summaries = true;
   takeTrial(now, *run);
   run->is_hold_logged = false;
--- a/src/process/store/job_executor_takeover.cpp
+++ b/src/process/store/job_executor_takeover.cpp
@@ -42,7 +42,7 @@
       if (!summary.ended) run_table_.refuse(summaries.from, summary.number);
       continue;
     }
-    adoptSummary(now, summaries.from, run, summary);
+    adoptSummary(now, summaries.from, run, summary, summaries.compares_texts);
     ++adopted;
   }
   adopted_ += adopted;
@@ -71,14 +71,6 @@
   return is_free && openJob(*run) != nullptr ? run : nullptr;
 }
 
-/// It does if the stored progress was reported by this same run, or if none was stored since the run was ordered.
-bool JobExecutor::continuesSaved(const ItemRun& run, std::uint64_t chain, std::uint64_t last_event,
-                                 std::uint64_t saved_event, std::uint64_t saved_chain) {
-  const bool same_run = run.saved_chain == chain && run.saved_event <= last_event;
-  const bool nothing_since = run.saved_chain == saved_chain && run.saved_event == saved_event;
-  return same_run || nothing_since;
-}
-
 void JobExecutor::noteAdopted(Instant now, const ItemPtr& run, std::uint64_t number, const EngineId& engine,
                               const EngineBuild& build) {
   run->running = true;
@@ -95,9 +87,6 @@
 
 /// The offered text is complete up to its last event, so it replaces the stored progress.
 void JobExecutor::adoptRun(Instant now, const ReplicaId& runner, const ItemPtr& run, const fleet::OfferedRun& offered) {
-  const bool continues =
-      continuesSaved(*run, offered.chain, offered.last_event, offered.saved_event, offered.saved_chain);
-  run->diverged = run->saved_event > 0 && !continues;
   run->chain = offered.chain;
   run->runner = runner;
   run->text = offered.text;
@@ -115,13 +104,16 @@
 }
 
 void JobExecutor::adoptSummary(Instant now, const ReplicaId& runner, const ItemPtr& run,
-                               const fleet::RunSummary& summary) {
-  const bool continues =
-      continuesSaved(*run, summary.chain, summary.last_event, summary.saved_event, summary.saved_chain);
-  const bool has_start = continues && run->saved_event > 0 && run->saved_bytes <= summary.text_bytes;
+                               const fleet::RunSummary& summary, bool compares_texts) {
+  // The item may have run here since its progress was stored.
+  loadSavedProgress(*run);
   NeededText needed;
   needed.runner = runner;
-  needed.request = fleet::TextRequest{summary.number, has_start ? run->saved_bytes : 0};
+  needed.request.number = summary.number;
+  if (compares_texts && run->has_text && run->text.size() <= summary.text_bytes) {
+    needed.request.offset = run->text.size();
+    needed.request.start_hash = fleet::textHashOf(run->text);
+  }
   needed.bytes = summary.text_bytes - needed.request.offset;
   run->runner = runner;
   run->adopted_chain = summary.chain;
@@ -152,22 +144,21 @@
 
 void JobExecutor::takeText(const ItemPtr& run, const fleet::RunText& text) {
   const bool is_whole = text.offset == 0;
-  const bool continues = text.offset == text_requests_.offsetOf(text.number) && text.offset == run->saved_bytes;
+  const bool continues = text.offset == text_requests_.offsetOf(text.number) && text.offset == run->text.size();
   text_requests_.remove(text.number);
   if (!is_whole && !continues) {
     run_table_.stop(text.number);
     endRun(run, RunEnd::kBroken, request::EngineVerdict::kNeutral, "text does not continue the stored one");
     return;
   }
-  run->diverged = run->saved_event > 0 && is_whole;
   logEvent(LogLevel::kInfo, "run_text_read",
            {{"job", run->job.value},
             {"request", run->item},
             {"run", text.number},
             {"offset", text.offset},
             {"bytes", text.text.size()},
-            {"stored_event", run->saved_event},
-            {"stored_bytes", run->saved_bytes},
+            {"stored_event", run->last_event.value_or(0)},
+            {"stored_bytes", run->text.size()},
             {"last_event", text.last_event}});
   if (is_whole) run->text.clear();
   run->text += text.text;
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -48,7 +48,7 @@
             },
             crashes_) {}
 
-  void order(std::uint64_t term, std::uint64_t number, std::uint64_t last_event) {
+  void order(std::uint64_t term, std::uint64_t number, std::uint64_t last_event, std::uint64_t saved_event = 0) {
     RunOrder made;
     made.from = kLeader;
     made.term = term;
@@ -62,6 +62,8 @@
     made.has_text = last_event > 0;
     made.text = last_event > 0 ? "before" : "";
     made.chain = 5;
+    made.saved_event = saved_event;
+    made.saved_chain = saved_event > 0 ? 4 : 0;
     runner_.take(std::move(made));
   }
   ItemRunner& runner() { return runner_; }
@@ -307,7 +309,7 @@
   REQUIRE(fixture.reports().back().running == std::vector<std::uint64_t>{7});
   REQUIRE(fixture.news().size() == reported);
   RunLease lease = summaryLease(2);
-  lease.wanted_texts = {{7, std::string("before").size()}};
+  lease.wanted_texts = {{7, std::string("before").size(), fleet::textHashOf("before")}};
   fixture.runner().take(lease);
   // A second request finds nothing, since the text was sent.
   fixture.runner().take(lease);
@@ -321,6 +323,48 @@
   REQUIRE_FALSE(text.ended);
 }
 
+TEST_CASE("a leader gets the whole text of a run whose text does not begin with the bytes that it has",
+          "[store][runner][takeover]") {
+  RunnerFixture fixture(eventStream(/*whole=*/false));
+  fixture.order(1, 7, /*last_event=*/2);
+  fixture.waitForNews(1);
+  fixture.runner().take(summaryLease(2));
+  REQUIRE(fixture.summaries().front().compares_texts);
+  RunLease lease = summaryLease(2);
+  SECTION("other bytes") {
+    lease.wanted_texts = {{7, 6, fleet::textHashOf("BEFORE")}};
+  }
+  SECTION("more bytes than the run has") {
+    lease.wanted_texts = {{7, 600, fleet::textHashOf(std::string(600, 'x'))}};
+  }
+  fixture.runner().take(lease);
+  const fleet::RunText& text = fixture.texts().front().texts.front();
+  REQUIRE(text.offset == 0);
+  REQUIRE(text.text == "before\nthree\nfour");
+}
+
+TEST_CASE("a leader of an older release, which sends no hash, gets the text from where it asks",
+          "[store][runner][takeover][upgrade]") {
+  RunnerFixture fixture(eventStream(/*whole=*/false));
+  fixture.order(1, 7, /*last_event=*/2);
+  fixture.waitForNews(1);
+  fixture.runner().take(summaryLease(2));
+  RunLease lease = summaryLease(2);
+  lease.wanted_texts = {{7, 6, std::nullopt}};
+  fixture.runner().take(lease);
+  REQUIRE(fixture.texts().front().texts.front().offset == 6);
+}
+
+// Guards against leaders of an older release that add a run from the beginning to the text that was dropped before it.
+TEST_CASE("a run from the beginning is offered as one that continues nothing, whatever its order names",
+          "[store][runner][takeover][upgrade]") {
+  RunnerFixture fixture(eventStream(/*whole=*/false));
+  fixture.order(1, 7, /*last_event=*/0, /*saved_event=*/5);
+  fixture.runner().take(summaryLease(2));
+  REQUIRE(fixture.summaries().front().runs.front().saved_event == 0);
+  REQUIRE(fixture.summaries().front().runs.front().saved_chain == 0);
+}
+
 TEST_CASE("a run that ends before its leader has asked for its text counts as running until then",
           "[store][runner][takeover]") {
   RunnerFixture fixture(eventStream(/*whole=*/true));
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -43,6 +43,32 @@
   REQUIRE(fixture.job().results.front().text == "one\nTWO\nthree");
 }
 
+// Guards against results that contain the stored text twice, before and inside the text of the run that began anew.
+TEST_CASE("an item that begins anew because its text can't be resumed is listed with its new text alone",
+          "[store][executor]") {
+  ExecutorFixture fixture;
+  fixture.executor().setLeading(true, 1);
+  fixture.report(1, 1, "one", 1, false);
+  fixture.executor().tick(connection::monotonicNow());
+  fixture.endProposal(true);  // The progress up to event 1 is stored.
+  // An event without an identifier: no run can resume after it.
+  RunNews news;
+  news.number = fixture.lastOrder().number;
+  news.sequence = 2;
+  news.text = "\n[DONE]";
+  news.ended = true;
+  news.end = fleet::RunEnd::kBroken;
+  fixture.executor().take(RunReport{kSelf, 1, {news}, {}});
+  ExecutorFixture::waitUntil(connection::monotonicNow() + fromMillis(200));
+  fixture.executor().tick(connection::monotonicNow());
+  REQUIRE(fixture.orders() == 2);
+  REQUIRE(fixture.lastOrder().last_event == 0);
+  REQUIRE(fixture.lastOrder().saved_event == 0);
+  fixture.report(1, 1, "ONE\n[DONE]", 0, true);
+  while (fixture.proposals() > 0) fixture.endProposal(true);
+  REQUIRE(fixture.job().results.front().text == "ONE\n[DONE]");
+}
+
 TEST_CASE("a report of an older term is ignored", "[store][executor]") {
   ExecutorFixture fixture;
   fixture.executor().setLeading(true, 1);
--- a/tests/process/store/take_over_test.cpp
+++ b/tests/process/store/take_over_test.cpp
@@ -176,7 +176,7 @@
   summary.text_bytes = 8;
   summary.last_event = 6;
   summary.ended = ended;
-  return fleet::RunSummaries{kRunner, 2, {summary}};
+  return fleet::RunSummaries{kRunner, 2, {summary}, /*compares_texts=*/true};
 }
 
 fleet::RunTexts texts(std::uint64_t offset, const std::string& text, bool ended) {
@@ -204,13 +204,13 @@
 }
 
 /// A new leader that has taken the summary of a run.
-std::unique_ptr<ExecutorFixture> newLeader(std::uint64_t stored_chain, bool ended) {
+std::unique_ptr<ExecutorFixture> newLeader(const fleet::RunSummaries& sent) {
   auto fixture = std::make_unique<ExecutorFixture>(std::chrono::hours(1));
   fixture->setStores({kRunner});
-  fixture->apply(storedProgress(stored_chain));
+  fixture->apply(storedProgress(kChain));
   fixture->executor().setLeading(true, 2);
   fixture->takeLeases();
-  fixture->deliver(summaries(ended));
+  fixture->deliver(sent);
   return fixture;
 }
 
@@ -229,9 +229,11 @@
 
 TEST_CASE("a new leader asks for a text from where the stored one ends, and lists only what follows",
           "[store][takeover]") {
-  const auto fixture = newLeader(kChain, /*ended=*/false);
+  const auto fixture = newLeader(summaries(/*ended=*/false));
   REQUIRE(fixture->executor().running() == 1);
-  REQUIRE(wantedText(*fixture).offset == 5);
+  const fleet::TextRequest wanted = wantedText(*fixture);
+  REQUIRE(wanted.offset == 5);
+  REQUIRE(wanted.start_hash == fleet::textHashOf("abcde"));
   fixture->deliver(texts(5, "fgh", /*ended=*/false));
   fixture->deliver(reportOf(4, "ijk", /*whole=*/true));
   REQUIRE(fixture->listedByOldest() == std::pair<std::size_t, std::size_t>{6, 1});
@@ -247,17 +249,63 @@
   REQUIRE(is_told);
 }
 
-TEST_CASE("a new leader asks for the whole text of a run that does not continue the stored one", "[store][takeover]") {
-  const auto fixture = newLeader(kChain + 1, /*ended=*/true);
-  REQUIRE(wantedText(*fixture).offset == 0);
+TEST_CASE("a new leader lists the whole text of a run that does not begin with the stored one", "[store][takeover]") {
+  const auto fixture = newLeader(summaries(/*ended=*/true));
+  // The store finds that its text begins with other bytes, and sends all of it.
+  REQUIRE(wantedText(*fixture).start_hash == fleet::textHashOf("abcde"));
   fixture->deliver(texts(0, "ABCDEFGH", /*ended=*/true));
   REQUIRE(fixture->listedByOldest() == std::pair<std::size_t, std::size_t>{8, 1});
   fixture->endProposal(true);
   REQUIRE(fixture->job().results.front().text == "ABCDEFGH");
 }
 
+TEST_CASE("a new leader asks a store of an older release, which compares no texts, for whole texts",
+          "[store][takeover][upgrade]") {
+  fleet::RunSummaries sent = summaries(/*ended=*/true);
+  sent.compares_texts = false;
+  const auto fixture = newLeader(sent);
+  const fleet::TextRequest wanted = wantedText(*fixture);
+  REQUIRE(wanted.offset == 0);
+  REQUIRE_FALSE(wanted.start_hash);
+  SECTION("it begins with the stored one") {
+    fixture->deliver(texts(0, "abcdefgh", /*ended=*/true));
+    REQUIRE(fixture->listedByOldest() == std::pair<std::size_t, std::size_t>{3, 1});
+    fixture->endProposal(true);
+    REQUIRE(fixture->job().results.front().text == "abcdefgh");
+  }
+  SECTION("it does not") {
+    fixture->deliver(texts(0, "ABCDEFGH", /*ended=*/true));
+    fixture->endProposal(true);
+    REQUIRE(fixture->job().results.front().text == "ABCDEFGH");
+  }
+}
+
+// Guards against texts joined from the run of a store that was silent and the run that took its place meanwhile.
+TEST_CASE("a run that is offered after another one has replaced it is not joined with that one's text",
+          "[store][takeover]") {
+  ExecutorFixture fixture;
+  fixture.setStores({kRunner});
+  fixture.apply(storedProgress(kChain));
+  fixture.executor().setLeading(true, 2);
+  fixture.executor().take(RunReport{kRunner, 2, {}, {}});
+  fixture.executor().tick(connection::monotonicNow());
+  REQUIRE(fixture.lastOrder().last_event == 5);
+  RunNews news;
+  news.number = fixture.lastOrder().number;
+  news.sequence = 1;
+  news.text = "XYZ";
+  news.last_event = 6;
+  news.ended = true;
+  news.end = fleet::RunEnd::kBroken;
+  fixture.executor().take(RunReport{kSelf, 2, {news}, {}});
+  fixture.deliver(summaries(/*ended=*/true));
+  fixture.deliver(texts(5, "fgh", /*ended=*/true));
+  while (fixture.proposals() > 0) fixture.endProposal(true);
+  REQUIRE(fixture.job().results.front().text == "abcdefgh");
+}
+
 TEST_CASE("news of a run whose text was lost stop it, and the item goes on from the stored text", "[store][takeover]") {
-  const auto fixture = newLeader(kChain, /*ended=*/false);
+  const auto fixture = newLeader(summaries(/*ended=*/false));
   fixture->deliver(reportOf(4, "ijk", /*whole=*/true));
   REQUIRE(fixture->executor().running() == 0);
   REQUIRE(fixture->executor().waiting() == 1);
@@ -290,7 +338,7 @@
 
 // Guards against items that no leader runs again, because their failure was stored before their run ended here.
 TEST_CASE("an item whose failure is stored before the text of its run arrives is run again", "[store][takeover]") {
-  const auto fixture = newLeader(kChain, /*ended=*/false);
+  const auto fixture = newLeader(summaries(/*ended=*/false));
   RunReport report{kRunner, 2, {}, {kRun}};
   report.answers.push_back(fleet::ItemAnswer{kRun, JobId("j"), "i", fleet::RunEnd::kFailed});
   fixture->deliver(report);
--- a/tests/process/store/text_requests_test.cpp
+++ b/tests/process/store/text_requests_test.cpp
@@ -10,7 +10,7 @@
 const ReplicaId kRunner("10.0.0.2");
 
 NeededText text(std::uint64_t number, std::uint64_t bytes) {
-  return NeededText{kRunner, fleet::TextRequest{number, 7}, bytes};
+  return NeededText{kRunner, fleet::TextRequest{number, 7, {}}, bytes};
 }
 
 Instant at(std::int64_t milliseconds) {
--- a/tests/recorded/frame_samples.hpp
+++ b/tests/recorded/frame_samples.hpp
@@ -228,6 +228,7 @@
   lease.term = 3;
   lease.stopped = {10};
   lease.kept_answers = {9};
+  lease.wanted_texts = {fleet::TextRequest{12, 500, 77}};
   samples.add(lease);
   fleet::RunNews news;
   news.number = 11;
@@ -296,6 +297,7 @@
   summaries.from = ReplicaId("10.0.0.2");
   summaries.term = 4;
   summaries.runs = {summary};
+  summaries.compares_texts = true;
   samples.add(summaries);
   fleet::RunText text;
   text.number = 12;
--- a/tests/soak/engine_versions.py
+++ b/tests/soak/engine_versions.py
@@ -5,7 +5,7 @@
 Real processes on loopback; engines of two versions that break a share of their streams; callers that go on by themselves at
 any gateway after a break, naming in `Resumes` the request that brought the first event.
 
-    python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|overlapping|all|one-version|items|items-rolling
+    python3 tests/soak/engine_versions.py --scenario mixed|uneven|rolling|gateways|stores|overlapping|all|one-version|items|items-rolling|items-overlapping
         [--seed 1] [--seconds 8]
 """
 import asyncio
@@ -41,11 +41,13 @@
 COSTS = ("hatchfork_streams_begun_total", "hatchfork_stream_records_sent_total", "hatchfork_stream_questions_total")
 ITEM_JOBS = 3
 ITEMS = 25  # of a job
+EVENT_DELAY = {"items-overlapping": 0.8}  # seconds between two events, where runs have to outlast several leaders
+KILL_INTERVAL_S = 1.2
 # Engines of the new version at first, and what happens meanwhile.
 SCENARIOS = {"mixed": (4, None), "uneven": (2, None), "rolling": (0, "replace_engines"), "gateways": (4, "kill_gateways"),
              "stores": (4, "kill_stores"), "overlapping": (2, "kill_and_replace"), "all": (4, "kill_all"),
              "one-version": (0, None), "items": (4, "kill_stores"),
-             "items-rolling": (0, "replace_engines")}
+             "items-rolling": (0, "replace_engines"), "items-overlapping": (0, "replace_and_kill_leaders")}
 
 
 class EngineVersions:
@@ -69,7 +71,7 @@
 
     def engine(self, number, version):
         return VersionedEngine(number, self.options.engine_port + number, self.fleet.controls, self.asked, PLACES, BREAKS,
-                               version, event_delay=0.01)
+                               version, event_delay=EVENT_DELAY.get(self.options.scenario, 0.01))
 
     def serving(self, version):
         return sum(1 for engine in self.engines if engine.version == version and engine.state == "ready")
@@ -158,6 +160,15 @@
         """Engines are replaced while gateways and stores are killed, in series that overlap."""
         await asyncio.gather(self.replace_engines(started), self.kill_gateways(started), self.kill_stores(started))
 
+    async def replace_and_kill_leaders(self, started):
+        """Texts of engines that are gone are dropped, and their items begin anew, under leaders that are lost soon after."""
+        await self.replace_engines(started)
+        for store in self.fleet.of_role("store"):
+            await asyncio.sleep(KILL_INTERVAL_S)
+            print(f"{time.monotonic() - started:6.2f} s  kill {store.name}", flush=True)
+            store.kill()
+            store.start()
+
     async def kill_all(self, started):
         await asyncio.sleep(self.options.seconds / 2)
         print(f"{time.monotonic() - started:6.2f} s  kill all", flush=True)
--- a/tests/system/engine_versions.sh
+++ b/tests/system/engine_versions.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 status=0
-for scenario in mixed uneven rolling gateways stores overlapping all one-version items items-rolling; do
+for scenario in mixed uneven rolling gateways stores overlapping all one-version items items-rolling items-overlapping; do
   python3 tests/soak/engine_versions.py --scenario "$scenario" --seed 1 || status=1
 done
 exit $status
