Giving up items has a file of its own, and so has the item

Moves only: ItemRun to item_run.hpp; giving up, holding and dropping to job_executor_giving_up.cpp. Unit tests with the tag [store]: 118 of 118 before and after.

--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -14,6 +14,7 @@
 
 #include "process/fleet/crash_watch.hpp"
 #include "process/fleet/feed_client.hpp"
+#include "process/store/item_run.hpp"
 #include "process/store/job_routes.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_table.hpp"
@@ -133,69 +134,6 @@
   static constexpr Duration kOrderInterval = fromMillis(100);
   /// Time that an order to a store and the cancellation of its request take.
   static constexpr Duration kPreemptionTime = fromMillis(10);
-  /// An open item, with the text that its runs have produced so far.
-  struct ItemRun {
-    JobId job;
-    std::string item;
-    std::string text;
-    bool has_text = false;
-    std::optional<std::uint64_t> last_event;
-    /// Build of the engine that runs the item, or that wrote its text; empty if it is not known.
-    EngineBuild build;
-    /// Time since which the engines of this build have had no room for the item; unset while it runs.
-    Instant build_full_since{};
-    /// True if the last run ended there by a closed connection, which does not prove that the text is whole.
-    bool after_close = false;
-    Instant next_save{};
-    /// Chain of the run that is in flight or ended last, whose text continues that of the runs before it.
-    std::uint64_t chain = 0;
-    /// Chain of an adopted run whose text has not arrived yet.
-    std::uint64_t adopted_chain = 0;
-    /// Number of failed runs that the group has stored.
-    std::uint32_t failures = 0;
-    /// Number of failures that are being proposed; the item is not ordered before they are stored.
-    std::size_t pending_failures = 0;
-    std::uint32_t attempts = 0;
-    Instant not_before{};
-    /// Time at which the result is due, and the key by which the queue is sorted.
-    Instant due = Instant::max();
-    request::DueItem order{};
-    TenantId tenant;
-    ServiceId service;
-    /// Pressure on the item, from the lack of slack of this item or of one behind it; from 1 on it does not wait for
-    /// lasting capacity.
-    double pressing = 0;
-    /// Fair-share position of the item between tenants where capacity is short, and its tenant's turn once it runs.
-    double turn = 0;
-    request::Turn share;
-    Instant started_at{};
-    bool running = false;
-    /// True if earlier leaders may have run the item, with answers that are not stored yet.
-    bool is_inherited = false;
-    /// True if its outcome is being proposed.
-    bool has_outcome = false;
-    /// Number of events of all runs; time of the first event of this run, and number of events then.
-    std::uint64_t events = 0;
-    Instant first_event_at{};
-    std::uint64_t events_before = 0;
-    EngineId engine;
-    /// Store that runs the item, or ran it last.
-    ReplicaId runner;
-    /// What crashes of the item's engines may be attributed to; without a content until first needed.
-    request::CrashSubjects crash_subjects;
-    /// True if this run was announced to other processes because engines crashed during the item, and under which name.
-    bool is_suspect = false;
-    request::RequestFingerprint announced_as;
-    /// Holder of the run's trial lease, empty if it has none, and the subject of the lease.
-    std::string trial_holder;
-    request::RequestFingerprint trial_subject;
-    /// True if it was logged that the item is held until another run has decided on its subjects.
-    bool is_hold_logged = false;
-    bool stopped = false;
-    /// Number of the run in flight, which identifies it in reports.
-    std::uint64_t number = 0;
-    request::TicketId ticket = 0;
-  };
   using ItemPtr = std::shared_ptr<ItemRun>;
   using RunEnd = fleet::RunEnd;
   /// The beginning of an item's text that the group has stored; all zero if it has stored none.
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -123,15 +123,4 @@
   return run.failures >= mostAttempts(route);
 }
 
-void JobExecutor::giveUpFailed(Instant now) {
-  const std::vector<ItemPtr> held = undecided_;
-  for (const ItemPtr& run : held) {
-    const StoredJob* job = openJob(*run);
-    const Route* route = job == nullptr ? nullptr : routes_.find(*job);
-    if (route == nullptr || !routes_.isAuthoritative(now, *job)) continue;
-    if (hasUsedAttempts(*run, *route)) giveUp(run, "its attempts are used up");
-  }
-  eraseWaiting([](const ItemPtr& run) { return run->stopped; });
-}
-
 }  // namespace hatchfork::store
