Holding the items of a removed route takes time in their number, not its square

A leader that loses a route with many open items would have stood still.

Change: an item is held by its position in the queue, which is near the head; only orders count as starts.

No test asserts a duration.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -227,10 +227,11 @@
   if (now < starts_from_) return;
   orderQueue(now);
   planTrough(now);
-  std::size_t started = 0;
+  std::uint64_t attempts_planned = counters_.attempts;
   while (startNext(now)) {
     // Started runs reduce the pressure on waiting items.
-    if (++started % kStartsBetweenPlans != 0) continue;
+    if (counters_.attempts < attempts_planned + kStartsBetweenPlans) continue;
+    attempts_planned = counters_.attempts;
     next_plan_ = now;
     planTrough(now);
   }
@@ -303,7 +304,7 @@
       return true;
     }
     if (route == nullptr || hasUsedAttempts(*run, *route)) {
-      holdUndecided(run, route == nullptr ? "no route" : "its attempts are used up");
+      holdUndecided(i, route == nullptr ? "no route" : "its attempts are used up");
       return true;
     }
     request::EngineQuery query = queryOf(*run, *job, *route);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -176,8 +176,9 @@
   void takeTrial(Instant now, ItemRun& run);
   /// Moves an item during which engines crashed out of the queue until the given time.
   void park(const ItemPtr& run, Instant until);
-  /// Moves an item out of the queue that the routes in force allow neither to run nor to be given up.
-  void holdUndecided(const ItemPtr& run, std::string_view cause);
+  /// Moves the item at this position out of the queue, since the routes in force allow it neither to run nor to be
+  /// given up.
+  void holdUndecided(std::size_t position, std::string_view cause);
   /// Moves parked items back to the queue that are due or no longer suspect.
   void releaseParked(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -16,7 +16,8 @@
 
 }  // namespace
 
-void JobExecutor::holdUndecided(const ItemPtr& run, std::string_view cause) {
+void JobExecutor::holdUndecided(std::size_t position, std::string_view cause) {
+  const ItemPtr run = queue_[position];
   const StoredJob* job = openJob(*run);
   logEvent(LogLevel::kInfo, "item_undecided",
            {{"job", run->job.value},
@@ -25,7 +26,8 @@
             {"version", routes_.version()},
             {"accepted_under", job == nullptr ? 0 : job->submission.configuration_version},
             {"failures", run->failures}});
-  std::erase(queue_, run);
+  // Near the head, where this takes no time, however many items follow.
+  queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(position));
   undecided_.push_back(run);
 }
 
