--- a/review/lib-2/engine.py
+++ b/review/lib-2/engine.py
@@ -1,10 +1,8 @@
 """A stand-in of a model engine, one process: registers, sends heartbeats, and runs requests as PROTOCOL.md says.
 
-The body of a request is JSON: `events` (how many), `gap_ms` (the time between two), `fails` (optional: how many runs of
-this item get 500 before one succeeds). Each event's data is "ITEM-NUMBER". What arrives and runs is appended to a log, one
+The body of a request is JSON: `events` (how many), `gap_ms` (the time between two), `first_ms` (optional: the time that its
+prompt takes to be read before the first event), `fails` (optional: how many runs of this item get 500 before one succeeds). Each event's data is "ITEM-NUMBER". What arrives and runs is appended to a log, one
 JSON object a line.
-
-modes: sound; surplus (after an answer 500 it sends the same answer once more, late, on the same connection: see case 6).
 """
 import asyncio
 import json
@@ -19,9 +17,9 @@
 class Engine:
     def __init__(self, arguments):
         self.id, self.address, self.service, self.zone = arguments[:4]
-        self.slots, self.mode, self.log_path = int(arguments[4]), arguments[5], arguments[6]
-        self.began = float(arguments[7])
-        self.controls = arguments[8].split(",")
+        self.slots, self.log_path = int(arguments[4]), arguments[5]
+        self.began = float(arguments[6])
+        self.controls = arguments[7].split(",")
         self.free = asyncio.Semaphore(self.slots)
         self.running = self.waiting = self.sequence = 0
         self.failed = {}
@@ -57,9 +55,8 @@
             writer.close()
 
     async def serve(self, reader, writer):
-        late = []
         try:
-            while await self.serve_one(reader, writer, late):
+            while await self.serve_one(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -70,7 +67,7 @@
         return (f"HTTP/1.1 {status}\r\nX-Attempt-Id: {item}\r\nX-Server-Load: {self.running},{self.waiting},{self.slots}\r\n"
                 f"{more}").encode()
 
-    async def serve_one(self, reader, writer, late):
+    async def serve_one(self, reader, writer):
         lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:] if line)}
         body = await reader.readexactly(int(fields.get("content-length", 0)))
@@ -79,12 +76,6 @@
             writer.write(f"HTTP/1.1 200 OK\r\nX-Instance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         self.log("arrived", item, after=fields.get("last-event-id", "0"))
-        # A surplus answer to an earlier request of this connection, in the place of the one that is due now.
-        for surplus in late:
-            writer.write(surplus)
-            await writer.drain()
-            self.log("surplus answer sent", item)
-        late.clear()
         if fields.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head("421 Misdirected Request", item, "Content-Length: 0\r\n\r\n"))
             return True
@@ -102,25 +93,23 @@
             self.waiting -= 1
         self.running += 1
         try:
-            return await self.run(reader, writer, late, item, int(fields.get("last-event-id", "0")), json.loads(body))
+            return await self.run(reader, writer, item, int(fields.get("last-event-id", "0")), json.loads(body))
         finally:
             self.running -= 1
             self.free.release()
 
-    async def run(self, reader, writer, late, item, after, work):
+    async def run(self, reader, writer, item, after, work):
         seal = f"X-Response-Seal: 3e1b.{item}\r\n"
         self.log("began", item, after=after)
         if self.failed.get(item, 0) < work.get("fails", 0):
             self.failed[item] = self.failed.get(item, 0) + 1
-            answer = self.head("500 Internal Server Error", item, f"{seal}Content-Length: 0\r\n\r\n")
-            writer.write(answer)
+            writer.write(self.head("500 Internal Server Error", item, f"{seal}Content-Length: 0\r\n\r\n"))
             await writer.drain()
             self.log("answered 500", item)
-            if self.mode == "surplus":
-                late.append(answer)
             return True
         writer.write(self.head("200 OK", item, f"{seal}Content-Type: text/event-stream\r\n"
                                                "Transfer-Encoding: chunked\r\n\r\n"))
+        await asyncio.sleep(work.get("first_ms", 0) / 1000)
         for number in range(after + 1, work["events"] + 1):
             await asyncio.sleep(work["gap_ms"] / 1000)
             # Most engines drop a request when its connection closes.
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -139,14 +139,14 @@
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
 
-    def start_engine(self, name, number, service, slots, mode="sound"):
+    def start_engine(self, name, number, service, slots):
         """`name`: its Id, new for each start. `number`: its address."""
         command = [sys.executable, str(pathlib.Path(__file__).with_name("engine.py")), name,
-                   f"{self.network}.{100 + number}:{ENGINE}", service, ZONES[number % 3], str(slots), mode,
+                   f"{self.network}.{100 + number}:{ENGINE}", service, ZONES[number % 3], str(slots),
                    str(self.engine_log), str(self.record.began), ",".join(self.controls)]
         log = (self.folder / "engines.err").open("ab")
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
-        self.record.note(f"engine {name} of {service} starts at .{100 + number}, {slots} slots, {mode}")
+        self.record.note(f"engine {name} of {service} starts at .{100 + number}, {slots} slots")
 
     def signal(self, name, number):
         self.record.note(f"{signal.Signals(number).name} to {name}")
