--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 from fleet import BOUNDS, document, new_id, play, submit_until_taken, unlisted_at_the_end  # noqa: E402
 
 ENGINES, SLOTS = 4, 12
-CRASHES, DOWN_S, UP_S = 6, 1.0, 2.0
+CRASHES, DOWN_S, UP_S = 8, 1.0, 2.0
 PREFIX = "/pule252/"
 
 
--- a/review/lib-2/engine.py
+++ b/review/lib-2/engine.py
@@ -1,4 +1,5 @@
-"""A stand-in of a model engine, one process: registers, sends heartbeats, and runs requests as PROTOCOL.md says.
+"""A stand-in of a model engine, one process: registers, sends heartbeats, runs requests as PROTOCOL.md says, and leaves as
+planned on SIGTERM.
 
 The body of a request is JSON: `events` (how many), `gap_ms` (the time between two), `first_ms` (optional: the time that its
 prompt takes to be read before the first event), `fails` (optional: how many runs of this item get 500 before one succeeds). Each event's data is "ITEM-NUMBER". What arrives and runs is appended to a log, one
@@ -6,12 +7,14 @@
 """
 import asyncio
 import json
+import os
 import random
+import signal
 import sys
 import time
 
 QUEUE = 8
-WEIGHTS = 1  # the version of its model, as in its heartbeats
+DRAIN_S = 2.0  # DrainMs
 
 
 class Engine:
@@ -20,6 +23,8 @@
         self.slots, self.log_path = int(arguments[4]), arguments[5]
         self.began = float(arguments[6])
         self.controls = arguments[7].split(",")
+        self.weights = int(arguments[8])  # the version of its model
+        self.state = "ready"
         self.free = asyncio.Semaphore(self.slots)
         self.running = self.waiting = self.sequence = 0
         self.failed = {}
@@ -29,25 +34,41 @@
         with open(self.log_path, "a") as file:
             file.write(json.dumps(entry) + "\n")
 
-    async def beat(self):
+    async def beats(self):
         while True:
-            self.sequence += 1
-            body = json.dumps({"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
-                               "Slots": self.slots, "State": "ready", "ColdRemainingMs": 0, "Stage": "both",
-                               "Models": [{"Name": "m", "Version": 1, "Adapters": []}], "Sequence": self.sequence})
-            for control in random.sample(self.controls, len(self.controls)):
-                try:
-                    if await asyncio.wait_for(self.put(control, body), 1.0) == 200:
-                        break
-                except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
-                    continue
+            await self.beat()
             await asyncio.sleep(1.2 if self.sequence > 1 else 0.4)
 
-    async def put(self, control, body):
+    async def beat(self):
+        self.sequence += 1
+        await self.tell("PUT", json.dumps(
+            {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1", "Slots": self.slots,
+             "State": self.state, "ColdRemainingMs": 0, "Stage": "both",
+             "Models": [{"Name": "m", "Version": self.weights, "Adapters": []}], "Sequence": self.sequence}))
+
+    async def tell(self, method, body=""):
+        """Calls one node after the other until one acknowledges."""
+        for control in random.sample(self.controls, len(self.controls)):
+            try:
+                if await asyncio.wait_for(self.send(control, method, body), 1.0) == 200:
+                    return
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                continue
+
+    async def leave(self):
+        """A planned end: it reports that it drains, serves on for a while, says that it is gone, and ends."""
+        self.state = "draining"
+        await self.beat()
+        self.log("draining is acknowledged", "-")
+        await asyncio.sleep(DRAIN_S + 0.5)
+        await self.tell("DELETE")
+        os._exit(0)
+
+    async def send(self, control, method, body):
         host, port = control.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            writer.write(f"PUT /v1/instances/{self.id} HTTP/1.1\r\nHost: {control}\r\nConnection: close\r\n"
+            writer.write(f"{method} /v1/instances/{self.id} HTTP/1.1\r\nHost: {control}\r\nConnection: close\r\n"
                          f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
             head = await reader.readuntil(b"\r\n\r\n")
             return int(head.split(b" ")[1])
@@ -65,7 +86,7 @@
 
     def head(self, status, item, more=""):
         return (f"HTTP/1.1 {status}\r\nX-Attempt-Id: {item}\r\nX-Server-Load: {self.running},{self.waiting},{self.slots}\r\n"
-                f"{more}").encode()
+                f"X-Weight-Versions: {self.weights}\r\n{more}").encode()
 
     async def serve_one(self, reader, writer):
         lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -79,7 +100,7 @@
         if fields.get("x-expect-instance", self.id) != self.id:
             writer.write(self.head("421 Misdirected Request", item, "Content-Length: 0\r\n\r\n"))
             return True
-        if int(fields.get("x-expect-version", WEIGHTS)) != WEIGHTS:
+        if int(fields.get("x-expect-version", self.weights)) != self.weights:
             writer.write(self.head("421 Misdirected Request", item, "Content-Length: 0\r\n\r\n"))
             self.log("421, its weights are another version", item)
             return True
@@ -129,7 +150,8 @@
     engine = Engine(sys.argv[1:])
     host, port = engine.address.split(":")
     server = await asyncio.start_server(engine.serve, host, int(port))
-    beats = asyncio.create_task(engine.beat())
+    beats = asyncio.create_task(engine.beats())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(engine.leave()))
     async with server:
         await asyncio.gather(server.serve_forever(), beats)
 
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -139,14 +139,14 @@
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
 
-    def start_engine(self, name, number, service, slots):
-        """`name`: its Id, new for each start. `number`: its address."""
+    def start_engine(self, name, number, service, slots, weights=1):
+        """`name`: its Id, new for each start. `number`: its address. `weights`: the version of its model."""
         command = [sys.executable, str(pathlib.Path(__file__).with_name("engine.py")), name,
                    f"{self.network}.{100 + number}:{ENGINE}", service, ZONES[number % 3], str(slots),
-                   str(self.engine_log), str(self.record.began), ",".join(self.controls)]
+                   str(self.engine_log), str(self.record.began), ",".join(self.controls), str(weights)]
         log = (self.folder / "engines.err").open("ab")
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
-        self.record.note(f"engine {name} of {service} starts at .{100 + number}, {slots} slots")
+        self.record.note(f"engine {name} of {service} starts at .{100 + number}, {slots} slots, weights {weights}")
 
     def signal(self, name, number):
         self.record.note(f"{signal.Signals(number).name} to {name}")
@@ -183,8 +183,9 @@
         return [json.loads(line) for line in self.engine_log.read_text().splitlines()]
 
     def check_alive(self):
+        """None but engines that left as planned has ended by itself."""
         for name, process in self.processes.items():
-            if process.poll() is not None:
+            if process.poll() not in ((None, 0) if name.startswith("i-") else (None,)):
                 raise CannotRun(f"{name} ended by itself with {process.returncode}")
 
     async def form(self, document):
