--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -362,8 +362,8 @@
         for text in broken:
             record.note(f"BROKEN: {text}")
         code = 1 if broken else 0
-    except CannotRun as problem:
-        record.note(f"could not run: {problem}")
+    except Exception as problem:  # an error of the script itself is no broken rule
+        record.note(f"could not run: {type(problem).__name__}: {problem}")
     finally:
         if fleet is not None:
             fleet.end()
