Items without an engine no longer hold up those of other services, zones and builds

Cause: JobExecutor::startNext walked one queue of all services in the order of due times, and returned where no engine could be chosen for an item. All behind it stayed, whatever it was for. 64 entries that could not start, or that waited for a retry, did the same. Ruled out by the logs of the case on the untouched code: the plan for troughs (no items_wait_for_room in the whole play), the slow start of a new leader (one leader, 20 s before).

Change: WaitingQueue keeps the one order, and beside it lanes: items that may run at the same engines, late ones apart. A pass walks all lanes in the one order; what it finds without room closes its own lane. Items that wait for a retry don't count toward the 64 that a pass examines in vain, which are now of each lane. items_lack_engines tells, once a second for each service, what waits for engines. An item is in the queue once at most (a run that was offered as ended was put there again while it still stood there; found in reading).

Refuted by reading: "no runner in one zone ends the pass for all zones": RunTable::chooseRunner takes any store before it gives up.

--- a/src/process/store/item_run.hpp
+++ b/src/process/store/item_run.hpp
@@ -44,6 +44,10 @@
   request::DueItem order{};
   TenantId tenant;
   ServiceId service;
+  /// True while the item is in the queue, with its lane and its position there; see `WaitingQueue`.
+  bool is_waiting = false;
+  std::uint32_t lane = 0;
+  std::uint64_t rank = 0;
   /// Pressure on the item, from the lack of slack of this item or of one behind it; from 1 on it does not wait for
   /// lasting capacity.
   double pressing = 0;
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -1,7 +1,6 @@
 #include "process/store/job_executor.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -24,8 +23,6 @@
 /// Duration of the slow start.
 constexpr Duration kSlowStart = std::chrono::seconds(3);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
-/// Number of queue entries that one pass examines for an item that may start.
-constexpr std::size_t kMaxExaminedEntries = 64;
 /// Number of started runs after which the trough is planned again.
 constexpr std::size_t kStartsBetweenPlans = 8;
 /// Until a run has been observed, a whole run is estimated at the completion target divided by this.
@@ -65,10 +62,11 @@
     routes_.setTable(view.routes);
     selector_.setServices(view.routes->services());
     findBatchServices();
+    queue_.forgetLanes();
     for (const auto& [id, runs] : items_) {
       if (const StoredJob* job = state_->find(id)) applyRoute(now, *job);
     }
-    std::move(undecided_.begin(), undecided_.end(), std::back_inserter(queue_));
+    for (const ItemPtr& run : undecided_) queue_.push(run);
     undecided_.clear();
   }
   if (change.directory) {
@@ -99,9 +97,10 @@
   run_table_.startTerm(now, term);
   learnFromResults();
   for (const auto& [id, job] : state_->jobs()) enqueueOpenItems(job);
-  for (const ItemPtr& run : queue_) run->is_inherited = true;
+  const std::vector<ItemPtr>& waiting = queue_.items();
+  for (const ItemPtr& run : waiting) run->is_inherited = true;
   const auto failing =
-      std::count_if(queue_.begin(), queue_.end(), [](const ItemPtr& run) { return run->failures > 0; });
+      std::count_if(waiting.begin(), waiting.end(), [](const ItemPtr& run) { return run->failures > 0; });
   logEvent(LogLevel::kInfo, "executor_started",
            {{"term", term},
             {"jobs", items_.size()},
@@ -160,7 +159,7 @@
     run->tenant = job.submission.tenant;
     loadSavedProgress(*run);
     runs.emplace(item.id, run);
-    queue_.push_back(run);
+    queue_.push(run);
   }
   applyRoute(monotonicNow(), job);
   next_order_ = Instant{};
@@ -171,13 +170,22 @@
   if (route == nullptr) return;
   const Instant due = dueTimeOf(now, job, *route);
   const ServiceId service = route->split.empty() ? ServiceId() : route->split.front().service;
+  const std::uint32_t lane = laneOf(job, *route);
   for (const auto& [item, run] : items_[job.submission.id]) {
     run->due = due;
     run->service = service;
+    run->lane = lane;
   }
   next_order_ = Instant{};
 }
 
+std::uint32_t JobExecutor::laneOf(const StoredJob& job, const Route& route) {
+  LaneKey key;
+  for (const WeightedService& part : route.split) key.services.push_back(part.service);
+  key.zones = request::allowedZones(route, routes_.table()->tenants().find(job.submission.tenant), options_.regions);
+  return queue_.laneOf(std::move(key));
+}
+
 void JobExecutor::stopItems(const JobId& job) {
   const auto found = items_.find(job);
   if (found == items_.end()) return;
@@ -228,13 +236,19 @@
   orderQueue(now);
   planTrough(now);
   std::uint64_t attempts_planned = counters_.attempts;
-  while (startNext(now)) {
+  StartPass pass(queue_);
+  FullEngines full;
+  while (runs_.size() < maxRunsNow(now) && run_table_.hasRunner(now)) {
+    const ItemPtr run = pass.next();
+    if (!run) break;
+    startOrHold(now, run, pass, full);
     // Started runs reduce the pressure on waiting items.
     if (counters_.attempts < attempts_planned + kStartsBetweenPlans) continue;
     attempts_planned = counters_.attempts;
     next_plan_ = now;
     planTrough(now);
   }
+  queue_.compact();
 }
 
 const StoredJob* JobExecutor::openJob(const ItemRun& run) const {
@@ -282,54 +296,59 @@
                      [this](const auto& runner) { return reported_stores_.contains(runner.first); });
 }
 
-bool JobExecutor::startNext(Instant now) {
-  if (runs_.size() >= maxRunsNow(now)) return false;
-  const bool starts_inherited = haveStoresReported(now);
-  // Builds without room, so that the many items that may wait for them do not hide the items behind them.
-  std::set<std::pair<ServiceId, EngineBuild>> full_builds;
-  std::size_t examined = 0;
-  for (std::size_t i = 0; i < queue_.size() && examined < kMaxExaminedEntries; ++i) {
-    const ItemPtr run = queue_[i];
-    const bool is_bound = isBoundToBuild(*run, run->service);
-    if (is_bound && full_builds.contains({run->service, run->build})) {
-      noteFullBuild(now, *run);
-      continue;
-    }
-    ++examined;
-    if (run->not_before > now || (run->is_inherited && !starts_inherited)) continue;
-    const StoredJob* job = openJob(*run);
-    const Route* route = job == nullptr ? nullptr : routes_.find(*job);
-    if (job == nullptr || run->stopped) {
-      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
-      return true;
-    }
-    if (route == nullptr || hasUsedAttempts(*run, *route)) {
-      holdUndecided(i, route == nullptr ? "no route" : "its attempts are used up");
-      return true;
-    }
-    request::EngineQuery query = queryOf(*run, *job, *route);
-    dropOrphanedText(*run, query.service);
-    if (isBoundToBuild(*run, query.service)) query.build = run->build;
-    const auto allowed_zones = query.zones;
-    request::TroughVerdict verdict;
-    // A later item may need its slot for less time.
-    if (!fitsTrough(now, *run, query, verdict)) continue;
-    // The zone with lasting capacity may have no engine of the build.
-    if (query.build) query.zones = allowed_zones;
-    const std::optional<EngineChoice> choice = chooseEngine(now, run, *job, query);
-    // The item was moved out of the queue.
-    if (!choice && run->not_before > now) return true;
-    // Engines of other builds may have room for later items.
-    if (!choice && query.build) {
-      full_builds.insert({run->service, run->build});
-      noteFullBuild(now, *run);
-      continue;
-    }
-    if (!choice || !run_table_.chooseRunner(now, choice->engine.zone)) return false;
-    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
-    startRun(now, run, *job, *choice, query, verdict);
+void JobExecutor::startOrHold(Instant now, const ItemPtr& run, StartPass& pass, FullEngines& full) {
+  if (isBoundToBuild(*run, run->service) && full.containsBuild(run->service, run->build)) {
+    noteFullBuild(now, *run);
+    return;
+  }
+  if (run->not_before > now) return;
+  if (run->is_inherited && !haveStoresReported(now)) {
+    pass.noteHeldUp();
+    return;
+  }
+  const StoredJob* job = openJob(*run);
+  if (job == nullptr || run->stopped) {
+    queue_.remove(run);
+    return;
+  }
+  const Route* route = routes_.find(*job);
+  if (route == nullptr || hasUsedAttempts(*run, *route)) {
+    holdUndecided(run, route == nullptr ? "no route" : "its attempts are used up");
+    return;
+  }
+  request::EngineQuery query = queryOf(*run, *job, *route);
+  dropOrphanedText(*run, query.service);
+  if (isBoundToBuild(*run, query.service)) query.build = run->build;
+  const auto allowed_zones = query.zones;
+  request::TroughVerdict verdict;
+  if (!fitsTrough(now, *run, query, verdict)) {
+    pass.noteHeldUp();
+    return;
+  }
+  // The zone with lasting capacity may have no engine of the build.
+  if (query.build) query.zones = allowed_zones;
+  const bool is_started = startAtEngine(now, run, *job, query, verdict, full);
+  if (is_started || query.build) return;
+  // All items of the lane have these engines, unless this one was restricted further or drew one of several services.
+  const bool concerns_lane = query.zones == allowed_zones && route->split.size() == 1;
+  concerns_lane ? pass.closeLane() : pass.noteHeldUp();
+}
+
+bool JobExecutor::startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job, request::EngineQuery query,
+                                const request::TroughVerdict& verdict, FullEngines& full) {
+  std::optional<EngineChoice> choice;
+  if (!full.contains(query)) choice = chooseEngine(now, run, job, query);
+  if (choice) {
+    queue_.remove(run);
+    startRun(now, run, job, *choice, query, verdict);
     return true;
   }
+  // The item was moved out of the queue.
+  if (!run->is_waiting) return true;
+  full.note(query);
+  logLacking(now, query);
+  // Engines of other builds may have room for later items.
+  if (query.build) noteFullBuild(now, *run);
   return false;
 }
 
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,7 +17,9 @@
 #include "process/store/job_routes.hpp"
 #include "process/store/job_state.hpp"
 #include "process/store/run_table.hpp"
+#include "process/store/start_pass.hpp"
 #include "process/store/text_requests.hpp"
+#include "process/store/waiting_queue.hpp"
 #include "request/access/allowed_zones.hpp"
 #include "request/admission/fair_share.hpp"
 #include "request/admission/load_features.hpp"
@@ -164,8 +165,14 @@
   /// Returns the maximum number of runs in flight, which increases during the slow start of a new leader and is
   /// unlimited afterwards.
   std::size_t maxRunsNow(Instant now) const;
-  /// Starts the next run, or takes an item out of the queue that must not run now; false if neither is possible.
-  bool startNext(Instant now);
+  /// Starts the item at which the pass stands, takes it out of the queue if it must not run now, or tells the pass what
+  /// holds it up.
+  void startOrHold(Instant now, const ItemPtr& run, StartPass& pass, FullEngines& full);
+  /// Starts the item if an engine of its query has room; else returns false.
+  bool startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job, request::EngineQuery query,
+                     const request::TroughVerdict& verdict, FullEngines& full);
+  /// Returns the lane of the job's items.
+  std::uint32_t laneOf(const StoredJob& job, const Route& route);
   /// Chooses an engine for the item; one without other suspects if engines crashed during the item. Empty if the item
   /// can't start now; it may then have been moved out of the queue.
   std::optional<request::EngineChoice> chooseEngine(Instant now, const ItemPtr& run, const StoredJob& job,
@@ -176,9 +183,8 @@
   void takeTrial(Instant now, ItemRun& run);
   /// Moves an item during which engines crashed out of the queue until the given time.
   void park(const ItemPtr& run, Instant until);
-  /// Moves the item at this position out of the queue, since the routes in force allow it neither to run nor to be
-  /// given up.
-  void holdUndecided(std::size_t position, std::string_view cause);
+  /// Moves the item out of the queue, since the routes in force allow it neither to run nor to be given up.
+  void holdUndecided(const ItemPtr& run, std::string_view cause);
   /// Moves parked items back to the queue that are due or no longer suspect.
   void releaseParked(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
@@ -214,6 +220,8 @@
   bool fitsTrough(Instant now, const ItemRun& run, request::EngineQuery& query, request::TroughVerdict& verdict);
   void logWaiting(Instant now, const ItemRun& run, const request::EngineQuery& query,
                   const request::TroughVerdict& verdict);
+  /// Logs, once a second for each service, that no engine of the query has room.
+  void logLacking(Instant now, const request::EngineQuery& query);
   /// Returns the number of runs to preempt at each overloaded engine.
   std::map<EngineId, double> excessRuns(Instant now);
   /// Chooses the run to preempt; null if each of them ends by itself within `needed_within`.
@@ -321,8 +329,7 @@
   bool leading_ = false;
   std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
-  /// Waiting items, sorted by the last `orderQueue`; items that were added since are at the end.
-  std::deque<ItemPtr> queue_;
+  WaitingQueue queue_;
   /// Items during which engines crashed, parked outside the queue so that they don't block other items.
   std::vector<ItemPtr> parked_;
   /// Items that the routes in force allow neither to run nor to be given up, held outside the queue so that they don't
@@ -342,6 +349,7 @@
   Instant last_load_report_{};
   Instant next_plan_{};
   Instant next_wait_log_{};
+  std::map<ServiceId, Instant> next_lacking_log_;
   /// Items in flight, by the number of their run.
   std::map<std::uint64_t, ItemPtr> runs_;
   /// Failures that wait to be proposed, and numbers of the failed runs that wait or are being proposed.
@@ -366,7 +374,7 @@
 
 template <class Predicate>
 void JobExecutor::eraseWaiting(const Predicate& predicate) {
-  std::erase_if(queue_, predicate);
+  queue_.removeIf(predicate);
   std::erase_if(parked_, predicate);
   std::erase_if(undecided_, predicate);
 }
--- a/src/process/store/job_executor_crashes.cpp
+++ b/src/process/store/job_executor_crashes.cpp
@@ -116,7 +116,7 @@
               {"for_ms", toMillis(until - now)}});
   }
   run->not_before = until;
-  std::erase(queue_, run);
+  queue_.remove(run);
   parked_.push_back(run);
 }
 
@@ -125,10 +125,11 @@
     return run->not_before > now && crashes_.judge(run->crash_subjects).isSuspect();
   });
   if (due == parked_.end()) return;
-  for (auto run = due; run != parked_.end(); ++run) (*run)->not_before = now;
-  queue_.insert(queue_.end(), due, parked_.end());
+  for (auto run = due; run != parked_.end(); ++run) {
+    (*run)->not_before = now;
+    queue_.push(*run);
+  }
   parked_.erase(due, parked_.end());
-  next_order_ = Instant{};
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/job_executor_failures.cpp
+++ b/src/process/store/job_executor_failures.cpp
@@ -115,8 +115,7 @@
   }
   if (run->running || run->pending_failures > 0) return;
   run->not_before = std::max(run->not_before, now + kRetryAfterFailure);
-  queue_.push_back(run);
-  next_order_ = Instant{};
+  queue_.push(run);
 }
 
 bool JobExecutor::hasUsedAttempts(const ItemRun& run, const Route& route) {
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -16,8 +16,7 @@
 
 }  // namespace
 
-void JobExecutor::holdUndecided(std::size_t position, std::string_view cause) {
-  const ItemPtr run = queue_[position];
+void JobExecutor::holdUndecided(const ItemPtr& run, std::string_view cause) {
   const StoredJob* job = openJob(*run);
   logEvent(LogLevel::kInfo, "item_undecided",
            {{"job", run->job.value},
@@ -26,8 +25,7 @@
             {"version", routes_.version()},
             {"accepted_under", job == nullptr ? 0 : job->submission.configuration_version},
             {"failures", run->failures}});
-  // Near the head, where this takes no time, however many items follow.
-  queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(position));
+  queue_.remove(run);
   undecided_.push_back(run);
 }
 
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -267,8 +267,7 @@
       break;
   }
   if (run->pending_failures > 0) return;
-  queue_.push_back(run);
-  next_order_ = Instant{};
+  queue_.push(run);
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/job_executor_trough.cpp
+++ b/src/process/store/job_executor_trough.cpp
@@ -64,9 +64,9 @@
   }
   std::vector<request::WaitingItem> waiting;
   std::vector<ItemPtr> items;
-  for (const ItemPtr& run : queue_) {
+  for (const ItemPtr& run : queue_.items()) {
     // An item without a due time exerts no pressure.
-    if (run->due == Instant::max()) continue;
+    if (!run->is_waiting || run->due == Instant::max()) continue;
     waiting.push_back({run->service, run->order});
     items.push_back(run);
   }
@@ -75,19 +75,19 @@
 }
 
 void JobExecutor::orderQueue(Instant now) {
-  if (now < next_order_) return;
+  if (now < next_order_ && queue_.isSorted()) return;
   next_order_ = now + kOrderInterval;
-  for (const ItemPtr& run : queue_) run->order = dueItemOf(*run);
-  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
-    return request::precedes(now, left->order, right->order);
-  });
+  for (const ItemPtr& run : queue_.items()) run->order = dueItemOf(*run);
+  queue_.sort(
+      [now](const ItemPtr& left, const ItemPtr& right) { return request::precedes(now, left->order, right->order); });
   if (sharesFairly()) orderByShare(now);
+  queue_.buildLanes([now](const ItemRun& run) { return request::cannotFinishInTime(now, run.order); });
 }
 
 /// Items stay in the order of their due times within a tenant, and where their service has capacity for all of them.
 void JobExecutor::orderByShare(Instant now) {
   std::map<TenantId, double> work_before;
-  for (const ItemPtr& run : queue_) {
+  for (const ItemPtr& run : queue_.items()) {
     run->turn = 0;
     if (request::cannotFinishInTime(now, run->order) || !trough_.isRoomShort(run->service)) continue;
     const double work = toSeconds(run->order.time_left) * 1000;
@@ -95,7 +95,7 @@
     run->turn = shares_.startAfter(now, run->tenant, before, work);
     before += work;
   }
-  std::stable_sort(queue_.begin(), queue_.end(), [now](const ItemPtr& left, const ItemPtr& right) {
+  queue_.sort([now](const ItemPtr& left, const ItemPtr& right) {
     const bool left_hopeless = request::cannotFinishInTime(now, left->order);
     const bool right_hopeless = request::cannotFinishInTime(now, right->order);
     if (left_hopeless != right_hopeless) return right_hopeless;
@@ -139,6 +139,23 @@
             {"pressing", fmt::format("{:.2f}", run.pressing)}});
 }
 
+void JobExecutor::logLacking(Instant now, const EngineQuery& query) {
+  Instant& next = next_lacking_log_[query.service];
+  if (now < next) return;
+  next = now + kWaitLogInterval;
+  const auto waiting = std::count_if(queue_.items().begin(), queue_.items().end(), [&](const ItemPtr& run) {
+    return run->is_waiting && run->service == query.service;
+  });
+  logEvent(LogLevel::kInfo, "items_lack_engines",
+           {{"service", query.service.value},
+            {"engines", selector_.engineCount(query.service)},
+            {"waiting", waiting},
+            {"running", runs_.size()},
+            {"zones", query.zones ? query.zones->size() : 0},
+            {"build", query.build ? query.build->value : std::string()},
+            {"urgency", fmt::format("{:.2f}", query.urgency)}});
+}
+
 std::map<EngineId, double> JobExecutor::excessRuns(Instant now) {
   std::map<EngineId, double> excess;
   for (const request::EngineShare& share : selector_.ownShares(now)) {
--- a/src/process/store/run_table.hpp
+++ b/src/process/store/run_table.hpp
@@ -76,6 +76,8 @@
   /// else the store with the fewest runs, preferably in that zone, so that the stream crosses zones once and not twice.
   /// Empty if all stores are full.
   std::optional<ReplicaId> chooseRunner(Instant now, const ZoneId& zone) const;
+  /// True if a store, of any zone, may run one more item.
+  bool hasRunner(Instant now) const { return chooseRunner(now, ZoneId()).has_value(); }
   /// Adds a run that is ordered from `runner`; returns its number.
   std::uint64_t begin(Instant now, const ReplicaId& runner);
   /// Adds a run that an earlier leader ordered; its next news have the number `sequence` + 1.
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -31,12 +31,13 @@
   /// `document`: the configuration that the executor knows at first; empty for none.
   explicit ExecutorFixture(Duration start_delay = Duration::zero(), std::size_t more_items = 0,
                            request::LoadFeatures load = {}, std::int64_t age_ms = 0,
-                           std::string_view document = kDocument)
+                           std::string_view document = kDocument, request::ZoneRegions regions = {})
       : dialect_(platform::makePlatformDialect()) {
     JobExecutorOptions options;
     options.self = kSelf;
     options.start_delay = start_delay;
     options.load = load;
+    options.regions = std::move(regions);
     auto propose = [this](JobCommand command, std::function<void(bool)> done) {
       if (refuses_proposals) {
         done(false);
@@ -92,6 +93,12 @@
                         fleet::FleetChange{false, true, wholeListOf(std::move(engines))});
   }
 
+  /// Replaces the engines.
+  void setEngines(std::vector<EngineRecord> engines) {
+    executor_->takeView(connection::monotonicNow(), view_,
+                        fleet::FleetChange{false, false, wholeListOf(std::move(engines))});
+  }
+
   /// Sets the stores that may run items, besides this one.
   void setStores(const std::vector<ReplicaId>& stores) {
     view_.stores.clear();
@@ -123,6 +130,11 @@
   fleet::CrashWatch& crashes() { return crashes_; }
   const RunOrder& lastOrder() const { return orders_.back(); }
   std::size_t orders() const { return orders_.size(); }
+  /// Returns the number of items of the job that were ordered to run.
+  std::size_t ordersOf(const std::string& job) const {
+    return static_cast<std::size_t>(
+        std::count_if(orders_.begin(), orders_.end(), [&](const RunOrder& order) { return order.job.value == job; }));
+  }
   /// True if the executor has stopped the run.
   bool hasStopped(std::uint64_t number) const {
     return std::any_of(leases_.begin(), leases_.end(), [number](const fleet::RunLease& lease) {
