A tenant's items that wait for one service take nothing from its share of another one

What callers saw: where room is short and tenants share it, a tenant's items for a service with engines went to the end of the queue, behind another tenant's, for what the same tenant had waiting for a service without engines.

Cause: JobExecutor::orderByShare added up the work before an item over all services of its tenant. Change: over its own service. Test: "what a tenant has waiting for one service ..." (job_executor_lanes_test) failed on the code before, holds now.

--- a/src/process/store/job_executor_trough.cpp
+++ b/src/process/store/job_executor_trough.cpp
@@ -85,13 +85,14 @@
 }
 
 /// Items stay in the order of their due times within a tenant, and where their service has capacity for all of them.
+/// What a tenant has waiting for one service takes nothing from its share of the engines of another one.
 void JobExecutor::orderByShare(Instant now) {
-  std::map<TenantId, double> work_before;
+  std::map<std::pair<TenantId, ServiceId>, double> work_before;
   for (const ItemPtr& run : queue_.items()) {
     run->turn = 0;
     if (request::cannotFinishInTime(now, run->order) || !trough_.isRoomShort(run->service)) continue;
     const double work = toSeconds(run->order.time_left) * 1000;
-    double& before = work_before[run->tenant];
+    double& before = work_before[{run->tenant, run->service}];
     run->turn = shares_.startAfter(now, run->tenant, before, work);
     before += work;
   }
