Online requests that are allowed in a lost zone no longer hold up those behind them

What callers saw: in the queue of a zone, requests that may run in one zone only, which has no engines, stood first; all others of the service waited until these were late, although slots were free.

Cause: PlacementService::serveNext offered a slot to the first three requests and gave up. Change: to three of each set of allowed zones; it ends where requests that are allowed everywhere find no slot. Test: placement_queue_test, "allowed in a zone without engines", failed on the code before (8 such requests first), holds now.

--- a/src/process/store/placement_service_queue.cpp
+++ b/src/process/store/placement_service_queue.cpp
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "common/log.hpp"
@@ -13,8 +16,8 @@
 
 namespace {
 
-/// Number of requests at the head of a queue that are offered a free slot: some may not be allowed in every zone, or at
-/// every engine.
+/// Number of requests with the same allowed zones that are offered a free slot: some may not be allowed at every
+/// engine, or not find the detour worthwhile.
 constexpr std::size_t kCandidatesPerSlot = 3;
 /// A request is queued if its expected wait is at most this share of the time that it has left. The wait is an
 /// estimate: with a share of 1, most of a long queue would be slightly late. Requests already in the queue may use all
@@ -126,20 +129,26 @@
 
 bool PlacementService::serveNext(Instant now, ZoneQueue& queue) {
   std::size_t ahead = 0;
-  for (const QueueEntryId number : queue.first(kCandidatesPerSlot)) {
+  std::map<std::optional<std::set<ZoneId>>, std::size_t> unplaced_by_zones;
+  QueueEntryId served = 0;
+  std::optional<EngineChoice> choice;
+  queue.visit([&](QueueEntryId number) {
     const fleet::PlacementQuestion& question = pending_placements_.at(number).question;
-    const Duration waited = queue.waited(now, number);
-    const double waited_ms = toSeconds(waited) * 1000;
-    const double wait_ms = std::max(waited_ms, queueWaitMs(now, question.service, ahead++));
-    const std::optional<EngineChoice> choice = chooseFreeSlot(now, question, wait_ms);
-    if (!choice) continue;
-    queue.noteServed(number);
-    ++counters_.placed_from_queue;
-    counters_.queue_wait.observe(waited);
-    answerQueued(number, [&](const PendingPlacement& pending) { return placeAt(now, pending.question, *choice); });
-    return true;
-  }
-  return false;
+    std::size_t& unplaced = unplaced_by_zones[question.zones];
+    // Requests that are allowed in fewer zones find no slot either.
+    if (unplaced >= kCandidatesPerSlot) return question.zones.has_value();
+    const double waited_ms = toSeconds(queue.waited(now, number)) * 1000;
+    choice = chooseFreeSlot(now, question, std::max(waited_ms, queueWaitMs(now, question.service, ahead++)));
+    if (!choice) ++unplaced;
+    served = number;
+    return !choice;
+  });
+  if (!choice) return false;
+  counters_.queue_wait.observe(queue.waited(now, served));
+  queue.noteServed(served);
+  ++counters_.placed_from_queue;
+  answerQueued(served, [&](const PendingPlacement& pending) { return placeAt(now, pending.question, *choice); });
+  return true;
 }
 
 void PlacementService::refuseLate(Instant now, ZoneQueue& queue) {
--- a/src/request/admission/zone_queue.cpp
+++ b/src/request/admission/zone_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 
 namespace hatchfork::request {
 
@@ -35,17 +36,23 @@
   leave(number);
 }
 
-std::vector<QueueEntryId> ZoneQueue::first(std::size_t most) const {
-  std::vector<QueueEntryId> numbers;
-  const bool is_floor_due = isFloorDue();
-  if (is_floor_due && most > 0) numbers.push_back(classes_.rbegin()->second.begin()->second);
+void ZoneQueue::visit(const std::function<bool(QueueEntryId)>& visit) const {
+  std::optional<QueueEntryId> floor;
+  if (isFloorDue()) floor = classes_.rbegin()->second.begin()->second;
+  if (floor && !visit(*floor)) return;
   for (const auto& [priority, members] : classes_) {
     for (const auto& [key, number] : members) {
-      if (numbers.size() >= most) return numbers;
-      if (is_floor_due && number == numbers.front()) continue;
-      numbers.push_back(number);
+      if (number != floor && !visit(number)) return;
     }
   }
+}
+
+std::vector<QueueEntryId> ZoneQueue::first(std::size_t most) const {
+  std::vector<QueueEntryId> numbers;
+  visit([&](QueueEntryId number) {
+    if (numbers.size() < most) numbers.push_back(number);
+    return numbers.size() < most;
+  });
   return numbers;
 }
 
--- a/src/request/admission/zone_queue.hpp
+++ b/src/request/admission/zone_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <tuple>
@@ -53,7 +54,10 @@
   bool leave(QueueEntryId number);
   /// Removes a request that got a slot, and counts the slot for the floor of less urgent classes.
   void noteServed(QueueEntryId number);
-  /// Returns the first requests, at most `most`, in the order in which slots are to be offered to them.
+  /// Visits the requests in the order in which slots are to be offered to them, until `visit` returns false. The queue
+  /// must not change meanwhile.
+  void visit(const std::function<bool(QueueEntryId)>& visit) const;
+  /// Returns the first requests in that order, at most `most`.
   std::vector<QueueEntryId> first(std::size_t most) const;
   /// Returns the requests whose latest start has passed; they stay queued until they leave.
   std::vector<QueueEntryId> late(Instant now) const;
--- a/tests/process/store/placement_queue_test.cpp
+++ b/tests/process/store/placement_queue_test.cpp
@@ -173,6 +173,23 @@
   REQUIRE_FALSE(even.service.take(at(2), question("g1", 2), &kFirst).engine.empty());
 }
 
+// Guards against online requests that wait until they are late behind some that are allowed in a lost zone only.
+TEST_CASE("requests that are allowed in a zone without engines do not hold up those behind them", "[placement][line]") {
+  Zone zone(2);
+  constexpr std::uint64_t kBound = 8;
+  for (std::uint64_t number = 1; number <= kBound; ++number) {
+    fleet::PlacementQuestion bound = question("g1", number, number == 1 ? 400 : 4000);
+    bound.zones = std::set<ZoneId>{ZoneId("lost")};
+    REQUIRE(zone.service.take(at(1), bound, &kFirst).stands());
+  }
+  zone.service.take(at(2), question("g2", 200, 5000), &kSecond);
+  zone.service.take(at(2), question("g2", 201, 5000), &kSecond);
+  zone.service.tick(at(3));
+  REQUIRE_FALSE(zone.sentTo(200)->engine.empty());
+  REQUIRE_FALSE(zone.sentTo(201)->engine.empty());
+  REQUIRE(zone.service.queuedRequests() == kBound);
+}
+
 TEST_CASE("a request whose gateway has disconnected or withdrawn it leaves the queue", "[placement][line]") {
   Zone zone(1);
   zone.service.take(at(1), question("g1", 1), &kFirst);
