Batch items are owed: no crash of an engine is put down to them, and no verdict holds them

Ruled out: no free engine (they were idle), failures counted against MaxAttempts (no item_failure_kept), items lost by a store (each is in the last item_held line).

Cause: CrashLedger takes the content with the most crashes in a series as their cause. Runs of one item are in series by nature, so crashes without a cause always find an item. Its parts were judged alike, so that items without a crash lay too, and the verdict on a part went both ways: answers of items cleared a part that crashes the engines of online requests.

Change: items give no evidence and get no verdict. The stores' runners tell nothing of crashes and answers of items, the leader asks for none, and leases are for online requests alone. What protects engines if items do crash them: starts of items whose last run broke off at its engine before an event are paced, per service, from 150 ms doubled up to 2 s; the first event of such a run ends it (RestartPacer, item_paced). An item avoids engines at which an online request runs that is likely to crash them, if others have room.

Online bounds, the service of others and the completion of sound items are unchanged, as are all other scenarios.

--- a/src/process/store/item_run.hpp
+++ b/src/process/store/item_run.hpp
@@ -9,8 +9,6 @@
 #include "common/time.hpp"
 #include "request/admission/fair_share.hpp"
 #include "request/batch/due_order.hpp"
-#include "request/crash/crash_subjects.hpp"
-#include "request/crash/request_fingerprint.hpp"
 #include "request/exchange/engine_selector.hpp"
 
 namespace hatchfork::store {
@@ -38,6 +36,8 @@
   /// Number of failures that are being proposed; the item is not ordered before they are stored.
   std::size_t pending_failures = 0;
   std::uint32_t attempts = 0;
+  /// Number of runs in a row that broke off at their engines before an event.
+  std::uint32_t breaks_in_series = 0;
   Instant not_before{};
   /// Time at which the result is due, and the key by which the queue is sorted.
   Instant due = Instant::max();
@@ -67,16 +67,6 @@
   EngineId engine;
   /// Store that runs the item, or ran it last.
   ReplicaId runner;
-  /// What crashes of the item's engines may be attributed to; without a content until first needed.
-  request::CrashSubjects crash_subjects;
-  /// True if this run was announced to other processes because engines crashed during the item, and under which name.
-  bool is_suspect = false;
-  request::RequestFingerprint announced_as;
-  /// Holder of the run's trial lease, empty if it has none, and the subject of the lease.
-  std::string trial_holder;
-  request::RequestFingerprint trial_subject;
-  /// True if it was logged that the item is held until another run has decided on its subjects.
-  bool is_hold_logged = false;
   bool stopped = false;
   /// Number of the run in flight, which identifies it in reports.
   std::uint64_t number = 0;
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -45,12 +45,11 @@
 }  // namespace
 
 ItemRunner::ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self,
-                       ReportFunction report, fleet::CrashWatch& crashes)
+                       ReportFunction report)
     : context_(context),
       dialect_(dialect),
       self_(std::move(self)),
       report_(std::move(report)),
-      crashes_(crashes),
       engines_(context),
       report_timer_(context) {}
 
@@ -87,8 +86,6 @@
   run->text = std::move(order.text);
   run->news.last_event = order.last_event;
   run->order = std::move(order);
-  run->started_at = monotonicNow();
-  run->fingerprint = fleet::contentOf(run->order.tenant, run->order.host, run->order.item);
   runs_.emplace(run->order.number, run);
   connection::asio::co_spawn(context_, this->run(run), connection::asio::detached);
 }
@@ -216,7 +213,6 @@
   if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
     if (!failure->may_have_run) run->news.end = RunEnd::kDeclined;
     run->news.cause = failure->cause;
-    run->closed_by_engine = failure->closed_by_engine;
     run->news.verdict = EngineVerdict::kFailed;
   } else {
     auto exchange = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
@@ -225,49 +221,9 @@
     // This object may have been destroyed during the wait before, which the linter does not see.
     if (!*alive) co_return;  // cppcheck-suppress identicalConditionAfterEarlyExit
   }
-  if (run->closed_by_engine && !run->stopped) {
-    co_await probeEngine(run);
-    if (!*alive) co_return;  // cppcheck-suppress identicalConditionAfterEarlyExit
-  }
   finish(run);
 }
 
-Awaitable<void> ItemRunner::probeEngine(RunPtr run) {
-  EngineId engine = run->order.engine;
-  const connection::Endpoint endpoint =
-      connection::parseEndpoint(run->order.engine_address).value_or(connection::Endpoint{});
-  const connection::EngineReachability state = co_await engines_.probe(std::move(engine), endpoint);
-  if (state != connection::EngineReachability::kEnded) co_return;
-  request::CrashSubjects subjects(run->fingerprint);
-  if (!run->has_begun_answer) subjects.parts = sharedPartsOf(*run);
-  crashes_.noteCrash(monotonicNow(), run->started_at, subjects, run->order.engine, run->order.engine_born);
-  logEvent(LogLevel::kInfo, "item_engine_ended",
-           {{"job", run->order.job.value},
-            {"request", run->order.item.id},
-            {"engine", run->order.engine.value},
-            {"run", run->order.number},
-            {"content", run->fingerprint.value},
-            {"last_event", run->position.last().value_or(0)}});
-}
-
-std::vector<request::RequestFingerprint> ItemRunner::sharedPartsOf(const Run& run) const {
-  return request::sharedPartsOf(run.order.service, fleet::promptOf(dialect_.headers(), run.order.item));
-}
-
-void ItemRunner::noteAnswerBegun(Run& run) {
-  if (std::exchange(run.has_begun_answer, true) || crashes_.isQuiet()) return;
-  crashes_.noteAnswerBegun(monotonicNow(), sharedPartsOf(run));
-}
-
-bool ItemRunner::isAnswering(const request::RequestFingerprint& part) const {
-  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
-    const Run& run = *entry.second;
-    if (!run.has_begun_answer) return false;
-    const std::vector<request::RequestFingerprint> parts = sharedPartsOf(run);
-    return std::find(parts.begin(), parts.end(), part) != parts.end();
-  });
-}
-
 void ItemRunner::noteLoad(Run& run, EngineExchange& exchange) const {
   const auto load = request::parseEngineLoad(exchange.header(dialect_.headers().engine_load));
   if (!load) return;
@@ -295,7 +251,6 @@
     if (!*alive || run.stopped) co_return;
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       news.cause = "stream: " + failure->cause;
-      run.closed_by_engine = failure->closed_by_engine;
       news.verdict = EngineVerdict::kFailed;
       co_return;
     }
@@ -338,7 +293,6 @@
         place == request::EventPlace::kGap ? "stream: events are missing" : "stream: an event without an identifier";
     return false;
   }
-  noteAnswerBegun(run);
   const std::string addition = (run.has_text ? "\n" : "") + event.data;
   run.news.text += addition;
   run.text += addition;
@@ -355,9 +309,6 @@
   runs_.erase(run->order.number);
   run->news.ended = true;
   ++run->news.sequence;
-  const bool has_answer =
-      run->news.end == RunEnd::kWhole || run->news.end == RunEnd::kFailed || run->news.end == RunEnd::kImpossible;
-  if (has_answer) crashes_.noteAnswered(monotonicNow(), run->fingerprint);
   retainAnswer(*run);
   retainEndedRun(*run);
   if (run->is_withheld) {
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -13,10 +13,7 @@
 #include "connection/asio.hpp"
 #include "connection/engine_exchange.hpp"
 #include "connection/event_stream.hpp"
-#include "process/fleet/crash_watch.hpp"
 #include "process/fleet/fleet_messages.hpp"
-#include "request/crash/request_fingerprint.hpp"
-#include "request/exchange/answering_prompts.hpp"
 #include "request/exchange/stream_position.hpp"
 #include "version/dialect.hpp"
 
@@ -34,8 +31,7 @@
   /// Sends a report or an offer to a leader.
   using ReportFunction = std::function<void(const ReplicaId& leader, fleet::FleetMessage message)>;
 
-  ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report,
-             fleet::CrashWatch& crashes);
+  ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report);
   ~ItemRunner();
 
   /// Starts a run, unless the order is of an older term or a repetition.
@@ -49,8 +45,6 @@
   void closeIdle(const std::function<bool(const EngineId&)>& in_use) { engines_.closeIdle(in_use); }
 
   std::size_t running() const { return runs_.size(); }
-  /// True if an answer on a prompt with this part is under way here.
-  bool isAnswering(const request::RequestFingerprint& part) const;
   /// Number of engine answers that no leader has confirmed as stored.
   std::size_t unconfirmedAnswers() const { return answers_.size(); }
 
@@ -63,13 +57,6 @@
     bool has_news = false;
     bool has_text = false;
     bool stopped = false;
-    /// True if the engine has begun to answer, so that it has read the prompt.
-    bool has_begun_answer = false;
-    /// Fingerprint of the item's content; the same for an equal item of another job.
-    request::RequestFingerprint fingerprint;
-    Instant started_at{};
-    /// True if the engine closed the connection.
-    bool closed_by_engine = false;
     /// True while the leader has a summary of this run and has not asked for its text; no news are reported meanwhile.
     bool is_withheld = false;
     /// Position in the item's text, including the text of earlier runs.
@@ -93,15 +80,10 @@
   void stop(std::uint64_t number);
   void stopAll();
   connection::Awaitable<void> run(RunPtr run);
-  /// Probes whether the engine itself has exited, after it closed the connection.
-  connection::Awaitable<void> probeEngine(RunPtr run);
   connection::Awaitable<void> readAnswer(Run& run, connection::EngineExchange& exchange);
   connection::EngineRequest engineRequest(Run& run) const;
   void noteLoad(Run& run, connection::EngineExchange& exchange) const;
   void finish(const RunPtr& run);
-  /// The parts of the item's prompt that other requests may share.
-  std::vector<request::RequestFingerprint> sharedPartsOf(const Run& run) const;
-  void noteAnswerBegun(Run& run);
   /// Adds the next event to the next report. False if events before it are missing or its position is unknown.
   bool takeEvent(Run& run, const connection::StreamEvent& event);
   /// Sets the run's outcome from the end of its answer.
@@ -136,7 +118,6 @@
   const Dialect& dialect_;
   ReplicaId self_;
   ReportFunction report_;
-  fleet::CrashWatch& crashes_;
   /// How the engines that run items here have framed their answers.
   request::AnswerFraming framing_;
   connection::EngineClient engines_;
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -122,7 +122,6 @@
   }
   items_.clear();
   queue_.clear();
-  parked_.clear();
   undecided_.clear();
   results_.clear();
   refused_results_.clear();
@@ -206,7 +205,6 @@
   preemptExcessRuns(now);
   proposeFailures();
   saveProgress(now);
-  releaseParked(now);
   pump();
   sendLeases(now);
   if (now < next_cleanup_) return;
@@ -301,7 +299,7 @@
     noteFullBuild(now, *run);
     return;
   }
-  if (run->not_before > now) return;
+  if (run->not_before > now || (isPaced(*run) && !restarts_.mayStart(now, run->service))) return;
   if (run->is_inherited && !haveStoresReported(now)) {
     pass.noteHeldUp();
     return;
@@ -334,17 +332,16 @@
   concerns_lane ? pass.closeLane() : pass.noteHeldUp();
 }
 
-bool JobExecutor::startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job, request::EngineQuery query,
-                                const request::TroughVerdict& verdict, FullEngines& full) {
+bool JobExecutor::startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job,
+                                const request::EngineQuery& query, const request::TroughVerdict& verdict,
+                                FullEngines& full) {
   std::optional<EngineChoice> choice;
-  if (!full.contains(query)) choice = chooseEngine(now, run, job, query);
+  if (!full.contains(query)) choice = chooseEngine(now, query);
   if (choice) {
     queue_.remove(run);
     startRun(now, run, job, *choice, query, verdict);
     return true;
   }
-  // The item was moved out of the queue.
-  if (!run->is_waiting) return true;
   full.note(query);
   logLacking(now, query);
   // Engines of other builds may have room for later items.
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -26,6 +26,7 @@
 #include "request/admission/preemption_choice.hpp"
 #include "request/admission/trough_scheduler.hpp"
 #include "request/batch/due_order.hpp"
+#include "request/batch/restart_pacer.hpp"
 #include "request/batch/run_time_model.hpp"
 #include "request/crash/trial_leases.hpp"
 #include "request/exchange/engine_selector.hpp"
@@ -108,7 +109,7 @@
   void tick(Instant now);
 
   /// Decides, at the leader, on the lease to run once a request that is likely to crash its engine. Returns zero if
-  /// `holder` has it now, else the time after which it may be free. Batch runs take their leases here too.
+  /// `holder` has it now, else the time after which it may be free.
   Duration requestTrial(Instant now, const request::RequestFingerprint& content, const std::string& holder);
   /// Ends the lease of a run that was never sent to an engine.
   void endUnusedTrial(const request::RequestFingerprint& content, const std::string& holder);
@@ -124,7 +125,7 @@
   bool knowsEngine(const EngineId& engine) const { return selector_.knows(engine); }
   bool isServing(const EngineId& engine) const { return selector_.isServing(engine); }
   std::size_t running() const { return runs_.size(); }
-  std::size_t waiting() const { return queue_.size() + parked_.size() + undecided_.size(); }
+  std::size_t waiting() const { return queue_.size() + undecided_.size(); }
   const request::TroughScheduler& trough() const { return trough_; }
   const std::set<ServiceId>& batchServices() const { return batch_services_; }
   Duration estimatedRunTime() const { return run_times_.totalRunTime(); }
@@ -169,24 +170,16 @@
   /// holds it up.
   void startOrHold(Instant now, const ItemPtr& run, StartPass& pass, FullEngines& full);
   /// Starts the item if an engine of its query has room; else returns false.
-  bool startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job, request::EngineQuery query,
+  bool startAtEngine(Instant now, const ItemPtr& run, const StoredJob& job, const request::EngineQuery& query,
                      const request::TroughVerdict& verdict, FullEngines& full);
   /// Returns the lane of the job's items.
   std::uint32_t laneOf(const StoredJob& job, const Route& route);
-  /// Chooses an engine for the item; one without other suspects if engines crashed during the item. Empty if the item
-  /// can't start now; it may then have been moved out of the queue.
-  std::optional<request::EngineChoice> chooseEngine(Instant now, const ItemPtr& run, const StoredJob& job,
-                                                    request::EngineQuery& query);
+  /// Chooses an engine with room, if possible not one at which a request runs that is likely to crash it.
+  std::optional<request::EngineChoice> chooseEngine(Instant now, const request::EngineQuery& query);
   /// Time until a trial lease of the subject can be granted to `holder`.
   Duration timeUntilTrial(Instant now, const request::RequestFingerprint& subject, const std::string& holder);
-  /// Takes the trial lease for a run that starts, if it needs one.
-  void takeTrial(Instant now, ItemRun& run);
-  /// Moves an item during which engines crashed out of the queue until the given time.
-  void park(const ItemPtr& run, Instant until);
   /// Moves the item out of the queue, since the routes in force allow it neither to run nor to be given up.
   void holdUndecided(const ItemPtr& run, std::string_view cause);
-  /// Moves parked items back to the queue that are due or no longer suspect.
-  void releaseParked(Instant now);
   request::EngineQuery queryOf(const ItemRun& run, const StoredJob& job, const Route& route);
   /// True if only engines of the build that wrote the item's text may continue it.
   bool isBoundToBuild(const ItemRun& run, const ServiceId& service) const;
@@ -195,6 +188,10 @@
   /// Records that the engines of the item's build have no room. Drops the text after a while, since engines of other
   /// builds may have room.
   void noteFullBuild(Instant now, ItemRun& run);
+  /// True if the starts of the item are paced, since its last run broke off at its engine before an event.
+  static bool isPaced(const ItemRun& run) { return run.breaks_in_series > 0; }
+  /// Counts a run that broke off at its engine, unless events came before.
+  void noteBreak(Instant now, ItemRun& run);
   /// Drops an item's text, whose beginning the group may have stored, and logs why.
   void discardText(ItemRun& run, std::string_view cause);
   static void dropText(ItemRun& run);
@@ -317,6 +314,7 @@
   bool start_scheduled_ = false;
   fleet::CrashWatch& crashes_;
   request::TrialLeases trials_;
+  request::RestartPacer restarts_;
   RunTable run_table_;
   /// Texts of adopted runs that have not arrived yet.
   TextRequests text_requests_;
@@ -330,8 +328,6 @@
   std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
   WaitingQueue queue_;
-  /// Items during which engines crashed, parked outside the queue so that they don't block other items.
-  std::vector<ItemPtr> parked_;
   /// Items that the routes in force allow neither to run nor to be given up, held outside the queue so that they don't
   /// block other items. They return when the routes change.
   std::vector<ItemPtr> undecided_;
@@ -375,7 +371,6 @@
 template <class Predicate>
 void JobExecutor::eraseWaiting(const Predicate& predicate) {
   queue_.removeIf(predicate);
-  std::erase_if(parked_, predicate);
   std::erase_if(undecided_, predicate);
 }
 
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -55,6 +55,7 @@
   run->number = run_table_.begin(now, runner);
   run->ticket = selector_.begin(now, choice.engine.id, query);
   run->started_at = now;
+  if (isPaced(*run)) restarts_.noteStarted(now, run->service);
   const Duration time_left = run_times_.remainingTime(run->events);
   trough_.noteBegun({choice.engine.service, choice.engine.zone, time_left});
   if (sharesFairly()) {
@@ -86,9 +87,6 @@
   order.saved_event = stored.event;
   order.saved_chain = stored.chain;
   order.reads_summaries = true;
-  takeTrial(now, *run);
-  run->is_hold_logged = false;
-  if (run->is_suspect) run->announced_as = crashes_.noteBegun(now, run->crash_subjects, run->engine);
   logEvent(LogLevel::kInfo, "item_sent",
            {{"job", run->job.value},
             {"request", run->item},
@@ -118,7 +116,6 @@
 }
 
 void JobExecutor::abandonRun(ItemRun& run) {
-  if (run.is_suspect) crashes_.noteEnded(monotonicNow(), run.announced_as, run.engine);
   run_table_.stop(run.number);
   text_requests_.remove(run.number);
   selector_.end(monotonicNow(), run.ticket, EngineVerdict::kNeutral);
@@ -182,6 +179,8 @@
   if (news.events > 0 && run->first_event_at == Instant{}) {
     run->first_event_at = now;
     run->events_before = run->events + news.events;
+    if (isPaced(*run)) restarts_.noteProgress(run->service);
+    run->breaks_in_series = 0;
   }
   run->events += news.events;
   if (news.ended) endRun(run, news.end, news.verdict, news.cause);
@@ -199,16 +198,15 @@
     if (found == runs_.end()) continue;
     const ItemPtr run = found->second;
     endRun(run, RunEnd::kBroken, EngineVerdict::kNeutral, "runner silent");
-    run->not_before = monotonicNow() + kRetryAfterLoss;
+    run->not_before = std::max(run->not_before, monotonicNow() + kRetryAfterLoss);
   }
 }
 
 void JobExecutor::endRun(const ItemPtr& run, RunEnd end, EngineVerdict verdict, const std::string& cause) {
   const Instant now = monotonicNow();
   selector_.end(now, run->ticket, verdict);
-  if (run->is_suspect) crashes_.noteEnded(now, run->announced_as, run->engine);
-  const bool may_have_crashed = end == RunEnd::kBroken || end == RunEnd::kClosed;
-  if (!may_have_crashed) trials_.release(run->trial_subject, run->trial_holder);
+  const bool has_broken = end == RunEnd::kBroken || end == RunEnd::kClosed;
+  if (has_broken && verdict == EngineVerdict::kFailed) noteBreak(now, *run);
   notePace(now, *run);
   if (run->share.work > 0) {
     shares_.correct(run->tenant, toSeconds(now - run->started_at) * 1000 - run->share.work);
@@ -232,6 +230,7 @@
             {"outcome", kNames[static_cast<std::size_t>(end)]},
             {"cause", cause},
             {"failures", run->failures},
+            {"breaks_in_series", run->breaks_in_series},
             {"last_event", run->last_event.value_or(0)}});
   // A declined run gives no information on the closed connection before it.
   if (end != RunEnd::kDeclined) run->after_close = end == RunEnd::kClosed;
--- a/src/process/store/job_executor_takeover.cpp
+++ b/src/process/store/job_executor_takeover.cpp
@@ -74,7 +74,6 @@
 void JobExecutor::noteAdopted(Instant now, const ItemPtr& run, std::uint64_t number, const EngineId& engine,
                               const EngineBuild& build) {
   run->running = true;
-  run->is_suspect = false;
   run->first_event_at = Instant{};
   run->engine = engine;
   run->build = build;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -97,9 +97,8 @@
   executor_ = std::make_unique<JobExecutor>(executor_options, *dialect_, propose_command, send_run, crashes_);
   executor_->setStartScheduler([this] { scheduleStart(); });
   auto report = [this](const ReplicaId& leader, const FleetMessage& news) { sendToStore(leader, news); };
-  runner_ = std::make_unique<ItemRunner>(context_, *dialect_, settings_.self(), report, crashes_);
+  runner_ = std::make_unique<ItemRunner>(context_, *dialect_, settings_.self(), report);
   crashes_.setServingCheck([this](const EngineId& engine) { return executor_->isServing(engine); });
-  crashes_.setAnsweringCheck([this](const request::RequestFingerprint& part) { return runner_->isAnswering(part); });
 
   fleet::GroupHostOptions options;
   options.group = kStoreGroup;
--- a/tests/soak/ending_parts.py
+++ b/tests/soak/ending_parts.py
@@ -41,6 +41,9 @@
 SHARED_PART = "5c1e07a2"
 SOUND_PARTS = [f"91bd3f{number:02x}" for number in range(5)]
 BAD_PARTS = ["ba0001", "ba0002"]
+PLACED_S = 5.0  # items under which engines ended are owed: one of them is placed again in this time
+ITEM_PAUSE_S = 2.0  # once engines have ended under several of them, no sooner than this
+ITEM_RAMP = 4  # starts in which the pause doubles from 150 ms to that
 SOUND_ITEMS = 10
 BAD_ITEMS = 20
 
@@ -171,9 +174,21 @@
         sent = sorted(at for at, sent_part in self.begun if sent_part == part)
         known_at = ends[KNOWN_ENDS - 1] if len(ends) >= KNOWN_ENDS else float("inf")
         later = sum(at > known_at + CONTACT_S for at in sent)
+        if self.scenario == "batch":
+            self.check_items([at for at in sent if at > known_at + CONTACT_S], known_at + CONTACT_S)
+            return
         print(f"part {part}: {len(sent)} sent to engines, {later} of them later than {CONTACT_S:.0f} s after the fifth end")
         self.check.that(later <= MOST_LATER, f"requests with part {part} were sent {later} times later than allowed")
 
+    def check_items(self, later, since):
+        until = time.monotonic()
+        times = [since, *later, until]
+        longest = max(after - before for before, after in zip(times, times[1:]))
+        print(f"items: {len(later)} sent to engines later than {CONTACT_S:.0f} s after the fifth end; longest gap {longest:.1f} s")
+        self.check.that(longest <= PLACED_S, f"no item was placed for {longest:.1f} s")
+        most = (until - since) / ITEM_PAUSE_S + 1 + ITEM_RAMP
+        self.check.that(len(later) <= most, f"{len(later)} items were sent in quick succession")
+
     @staticmethod
     def share(served):
         return sum(served) / len(served) if served else 1.0
