Bytes that are part of no event, or of one without an end, do not keep a run or a stream at its engine

What callers saw (new on the users' pages: bytes that are no answer may come without end): items stayed at such an engine for as long as it went on, a store's memory grew, and online streams waited there until their deadline, although other engines had room.

Cause: EventSplitter had no bound and searched its whole buffer again at each piece; the items' runner renewed its time limit with every piece, and its text had no bound; a stream had the request's deadline alone. Repeated events, events without data and comments counted as progress.

A stream is no answer after 1 MiB or 4,096 events of no use, an item's text after 4 MiB (the next run begins anew). An event online has 1 s to be whole. The search goes on where it ended; whole events are not kept. The engine is judged as failed; the work goes on elsewhere.

--- a/src/connection/event_stream.cpp
+++ b/src/connection/event_stream.cpp
@@ -5,6 +5,10 @@
 namespace hatchfork::connection {
 namespace {
 
+/// Much more than a whole event, or the events that an engine may repeat.
+constexpr std::size_t kMostUselessBytes = 1u << 20;
+constexpr std::size_t kMostUselessEvents = 4096;
+
 /// Value of a "name: value" or "name:value" line; nothing for other lines.
 std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name) {
   if (!line.starts_with(name)) return std::nullopt;
@@ -35,10 +39,23 @@
 
 }  // namespace
 
+void EventSplitter::append(std::string_view bytes) {
+  buffer_.erase(0, position_);
+  searched_ -= position_;
+  position_ = 0;
+  buffer_.append(bytes);
+  useless_bytes_ += bytes.size();
+}
+
+bool EventSplitter::isUseless() const {
+  return useless_bytes_ > kMostUselessBytes || useless_events_ > kMostUselessEvents;
+}
+
 std::optional<StreamEvent> EventSplitter::next() {
-  std::size_t search = position_;
+  std::size_t search = searched_;
   while (true) {
     const std::size_t end = buffer_.find('\n', search);
+    searched_ = end == std::string::npos ? buffer_.size() : end;
     if (end == std::string::npos) return std::nullopt;
     // An event ends with an empty line, which may have a carriage return.
     std::size_t after = end + 1;
@@ -51,8 +68,10 @@
     StreamEvent event;
     event.bytes = buffer_.substr(position_, after + 1 - position_);
     position_ = after + 1;
+    searched_ = position_;
     if (position_ == buffer_.size()) clear();
     readFields(event);
+    ++useless_events_;
     return event;
   }
 }
@@ -60,6 +79,7 @@
 void EventSplitter::clear() {
   buffer_.clear();
   position_ = 0;
+  searched_ = 0;
 }
 
 }  // namespace hatchfork::connection
--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -23,6 +24,8 @@
 constexpr Duration kResumeMargin = std::chrono::seconds(2);
 constexpr Duration kMaxStreamLifetime = std::chrono::seconds(60);
 constexpr Duration kRetryWhenStoresSilent = fromMillis(150);
+/// An engine sends an event at once. Longer than a pause of its machine may take.
+constexpr Duration kEventTimeout = std::chrono::seconds(1);
 
 std::string withoutLastEvent(const Dialect& dialect) {
   return "send the request without " + dialect.headers().last_event_id + " to get the complete answer";
@@ -100,9 +103,11 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::relayEvents(EngineExchange& exchange) {
   connection::EventSplitter splitter;
+  Instant event_began_at{};
   position_.beginAnswer(engine_build_);
   while (true) {
-    AnswerPiece piece = co_await exchange.read(deadline_);
+    const Instant until = splitter.hasPartial() ? std::min(deadline_, event_began_at + kEventTimeout) : deadline_;
+    AnswerPiece piece = co_await exchange.read(until);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "stream: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
@@ -116,12 +121,22 @@
       verdict_ = EngineVerdict::kFailed;
       co_return AttemptEnd::kStreamBroken;
     }
+    if (!splitter.hasPartial()) event_began_at = monotonicNow();
     splitter.append(std::get<std::string>(piece));
     std::string events;
+    const auto events_so_far = events_;
     bool is_valid = true;
     for (auto event = splitter.next(); event && is_valid; event = is_valid ? splitter.next() : std::nullopt) {
       is_valid = acceptEvent(*event, events);
     }
+    if (events_ > events_so_far) {
+      splitter.noteUseful();
+      event_began_at = monotonicNow();
+    }
+    if (is_valid && splitter.isUseless()) {
+      is_valid = false;
+      cause_ = "stream: bytes without an event";
+    }
     const bool passed = co_await forwardEvents(std::move(events));
     if (!passed) co_return AttemptEnd::kCallerLeft;
     if (is_valid) continue;
@@ -144,10 +159,12 @@
     ++context_.counters.misplaced_events;
     return false;
   }
+  events += event.bytes;
+  // A comment, or other lines that are part of no text.
+  if (!event.id && !event.has_data) return true;
   if (!first_event_) first_event_ = event.id;
   ++events_;
   if (events_ == events_before_ + 1) noteAnswerBegun();
-  events += event.bytes;
   if (position_.build() && !is_stream_recorded_) noteStreamBegun();
   return true;
 }
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -38,6 +38,8 @@
 constexpr Duration kNewLeaderReportTime = fromMillis(1500);
 /// First events and ends are reported after this delay, so that those of the same moment share a report.
 constexpr Duration kReportDelay = fromMillis(15);
+/// Much more than an engine generates for one item.
+constexpr std::size_t kLargestText = 4u << 20;
 constexpr unsigned kUnprocessable = 422;
 constexpr unsigned kServerError = 500;
 constexpr unsigned kMisdirected = 421;
@@ -246,8 +248,9 @@
   if (!declined && status == kServerError) news.end = RunEnd::kFailed;
   if (declined || status / 100 != 2) co_return;
   connection::EventSplitter splitter;
+  Instant next_event_by = monotonicNow() + kNextEventTimeout;
   while (true) {
-    AnswerPiece piece = co_await exchange.read(monotonicNow() + kNextEventTimeout);
+    AnswerPiece piece = co_await exchange.read(next_event_by);
     if (!*alive || run.stopped) co_return;
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       news.cause = "stream: " + failure->cause;
@@ -260,15 +263,30 @@
     }
     const bool first = news.sequence == 0 && !run.has_news;
     splitter.append(std::get<std::string>(piece));
+    const std::uint64_t events = run.events;
     bool is_sound = true;
     for (auto event = splitter.next(); event && is_sound; event = is_sound ? splitter.next() : std::nullopt) {
       is_sound = takeEvent(run, *event);
     }
     if (first && run.has_news) reportSoon();
-    if (!is_sound) co_return;
+    if (!is_sound || isUseless(run, splitter)) co_return;
+    // Bytes that add nothing to the text give the engine no more time.
+    if (run.events == events) continue;
+    next_event_by = monotonicNow() + kNextEventTimeout;
+    splitter.noteUseful();
   }
 }
 
+bool ItemRunner::isUseless(Run& run, const connection::EventSplitter& splitter) {
+  const bool is_too_long = run.text.size() > kLargestText;
+  if (!is_too_long && !splitter.isUseless()) return false;
+  run.news.verdict = EngineVerdict::kFailed;
+  run.news.cause = is_too_long ? "stream: a text without an end" : "stream: bytes without an event";
+  // No run can end such a text, so the next one begins anew.
+  if (is_too_long) run.news.last_event = 0;
+  return true;
+}
+
 void ItemRunner::takeEnd(Run& run, bool is_framed, bool has_partial) {
   fleet::RunNews& news = run.news;
   news.verdict = EngineVerdict::kFailed;
@@ -299,6 +317,7 @@
   run.has_text = true;
   run.has_news = true;
   ++run.news.events;
+  ++run.events;
   run.news.last_event = run.position.canResume() ? run.position.last().value_or(0) : 0;
   return true;
 }
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -59,6 +59,8 @@
     bool stopped = false;
     /// True while the leader has a summary of this run and has not asked for its text; no news are reported meanwhile.
     bool is_withheld = false;
+    /// Number of events of this run.
+    std::uint64_t events = 0;
     /// Position in the item's text, including the text of earlier runs.
     request::StreamPosition position;
     /// Text of the item so far, including that of earlier runs.
@@ -86,6 +88,8 @@
   void finish(const RunPtr& run);
   /// Adds the next event to the next report. False if events before it are missing or its position is unknown.
   bool takeEvent(Run& run, const connection::StreamEvent& event);
+  /// True if the answer has no end, or brings bytes but no events; its cause is then in the news.
+  static bool isUseless(Run& run, const connection::EventSplitter& splitter);
   /// Sets the run's outcome from the end of its answer.
   void takeEnd(Run& run, bool is_framed, bool has_partial);
   /// Retains an answer that counts against the item until a leader confirms it.
--- a/tests/connection/event_stream_test.cpp
+++ b/tests/connection/event_stream_test.cpp
@@ -57,3 +57,33 @@
   REQUIRE(events[0].data == "x");
   REQUIRE(splitter.hasPartial());
 }
+
+// Guards against a buffer that grows for as long as an engine sends bytes that end no event.
+TEST_CASE("bytes without a useful event are recognised, and whole events are not kept", "[events][endless]") {
+  constexpr std::size_t kPieces = 100000;
+  EventSplitter splitter;
+  SECTION("no event has an end") {
+    for (std::size_t i = 0; i < kPieces && !splitter.isUseless(); ++i) {
+      splitter.append("data: no line's end ");
+      REQUIRE(eventsOf(splitter).empty());
+    }
+    REQUIRE(splitter.isUseless());
+  }
+  SECTION("events come that are of no use") {
+    for (std::size_t i = 0; i < kPieces && !splitter.isUseless(); ++i) {
+      splitter.append(": comment that is of no use\n\n");
+      REQUIRE(eventsOf(splitter).size() == 1);
+    }
+    REQUIRE(splitter.isUseless());
+  }
+  SECTION("all events are of use, and each piece ends inside one") {
+    splitter.append("data: x");
+    for (std::size_t i = 0; i < kPieces; ++i) {
+      splitter.append("\n\ndata: some text of an answer");
+      REQUIRE(eventsOf(splitter).size() == 1);
+      REQUIRE(splitter.heldBytes() < 100);
+      splitter.noteUseful();
+    }
+    REQUIRE_FALSE(splitter.isUseless());
+  }
+}
