Heads, interim and surplus answers without end fail an exchange at once

What callers saw: requests waited until their deadline (504), items for 6 s each time, at an engine that sent a head byte by byte, interim answers, or answers of other requests without end.

Cause: readHead waited until the deadline for each of any number of heads, and read any surplus body until the deadline of the request behind it. Change: a head has 1 s from its first byte on, a surplus body 1 s and 1 MiB, and at most 8 answers may come before the own one. The connection is closed, the engine judged, and what may be repeated goes to another engine.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace hatchfork::connection {
 namespace {
@@ -22,6 +23,12 @@
 constexpr std::size_t kMostIdlePerEngine = 64;
 constexpr std::size_t kPieceBytes = 4096;
 constexpr std::uint32_t kLargestHead = 64u << 10;
+/// An engine sends the head of an answer at once. Longer than a pause of its machine may take.
+constexpr Duration kHeadTimeout = std::chrono::seconds(1);
+/// Interim and surplus answers that may come before the answer to a request, and bytes of surplus bodies; with more,
+/// the connection carries no answers.
+constexpr int kMostOtherAnswers = 8;
+constexpr std::size_t kMostSurplusBytes = 1u << 20;
 
 /// A connection with the bytes read ahead of the parser. Shared with the write that may be in flight.
 struct EngineConnection {
@@ -218,22 +225,41 @@
   }
 
   Awaitable<std::optional<ExchangeFailure>> readHead(Instant deadline) {
-    while (true) {
+    for (int others = 0; others <= kMostOtherAnswers; ++others) {
       parser_.emplace();
       parser_->body_limit(boost::none);
       parser_->header_limit(kLargestHead);
-      beast::error_code error;
-      arm(deadline);
-      co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
-                                       asio::redirect_error(asio::use_awaitable, error));
-      timer_.cancel();
-      if (error || cancelled_) co_return failAnd(failureOf(error));
+      std::optional<ExchangeFailure> failed = co_await readOneHead(deadline);
+      if (failed) co_return failAnd(std::move(*failed));
       const bool interim = parser_->get().result_int() < 200;
       if (!interim && isOwnAnswer()) co_return std::nullopt;
       if (interim) continue;
-      std::optional<ExchangeFailure> failed = co_await skipAnswer(deadline);
+      failed = co_await skipAnswer(deadline);
       if (failed) co_return failAnd(std::move(*failed));
     }
+    co_return failAnd(ExchangeFailure{true, false, "answers of other requests without end"});
+  }
+
+  /// Reads a head until `deadline`, and for no longer than `kHeadTimeout` from its first byte on.
+  Awaitable<std::optional<ExchangeFailure>> readOneHead(Instant deadline) {
+    bool has_begun = false;
+    arm(deadline);
+    while (true) {
+      beast::error_code error;
+      if (connection_->buffer.size() > 0) {
+        connection_->buffer.consume(parser_->put(connection_->buffer.data(), error));
+        if (parser_->is_header_done()) break;
+        if (error && error != http::error::need_more) co_return failureOf(error);
+        if (!std::exchange(has_begun, true)) arm(std::min(deadline, monotonicNow() + kHeadTimeout));
+      }
+      error = {};
+      const std::size_t bytes = co_await connection_->socket.async_read_some(
+          connection_->buffer.prepare(kPieceBytes), asio::redirect_error(asio::use_awaitable, error));
+      connection_->buffer.commit(bytes);
+      if (error || cancelled_ || timed_out_) co_return failureOf(error);
+    }
+    timer_.cancel();
+    co_return std::nullopt;
   }
 
   /// An answer without any identifier is taken only if the engine could not read the request.
@@ -247,11 +273,14 @@
   Awaitable<std::optional<ExchangeFailure>> skipAnswer(Instant deadline) {
     const bool framed = parser_->chunked() || parser_->content_length().has_value();
     if (!framed) co_return ExchangeFailure{true, false, "an answer of another request without a length"};
-    std::string piece;
+    const Instant until = std::min(deadline, monotonicNow() + kHeadTimeout);
+    std::size_t bytes = 0;
     while (!parser_->is_done()) {
-      piece.clear();
-      std::optional<ExchangeFailure> failed = co_await readPiece(piece, deadline);
+      std::string piece;
+      std::optional<ExchangeFailure> failed = co_await readPiece(piece, until);
       if (failed) co_return failed;
+      bytes += piece.size();
+      if (bytes > kMostSurplusBytes) co_return ExchangeFailure{true, false, "an answer of another request without end"};
     }
     co_return std::nullopt;
   }
--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/connection/endless_engine.hpp"
 #include "tests/connection/scripted_engine.hpp"
 
 using namespace hatchfork;
@@ -130,3 +131,38 @@
   context.run();
   REQUIRE_FALSE(outcome.failure.may_have_run);
 }
+
+// Guards against requests that wait for an answer, until their deadline, behind bytes that are none and have no end.
+TEST_CASE("bytes without end before an answer end the exchange long before its deadline", "[engine][endless]") {
+  const auto [begin, piece] = GENERATE(
+      // A head, one field after the other; one without a line's end; a head that comes byte by byte.
+      std::pair<std::string, std::string>{"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+      std::pair<std::string, std::string>{"HTTP/1.1 200 OK\r\nX-More: ", "more"},
+      std::pair<std::string, std::string>{"", "H"},
+      // Interim answers; answers of another request; one whose body has no end.
+      std::pair<std::string, std::string>{"", "HTTP/1.1 102 Processing\r\n\r\n"},
+      std::pair<std::string, std::string>{"", "HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 2\r\n\r\nok"},
+      std::pair<std::string, std::string>{"HTTP/1.1 200 OK\r\nX-Id: r0\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                          "4\r\nmore\r\n"});
+  const Duration pause = GENERATE(Duration::zero(), fromMillis(2));
+  asio::io_context context;
+  EndlessEngine engine(context, begin, piece, pause);
+  EngineClient client(context);
+  EngineRequest request;
+  request.engine = EngineId("e");
+  request.endpoint = Endpoint{"127.0.0.1", engine.port()};
+  request.method = "GET";
+  request.target = "/";
+  request.echo_name = "X-Id";
+  request.echo_value = "r1";
+  Outcome outcome;
+  bool has_ended = false;
+  asio::co_spawn(context, exchange(client, std::move(request), nullptr, std::chrono::hours(1), outcome),
+                 [&](const std::exception_ptr&) { has_ended = true; });
+  const Instant give_up = monotonicNow() + std::chrono::seconds(10);
+  while (!(has_ended && engine.isClosed()) && monotonicNow() < give_up) context.run_for(fromMillis(10));
+  REQUIRE(has_ended);
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+  REQUIRE(engine.isClosed());
+}
