A plain body that goes on and on leaves time for another engine

What callers saw: a request that may be repeated waited until its deadline for a body that never ends, although other engines had room. Cause: collectAnswer read until the deadline, and did not judge the engine for a body over the limit. Change: where another attempt is allowed, a body has half of the time that remains. The refusals of engines that the older fleet reads whole are bounded too (64 KiB).

--- a/src/connection/engine_attempt.cpp
+++ b/src/connection/engine_attempt.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view kEndMark = "[DONE]";
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::size_t kLargestEvent = 1u << 20;
+constexpr std::size_t kLargestRefusal = 64u << 10;
 
 Error upstreamError(std::string message) {
   return Error{ErrorKind::kUpstreamFailed, std::move(message), "ask again", Executed::kUnknown, fromMillis(1000)};
@@ -76,7 +77,7 @@
 
 Awaitable<AttemptEnd> EngineAttempt::readRefusal() {
   std::string body;
-  while (true) {
+  while (body.size() <= kLargestRefusal) {
     Result<std::string> piece = co_await exchange_->readSome(patience());
     if (!isOk(piece) || valueOf(piece).empty()) break;
     body += valueOf(piece);
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -264,13 +264,17 @@
   connection::SlowReaders& readers = context_.slow_readers;
   const std::unique_ptr<connection::HeldBytes> held = readers.collect(id_);
   const std::size_t most_bytes = std::min(kMaxBufferedAnswerBytes, readers.mostBytes());
+  // A body that goes on and on leaves time for another engine.
+  const Instant now = monotonicNow();
+  const bool has_other_attempt = route_.isRepeatable() && runs_ + 1 < route_.most_attempts;
+  const Instant until = has_other_attempt ? now + (deadline_ - now) / 2 : deadline_;
   while (true) {
     const bool has_room = co_await readers.awaitRoom(held.get(), deadline_);
     if (!has_room) {
       cause_ = "answer: no buffer space before the deadline";
       co_return false;
     }
-    AnswerPiece piece = co_await exchange.read(deadline_);
+    AnswerPiece piece = co_await exchange.read(until);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "answer: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
@@ -283,6 +287,7 @@
     body += bytes;
     if (body.size() <= most_bytes) continue;
     cause_ = "answer_too_large";
+    verdict_ = EngineVerdict::kFailed;
     co_return false;
   }
 }
