An engine that declines a request for the weights that it asks for stays in use

Cause: each 421 was taken for "another engine has this address", which nothing took back while the engine kept its id. It also means that the engine has other weights than the request names. Change: where a request names weights, a 421 says nothing of the engine. An item that is declined for what it asks for is offered again after 80 ms, doubled up to 2 s.

Test: item_runner_test "[weights]". One copy of isSameHeader (it stood in connection/ under another name).

--- a/src/connection/http_types.cpp
+++ b/src/connection/http_types.cpp
@@ -12,11 +12,6 @@
 namespace hatchfork::connection {
 namespace {
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                    [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 bool isIpNumber(const std::string& host) {
   in6_addr storage;
   return inet_pton(AF_INET, host.c_str(), &storage) == 1 || inet_pton(AF_INET6, host.c_str(), &storage) == 1;
@@ -24,6 +19,11 @@
 
 }  // namespace
 
+bool isSameHeader(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
 std::string toString(const Endpoint& endpoint) {
   return fmt::format("{}:{}", endpoint.host, endpoint.port);
 }
@@ -47,7 +47,7 @@
 
 std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
   for (const HttpHeader& header : headers) {
-    if (equalsIgnoringCase(header.name, name)) return header.value;
+    if (isSameHeader(header.name, name)) return header.value;
   }
   return {};
 }
--- a/src/connection/http_types.hpp
+++ b/src/connection/http_types.hpp
@@ -16,6 +16,9 @@
   std::string value;
 };
 
+/// Compares names of header fields, ignoring case.
+bool isSameHeader(std::string_view left, std::string_view right);
+
 /// A TCP endpoint given by IP number.
 struct Endpoint {
   std::string host;
--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -231,6 +231,9 @@
   if (isDeclined(exchange)) {
     cause_ = fmt::format("declined_{}", exchange.status());
     verdict_ = exchange.status() == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
+    // The engine may be the expected one, with other weights.
+    const bool names_weights = !request_.header(context_.dialect.headers().expected_weights).empty();
+    if (exchange.status() == kMisdirected && names_weights) verdict_ = EngineVerdict::kNeutral;
     // Reads the answer to its end so that the connection can be reused.
     const AnswerPiece rest = co_await exchange.read(now + kRetryAfter);
     if (std::holds_alternative<std::string>(rest)) co_await exchange.read(now + kRetryAfter);
--- a/src/process/exchange/header_rules.cpp
+++ b/src/process/exchange/header_rules.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <string>
 
@@ -30,12 +29,6 @@
 
 }  // namespace
 
-bool isSameHeader(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-  });
-}
-
 std::vector<connection::HttpHeader> endToEndHeaders(const std::vector<connection::HttpHeader>& headers) {
   const std::string_view listed = connection::findHeader(headers, "Connection");
   std::vector<connection::HttpHeader> passed;
--- a/src/process/exchange/header_rules.hpp
+++ b/src/process/exchange/header_rules.hpp
@@ -15,8 +15,7 @@
 /// Returns the end-to-end headers of a message: all except those that concern one connection or the body framing.
 std::vector<connection::HttpHeader> endToEndHeaders(const std::vector<connection::HttpHeader>& headers);
 
-/// Compares header names, ignoring case.
-bool isSameHeader(std::string_view left, std::string_view right);
+using connection::isSameHeader;
 
 /// Parses a number of milliseconds, fractions allowed. Returns nullopt if the text does not start with a number.
 std::optional<Duration> readMilliseconds(std::string_view text);
--- a/src/process/store/item_run.hpp
+++ b/src/process/store/item_run.hpp
@@ -38,6 +38,8 @@
   std::uint32_t attempts = 0;
   /// Number of runs in a row that broke off at their engines before an event.
   std::uint32_t breaks_in_series = 0;
+  /// Number of times in a row that engines declined the item for what it asks for.
+  std::uint32_t own_declines = 0;
   Instant not_before{};
   /// Time at which the result is due, and the key by which the queue is sorted.
   Instant due = Instant::max();
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -88,6 +88,10 @@
   run->text = std::move(order.text);
   run->news.last_event = order.last_event;
   run->order = std::move(order);
+  const std::vector<ItemHeader>& headers = run->order.item.headers;
+  run->names_weights = std::any_of(headers.begin(), headers.end(), [this](const ItemHeader& header) {
+    return connection::isSameHeader(header.name, dialect_.headers().expected_weights);
+  });
   runs_.emplace(run->order.number, run);
   connection::asio::co_spawn(context_, this->run(run), connection::asio::detached);
 }
@@ -242,6 +246,8 @@
   const bool declined = status == kMisdirected || !exchange.header(dialect_.headers().not_executed).empty();
   if (declined) {
     news.verdict = status == kMisdirected ? EngineVerdict::kGone : EngineVerdict::kDeclined;
+    // The engine may be the expected one, with other weights.
+    if (status == kMisdirected && run.names_weights) news.verdict = EngineVerdict::kNeutral;
     news.end = RunEnd::kDeclined;
   }
   if (!declined && status == kUnprocessable) news.end = RunEnd::kImpossible;
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -57,6 +57,8 @@
     bool has_news = false;
     bool has_text = false;
     bool stopped = false;
+    /// True if the item asks for a version of the weights.
+    bool names_weights = false;
     /// True while the leader has a summary of this run and has not asked for its text; no news are reported meanwhile.
     bool is_withheld = false;
     /// Number of events of this run.
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -18,6 +18,8 @@
 
 constexpr Duration kRetryAfterFailure = fromMillis(150);
 constexpr Duration kRetryAfterDecline = fromMillis(80);
+/// An item that asks for what no engine has is offered again this often in the end.
+constexpr Duration kMaxRetryAfterDecline = std::chrono::seconds(2);
 constexpr Duration kRetryAfterPreemption = fromMillis(200);
 /// Reduces random numbers to less than 2^53, so that names of chains are exact in every JSON reader.
 constexpr unsigned kChainShift = 11;
@@ -25,6 +27,13 @@
 /// expires.
 constexpr Duration kRetryAfterLoss = fromMillis(300);
 
+/// Doubles with each time in a row that engines declined the item for what it asks for.
+Duration retryAfterDecline(const ItemRun& run) {
+  Duration delay = kRetryAfterDecline;
+  for (std::uint32_t i = 1; i < run.own_declines && delay < kMaxRetryAfterDecline; ++i) delay *= 2;
+  return std::min(delay, kMaxRetryAfterDecline);
+}
+
 /// Logs the ends of runs that this leader ignores, so that engine answers no leader received can be found.
 void logIgnored(const fleet::RunReport& report, const std::vector<fleet::RunNews>& ignored, std::string_view cause) {
   for (const fleet::RunNews& news : ignored) {
@@ -183,7 +192,10 @@
     run->breaks_in_series = 0;
   }
   run->events += news.events;
-  if (news.ended) endRun(run, news.end, news.verdict, news.cause);
+  if (!news.ended) return;
+  const bool is_own_decline = news.end == RunEnd::kDeclined && news.verdict == EngineVerdict::kNeutral;
+  run->own_declines = is_own_decline ? run->own_declines + 1 : 0;
+  endRun(run, news.end, news.verdict, news.cause);
 }
 
 void JobExecutor::notePace(Instant now, const ItemRun& run) {
@@ -250,7 +262,7 @@
       run->not_before = now + kRetryAfterFailure;
       break;
     case RunEnd::kDeclined:
-      run->not_before = now + kRetryAfterDecline;
+      run->not_before = now + retryAfterDecline(*run);
       break;
     case RunEnd::kYielded:
       ++counters_.preempted;
--- a/src/version/dialect.hpp
+++ b/src/version/dialect.hpp
@@ -24,6 +24,9 @@
   std::string remaining_ms;
   /// Engine that the request is sent to; any other engine declines the request.
   std::string expected_engine;
+  /// Version of the weights that a caller asks for; an engine with another one declines the request, with the same
+  /// status as an engine that is not the expected one.
+  std::string expected_weights;
   /// Marks the response of an engine that did not run the request.
   std::string not_executed;
   /// Authenticates a response as sent by the engine itself.
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -470,3 +470,33 @@
   REQUIRE(ended.front().end == fleet::RunEnd::kBroken);
   REQUIRE(ended.front().last_event == 0);
 }
+
+// Guards against engines that get no work any more, since an item asked them for weights that they don't have.
+TEST_CASE("an engine that declines an item for the weights it asks for is not taken for another one",
+          "[store][runner][weights]") {
+  const bool names_weights = GENERATE(true, false);
+  connection::asio::io_context context;
+  connection::ScriptedEngine engine(
+      context, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: item\r\nContent-Length: 0\r\n\r\n");
+  const std::unique_ptr<const Dialect> dialect = platform::makePlatformDialect();
+  std::vector<RunNews> ended;
+  ItemRunner runner(context, *dialect, kSelf, [&](const ReplicaId&, const fleet::FleetMessage& message) {
+    const auto* report = std::get_if<RunReport>(&message);
+    if (report != nullptr && !report->news.empty() && report->news.back().ended) ended.push_back(report->news.back());
+  });
+  RunOrder order;
+  order.from = kLeader;
+  order.term = 1;
+  order.number = 7;
+  order.item = OpaqueItem{"item", "/x/1", {}, "body", 10};
+  if (names_weights) order.item.headers.push_back({"x-expect-version", "1"});
+  order.host = "a.example";
+  order.engine = EngineId("e");
+  order.engine_address = fmt::format("127.0.0.1:{}", engine.port());
+  runner.take(std::move(order));
+  const Instant give_up = monotonicNow() + std::chrono::seconds(5);
+  while (ended.empty() && monotonicNow() < give_up) context.run_for(fromMillis(10));
+  REQUIRE(ended.size() == 1);
+  REQUIRE(ended.front().end == fleet::RunEnd::kDeclined);
+  REQUIRE(ended.front().verdict == (names_weights ? request::EngineVerdict::kNeutral : request::EngineVerdict::kGone));
+}
