The test of shares between services looks at one pass, not at the time that starts take

In one of two runs of the whole script, beside load, it failed with 17 where 15 were allowed: how many items start before others depends on the time that a new leader's slow start gives. Now all start in one pass, and the number must be the same with and without the work that waits for the other service. One doc comment.

--- a/src/process/store/waiting_queue.hpp
+++ b/src/process/store/waiting_queue.hpp
@@ -51,10 +51,10 @@
 
   /// True if no item was added since the last call of `sort`.
   bool isSorted() const { return is_sorted_; }
-  /// Sorts the items by `precedes`, items of equal rank by their order so far, and builds the lanes. `is_late`: true
-  /// for items that need no lasting capacity.
+  /// Sorts the items by `precedes`; items of equal rank stay in their order.
   template <class Precedes>
   void sort(const Precedes& precedes);
+  /// Builds the lanes from the items in their order. `is_late`: true for items that need no lasting capacity.
   template <class IsLate>
   void buildLanes(const IsLate& is_late);
 
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -135,6 +135,14 @@
     return static_cast<std::size_t>(
         std::count_if(orders_.begin(), orders_.end(), [&](const RunOrder& order) { return order.job.value == job; }));
   }
+  /// Returns the number of orders until `count` items of the job were ordered.
+  std::size_t ordersUntilAllOf(const std::string& job, std::size_t count) const {
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < orders_.size(); ++i) {
+      if (orders_[i].job.value == job && ++found == count) return i + 1;
+    }
+    return orders_.size() + 1;
+  }
   /// True if the executor has stopped the run.
   bool hasStopped(std::uint64_t number) const {
     return std::any_of(leases_.begin(), leases_.end(), [number](const fleet::RunLease& lease) {
--- a/tests/process/store/job_executor_lanes_test.cpp
+++ b/tests/process/store/job_executor_lanes_test.cpp
@@ -177,31 +177,32 @@
           "[store][executor][lanes]") {
   std::string document = kTwoServices;
   document.insert(document.rfind("\"Limits\""), R"("Tenants":[{"Name":"a"},{"Name":"b"}],)");
-  const auto submitFor = [](ExecutorFixture& fixture, const std::string& tenant, const std::string& route,
-                            std::size_t items, std::int64_t age) {
-    JobSubmission job = jobOn(route, tenant + "-" + route, items, age);
-    job.tenant = TenantId(tenant);
-    fixture.apply(SubmitJob{job});
-  };
-  // Returns how many items of another tenant start before all of tenant a have started.
+  // Returns how many items of another tenant start before all of tenant a have started, in one pass.
   const auto startsBefore = [&](std::size_t items_that_lack_engines) {
     LanesFixture fixture(document);
-    fixture.setEngines({engineOf("idle", "z0", 2 * kMany)});
-    if (items_that_lack_engines > 0) submitFor(fixture, "a", "lacking", items_that_lack_engines, 1000);
-    submitFor(fixture, "b", "idle", 20 * kMany, 100);
-    submitFor(fixture, "a", "idle", 4, 0);
-    fixture.executor().setLeading(false, 2);
-    fixture.executor().setLeading(true, 3);
-    const Instant give_up = connection::monotonicNow() + std::chrono::seconds(10);
-    while (fixture.ordersOf("a-idle") < 4 && fixture.orders() < 2 * kMany && connection::monotonicNow() < give_up) {
-      fixture.executor().notePeerLoads(connection::monotonicNow(), {});
+    fixture.setEngines({});
+    const auto submitFor = [&](const std::string& tenant, const std::string& route, std::size_t items, int age_ms) {
+      if (items == 0) return;
+      JobSubmission job = jobOn(route, tenant + "-" + route, items, age_ms);
+      job.tenant = TenantId(tenant);
+      fixture.submit(job);
+    };
+    submitFor("a", "lacking", items_that_lack_engines, 1000);
+    submitFor("b", "idle", 20 * kMany, 100);
+    submitFor("a", "idle", 4, 0);
+    fixture.executor().notePeerLoads(connection::monotonicNow(), {});
+    // Both the plan and the order are made anew, with the room that is short.
+    for (int round = 0; round < 3; ++round) {
+      ExecutorFixture::waitUntil(connection::monotonicNow() + fromMillis(120));
       fixture.executor().tick(connection::monotonicNow());
     }
-    return fixture.ordersOf("b-idle");
+    fixture.setEngines({engineOf("idle", "z0", 2 * kMany)});
+    REQUIRE(fixture.orders() == 2 * kMany);
+    return fixture.ordersUntilAllOf("a-idle", 4);
   };
   const std::size_t without = startsBefore(0);
   REQUIRE(without < kMany);
-  REQUIRE(startsBefore(20 * kMany) <= without + 8);
+  REQUIRE(startsBefore(20 * kMany) == without);
 }
 
 // The time of a pass over very many items, for the page on capacity; no check.
