--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -137,17 +137,16 @@
     for (auto event = splitter.next(); event && is_valid; event = is_valid ? splitter.next() : std::nullopt) {
       is_valid = acceptEvent(*event, events);
     }
-    if (events_ > events_so_far) {
-      splitter.noteUseful();
-      useful_at = monotonicNow();
-      event_began_at = useful_at;
-    }
+    const bool is_useful = events_ > events_so_far;
+    if (is_useful) splitter.noteUseful();
     if (is_valid && splitter.isUseless()) {
       is_valid = false;
       cause_ = "stream: bytes without an event";
     }
     const bool passed = co_await forwardEvents(exchange, std::move(events));
     if (!passed) co_return AttemptEnd::kCallerLeft;
+    // The time that a slow caller takes is not the engine's.
+    if (is_useful) useful_at = event_began_at = monotonicNow();
     if (is_valid) continue;
     verdict_ = EngineVerdict::kFailed;
     co_return AttemptEnd::kStreamBroken;
