Framing of a body without end fails an exchange, and little of it is kept

An engine that sends a chunk extension, a chunk size or trailers without end was read until the deadline (of a stream: its whole time), and all of it was kept in memory.

Cause: the library reads into its buffer until it can parse a piece of the body, with no bound.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -252,11 +252,8 @@
         if (error && error != http::error::need_more) co_return failureOf(error);
         if (!std::exchange(has_begun, true)) arm(std::min(deadline, monotonicNow() + kHeadTimeout));
       }
-      error = {};
-      const std::size_t bytes = co_await connection_->socket.async_read_some(
-          connection_->buffer.prepare(kPieceBytes), asio::redirect_error(asio::use_awaitable, error));
-      connection_->buffer.commit(bytes);
-      if (error || cancelled_ || timed_out_) co_return failureOf(error);
+      std::optional<ExchangeFailure> failed = co_await readMore();
+      if (failed) co_return failed;
     }
     timer_.cancel();
     co_return std::nullopt;
@@ -291,14 +288,47 @@
     parser_->get().body().data = piece.data();
     parser_->get().body().size = piece.size();
     parser_->get().body().more = true;
-    beast::error_code error;
     arm(deadline);
-    co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_,
-                                   asio::redirect_error(asio::use_awaitable, error));
+    std::optional<ExchangeFailure> failed;
+    std::size_t framing_bytes = 0;
+    while (!failed && !parser_->is_done() && parser_->get().body().size == piece.size()) {
+      failed = co_await parseSome(framing_bytes);
+    }
     timer_.cancel();
-    if (error == http::error::need_buffer) error = {};
+    if (failed) co_return failAnd(std::move(*failed));
     piece.resize(piece.size() - parser_->get().body().size);
-    if (cancelled_ || timed_out_ || (error && piece.empty())) co_return failAnd(failureOf(error));
+    co_return std::nullopt;
+  }
+
+  /// Parses what was read, or reads more where that is not enough. `framing_bytes`: number of bytes so far that were
+  /// not part of the body.
+  Awaitable<std::optional<ExchangeFailure>> parseSome(std::size_t& framing_bytes) {
+    beast::error_code error;
+    if (connection_->buffer.size() > 0) {
+      const std::size_t used = parser_->put(connection_->buffer.data(), error);
+      connection_->buffer.consume(used);
+      framing_bytes += used;
+      const bool is_unfinished = error == http::error::need_more || error == http::error::need_buffer;
+      if (error && !is_unfinished) co_return failureOf(error);
+      if (used > 0) co_return std::nullopt;
+    }
+    if (framing_bytes + connection_->buffer.size() > kLargestHead) {
+      co_return ExchangeFailure{true, false, "an answer whose framing has no end"};
+    }
+    co_return co_await readMore();
+  }
+
+  /// Reads more bytes of an answer; the end of the connection may be that of the answer.
+  Awaitable<std::optional<ExchangeFailure>> readMore() {
+    beast::error_code error;
+    const std::size_t bytes = co_await connection_->socket.async_read_some(
+        connection_->buffer.prepare(kPieceBytes), asio::redirect_error(asio::use_awaitable, error));
+    connection_->buffer.commit(bytes);
+    if (error == asio::error::eof && !cancelled_ && !timed_out_) {
+      error = {};
+      parser_->put_eof(error);
+    }
+    if (error || cancelled_ || timed_out_) co_return failureOf(error);
     co_return std::nullopt;
   }
 
--- a/tests/connection/endless_engine.hpp
+++ b/tests/connection/endless_engine.hpp
@@ -28,10 +28,13 @@
   }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   bool isClosed() const { return is_closed_; }
+  /// Number of bytes that the other side, or its machine, has taken.
+  std::size_t written() const { return written_; }
 
  private:
   void write() {
-    asio::async_write(socket_, asio::buffer(next_), [this](boost::system::error_code error, std::size_t) {
+    asio::async_write(socket_, asio::buffer(next_), [this](boost::system::error_code error, std::size_t bytes) {
+      written_ += bytes;
       is_closed_ = static_cast<bool>(error);
       if (error) return;
       next_ = piece_;
@@ -50,6 +53,7 @@
   std::string piece_;
   Duration pause_;
   bool is_closed_ = false;
+  std::size_t written_ = 0;
 };
 
 }  // namespace hatchfork::connection
--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -166,3 +166,33 @@
   REQUIRE(outcome.failure.may_have_run);
   REQUIRE(engine.isClosed());
 }
+
+// Guards against memory that grows with bytes of a body's framing, which belong to no answer either.
+TEST_CASE("framing of a body without end ends the exchange, and little of it is kept", "[engine][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto [begin, piece] =
+      GENERATE_COPY(std::pair<std::string, std::string>{head + "4;extension=", std::string(4096, 'x')},
+                    std::pair<std::string, std::string>{head + "4\r\nbody\r\n0\r\nX-Trailer: ", std::string(4096, 'x')},
+                    std::pair<std::string, std::string>{head + "4\r\nbody\r\n0\r\n", "X-Trailer: more\r\n"},
+                    std::pair<std::string, std::string>{head, std::string(4096, '0')});
+  asio::io_context context;
+  EndlessEngine engine(context, begin, piece, Duration::zero());
+  EngineClient client(context);
+  EngineRequest request;
+  request.engine = EngineId("e");
+  request.endpoint = Endpoint{"127.0.0.1", engine.port()};
+  request.method = "GET";
+  request.target = "/";
+  request.echo_name = "X-Id";
+  request.echo_value = "r1";
+  Outcome outcome;
+  bool has_ended = false;
+  asio::co_spawn(context, exchange(client, std::move(request), nullptr, std::chrono::hours(1), outcome),
+                 [&](const std::exception_ptr&) { has_ended = true; });
+  const Instant give_up = monotonicNow() + std::chrono::seconds(10);
+  while (!(has_ended && engine.isClosed()) && monotonicNow() < give_up) context.run_for(fromMillis(10));
+  REQUIRE(has_ended);
+  REQUIRE_FALSE(outcome.whole);
+  REQUIRE(engine.isClosed());
+  REQUIRE(engine.written() < (8u << 20));
+}
