The time that a plain body waits for buffer space does not count for its engine

Found in reading, as for streams: half of the remaining time for a body ran on while a gateway under memory pressure waited for other callers to read. It is now moved on by that wait.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -270,13 +270,16 @@
   // A body that goes on and on leaves time for another engine.
   const Instant now = monotonicNow();
   const bool has_other_attempt = route_.isRepeatable() && runs_ + 1 < route_.most_attempts;
-  const Instant until = has_other_attempt ? now + (deadline_ - now) / 2 : deadline_;
+  Instant until = has_other_attempt ? now + (deadline_ - now) / 2 : deadline_;
   while (true) {
+    const Instant asked_at = monotonicNow();
     const bool has_room = co_await readers.awaitRoom(held.get(), deadline_);
     if (!has_room) {
       cause_ = "answer: no buffer space before the deadline";
       co_return false;
     }
+    // The time until other callers have read is not the engine's.
+    until = std::min(deadline_, until + (monotonicNow() - asked_at));
     AnswerPiece piece = co_await exchange.read(until);
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "answer: " + failure->cause;
