--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -1,14 +1,13 @@
 #include "connection/engine_exchange.hpp"
 
-#include <sys/socket.h>
-
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <map>
 #include <optional>
 #include <utility>
 
+#include "connection/engine_connection.hpp"
+
 namespace hatchfork::connection {
 namespace {
 
@@ -17,9 +16,6 @@
 
 constexpr Duration kConnectTimeout = fromMillis(160);
 constexpr Duration kSilentPeerTimeout = fromMillis(1500);
-constexpr Duration kDefaultIdleTime = std::chrono::seconds(6);
-/// A connection that the engine closes after some idle seconds is not used in the last of them.
-constexpr Duration kIdleMargin = fromMillis(700);
 constexpr std::size_t kMostIdlePerEngine = 64;
 constexpr std::size_t kPieceBytes = 4096;
 constexpr std::uint32_t kLargestHead = 64u << 10;
@@ -30,70 +26,24 @@
 constexpr int kMostOtherAnswers = 8;
 constexpr std::size_t kMostSurplusBytes = 1u << 20;
 
-/// A connection with the bytes read ahead of the parser. Shared with the write that may be in flight.
-struct EngineConnection {
-  explicit EngineConnection(asio::io_context& context) : socket(context) {}
-  tcp::socket socket;
-  /// Where it leads: an engine may start again at another address.
-  Endpoint endpoint;
-  beast::flat_buffer buffer;
-  std::uint32_t served = 0;
-  Instant idle_since{};
-  Duration idle_time = kDefaultIdleTime;
-};
-using ConnectionPtr = std::shared_ptr<EngineConnection>;
-
-/// False if the engine has closed the connection or sent unasked bytes while it was idle.
-bool isUsable(EngineConnection& connection, Instant now) {
-  if (now > connection.idle_since + connection.idle_time) return false;
-  char byte = 0;
-  const ssize_t received = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-/// Idle time that a `Keep-Alive: timeout=N` header gives, less a margin.
-Duration idleTime(std::string_view keep_alive) {
-  const std::size_t at = keep_alive.find("timeout=");
-  if (at == std::string_view::npos) return kDefaultIdleTime;
-  const std::string_view digits = keep_alive.substr(at + 8);
-  int seconds = 0;
-  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (error != std::errc() || end == digits.data()) return kDefaultIdleTime;
-  return std::max(Duration::zero(), Duration(std::chrono::seconds(seconds)) - kIdleMargin);
-}
-
-std::string encodeRequest(const EngineRequest& request) {
-  std::string bytes;
-  bytes.reserve(512 + request.body.size());
-  bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-  for (const HttpHeader& header : request.headers) {
-    bytes.append(header.name).append(": ").append(header.value).append("\r\n");
-  }
-  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-    bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-  }
-  bytes.append("\r\n").append(request.body);
-  return bytes;
-}
-
 }  // namespace
 
 struct EngineClient::Pool {
   Pool(asio::io_context& io_context, std::shared_ptr<SlowReaders> readers)
       : context(io_context), slow_readers(std::move(readers)) {}
 
-  ConnectionPtr takeIdle(const EngineId& engine, const Endpoint& endpoint, Instant now) {
-    std::vector<ConnectionPtr>& list = idle[engine];
+  EngineConnectionPtr takeIdle(const EngineId& engine, const Endpoint& endpoint, Instant now) {
+    std::vector<EngineConnectionPtr>& list = idle[engine];
     while (!list.empty()) {
-      ConnectionPtr connection = std::move(list.back());
+      EngineConnectionPtr connection = std::move(list.back());
       list.pop_back();
       if (connection->endpoint == endpoint && isUsable(*connection, now)) return connection;
     }
     return nullptr;
   }
 
-  void giveBack(const EngineId& engine, ConnectionPtr connection) {
-    std::vector<ConnectionPtr>& list = idle[engine];
+  void giveBack(const EngineId& engine, EngineConnectionPtr connection) {
+    std::vector<EngineConnectionPtr>& list = idle[engine];
     if (list.size() >= kMostIdlePerEngine) return;
     connection->idle_since = monotonicNow();
     list.push_back(std::move(connection));
@@ -101,7 +51,7 @@
 
   asio::io_context& context;
   std::shared_ptr<SlowReaders> slow_readers;
-  std::map<EngineId, std::vector<ConnectionPtr>> idle;
+  std::map<EngineId, std::vector<EngineConnectionPtr>> idle;
   std::uint64_t made = 0;
   std::uint64_t reused = 0;
 };
@@ -373,7 +323,7 @@
       close();
       return;
     }
-    connection_->idle_time = idleTime(header("Keep-Alive"));
+    connection_->idle_time = idleTimeOf(header("Keep-Alive"));
     pool_->giveBack(request_.engine, std::move(connection_));
     connection_.reset();
   }
@@ -381,7 +331,7 @@
   std::shared_ptr<EngineClient::Pool> pool_;
   EngineRequest request_;
   Timer timer_;
-  ConnectionPtr connection_;
+  EngineConnectionPtr connection_;
   std::optional<Parser> parser_;
   std::shared_ptr<bool> written_ = std::make_shared<bool>(false);
   bool reused_ = false;
@@ -453,7 +403,7 @@
   const Instant now = monotonicNow();
   for (auto& [engine, list] : pool_->idle) {
     const bool wanted = in_use(engine);
-    std::erase_if(list, [&](const ConnectionPtr& connection) { return !wanted || !isUsable(*connection, now); });
+    std::erase_if(list, [&](const EngineConnectionPtr& connection) { return !wanted || !isUsable(*connection, now); });
   }
   std::erase_if(pool_->idle, [](const auto& entry) { return entry.second.empty(); });
 }
