--- a/tests/process/store/job_executor_lanes_test.cpp
+++ b/tests/process/store/job_executor_lanes_test.cpp
@@ -59,8 +59,8 @@
 /// A leader whose jobs and engines the test sets.
 class LanesFixture : public ExecutorFixture {
  public:
-  explicit LanesFixture(const std::string& document, request::ZoneRegions regions = {})
-      : ExecutorFixture(Duration::zero(), 0, {}, 0, document, std::move(regions)) {
+  explicit LanesFixture(const std::string& document, request::ZoneRegions regions = {}, request::LoadFeatures load = {})
+      : ExecutorFixture(Duration::zero(), 0, load, 0, document, std::move(regions)) {
     executor().setLeading(true, 1);
     // Past the slow start of a new leader.
     waitUntil(connection::monotonicNow() + fromMillis(3100));
@@ -152,6 +152,22 @@
   REQUIRE(fixture.orders() == 16);
 }
 
+TEST_CASE("items that wait for lasting capacity do not hold up those of another service", "[store][executor][lanes]") {
+  request::LoadFeatures by_slack;
+  by_slack.batch_by_slack = true;
+  LanesFixture fixture(kTwoServices, {}, by_slack);
+  fixture.setEngines({engineOf("idle"), engineOf("lacking")});
+  request::EngineShare online;
+  online.engine = EngineId("e-lacking-z0");
+  online.in_flight = 8;
+  fixture.executor().notePeerLoads(connection::monotonicNow(), {online});
+  fixture.submit(jobOn("lacking", "first", kMany, 1000));
+  fixture.submit(jobOn("idle", "second", 6));
+  fixture.executor().tick(connection::monotonicNow());
+  REQUIRE(fixture.ordersOf("first") == 0);
+  REQUIRE(fixture.ordersOf("second") == 6);
+}
+
 // Guards against items behind many that an engine declines again and again, of which some always wait for a retry.
 TEST_CASE("many items that wait for a retry do not hold up those behind them", "[store][executor][lanes]") {
   LanesFixture fixture(kTwoServices);
