An engine that closes its connection before it answers fails the exchange at once

A request whose engine closed its connection in order before the first byte of an answer waited for its deadline, with a whole processor of the gateway, and got 504 without a second attempt. Ends of engines under requests without a stream were no evidence either, so such requests were sent on more often than allowed.

The library's put_eof asks that bytes have come; without any it ends the answer without an error, so the exchange read the same end again and again.

Change: the parser hears of the end only if an answer has begun; otherwise the end is the failure that it was before.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -268,13 +268,13 @@
     co_return co_await readMore();
   }
 
-  /// Reads more bytes of an answer; the end of the connection may be that of the answer.
+  /// Reads more bytes of an answer; the end of the connection may be that of an answer that has begun.
   Awaitable<std::optional<ExchangeFailure>> readMore() {
     beast::error_code error;
     const std::size_t bytes = co_await connection_->socket.async_read_some(
         connection_->buffer.prepare(kPieceBytes), asio::redirect_error(asio::use_awaitable, error));
     connection_->buffer.commit(bytes);
-    if (error == asio::error::eof && !cancelled_ && !timed_out_) {
+    if (error == asio::error::eof && parser_->got_some() && !cancelled_ && !timed_out_) {
       error = {};
       parser_->put_eof(error);
     }
--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -55,9 +55,10 @@
   }
 }
 
-Outcome play(const std::string& answer, Duration cancel_after, int times = 1) {
+Outcome play(const std::string& answer, Duration cancel_after, int times = 1,
+             AfterAnswer after = AfterAnswer::kStaysSilent) {
   asio::io_context context;
-  ScriptedEngine engine(context, answer);
+  ScriptedEngine engine(context, answer, after);
   EngineClient client(context);
   Outcome outcome;
   for (int i = 0; i < times; ++i) {
@@ -132,6 +133,29 @@
   REQUIRE_FALSE(outcome.failure.may_have_run);
 }
 
+// Guards against requests that wait until their deadline for an engine that has ended.
+TEST_CASE("an engine that closes its connection before its answer is whole fails the exchange at once", "[exchange]") {
+  const std::string answer =
+      GENERATE("", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nX-Id: r1\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbo",
+               "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n");
+  const Instant started = monotonicNow();
+  const Outcome outcome = play(answer, Duration::zero(), 1, AfterAnswer::kCloses);
+  REQUIRE(monotonicNow() < started + std::chrono::seconds(2));
+  REQUIRE_FALSE(outcome.whole);
+  REQUIRE(outcome.failure.closed_by_engine);
+  REQUIRE_FALSE(outcome.failure.timed_out);
+  REQUIRE(outcome.failure.may_have_run);
+}
+
+TEST_CASE("the end of the connection is that of an answer without framing", "[exchange]") {
+  const Outcome outcome = play("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nbody", Duration::zero(), 1, AfterAnswer::kCloses);
+  REQUIRE(outcome.whole);
+  REQUIRE_FALSE(outcome.framed);
+  REQUIRE(outcome.body == "body");
+}
+
 // Guards against requests that wait for an answer, until their deadline, behind bytes that are none and have no end.
 TEST_CASE("bytes without end before an answer end the exchange long before its deadline", "[engine][endless]") {
   const auto [begin, piece] = GENERATE(
--- a/tests/connection/scripted_engine.hpp
+++ b/tests/connection/scripted_engine.hpp
@@ -9,11 +9,16 @@
 
 namespace hatchfork::connection {
 
-/// An engine on loopback that answers each connection with given bytes, and then stays silent.
+/// What a scripted engine does after its bytes.
+enum class AfterAnswer { kStaysSilent, kCloses };
+
+/// An engine on loopback that answers each connection with given bytes, and then stays silent or closes it.
 class ScriptedEngine {
  public:
-  ScriptedEngine(asio::io_context& context, std::string answer)
-      : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), answer_(std::move(answer)) {
+  ScriptedEngine(asio::io_context& context, std::string answer, AfterAnswer after = AfterAnswer::kStaysSilent)
+      : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        answer_(std::move(answer)),
+        after_(after) {
     accept();
   }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
@@ -32,7 +37,9 @@
       asio::async_read_until(*held, asio::dynamic_buffer(*request), "\r\n\r\n",
                              [this, held, request](boost::system::error_code, std::size_t) {
                                asio::async_write(*held, asio::buffer(answer_),
-                                                 [held](boost::system::error_code, std::size_t) {});
+                                                 [this, held](boost::system::error_code, std::size_t) {
+                                                   if (after_ == AfterAnswer::kCloses) held->close();
+                                                 });
                              });
       accept();
     });
@@ -40,6 +47,7 @@
 
   tcp::acceptor acceptor_;
   std::string answer_;
+  AfterAnswer after_;
   std::vector<std::shared_ptr<tcp::socket>> sockets_;
   std::vector<std::shared_ptr<std::string>> requests_;
 };
