--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -75,3 +75,13 @@
   local name
   for name in "${!FLEET_PIDS[@]}"; do kill -KILL "${FLEET_PIDS[$name]}" 2>/dev/null || true; done
 }
+
+# At the end of a test, with its exit code: ends what is still running; the logs of a failed test stay.
+fleet_finish() {  # CODE
+  fleet_kill_all
+  if [ "$1" -eq 0 ]; then
+    rm -rf "$FLEET_LOGS"
+  else
+    echo "logs=$FLEET_LOGS"
+  fi
+}
