Soaks share the submission of a job

No check changes. Played after it, once each: crash_series alone, ending_parts batch, ending_requests batch, endless_answers event; none broken.

--- a/tests/soak/crash_series.py
+++ b/tests/soak/crash_series.py
@@ -79,13 +79,7 @@
             items.append({"Id": item, "Path": f"/batch/{item}",
                           "Headers": {"X-Prompt-Prefix": f"{part}:800,{new_id()}:250", "X-Token-Usage": "1460,80"},
                           "Body": base64.b64encode(b"stream " + item.encode()).decode(), "TokenCount": 1540})
-        job = new_id()
-
-        async def taken():
-            status, _, _ = await call(self.random.choice(self.fleet.gateways), "POST", "/batch/new",
-                                      json.dumps({"Requests": items}), {"X-Attempt-Id": job}, timeout=2)
-            return status == 202
-        await eventually(self.check, "the job is accepted", taken, seconds=10)
+        job = await self.fleet.submit_job(self.check, items, self.random)
         return job, count
 
     async def end_engines(self):
--- a/tests/soak/ending_parts.py
+++ b/tests/soak/ending_parts.py
@@ -131,14 +131,7 @@
                           "Headers": {"X-Prompt-Prefix": prompt, "X-Token-Usage": "1460,80"},
                           "Body": base64.b64encode(b"stream " + item.encode()).decode(), "TokenCount": 1540})
         self.random.shuffle(items)
-        job = new_id()
-
-        async def taken():
-            status, _, _ = await call(self.random.choice(self.fleet.gateways), "POST", "/batch/new",
-                                      json.dumps({"Requests": items}), {"X-Attempt-Id": job}, timeout=2)
-            return status == 202
-        await eventually(self.check, "the job is accepted", taken, seconds=10)
-        return job
+        return await self.fleet.submit_job(self.check, items, self.random)
 
     async def are_sound_items_complete(self, job):
         status, _, body = await call(self.random.choice(self.fleet.gateways), "GET", f"/v1/lots/{job}?SinceRev=0",
--- a/tests/soak/ending_requests.py
+++ b/tests/soak/ending_requests.py
@@ -153,14 +153,7 @@
         items = {new_id(): body for body in [b"stream"] * 9 + [ITEM]}
         requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Token-Usage": "10,10"},
                      "Body": base64.b64encode(body).decode(), "TokenCount": 20} for item, body in items.items()]
-        job = new_id()
-
-        async def taken():
-            status, _, _ = await call(self.random.choice(self.fleet.gateways), "POST", "/batch/new",
-                                      json.dumps({"Requests": requests}), {"X-Attempt-Id": job}, timeout=2)
-            return status == 202
-        await eventually(self.check, "the job is accepted", taken, seconds=10)
-        return job
+        return await self.fleet.submit_job(self.check, requests, self.random)
 
     async def ask_others(self, number, started):
         """Another caller, with small streams of its own."""
--- a/tests/soak/endless_answers.py
+++ b/tests/soak/endless_answers.py
@@ -81,13 +81,7 @@
             item = new_id()
             items.append({"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Token-Usage": "10,10"},
                           "Body": base64.b64encode(b"stream " + item.encode()).decode(), "TokenCount": 20})
-        job = new_id()
-
-        async def taken():
-            status, _, _ = await call(self.random.choice(self.fleet.gateways), "POST", "/batch/new",
-                                      json.dumps({"Requests": items}), {"X-Attempt-Id": job}, timeout=2)
-            return status == 202
-        await eventually(self.check, "the job is accepted", taken, seconds=10)
+        job = await self.fleet.submit_job(self.check, items, self.random)
         return job, time.monotonic()
 
     async def check_job(self, job, since):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,4 +1,5 @@
 """A whole fleet of real processes on loopback: settings, starts, signals. Ends only what it started, by process id."""
+import json
 import os
 import signal
 import subprocess
@@ -6,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
-from stand_in import call, document, eventually, request_headers  # noqa: E402
+from stand_in import call, document, eventually, new_id, request_headers  # noqa: E402
 
 PROGRAM = Path("build/bin/hatchfork")
 SUSPENDED_CLOCK = Path("build/lib/libsuspended-clock.so").resolve()  # see tests/suspension
@@ -109,3 +110,14 @@
                 return status == 200
             await eventually(check, f"{gateway} serves", serves, seconds=30)
         self.mark_formed()
+
+    async def submit_job(self, check, items, random):
+        """Submits a job at any gateway until it is accepted, and returns its identifier."""
+        job = new_id()
+
+        async def taken():
+            status, _, _ = await call(random.choice(self.gateways), "POST", "/batch/new", json.dumps({"Requests": items}),
+                                      {"X-Attempt-Id": job}, timeout=2)
+            return status == 202
+        await eventually(check, "the job is accepted", taken, seconds=10)
+        return job
