Both kinds of test fleets end their processes at the end of a script

Cause, shown by the processes: made all scripts end by fleet_finish, which stood in tools/fleet.sh alone; platform_whole_path sources tools/self_forming_fleet.sh, so its trap failed and its fleet stayed.

--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,6 +1,8 @@
 # Starts and stops the local fleet. Sourced by run.sh and by the tests of real processes; not a program of the product.
 # Needs: FLEET_LOGS, a folder for the logs. Sets: FLEET_PIDS, the process identifier of each process by name.
 
+source "$(dirname "${BASH_SOURCE[0]}")/fleet_finish.sh"
+
 declare -A FLEET_PIDS=()
 FLEET_BIN=build/bin
 FLEET_SETTINGS=settings/local
@@ -75,13 +77,3 @@
   local name
   for name in "${!FLEET_PIDS[@]}"; do kill -KILL "${FLEET_PIDS[$name]}" 2>/dev/null || true; done
 }
-
-# At the end of a test, with its exit code: ends what is still running; the logs of a failed test stay.
-fleet_finish() {  # CODE
-  fleet_kill_all
-  if [ "$1" -eq 0 ]; then
-    rm -rf "$FLEET_LOGS"
-  else
-    echo "logs=$FLEET_LOGS"
-  fi
-}
--- a/tools/self_forming_fleet.sh
+++ b/tools/self_forming_fleet.sh
@@ -1,6 +1,8 @@
 # Starts and stops a fleet that forms itself, on loopback addresses 127.0.1.x. Sourced by tests; not a program of the
 # product. Needs: FLEET_LOGS, a folder for settings, data and logs. Sets: FLEET_PIDS, by name.
 
+source "$(dirname "${BASH_SOURCE[0]}")/fleet_finish.sh"
+
 declare -A FLEET_PIDS=()
 FLEET_CONTROLS=127.0.1.1:7000,127.0.1.2:7000,127.0.1.3:7000
 FLEET_GATEWAYS=127.0.1.21:7001,127.0.1.22:7001
