--- /dev/null
+++ b/tests/soak/planned_stops.py
@@ -0,0 +1,379 @@
+#!/usr/bin/env python3
+"""Planned stops of gateways cut off requests that an engine was answering: callers that keep their connections sent them
+while the gateway was already leaving.
+
+Real processes on loopback; callers keep their connections and use them until they are closed or told to close, new
+connections go to gateways that say that they are ready; gateways are stopped and started again. Each request that a
+stopping gateway passed on to an engine, or held, has to get a whole answer, unless its own time was over.
+
+    python3 tests/soak/planned_stops.py --scenario offsets|turns|pairs|overlapping|waiting|everything [--seed 1] [--seconds 40]
+
+offsets: a kept connection sends at each tenth of a second after the signal. turns: one gateway after the other. pairs: two
+at once. overlapping: the next one before the last has ended. waiting: engines are full, so that requests wait. everything:
+overlapping, with stores and control processes stopped, SIGHUP and configurations beside it.
+"""
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from fleet import Fleet  # noqa: E402
+from scenarios import run_scenario  # noqa: E402
+from stand_in import HOST, Check, Engine, call, document, eventually, new_id  # noqa: E402
+
+GRACE_S = 8.0
+LEAST_ACCEPTED_S = 3.0  # a request sent later than this after the signal is never cut off
+LAST_SIXTH_S = GRACE_S * 5 / 6  # from here on, an earlier one may be cut off while its engine is at work
+AFTER_GRACE_S = 1.0
+LOSS_SLACK_S = 0.2
+TIMING_SLACK_S = 0.1
+READY_INTERVAL_S = 1.0
+READY_MISSES = 2
+ROUTE_TIMEOUT_S = 6.0
+START_S = 1.0  # until a new process holds its signals back
+OFFSET_STEP_S = 0.1
+SLOW_BODY_S = 0.7  # between the two halves of a body
+READ_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, IndexError)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    engines: int
+    slots: int
+    event_delays: tuple  # seconds between two events of ten, drawn for each request
+    callers: int
+    at_once: int  # gateways
+    interval: float  # seconds from one stop to the next; 0: when the last has ended
+    sends_at_offsets: bool = False
+    stops_others: bool = False  # stores and control processes, with SIGHUP and configurations
+
+
+SCENARIOS = {
+    "offsets": Scenario(8, 40, (0.02, 0.3, 0.5), 8, 1, 0, sends_at_offsets=True),
+    "everything": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 1, 2.5, stops_others=True),
+    "turns": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 1, 0),
+    "pairs": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 2, 0),
+    "overlapping": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 1, 2.5),
+    "waiting": Scenario(2, 6, (0.1, 0.3, 0.5), 40, 1, 0),
+}
+
+
+@dataclass
+class Try:
+    """One request on one connection."""
+
+    request: str
+    gateway: int
+    kind: str
+    sent_at: float = 0.0  # its last byte
+    ended_at: float = 0.0
+    status: int = 0
+    end: str = ""  # whole, or how it broke
+    events: int = 0
+    number_on_connection: int = 0
+    offset: float = -1.0  # after the signal, as it was planned
+
+
+class PacedEngine(Engine):
+    """The request names the pause between its events."""
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.last_work = {}  # request -> when an engine was at work on it last
+
+    async def stream(self, writer, request, body, after, extra):
+        self.event_delay = 0.0
+        delay = float(body.decode().split("=")[1])
+        self.running += 1
+        try:
+            writer.write(f"HTTP/1.1 200 OK\r\n{extra}Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n".encode())
+            for number in range(after + 1, 11):
+                self.last_work[request] = time.monotonic()
+                await asyncio.sleep(delay)
+                event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
+                writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.finished[request] = self.finished.get(request, 0) + 1
+        finally:
+            self.last_work[request] = time.monotonic()
+            self.running -= 1
+        return True
+
+
+@dataclass
+class Stop:
+    gateway: int
+    at: float
+    ended_at: float = 0.0
+    code: int = 0
+
+
+@dataclass
+class Counts:
+    whole: int = 0
+    refused: int = 0
+    unread: int = 0  # closed before anything of the answer, and never passed on
+    excused: int = 0
+    by_kind: dict = field(default_factory=dict)
+
+
+class PlannedStops:
+    """Callers, gateways that are stopped, and checks of one run."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.scenario = SCENARIOS[options.scenario]
+        self.random = random.Random(options.seed)
+        self.fleet = Fleet(folder, controls=3, stores=3, gateways=4, network=options.network)
+        for process in self.fleet.processes.values():
+            process.file.write_text(process.file.read_text().replace("grace_s = 4", f"grace_s = {GRACE_S:.0f}"))
+        self.check = Check()
+        self.engines = [PacedEngine(number, options.engine_port + number, self.fleet.controls, slots=self.scenario.slots)
+                        for number in range(self.scenario.engines)]
+        self.ready = [True] * len(self.fleet.gateways)
+        self.tries = []
+        self.stops = []
+        self.counts = Counts()
+        self.version = 5
+        self.signal_sent = asyncio.Event()
+        self.stopping = set()  # processes that have been told to, and new ones until they serve
+        self.loading = True
+
+    async def watch_readiness(self, number):
+        """New connections go to a gateway until it has missed two questions."""
+        address = self.fleet.gateways[number].replace(":7001", ":7002")
+        misses = 0
+        while self.loading:
+            try:
+                status, _, _ = await call(address, "GET", "/v1/readyz", timeout=0.9)
+            except READ_ERRORS:
+                status = 0
+            misses = 0 if status == 200 else misses + 1
+            self.ready[number] = misses < READY_MISSES
+            await asyncio.sleep(READY_INTERVAL_S)
+
+    async def send_requests(self):
+        while self.loading:
+            choice = [number for number, ready in enumerate(self.ready) if ready]
+            if choice:
+                await self.use_connection(self.random.choice(choice))
+            await asyncio.sleep(self.random.uniform(0.0, 0.05))
+
+    async def use_connection(self, gateway):
+        """Sends requests on one connection until it is closed or told to close."""
+        host, port = self.fleet.gateways[gateway].split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return
+        try:
+            number = 0
+            while self.loading and await self.send_request(gateway, reader, writer, number):
+                number += 1
+                await asyncio.sleep(self.random.choice((0.0, 0.0, 0.05, 0.3, 1.0)))
+        finally:
+            writer.close()
+
+    async def send_at_offset(self, gateway, offset, pause):
+        """A connection that is kept before the signal and used at its offset after it, if it is still open then."""
+        host, port = self.fleet.gateways[gateway].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            keeps = await self.send_request(gateway, reader, writer, 0, kind="safe")
+            await self.signal_sent.wait()
+            await asyncio.sleep(offset)
+            if keeps and not reader.at_eof():
+                await self.send_request(gateway, reader, writer, 1, pause=pause, offset=offset)
+        finally:
+            writer.close()
+
+    async def send_request(self, gateway, reader, writer, number, kind=None, pause=0.0, offset=-1.0):
+        """One request, its body in two halves with a pause; true if the connection can be used again."""
+        kind = kind or self.random.choice(("talk", "speech", "safe", "once") if offset < 0 else ("talk", "speech", "safe"))
+        one = Try(new_id(), gateway, kind, number_on_connection=number, offset=offset)
+        is_stream = kind in ("talk", "speech")
+        body = f"stream={self.random.choice(self.scenario.event_delays)}".encode() if is_stream else b"plain"
+        head = [f"POST /{kind}/a HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {one.request}",
+                f"X-Time-Remaining-Ms: {ROUTE_TIMEOUT_S * 1000:.0f}"]
+        in_chunks = self.random.random() < 0.5
+        if in_chunks:
+            head.append("Transfer-Encoding: chunked")
+            body = b"3\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (body[:3], len(body) - 3, body[3:])
+        else:
+            head.append(f"Content-Length: {len(body)}")
+        keeps = False
+        self.tries.append(one)
+        try:
+            writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body[:4])
+            if pause:
+                await asyncio.sleep(pause)
+            writer.write(body[4:])
+            one.sent_at = time.monotonic()
+            keeps = await asyncio.wait_for(self.read_answer(one, reader), ROUTE_TIMEOUT_S + 2)
+            one.end = "whole"
+        except READ_ERRORS as error:
+            one.end = type(error).__name__
+        one.ended_at = time.monotonic()
+        return keeps
+
+    async def read_answer(self, one, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        one.status = int(head[0].split(" ")[1])
+        fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        if fields.get("transfer-encoding") == "chunked":
+            while True:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                await reader.readexactly(size + 2)
+                if size == 0:
+                    break
+                one.events += 1
+        else:
+            await reader.readexactly(int(fields.get("content-length", 0)))
+        return fields.get("connection", "").lower() != "close"
+
+    async def stop_and_start(self, gateway):
+        process = self.fleet.of_role("gateway")[gateway]
+        late = await self.prepare_offsets(gateway) if self.scenario.sends_at_offsets else []
+        stop = Stop(gateway, time.monotonic())
+        self.stops.append(stop)
+        self.stopping.add(process)
+        process.send(signal.SIGTERM)
+        self.signal_sent.set()
+        child = process.child
+        while child.poll() is None:
+            if time.monotonic() > stop.at + GRACE_S:
+                process.send(signal.SIGKILL)
+            await asyncio.sleep(0.01)
+        stop.ended_at = time.monotonic()
+        stop.code = child.returncode
+        process.start()
+        await asyncio.gather(*late, return_exceptions=True)
+        await asyncio.sleep(START_S)
+        self.stopping.discard(process)
+
+    async def prepare_offsets(self, gateway):
+        self.signal_sent = asyncio.Event()
+        offsets = [step * OFFSET_STEP_S for step in range(round(GRACE_S / OFFSET_STEP_S))]
+        late = [asyncio.create_task(self.send_at_offset(gateway, offset, pause)) for offset in offsets
+                for pause in (0.0, SLOW_BODY_S)]
+        await asyncio.sleep(0.5)
+        return late
+
+    async def disturb(self):
+        """Stores and control processes are stopped and started in turn; all are told to read their settings again."""
+        while self.loading:
+            others = self.fleet.of_role("store") + self.fleet.of_role("control")
+            process = self.random.choice(others)
+            process.send(signal.SIGTERM)
+            while process.is_running():
+                await asyncio.sleep(0.05)
+            process.start()
+            await asyncio.sleep(1.0)
+            for other in self.fleet.processes.values():
+                if other not in self.stopping:
+                    other.send(signal.SIGHUP)
+            await self.put_configuration()
+
+    async def stop_gateways(self):
+        end = time.monotonic() + self.options.seconds
+        order = list(range(len(self.fleet.gateways)))
+        running = []
+        while time.monotonic() < end:
+            self.random.shuffle(order)
+            chosen = order[:self.scenario.at_once]
+            for gateway in chosen:
+                if self.ready[gateway] and self.fleet.of_role("gateway")[gateway] not in self.stopping:
+                    running.append(asyncio.create_task(self.stop_and_start(gateway)))
+            if self.scenario.interval:
+                await asyncio.sleep(self.scenario.interval)
+                continue
+            await asyncio.gather(*running)
+            await asyncio.sleep(2.5)
+        await asyncio.gather(*running)
+
+    def runs_of(self, request):
+        return [engine for engine in self.engines if request in engine.runs]
+
+    def stop_of(self, one):
+        for stop in self.stops:
+            if stop.gateway == one.gateway and stop.at - 0.001 <= one.ended_at <= stop.at + GRACE_S + AFTER_GRACE_S:
+                return stop
+        return None
+
+    def is_excused(self, one, stop):
+        """The request's own time was over, or its engine was at work in the last sixth of the grace period."""
+        if one.ended_at >= one.sent_at + ROUTE_TIMEOUT_S - TIMING_SLACK_S:
+            return True
+        was_early = one.sent_at <= stop.at + LEAST_ACCEPTED_S
+        worked = max((engine.last_work.get(one.request, 0) for engine in self.runs_of(one.request)), default=0)
+        return was_early and worked >= stop.at + LAST_SIXTH_S
+
+    def judge(self, one):
+        if one.end == "whole":
+            refused = one.status in (408, 421, 429, 503)
+            self.counts.refused += refused
+            self.counts.whole += not refused
+            if refused:
+                self.check.that(not self.runs_of(one.request), f"{one.request} was refused with {one.status}, yet it ran")
+            return
+        stop = self.stop_of(one)
+        if stop is None:
+            self.check.that(False, f"{one} ended so far from any stop of its gateway")
+            return
+        passed_on = bool(self.runs_of(one.request))
+        held = one.ended_at - one.sent_at > LOSS_SLACK_S
+        if not passed_on and not held:
+            self.counts.unread += 1
+            return
+        if self.is_excused(one, stop):
+            self.counts.excused += 1
+            return
+        self.check.that(False, f"{one.kind} {one.request} at gateway-{one.gateway + 1} ({one.end}, status {one.status}, "
+                        f"{one.events} events, number {one.number_on_connection} on its connection): sent "
+                        f"{one.sent_at - stop.at:.3f} s after the signal, ended {one.ended_at - stop.at:.3f} s after it, "
+                        f"the process at {stop.ended_at - stop.at:.3f} s, passed_on={passed_on}")
+
+    async def put_configuration(self):
+        """Routes whose requests may take longer than a stopping gateway has left."""
+        self.version += 1
+        changed = json.loads(document(self.version))
+        for route in changed["Routes"]:
+            route["TimeoutMs"] = int(ROUTE_TIMEOUT_S * 1000)
+
+        async def taken():
+            status, _, _ = await call(self.random.choice(self.fleet.controls), "PUT", "/v1/config", json.dumps(changed), timeout=2)
+            return status == 200
+        await eventually(self.check, "the configuration is taken", taken, seconds=10)
+        await asyncio.sleep(1)
+
+    async def run(self):
+        await self.fleet.form(self.check, self.engines)
+        await self.put_configuration()
+        watches = [asyncio.create_task(self.watch_readiness(number)) for number in range(len(self.ready))]
+        callers = [asyncio.create_task(self.send_requests()) for _ in range(self.scenario.callers)]
+        others = [asyncio.create_task(self.disturb())] if self.scenario.stops_others else []
+        await asyncio.sleep(2)
+        await self.stop_gateways()
+        await asyncio.sleep(1)
+        self.loading = False
+        await asyncio.gather(*watches, *callers, *others)
+        for one in self.tries:
+            self.judge(one)
+        for stop in self.stops:
+            self.check.that(stop.code == 0, f"gateway-{stop.gateway + 1} ended with code {stop.code}")
+        print(f"tries={len(self.tries)} stops={len(self.stops)} whole={self.counts.whole} refused={self.counts.refused} "
+              f"unread={self.counts.unread} excused={self.counts.excused}")
+
+
+if __name__ == "__main__":
+    run_scenario(PlannedStops, SCENARIOS, __doc__, prefix="hatchfork-planned-stops-", seconds=40, network="127.0.41",
+                 engine_port=9400)
