--- a/src/process/fleet/control_program.cpp
+++ b/src/process/fleet/control_program.cpp
@@ -361,7 +361,7 @@
   const Instant give_up = monotonicNow() + kLeadershipHandOverTime;
   while (group_->isConfirmedLeader() && monotonicNow() < give_up) co_await connection::sleepFor(fromMillis(20));
   http_server_->stopAccepting();
-  while (http_server_->activeRequests() > 0 && monotonicNow() < give_up) {
+  while (http_server_->openConnections() > 0 && monotonicNow() < give_up) {
     co_await connection::sleepFor(fromMillis(20));
   }
   context_.stop();
--- a/src/process/gateway/gateway_node.cpp
+++ b/src/process/gateway/gateway_node.cpp
@@ -219,7 +219,7 @@
   co_await connection::sleepFor(settings_.linger);
   server_->stopAccepting();
   const Instant give_up = monotonicNow() + settings_.drain_timeout;
-  while (monotonicNow() < give_up && (server_->activeRequests() > 0 || !batch_runner_.isDrained())) {
+  while (monotonicNow() < give_up && (server_->openConnections() > 0 || !batch_runner_.isDrained())) {
     co_await connection::sleepFor(kStopPollInterval);
   }
   if (server_->activeRequests() > 0) {
--- a/src/process/node/control_node.cpp
+++ b/src/process/node/control_node.cpp
@@ -166,7 +166,7 @@
   while (service_->leadsAny(monotonicNow()) && monotonicNow() < give_up) co_await connection::sleepFor(kTickInterval);
   co_await connection::sleepFor(settings_.linger);
   admin_server_->stopAccepting();
-  while (admin_server_->activeRequests() > 0 && monotonicNow() < give_up + settings_.linger) {
+  while (admin_server_->openConnections() > 0 && monotonicNow() < give_up + settings_.linger) {
     co_await connection::sleepFor(kTickInterval);
   }
   context_.stop();
