A stream is taken up only after the stores were asked which build began it

Callers saw (reported by others, shown here): a gateway was cut off while all engines gave way to a new version; streams that had begun at the new one through other gateways broke, were taken up at this gateway and went on at an engine of the old version. Cause: a gateway whose proof of currency was at most 1 s old went on at any engine of a service that it took for one of one build. Streams begin at a new build within its 2 s of settling where all older engines leave at once, so that bound did not hold. Change: without a record of its own a gateway always asks the stores; at most one answer may be missing. Unit tests that failed before: 'a stream of a build that has just come goes on at it, at a gateway that does not know of it yet', 'a gateway that is cut off from both stores of a record lets no other build continue'. Checks replaced: 'with one build nothing is sent' asked for no question to stores; that saving is the fault.

--- a/src/process/exchange/stream_client.cpp
+++ b/src/process/exchange/stream_client.cpp
@@ -108,13 +108,13 @@
   // A build says nothing about the engines of another service, which a split route may choose.
   if (record != nullptr && record->service == resumed.service) {
     result = record->build;
-  } else if (is_current && !is_mixed) {
-    result = AnyBuild{};
   } else {
+    asked = stores_.size();
     PendingLookup pending{connection::Timer(context_), 0, UnknownStream{}};
     co_await askStores(resumed, pending);
-    result = std::move(pending.result);
-    asked = stores_.size();
+    const bool may_be_mixed = isMixed(resumed.service);
+    const bool knows_one_build = is_current || std::holds_alternative<AnyBuild>(pending.result);
+    result = conclude(pending, asked, knows_one_build && !may_be_mixed);
   }
   count(result);
   logEvent(LogLevel::kInfo, "resumed_stream_looked_up",
@@ -130,6 +130,16 @@
   co_return result;
 }
 
+/// The builds that this gateway knows of don't tell by themselves: a stream may have begun at a build that has just
+/// come, through a gateway that learned of it earlier. One of the stores that hold its record has to be among those
+/// that answered.
+StreamLookup StreamClient::conclude(const PendingLookup& pending, std::size_t asked, bool knows_one_build) {
+  if (std::holds_alternative<EngineBuild>(pending.result)) return pending.result;
+  const bool has_no_record = pending.answers_missing < std::min(kRecordCopies, asked) || asked == 0;
+  if (has_no_record && knows_one_build) return AnyBuild{};
+  return UnknownStream{asked > 0 && pending.answers_missing == 0};
+}
+
 /// All stores are asked: another gateway may have another list of stores, or may not have reached the first ones.
 Awaitable<void> StreamClient::askStores(const ResumedStream& resumed, PendingLookup& pending) {
   const std::uint64_t number = ++last_number_;
@@ -139,14 +149,16 @@
     ++(sent ? pending.answers_missing : unreachable);
   }
   ++counters_.questions;
-  if (pending.answers_missing == 0) co_return;
+  if (pending.answers_missing > 0) co_await awaitAnswers(number, pending);
+  pending.answers_missing += unreachable;
+}
+
+Awaitable<void> StreamClient::awaitAnswers(std::uint64_t number, PendingLookup& pending) {
   pending_[number] = &pending;
   pending.timer.expires_after(kAnswerTimeout);
   boost::system::error_code ignored;
   co_await pending.timer.async_wait(connection::asio::redirect_error(connection::asio::use_awaitable, ignored));
   pending_.erase(number);
-  auto* unknown = std::get_if<UnknownStream>(&pending.result);
-  if (unknown != nullptr) unknown->is_certain = pending.answers_missing == 0 && unreachable == 0;
 }
 
 void StreamClient::take(const fleet::StreamAnswerFrame& answer) {
--- a/src/process/exchange/stream_client.hpp
+++ b/src/process/exchange/stream_client.hpp
@@ -48,7 +48,7 @@
 
 /// Records each resumable stream from its first event on. While a service runs several builds, or has done so within
 /// the lifetime of a stream, two stores keep each record as well, so that every gateway can resume the stream, also
-/// after this gateway or a store has ended. With one build nothing is sent. Not thread-safe.
+/// after this gateway or a store has ended. With one build no record is sent. Not thread-safe.
 class StreamClient {
  public:
   /// Sends a frame to a store; returns false if there is no connection.
@@ -79,6 +79,7 @@
   /// A lookup that waits for stores; lives in the frame of its coroutine.
   struct PendingLookup {
     connection::Timer timer;
+    /// In the end: the stores that did not answer or could not be asked.
     std::size_t answers_missing = 0;
     StreamLookup result;
   };
@@ -87,6 +88,10 @@
   std::vector<ReplicaId> storesOf(const request::StreamKey& stream) const;
   void sendRecord(const fleet::StreamNote& note);
   connection::Awaitable<void> askStores(const ResumedStream& resumed, PendingLookup& pending);
+  /// Waits until all stores have answered, one has a record, or the time is up.
+  connection::Awaitable<void> awaitAnswers(std::uint64_t number, PendingLookup& pending);
+  /// Judges the answers of `asked` stores. `knows_one_build`: a process with a current list knows of no other build.
+  static StreamLookup conclude(const PendingLookup& pending, std::size_t asked, bool knows_one_build);
   void count(const StreamLookup& result);
 
   connection::asio::io_context& context_;
