Tests: an answer cut at any place of its head is whole nowhere

Reported by others: an engine stopped in the middle of its answer's head, and clients got an empty or short body framed as whole. The end of the connection inside a head is an error of the parser, whatever has come.

--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -171,6 +171,30 @@
   REQUIRE(outcome.failure.may_have_run);
 }
 
+// Guards against callers that get an empty or short body as a whole answer.
+TEST_CASE("an answer that is cut at any place of its head, or of a body with framing, is not whole", "[exchange]") {
+  const std::string status = GENERATE("200 OK", "404 Not Found", "500 Internal");
+  const std::string rest = GENERATE("Content-Length: 12\r\n\r\nbody of this",
+                                    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n4\r\nmore\r\n0\r\n\r\n");
+  const AfterAnswer after = GENERATE(AfterAnswer::kCloses, AfterAnswer::kResets);
+  const std::string answer = "HTTP/1.1 " + status + "\r\nX-Id: r1\r\nX-Seal: 1\r\n" + rest;
+  for (std::size_t bytes = 0; bytes < answer.size(); ++bytes) {
+    CAPTURE(answer.substr(0, bytes));
+    const Outcome outcome = play(answer.substr(0, bytes), Duration::zero(), 1, after);
+    REQUIRE_FALSE(outcome.whole);
+    REQUIRE(outcome.failure.may_have_run);
+  }
+}
+
+TEST_CASE("an answer without framing that is cut in its head, or reset in its body, is not whole", "[exchange]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: 1\r\n\r\n";
+  for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+    CAPTURE(head.substr(0, bytes));
+    REQUIRE_FALSE(play(head.substr(0, bytes), Duration::zero(), 1, AfterAnswer::kCloses).whole);
+  }
+  REQUIRE_FALSE(play(head + "body", Duration::zero(), 1, AfterAnswer::kResets).whole);
+}
+
 TEST_CASE("the end of the connection is that of an answer without framing", "[exchange]") {
   const Outcome outcome = play("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nbody", Duration::zero(), 1, AfterAnswer::kCloses);
   REQUIRE(outcome.whole);
--- a/tests/connection/scripted_engine.hpp
+++ b/tests/connection/scripted_engine.hpp
@@ -10,9 +10,9 @@
 namespace hatchfork::connection {
 
 /// What a scripted engine does after its bytes.
-enum class AfterAnswer { kStaysSilent, kCloses };
+enum class AfterAnswer { kStaysSilent, kCloses, kResets };
 
-/// An engine on loopback that answers each connection with given bytes, and then stays silent or closes it.
+/// An engine on loopback that answers each connection with given bytes, and then stays silent, closes or resets it.
 class ScriptedEngine {
  public:
   ScriptedEngine(asio::io_context& context, std::string answer, AfterAnswer after = AfterAnswer::kStaysSilent)
@@ -38,7 +38,10 @@
                              [this, held, request](boost::system::error_code, std::size_t) {
                                asio::async_write(*held, asio::buffer(answer_),
                                                  [this, held](boost::system::error_code, std::size_t) {
-                                                   if (after_ == AfterAnswer::kCloses) held->close();
+                                                   if (after_ == AfterAnswer::kStaysSilent) return;
+                                                   const bool resets = after_ == AfterAnswer::kResets;
+                                                   held->set_option(asio::socket_base::linger(resets, 0));
+                                                   held->close();
                                                  });
                              });
       accept();
--- a/tests/process/store/item_runner_answers_test.cpp
+++ b/tests/process/store/item_runner_answers_test.cpp
@@ -90,6 +90,23 @@
   REQUIRE(engine.isClosed());
 }
 
+// Guards against items with an empty or short text that counts as whole, and against answers that count as an engine's.
+TEST_CASE("a run whose answer is cut at any place of its head is broken", "[store][runner]") {
+  const std::string status = GENERATE("200 OK", "422 Unprocessable", "500 Internal");
+  const connection::AfterAnswer after = GENERATE(connection::AfterAnswer::kCloses, connection::AfterAnswer::kResets);
+  const std::string head = "HTTP/1.1 " + status + "\r\nX-Attempt-Id: item\r\nContent-Length: 2\r\n\r\n";
+  for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+    CAPTURE(head.substr(0, bytes));
+    connection::asio::io_context context;
+    connection::ScriptedEngine engine(context, head.substr(0, bytes), after);
+    SingleRun run(context);
+    run.play(engine.port(), {}, isDone);
+    REQUIRE(run.ended().size() == 1);
+    REQUIRE(run.ended().front().end == fleet::RunEnd::kBroken);
+    REQUIRE(run.ended().front().last_event == 0);
+  }
+}
+
 // Guards against texts that grow for as long as an engine goes on.
 TEST_CASE("a text without an end is dropped", "[store][runner][endless]") {
   connection::asio::io_context context;
