--- a/src/process/exchange/exchange_run_choice.cpp
+++ b/src/process/exchange/exchange_run_choice.cpp
@@ -96,13 +96,12 @@
 /// The request may have queued for its engine while others crashed engines.
 Awaitable<bool> ExchangeRun::mayAttempt(const std::optional<EngineChoice>& choice) {
   if (!choice && isBoundToBuild()) cause_ = "no engine of build " + query_.build->value + " may run it";
-  if (!context_.stop.mayRun(received_at_, deadline_)) {
-    cause_ = "the gateway stops";
-    co_return false;
-  }
   if (caller_left_ || !choice || rejectsEarly(*choice)) co_return false;
   const bool is_rejected = co_await rejectsQuarantined(LeaseUse::kObtain);
-  co_return !is_rejected && !caller_left_;
+  if (is_rejected) co_return false;
+  const bool may_end_in_time = context_.stop.mayRun(received_at_, deadline_);
+  if (!may_end_in_time) cause_ = "the gateway stops";
+  co_return may_end_in_time && !caller_left_;
 }
 
 /// Sends a suspect to an engine that runs no other suspect, so that the next crash identifies the request that caused
