Log: request_ended names the cause of a request that was not answered

A stream that was cut said only outcome=stream_cut; its cause stood in the lines of its attempts, which a record that is cut short does not hold. The four hypotheses of docs/incidents/streams-reset-around-planned-stops.md are told apart by it: a broken stream, a stop, a caller that has left.

--- a/src/process/exchange/exchange_run_log.cpp
+++ b/src/process/exchange/exchange_run_log.cpp
@@ -69,6 +69,7 @@
             {"service", query_.service.value},
             {"outcome", outcome},
             {"status", status},
+            {"cause", cause_.empty() ? std::string_view("-") : std::string_view(cause_)},
             {"engine", engine_.value},
             {"runs", runs_},
             {"refusals", refusals_},
