A text that two engines end by a close at the same event is whole; a close by an engine that has ended is a break

Cause: an answer without a length ends by a close, which may be a break, so another engine is asked for the rest. If that answer was closed as well, the text counted as broken unless the process had seen eight closed answers of the service and none that was framed: what a process has just started to learn, and never learns where engines do both. The caller was cut though it had all events and two engines had said so; a route without resume passed the same close on as whole. Class: what is whole is cut for lack of a proof that nobody can give, judged by what one process has seen in its life. A log: runs=2, both attempts "stream: closed without its length" at event 10 of 10. Change: two closes at the same event end a text, whatever the process has seen before; after a close that turned out to be a break, one more close alone proves nothing, as before. A close counts only if something still listens at the engine's address: an engine that ends closes its connections in the same way. Items of batch jobs go by the same rule. Ruled out: a longer memory of framing (a restart forgets it; mixed answers never prove anything); taking the first close of a living engine (resumed_streams closed: engines that break off by a close and live would shorten texts).

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -145,7 +145,7 @@
   const HeaderNames& names = context_.dialect.headers();
   connection::EngineRequest out;
   out.engine = choice.engine.id;
-  out.endpoint = connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
+  out.endpoint = engine_endpoint_;
   out.method = request_.method;
   out.target = request_.target;
   out.body = request_.body;
@@ -167,6 +167,7 @@
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::attempt(const EngineChoice& choice) {
   engine_ = choice.engine.id;
+  engine_endpoint_ = connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
   engine_build_ = choice.engine.build;
   engine_incarnation_ = choice.engine.born;
   verdict_ = EngineVerdict::kNeutral;
@@ -211,19 +212,24 @@
   if (timing) context_.selector.noteTiming(ticket_, *timing);
   context_.selector.end(ended_at, ticket_, verdict_);
   context_.placement.noteEnded(std::exchange(placement_number_, 0), verdict_, timing);
-  const connection::Endpoint endpoint =
-      connection::parseEndpoint(choice.engine.address).value_or(connection::Endpoint{});
-  if (closed_by_engine_) co_await probeEngine(endpoint);
+  if (closed_by_engine_) {
+    co_await probeEngine();
+    noteEngineCrash();
+  }
   if (is_suspect) context_.crashes.noteEnded(monotonicNow(), suspect, engine_);
   logAttemptEnd(end, cause_);
   co_return end;
 }
 
-Awaitable<void> ExchangeRun::probeEngine(const connection::Endpoint& endpoint) {
+Awaitable<void> ExchangeRun::probeEngine() {
   EngineId engine = engine_;
-  engine_state_ = co_await context_.engines.probe(std::move(engine), endpoint);
-  // The caller may retry the same content at any gateway, so the crash is recorded before the caller gets an answer.
-  if (engine_state_ != connection::EngineReachability::kEnded) co_return;
+  connection::Endpoint endpoint = engine_endpoint_;
+  engine_state_ = co_await context_.engines.probe(std::move(engine), std::move(endpoint));
+}
+
+/// The caller may retry the same content at any gateway, so the crash is recorded before the caller gets an answer.
+void ExchangeRun::noteEngineCrash() {
+  if (engine_state_ != connection::EngineReachability::kEnded) return;
   const bool has_read_prompt = events_ > events_before_;
   const request::CrashSubjects subjects = has_read_prompt ? request::CrashSubjects(fingerprint_) : crashSubjects();
   context_.crashes.noteCrash(monotonicNow(), attempt_began_at_, subjects, engine_, engine_incarnation_);
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -66,8 +66,6 @@
   request::AnsweringPrompts& answering_prompts;
   TrialClient& trials;
   StreamClient& streams;
-  /// Answer framing observed for the request's service.
-  request::AnswerFraming& framing;
   connection::SlowReaders& slow_readers;
   PlannedStop& stop;
   /// True if the gateway's list of engines is current.
@@ -192,8 +190,11 @@
   /// Returns the timing of the attempt's answer, or nullopt if the engine did not answer successfully.
   std::optional<request::AnswerTiming> attemptTiming(Instant now) const;
   std::vector<connection::HttpHeader> answerHeaders(const connection::EngineExchange& exchange) const;
-  /// Checks, after the engine closed the connection, whether the engine process itself has exited.
-  connection::Awaitable<void> probeEngine(const connection::Endpoint& endpoint);
+  /// Checks, after the engine closed the connection, whether the engine process itself has exited. Sets
+  /// `engine_state_`.
+  connection::Awaitable<void> probeEngine();
+  /// Records a crash of the engine if it was found to have exited.
+  void noteEngineCrash();
   std::string_view shownLastEventId() const;
   void logAttempt(const request::EngineChoice& choice) const;
   void logAttemptEnd(AttemptEnd end, const std::string& cause) const;
@@ -229,6 +230,7 @@
   /// Number of attempts that were declined or did not reach the engine.
   std::uint32_t refusals_ = 0;
   EngineId engine_;
+  connection::Endpoint engine_endpoint_;
   EngineBuild engine_build_;
   WallMillis engine_incarnation_ = 0;
   request::TicketId ticket_ = 0;
--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -201,13 +201,20 @@
 }
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::endStream(const EngineExchange& exchange, bool is_framed) {
-  const request::AnswerEnd answer = is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed;
-  const request::TextEnd end = position_.judgeEnd(answer, context_.framing);
-  context_.framing.note(answer);
-  const bool is_whole = end == request::TextEnd::kWhole;
+  if (!is_framed) {
+    co_await probeEngine();
+    const bool has_ended = engine_state_ == connection::EngineReachability::kEnded;
+    if (has_ended) {
+      cause_ = "stream: closed by an engine that has ended";
+      verdict_ = EngineVerdict::kFailed;
+      co_return AttemptEnd::kStreamBroken;
+    }
+  }
+  const request::TextEnd end =
+      position_.judgeEnd(is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed);
   const bool can_retry = route_.isRepeatable() && position_.canResume() && runs_ + 1 < route_.most_attempts;
   // An answer without framing that ends with a clean close counts as complete if no other attempt can verify it.
-  if (is_whole || (end == request::TextEnd::kUnproved && !can_retry)) {
+  if (end == request::TextEnd::kWhole || (end == request::TextEnd::kUnproved && !can_retry)) {
     verdict_ = EngineVerdict::kGood;
     const bool begun = co_await beginStream(exchange);
     if (!begun) co_return AttemptEnd::kCallerLeft;
--- a/src/process/exchange/gateway_program.hpp
+++ b/src/process/exchange/gateway_program.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -132,8 +131,6 @@
   bool crash_timer_armed_ = false;
   JobApi jobs_;
   ExchangeCounters counters_;
-  /// Entries are never erased, since running requests refer to them; bounded by the number of services ever routed to.
-  std::map<ServiceId, request::AnswerFraming> framing_;
   connection::Timer load_timer_;
   bool load_timer_armed_ = false;
   std::unique_ptr<fleet::FeedClient> feed_;
--- a/src/process/exchange/gateway_program_requests.cpp
+++ b/src/process/exchange/gateway_program_requests.cpp
@@ -217,7 +217,6 @@
     }
   }
   ServiceId service = split_.choose(route);
-  request::AnswerFraming& framing = framing_[service];
   ExchangeContext context{*dialect_,
                           engines_,
                           selector_,
@@ -231,7 +230,6 @@
                           answering_prompts_,
                           trials_,
                           streams_,
-                          framing,
                           *slow_readers_,
                           stop_,
                           feed_->hasCurrentBuilds(monotonicNow()),
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -14,6 +14,7 @@
 using connection::Awaitable;
 using connection::EndOfAnswer;
 using connection::EngineExchange;
+using connection::EngineReachability;
 using connection::ExchangeFailure;
 using connection::ExchangeStart;
 using connection::monotonicNow;
@@ -44,6 +45,10 @@
 constexpr unsigned kServerError = 500;
 constexpr unsigned kMisdirected = 421;
 
+connection::Endpoint endpointOf(const fleet::RunOrder& order) {
+  return connection::parseEndpoint(order.engine_address).value_or(connection::Endpoint{});
+}
+
 }  // namespace
 
 ItemRunner::ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self,
@@ -193,7 +198,7 @@
   fleet::RunOrder& order = run.order;
   connection::EngineRequest out;
   out.engine = order.engine;
-  out.endpoint = connection::parseEndpoint(order.engine_address).value_or(connection::Endpoint{});
+  out.endpoint = endpointOf(order);
   out.method = "POST";
   out.target = order.item.target;
   out.headers.push_back({"Host", order.host});
@@ -264,7 +269,14 @@
       co_return;
     }
     if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
-      takeEnd(run, end->framed, splitter.hasPartial());
+      EngineReachability engine_state = EngineReachability::kUnknown;
+      if (!end->framed) {
+        EngineId engine = run.order.engine;
+        connection::Endpoint endpoint = endpointOf(run.order);
+        engine_state = co_await engines_.probe(std::move(engine), std::move(endpoint));
+        if (!*alive || run.stopped) co_return;
+      }
+      takeEnd(run, end->framed, splitter.hasPartial(), engine_state);
       co_return;
     }
     const bool first = news.sequence == 0 && !run.has_news;
@@ -293,19 +305,19 @@
   return true;
 }
 
-void ItemRunner::takeEnd(Run& run, bool is_framed, bool has_partial) {
+void ItemRunner::takeEnd(Run& run, bool is_framed, bool has_partial, EngineReachability engine_state) {
   fleet::RunNews& news = run.news;
   news.verdict = EngineVerdict::kFailed;
   news.cause = "stream: ended inside an event";
   if (has_partial) return;
-  const request::AnswerEnd answer = is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed;
-  const request::TextEnd end = run.position.judgeEnd(answer, framing_);
-  framing_.note(answer);
-  if (end != request::TextEnd::kBroken) news.verdict = EngineVerdict::kGood;
-  news.end = end == request::TextEnd::kWhole      ? RunEnd::kWhole
-             : end == request::TextEnd::kUnproved ? RunEnd::kClosed
-                                                  : RunEnd::kBroken;
-  news.cause = end == request::TextEnd::kWhole ? "whole" : "stream: closed without its length";
+  news.cause = "stream: closed by an engine that has ended";
+  if (!is_framed && engine_state == EngineReachability::kEnded) return;
+  const request::TextEnd end =
+      run.position.judgeEnd(is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed);
+  const bool is_whole = end == request::TextEnd::kWhole;
+  news.verdict = EngineVerdict::kGood;
+  news.end = is_whole ? RunEnd::kWhole : RunEnd::kClosed;
+  news.cause = is_whole ? "whole" : "stream: closed without its length";
 }
 
 bool ItemRunner::takeEvent(Run& run, const connection::StreamEvent& event) {
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -92,8 +92,9 @@
   bool takeEvent(Run& run, const connection::StreamEvent& event);
   /// True if the answer has no end, or brings bytes but no events; its cause is then in the news.
   static bool isUseless(Run& run, const connection::EventSplitter& splitter);
-  /// Sets the run's outcome from the end of its answer.
-  void takeEnd(Run& run, bool is_framed, bool has_partial);
+  /// Sets the run's outcome from the end of its answer. `engine_state`: state of the engine after an end without
+  /// framing.
+  static void takeEnd(Run& run, bool is_framed, bool has_partial, connection::EngineReachability engine_state);
   /// Retains an answer that counts against the item until a leader confirms it.
   void retainAnswer(const Run& run);
   void removeConfirmedAnswers(const std::vector<std::uint64_t>& confirmed);
@@ -124,8 +125,6 @@
   const Dialect& dialect_;
   ReplicaId self_;
   ReportFunction report_;
-  /// How the engines that run items here have framed their answers.
-  request::AnswerFraming framing_;
   connection::EngineClient engines_;
   std::map<std::uint64_t, RunPtr> runs_;
   /// Ended runs that have not been reported.
--- a/src/request/exchange/stream_position.cpp
+++ b/src/request/exchange/stream_position.cpp
@@ -4,13 +4,6 @@
 #include <utility>
 
 namespace hatchfork::request {
-namespace {
-
-/// Number of closed answers, with none framed, from which on engines are taken to always close. A single close proves
-/// nothing, since an engine that breaks off closes too.
-constexpr std::uint32_t kMinClosedAnswers = 8;
-
-}  // namespace
 
 std::optional<std::uint64_t> parseEventId(std::string_view text) {
   std::uint64_t number = 0;
@@ -34,27 +27,14 @@
   if (id) last_ = id;
   if (id) is_aligned_ = true;
   if (!id) is_resumable_ = false;
-  if (std::exchange(has_unproved_close_, false)) was_retried_ = true;
+  if (std::exchange(has_close_, false)) has_disproved_close_ = true;
   return EventPlace::kNext;
 }
 
-TextEnd StreamPosition::judgeEnd(AnswerEnd end, const AnswerFraming& framing) {
-  if (end == AnswerEnd::kFramed || (has_unproved_close_ && framing.provesByClose())) return TextEnd::kWhole;
-  if (std::exchange(has_unproved_close_, false) || was_retried_) {
-    was_retried_ = true;
-    return TextEnd::kBroken;
-  }
-  has_unproved_close_ = true;
-  return TextEnd::kUnproved;
-}
-
-void AnswerFraming::note(AnswerEnd end) {
-  if (end == AnswerEnd::kFramed) has_frames_ = true;
-  if (end == AnswerEnd::kClosed) ++closes_;
-}
-
-bool AnswerFraming::provesByClose() const {
-  return !has_frames_ && closes_ >= kMinClosedAnswers;
+TextEnd StreamPosition::judgeEnd(AnswerEnd end) {
+  if (end == AnswerEnd::kFramed || has_close_) return TextEnd::kWhole;
+  has_close_ = true;
+  return has_disproved_close_ ? TextEnd::kBroken : TextEnd::kUnproved;
 }
 
 }  // namespace hatchfork::request
--- a/src/request/exchange/stream_position.hpp
+++ b/src/request/exchange/stream_position.hpp
@@ -32,27 +32,12 @@
   kClosed,
 };
 
-/// Tracks how the engines of a service end their answers, as seen by one process. If they frame their answers (by
-/// length or chunks), a closed connection is not a regular end.
-class AnswerFraming {
- public:
-  void note(AnswerEnd end);
-  /// True if the engines end all answers by closing the connection. Then two answers closed at the same event prove
-  /// that the text is complete.
-  bool provesByClose() const;
-
- private:
-  bool has_frames_ = false;
-  std::uint32_t closes_ = 0;
-};
-
 /// What the end of an answer implies for the text.
 enum class TextEnd {
   kWhole,
-  /// The engine closed the connection, which it does both at the end of a text and on a crash: another answer can
-  /// settle it.
+  /// The answer has no length and ended by a close, which may also be a break: another answer can settle it.
   kUnproved,
-  /// Another answer was requested and did not prove the end either.
+  /// The same, after an earlier close turned out to be a break.
   kBroken,
 };
 
@@ -67,7 +52,7 @@
   /// any engine may continue them.
   explicit StreamPosition(std::optional<std::uint64_t> reader_has = std::nullopt, bool ended_by_close = false,
                           std::optional<EngineBuild> build = std::nullopt)
-      : last_(reader_has), build_(std::move(build)), has_unproved_close_(ended_by_close) {}
+      : last_(reader_has), build_(std::move(build)), has_close_(ended_by_close) {}
 
   /// Starts a new answer of an engine of this build, which was requested from the event after `last`.
   void beginAnswer(EngineBuild build) {
@@ -78,8 +63,8 @@
   /// the text.
   EventPlace take(std::optional<std::uint64_t> id, bool has_data);
   /// Classifies the end of an answer. A framed end proves that the text is complete. So does a close at the same event
-  /// as the previous close, for engines that always close.
-  TextEnd judgeEnd(AnswerEnd end, const AnswerFraming& framing);
+  /// as the previous close. Must not be called for a close by an engine that has itself ended.
+  TextEnd judgeEnd(AnswerEnd end);
 
   /// Event after which the next attempt resumes; absent if the attempt starts from the first event.
   std::optional<std::uint64_t> last() const { return last_; }
@@ -88,7 +73,7 @@
   /// False once an event without an identifier was accepted: no later attempt can resume after it.
   bool canResume() const { return is_resumable_; }
   /// True after an unproved close, until another event arrives.
-  bool mayBeComplete() const { return has_unproved_close_; }
+  bool mayBeComplete() const { return has_close_ && !has_disproved_close_; }
 
  private:
   std::optional<std::uint64_t> last_;
@@ -99,8 +84,10 @@
   /// next one.
   bool is_aligned_ = false;
   bool is_resumable_ = true;
-  bool has_unproved_close_ = false;
-  bool was_retried_ = false;
+  /// The previous answer was closed after the last event that the reader has.
+  bool has_close_ = false;
+  /// An event followed one after which an answer was closed.
+  bool has_disproved_close_ = false;
 };
 
 }  // namespace hatchfork::request
