--- a/tests/platform/endless_engine.py
+++ b/tests/platform/endless_engine.py
@@ -21,6 +21,7 @@
     "event": (STREAM + chunk("id: 1\ndata: "), chunk("no line has an end ")),
     "comments": (STREAM, chunk(": a comment\n\n")),
     "repeated": (STREAM + chunk("id: 1\ndata: {request}-1\n\n"), chunk("id: 1\ndata: again\n\n")),
+    "length": (HEAD + "Content-Length: 10000000000\r\n\r\n", "more of a body"),
     "body": (HEAD + "Transfer-Encoding: chunked\r\n\r\n", chunk("more of a body")),
     "unframed": (HEAD + "Content-Type: text/event-stream\r\n\r\n", "\x01\x02 no answer "),
 }
--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -6,14 +6,17 @@
 connections go to gateways that say that they are ready; gateways are stopped and started again. Each request that a
 stopping gateway passed on to an engine, or held, has to get a whole answer, unless its own time was over.
 
-    python3 tests/soak/planned_stops.py --scenario offsets|turns|pairs|overlapping|waiting|unframed|everything [--seed 1] [--seconds 40]
+    python3 tests/soak/planned_stops.py --scenario offsets|late|turns|pairs|overlapping|waiting|unframed|everything
+        [--seed 1] [--seconds 40]
 
-offsets: a kept connection sends at each tenth of a second after the signal. turns: one gateway after the other. pairs: two
+offsets: a kept connection sends at each tenth of a second after the signal. late: the same, with plain requests that take
+seconds at their engine, repeatable or not, and submissions of jobs, whose results are read afterwards. turns: one gateway after the other. pairs: two
 at once. overlapping: the next one before the last has ended. waiting: engines are full, so that requests wait. unframed: a
 share of the engines' answers has no length and ends by a close. everything: overlapping, with stores and control processes
 stopped, SIGHUP and configurations beside it.
 """
 import asyncio
+import base64
 import json
 import random
 import signal
@@ -53,12 +56,18 @@
     at_once: int  # gateways
     interval: float  # seconds from one stop to the next; 0: when the last has ended
     sends_at_offsets: bool = False
+    late_kinds: tuple = ("talk", "speech", "safe")  # of requests at offsets
+    plain_delays: tuple = (0.0,)  # seconds that a plain request takes at its engine, drawn for each
+    body_pauses: tuple = (0.0, SLOW_BODY_S)  # between the two halves of a body, each at every offset
     stops_others: bool = False  # stores and control processes, with SIGHUP and configurations
     unframed_share: float = 0.0  # of the engines' answers: without a length, ended by a close
 
 
 SCENARIOS = {
     "offsets": Scenario(8, 40, (0.02, 0.3, 0.5), 8, 1, 0, sends_at_offsets=True),
+    "late": Scenario(8, 40, (0.02, 0.3, 0.5), 8, 1, 0, sends_at_offsets=True,
+                     late_kinds=("talk", "speech", "safe", "once", "once", "batch"), plain_delays=(0.02, 1.0, 2.5, 4.5),
+                     body_pauses=(0.0, SLOW_BODY_S, 1.4)),
     "everything": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 1, 2.5, stops_others=True),
     "turns": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 1, 0),
     "pairs": Scenario(8, 12, (0.02, 0.1, 0.3, 0.5), 40, 2, 0),
@@ -82,6 +91,7 @@
     events: int = 0
     number_on_connection: int = 0
     offset: float = -1.0  # after the signal, as it was planned
+    item: str = ""  # of a job
 
 
 class PacedEngine(Engine):
@@ -92,6 +102,11 @@
         self.unframed_share = unframed_share
         self.last_work = {}  # request -> when an engine was at work on it last
 
+    async def begin_run(self, request, target, body, writer):
+        if body.startswith(b"plain="):
+            await asyncio.sleep(float(body.decode().split("=")[1]))
+            self.last_work[request] = time.monotonic()
+
     async def stream(self, writer, request, body, after, extra):
         self.event_delay = 0.0
         delay = float(body.decode().split("=")[1])
@@ -205,10 +220,9 @@
 
     async def send_request(self, gateway, reader, writer, number, kind=None, pause=0.0, offset=-1.0):
         """One request, its body in two halves with a pause; true if the connection can be used again."""
-        kind = kind or self.random.choice(("talk", "speech", "safe", "once") if offset < 0 else ("talk", "speech", "safe"))
+        kind = kind or self.random.choice(("talk", "speech", "safe", "once") if offset < 0 else self.scenario.late_kinds)
         one = Try(new_id(), gateway, kind, number_on_connection=number, offset=offset)
-        is_stream = kind in ("talk", "speech")
-        body = f"stream={self.random.choice(self.scenario.event_delays)}".encode() if is_stream else b"plain"
+        body = self.body_of(one)
         head = [f"POST /{kind}/a HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {one.request}",
                 f"X-Time-Remaining-Ms: {ROUTE_TIMEOUT_S * 1000:.0f}"]
         in_chunks = self.random.random() < 0.5
@@ -232,6 +246,17 @@
         one.ended_at = time.monotonic()
         return keeps
 
+    def body_of(self, one):
+        """Names the time that the request takes; a job has one item, which is named in the request."""
+        stream = f"stream={self.random.choice(self.scenario.event_delays)}".encode()
+        if one.kind in ("talk", "speech"):
+            return stream
+        if one.kind != "batch":
+            return f"plain={self.random.choice(self.scenario.plain_delays)}".encode()
+        one.item = new_id()
+        return json.dumps({"Requests": [{"Id": one.item, "Path": "/batch/1", "Headers": {}, "TokenCount": 20,
+                                         "Body": base64.b64encode(stream).decode()}]}).encode()
+
     async def read_answer(self, one, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         one.status = int(head[0].split(" ")[1])
@@ -271,7 +296,7 @@
         self.signal_sent = asyncio.Event()
         offsets = [step * OFFSET_STEP_S for step in range(round(GRACE_S / OFFSET_STEP_S))]
         late = [asyncio.create_task(self.send_at_offset(gateway, offset, pause)) for offset in offsets
-                for pause in (0.0, SLOW_BODY_S)]
+                for pause in self.scenario.body_pauses]
         await asyncio.sleep(0.5)
         return late
 
@@ -330,7 +355,8 @@
             self.counts.refused += refused
             self.counts.whole += not refused
             if refused:
-                self.check.that(not self.runs_of(one.request), f"{one.request} was refused with {one.status}, yet it ran")
+                ran = self.runs_of(one.item or one.request)
+                self.check.that(not ran, f"{one.request} was refused with {one.status}, yet it ran")
             return
         stop = self.stop_of(one)
         if stop is None:
@@ -349,6 +375,18 @@
                         f"{one.sent_at - stop.at:.3f} s after the signal, ended {one.ended_at - stop.at:.3f} s after it, "
                         f"the process at {stop.ended_at - stop.at:.3f} s, passed_on={passed_on}")
 
+    async def read_results(self):
+        """Each job that was accepted gets done, and its result can be read."""
+        for one in self.tries:
+            if one.status != 202:
+                continue
+
+            async def is_complete():
+                _, _, page = await call(self.random.choice(self.fleet.gateways), "GET", f"/v1/lots/{one.request}?SinceRev=0",
+                                        timeout=3)
+                return [result["State"] for result in json.loads(page)["Results"]] == ["complete"]
+            await eventually(self.check, f"job {one.request} of gateway-{one.gateway + 1} is complete", is_complete, seconds=20)
+
     async def put_configuration(self):
         """Routes whose requests may take longer than a stopping gateway has left."""
         self.version += 1
@@ -373,6 +411,7 @@
         await asyncio.sleep(1)
         self.loading = False
         await asyncio.gather(*watches, *callers, *others)
+        await self.read_results()
         for one in self.tries:
             self.judge(one)
         for stop in self.stops:
