--- a/src/process/exchange/exchange_run_log.cpp
+++ b/src/process/exchange/exchange_run_log.cpp
@@ -61,7 +61,10 @@
   if (first_byte_at_) context_.counters.first_byte.observe(*first_byte_at_ - received_at_);
   context_.counters.whole.observe(monotonicNow() - received_at_);
   const std::int64_t first = first_byte_at_ ? toMillis(*first_byte_at_ - received_at_) : -1;
-  logEvent(LogLevel::kInfo, "request_ended",
+  const std::optional<Instant> stop_began_at = context_.stop.beganAt();
+  const std::int64_t stopping_ms = stop_began_at ? toMillis(monotonicNow() - *stop_began_at) : -1;
+  const bool is_cut = outcome == "stream_cut" || (outcome == "caller_left" && stop_began_at);
+  logEvent(is_cut ? LogLevel::kWarning : LogLevel::kInfo, "request_ended",
            {{"request", id_},
             {"tenant", tenant_ == nullptr ? std::string_view("-") : std::string_view(tenant_->id.value)},
             {"route", route_.name},
@@ -81,6 +84,7 @@
             {"events", events_},
             {"repeated", repeated_},
             {"first_ms", first},
+            {"stopping_ms", stopping_ms},
             {"after_ms", elapsedMs()}});
 }
 
--- a/src/process/exchange/planned_stop.hpp
+++ b/src/process/exchange/planned_stop.hpp
@@ -34,6 +34,8 @@
   /// Notes that the stop signal has arrived.
   void begin(Instant now) { began_at_ = now; }
   bool hasBegun() const { return began_at_.has_value(); }
+  /// Time at which the stop signal arrived; absent before.
+  std::optional<Instant> beganAt() const { return began_at_; }
   /// The following times are defined once the stop has begun.
   /// Connections are accepted until then, since callers notice a stop with a delay.
   Instant acceptsUntil() const;
