Revert "A caller that may have its whole text waits a second at most for the confirmation of its end"

Where its first event takes longer than a second (a queue, a long prompt) and no attempt is left, the text would be closed as whole too early (ORDER); before, it had until the deadline. What remains: a caller that has its whole text may wait for its end until the deadline if the engine that is asked is slow.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -33,8 +33,6 @@
 /// HTTP 421, returned by an engine that is not the expected one.
 constexpr unsigned kMisdirected = 421;
 constexpr std::string_view kEventStream = "text/event-stream";
-/// Time that an attempt may take which only confirms the end of a text that the caller has.
-constexpr Duration kConfirmationTimeout = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -189,13 +187,13 @@
   request::RequestFingerprint suspect;
   if (is_suspect) suspect = context_.crashes.noteBegun(monotonicNow(), crashSubjects(), engine_);
   connection::EngineRequest sent = engineRequest(choice);
-  ExchangeStart started = co_await context_.engines.open(std::move(sent), attemptDeadline(), control_);
+  ExchangeStart started = co_await context_.engines.open(std::move(sent), deadline_, control_);
   AttemptEnd end = AttemptEnd::kBroken;
   if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
     cause_ = failure->cause;
     closed_by_engine_ = failure->closed_by_engine;
     end = failure->may_have_run ? AttemptEnd::kBroken : AttemptEnd::kNotSent;
-    const bool past_deadline = monotonicNow() >= attemptDeadline();
+    const bool past_deadline = monotonicNow() >= deadline_;
     if (!caller_left_ && !past_deadline) verdict_ = EngineVerdict::kFailed;
   } else {
     std::unique_ptr<EngineExchange> exchange = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
@@ -223,11 +221,6 @@
   co_return end;
 }
 
-Instant ExchangeRun::attemptDeadline() const {
-  if (!position_.mayBeComplete()) return deadline_;
-  return std::min(deadline_, attempt_began_at_ + kConfirmationTimeout);
-}
-
 Awaitable<void> ExchangeRun::probeEngine() {
   EngineId engine = engine_;
   connection::Endpoint endpoint = engine_endpoint_;
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -148,9 +148,6 @@
   /// Checks the chosen engine and the request's content immediately before an attempt.
   connection::Awaitable<bool> mayAttempt(const std::optional<request::EngineChoice>& choice);
   connection::Awaitable<AttemptEnd> attempt(const request::EngineChoice& choice);
-  /// Time by which the current attempt has to bring something: a caller that may have its whole text does not wait for
-  /// the confirmation until its deadline.
-  Instant attemptDeadline() const;
   connection::Awaitable<AttemptEnd> relay(connection::EngineExchange& exchange);
   connection::Awaitable<AttemptEnd> relayBuffered(connection::EngineExchange& exchange);
   /// Reads an answer to its end, waiting for buffer space between reads. Returns false with `cause_` set on failure.
--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -119,7 +119,7 @@
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "stream: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
-      if (!caller_left_ && monotonicNow() < attemptDeadline()) verdict_ = EngineVerdict::kFailed;
+      if (!caller_left_ && monotonicNow() < deadline_) verdict_ = EngineVerdict::kFailed;
       co_return AttemptEnd::kStreamBroken;
     }
     if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
@@ -156,7 +156,6 @@
 Instant ExchangeRun::nextEventBy(const connection::EventSplitter& splitter, Instant event_began_at,
                                  Instant useful_at) const {
   if (splitter.hasPartial()) return std::min(deadline_, event_began_at + kEventTimeout);
-  if (position_.mayBeComplete()) return attemptDeadline();
   const bool can_retry = route_.isRepeatable() && position_.canResume() && runs_ + 1 < route_.most_attempts;
   // What is of no use leaves time for another engine.
   return splitter.hasUseless() && can_retry ? useful_at + (deadline_ - useful_at) / 2 : deadline_;
