A close that a later answer contradicts, and a close without any event, end no text

Change: such answers disprove the close; a text without an event is whole by a framed end only; an answer that repeats events confirms an end only if it came to the last one. The unit tests are new with the change.

--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -116,6 +116,8 @@
   comments_.clear();
   while (true) {
     AnswerPiece piece = co_await exchange.read(nextEventBy(splitter, event_began_at, useful_at));
+    const bool has_bytes = std::holds_alternative<std::string>(piece);
+    if (!has_bytes && splitter.hasPartial()) position_.noteMoreFollows();
     if (const auto* failure = std::get_if<ExchangeFailure>(&piece)) {
       cause_ = "stream: " + failure->cause;
       closed_by_engine_ = failure->closed_by_engine;
--- a/src/request/exchange/stream_position.hpp
+++ b/src/request/exchange/stream_position.hpp
@@ -37,7 +37,8 @@
   kWhole,
   /// The answer has no length and ended by a close, which may also be a break: another answer can settle it.
   kUnproved,
-  /// The same, after an earlier close turned out to be a break.
+  /// The same, but it proves nothing: an earlier close turned out to be a break, the answer ended before the last event
+  /// that the reader has, or the text has no event.
   kBroken,
 };
 
@@ -57,14 +58,19 @@
   /// Starts a new answer of an engine of this build, which was requested from the event after `last`.
   void beginAnswer(EngineBuild build) {
     is_aligned_ = false;
+    has_repeated_ = false;
     answering_build_ = std::move(build);
   }
   /// Classifies an event, and advances the position if the event is the next one. An event without data is not part of
   /// the text.
   EventPlace take(std::optional<std::uint64_t> id, bool has_data);
   /// Classifies the end of an answer. A framed end proves that the text is complete. So does a close at the same event
-  /// as the previous close. Must not be called for a close by an engine that has itself ended.
+  /// as the previous close, unless there is no event. Must not be called for a close by an engine that has crashed.
   TextEnd judgeEnd(AnswerEnd end);
+  /// Notes that the text goes on after the last event, although no further event came whole.
+  void noteMoreFollows() {
+    if (std::exchange(has_close_, false)) has_disproved_close_ = true;
+  }
 
   /// Event after which the next attempt resumes; absent if the attempt starts from the first event.
   std::optional<std::uint64_t> last() const { return last_; }
@@ -73,9 +79,11 @@
   /// False once an event without an identifier was accepted: no later attempt can resume after it.
   bool canResume() const { return is_resumable_; }
   /// True after an unproved close, until another event arrives.
-  bool mayBeComplete() const { return has_close_ && !has_disproved_close_; }
+  bool mayBeComplete() const { return has_close_ && !has_disproved_close_ && hasText(); }
 
  private:
+  bool hasText() const { return last_ || !is_resumable_; }
+
   std::optional<std::uint64_t> last_;
   std::optional<EngineBuild> build_;
   /// Build of the engine that sends the current answer.
@@ -84,6 +92,8 @@
   /// next one.
   bool is_aligned_ = false;
   bool is_resumable_ = true;
+  /// The current answer has repeated events that the reader has.
+  bool has_repeated_ = false;
   /// The previous answer was closed after the last event that the reader has.
   bool has_close_ = false;
   /// An event followed one after which an answer was closed.
--- a/tests/request/exchange/stream_position_test.cpp
+++ b/tests/request/exchange/stream_position_test.cpp
@@ -86,12 +86,52 @@
     REQUIRE_FALSE(position.mayBeComplete());
     REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kWhole);
   }
+  SECTION("another answer goes on and breaks off inside an event") {
+    position.noteMoreFollows();
+    REQUIRE_FALSE(position.mayBeComplete());
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kBroken);
+  }
+  SECTION("another answer goes on with a later event") {
+    REQUIRE(position.take(3, true) == EventPlace::kGap);
+    REQUIRE_FALSE(position.mayBeComplete());
+  }
+  SECTION("another answer goes on without an identifier") {
+    position.beginAnswer(hatchfork::EngineBuild("v1"));
+    REQUIRE(position.take(std::nullopt, true) == EventPlace::kUnknown);
+    REQUIRE_FALSE(position.mayBeComplete());
+  }
   SECTION("the close is known from an earlier run") {
     StreamPosition later(1, /*ended_by_close=*/true);
     REQUIRE(later.judgeEnd(AnswerEnd::kClosed) == TextEnd::kWhole);
   }
 }
 
+TEST_CASE("an answer that is closed before the last event that the reader has proves nothing", "[stream]") {
+  StreamPosition position(5);
+  REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kUnproved);
+  position.beginAnswer(hatchfork::EngineBuild("v1"));
+  for (const std::uint64_t event : {1u, 2u, 3u}) REQUIRE(position.take(event, true) == EventPlace::kRepeated);
+  REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kBroken);
+  REQUIRE(position.mayBeComplete());
+}
+
+TEST_CASE("a text without an event is not whole by a close", "[stream]") {
+  StreamPosition position;
+  for (int answer = 0; answer < 2; ++answer) {
+    position.beginAnswer(hatchfork::EngineBuild("v1"));
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kBroken);
+    REQUIRE_FALSE(position.mayBeComplete());
+  }
+  SECTION("a framed end proves it") {
+    REQUIRE(position.judgeEnd(AnswerEnd::kFramed) == TextEnd::kWhole);
+  }
+  SECTION("the close turns out to be a break") {
+    REQUIRE(position.take(1, true) == EventPlace::kNext);
+    REQUIRE(position.judgeEnd(AnswerEnd::kClosed) == TextEnd::kBroken);
+    REQUIRE_FALSE(position.mayBeComplete());
+  }
+}
+
 TEST_CASE("for any attempts, the reader gets each event once and in order", "[stream][property]") {
   rc::check([](std::uint8_t had, const std::vector<std::vector<std::uint8_t>>& attempts) {
     StreamPosition position(had);
