A plain answer that its engine closed as it crashed is no whole answer; an engine that leaves may end after its last one

Change: both relays ask whether the engine still listens. A crash found in this way counts as evidence against the content, like other ends of engines. A caller that leaves while it waits for a rate credit has a log line.

--- a/src/process/exchange/exchange_run.cpp
+++ b/src/process/exchange/exchange_run.cpp
@@ -212,10 +212,8 @@
   if (timing) context_.selector.noteTiming(ticket_, *timing);
   context_.selector.end(ended_at, ticket_, verdict_);
   context_.placement.noteEnded(std::exchange(placement_number_, 0), verdict_, timing);
-  if (closed_by_engine_) {
-    co_await probeEngine();
-    noteEngineCrash();
-  }
+  if (closed_by_engine_ && engine_state_ == connection::EngineReachability::kUnknown) co_await probeEngine();
+  if (closed_by_engine_) noteEngineCrash();
   if (is_suspect) context_.crashes.noteEnded(monotonicNow(), suspect, engine_);
   logAttemptEnd(end, cause_);
   co_return end;
@@ -227,6 +225,17 @@
   engine_state_ = co_await context_.engines.probe(std::move(engine), std::move(endpoint));
 }
 
+Awaitable<bool> ExchangeRun::hasCrashedAfterClose() {
+  co_await probeEngine();
+  const bool has_ended = engine_state_ == connection::EngineReachability::kEnded;
+  // An engine that leaves as planned ends once its last answer is whole.
+  if (!has_ended || !context_.selector.isServing(engine_)) co_return false;
+  cause_ = "closed by an engine that has ended";
+  closed_by_engine_ = true;
+  verdict_ = EngineVerdict::kFailed;
+  co_return true;
+}
+
 /// The caller may retry the same content at any gateway, so the crash is recorded before the caller gets an answer.
 void ExchangeRun::noteEngineCrash() {
   if (engine_state_ != connection::EngineReachability::kEnded) return;
@@ -308,7 +317,10 @@
       if (!caller_left_ && monotonicNow() < deadline_) verdict_ = EngineVerdict::kFailed;
       co_return false;
     }
-    if (std::holds_alternative<EndOfAnswer>(piece)) co_return true;
+    if (const auto* end = std::get_if<EndOfAnswer>(&piece)) {
+      const bool is_crash = !end->framed && co_await hasCrashedAfterClose();
+      co_return !is_crash;
+    }
     const std::string& bytes = std::get<std::string>(piece);
     held->add(bytes.size());
     body += bytes;
--- a/src/process/exchange/exchange_run.hpp
+++ b/src/process/exchange/exchange_run.hpp
@@ -193,6 +193,9 @@
   /// Checks, after the engine closed the connection, whether the engine process itself has exited. Sets
   /// `engine_state_`.
   connection::Awaitable<void> probeEngine();
+  /// True if the engine, which has just closed an answer without a length, has ended although it was not leaving. Its
+  /// answer may be incomplete then. Sets the cause and the verdict.
+  connection::Awaitable<bool> hasCrashedAfterClose();
   /// Records a crash of the engine if it was found to have exited.
   void noteEngineCrash();
   std::string_view shownLastEventId() const;
--- a/src/process/exchange/exchange_run_stream.cpp
+++ b/src/process/exchange/exchange_run_stream.cpp
@@ -203,15 +203,8 @@
 }
 
 Awaitable<ExchangeRun::AttemptEnd> ExchangeRun::endStream(const EngineExchange& exchange, bool is_framed) {
-  if (!is_framed) {
-    co_await probeEngine();
-    const bool has_ended = engine_state_ == connection::EngineReachability::kEnded;
-    if (has_ended) {
-      cause_ = "stream: closed by an engine that has ended";
-      verdict_ = EngineVerdict::kFailed;
-      co_return AttemptEnd::kStreamBroken;
-    }
-  }
+  const bool is_crash = !is_framed && co_await hasCrashedAfterClose();
+  if (is_crash) co_return AttemptEnd::kStreamBroken;
   const request::TextEnd end =
       position_.judgeEnd(is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed);
   const bool can_retry = route_.isRepeatable() && position_.canResume() && runs_ + 1 < route_.most_attempts;
--- a/src/process/exchange/gateway_program_requests.cpp
+++ b/src/process/exchange/gateway_program_requests.cpp
@@ -208,6 +208,8 @@
     if (!isOk(admitted) && errorOf(admitted).kind == ErrorKind::kCancelled) {
       ++counters_.caller_left;
       writer.abort();
+      logEvent(LogLevel::kInfo, "caller_left_before_credit",
+               {{"request", request.header(dialect_->headers().request_id)}, {"tenant", tenant->id.value}});
       co_return;
     }
     if (!isOk(admitted)) {
--- a/tests/soak/breaking_engine.py
+++ b/tests/soak/breaking_engine.py
@@ -66,6 +66,15 @@
         finally:
             self.running -= 1
 
+    async def answer(self, writer, status, extra, body):
+        """A plain answer; where engines end, a share of them is closed in order in its middle."""
+        if "ended" not in self.places or not status.startswith("200") or self.random.random() >= self.share:
+            return await super().answer(writer, status, extra, body)
+        await self.write(writer, f"HTTP/1.1 {status}\r\n{extra}Connection: close\r\n\r\n".encode() + body[:len(body) // 2], False)
+        await asyncio.sleep(self.event_delay)
+        await self.end(writer)
+        return False
+
     async def end(self, writer):
         """Ends like a process: it listens no more, this connection is closed in order, the others are reset."""
         self.writers.discard(writer)
