A break of a run that only confirms the end of an item neither delays the item nor forgets the close before it

Cause: a run that confirms an end has no event to send. If its engine ended, the item was paced like one whose runs break before their first event, up to 2 s for each start, and only an event ends that, which such an item never gets; and the break forgot the close before it, so that two more runs were needed. Change: such a run is no evidence and delays nothing; the close before it holds until a run brings an event. The unit test fails without the change (the close is forgotten).

--- a/src/process/store/item_run.hpp
+++ b/src/process/store/item_run.hpp
@@ -24,7 +24,8 @@
   EngineBuild build;
   /// Time since which the engines of this build have had no room for the item; unset while it runs.
   Instant build_full_since{};
-  /// True if the last run ended there by a closed connection, which does not prove that the text is whole.
+  /// True if a run ended there by a closed connection, which does not prove that the text is whole, and none since has
+  /// brought an event.
   bool after_close = false;
   Instant next_save{};
   /// Chain of the run that is in flight or ended last, whose text continues that of the runs before it.
--- a/src/process/store/job_executor_crashes.cpp
+++ b/src/process/store/job_executor_crashes.cpp
@@ -8,7 +8,8 @@
 using request::EngineChoice;
 
 void JobExecutor::noteBreak(Instant now, ItemRun& run) {
-  if (run.first_event_at != Instant{}) return;
+  // A run that confirms the end of a text has no event to send.
+  if (run.first_event_at != Instant{} || run.after_close) return;
   ++run.breaks_in_series;
   const Duration delay = restarts_.noteBroken(now, run.service, run.started_at);
   logEvent(LogLevel::kInfo, "item_paced",
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -244,8 +244,9 @@
             {"failures", run->failures},
             {"breaks_in_series", run->breaks_in_series},
             {"last_event", run->last_event.value_or(0)}});
-  // A declined run gives no information on the closed connection before it.
-  if (end != RunEnd::kDeclined) run->after_close = end == RunEnd::kClosed;
+  // A run without an event gives no information on the closed connection before it.
+  const bool has_events = run->first_event_at != Instant{};
+  if (end == RunEnd::kClosed || has_events) run->after_close = end == RunEnd::kClosed;
   const StoredJob* job = openJob(*run);
   if (end == RunEnd::kStopped || run->stopped || job == nullptr || !leading_) return;
   const Instant now = monotonicNow();
--- a/tests/process/store/job_executor_trial_test.cpp
+++ b/tests/process/store/job_executor_trial_test.cpp
@@ -160,3 +160,36 @@
   fixture.executor().tick(connection::monotonicNow());
   REQUIRE(fixture.orders() == kBreaks + 2);
 }
+
+// Guards against whole items that are listed late: the run that confirms their end was taken for one that crashes
+// engines.
+TEST_CASE("a break of a run that confirms the end of a text neither delays the item nor forgets the close before it",
+          "[store][executor][crash]") {
+  ExecutorFixture fixture;
+  fixture.executor().setLeading(true, 1);
+  const auto end_run = [&fixture](fleet::RunEnd end, request::EngineVerdict verdict, std::uint64_t events) {
+    const std::size_t orders = fixture.orders();
+    RunNews news;
+    news.number = fixture.lastOrder().number;
+    news.sequence = 1;
+    news.text = events > 0 ? "one" : "";
+    news.last_event = 1;
+    news.events = events;
+    news.ended = true;
+    news.end = end;
+    news.verdict = verdict;
+    const Instant ended_at = connection::monotonicNow();
+    fixture.deliver(RunReport{kSelf, 1, {news}, {}});
+    ExecutorFixture::waitUntil(ended_at + fromMillis(200));
+    fixture.executor().tick(connection::monotonicNow());
+    REQUIRE(fixture.orders() == orders + 1);
+  };
+  end_run(fleet::RunEnd::kClosed, request::EngineVerdict::kGood, 1);
+  REQUIRE(fixture.lastOrder().after_close);
+  for (int number = 0; number < 3; ++number) {
+    end_run(fleet::RunEnd::kBroken, request::EngineVerdict::kFailed, 0);
+    REQUIRE(fixture.lastOrder().after_close);
+  }
+  end_run(fleet::RunEnd::kBroken, request::EngineVerdict::kFailed, 1);
+  REQUIRE_FALSE(fixture.lastOrder().after_close);
+}
