--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """A whole fleet of real processes on loopback: settings, starts, signals. Ends only what it started, by process id."""
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -84,6 +85,16 @@
     def of_role(self, role):
         return [process for process in self.processes.values() if process.role == role]
 
+    def leading_store(self):
+        """The store that began to lead last, by the logs."""
+        best, term = None, -1
+        for store in self.of_role("store"):
+            log = store.file.with_suffix(".log").read_text(errors="replace")
+            for found in re.findall(r"event=executor_started term=(\d+)", log):
+                if int(found) > term:
+                    best, term = store, int(found)
+        return best
+
     def kill_all(self):
         for process in self.processes.values():
             process.send(signal.SIGCONT)
--- a/tests/soak/unknown_routes.py
+++ b/tests/soak/unknown_routes.py
@@ -15,7 +15,6 @@
 import base64
 import json
 import random
-import re
 import signal
 import sys
 import time
@@ -47,7 +46,6 @@
 class UnknownRoutes:
     def __init__(self, options, folder):
         self.options = options
-        self.folder = folder
         self.random = random.Random(options.seed)
         self.fleet = Fleet(folder, controls=5, stores=3, gateways=2, network=options.network)
         self.check = Check()
@@ -55,16 +53,6 @@
                                event_delay=EVENT_DELAY) for number in range(ENGINES)]
         self.version = 5  # of the first configuration, see `Fleet.form`
 
-    def leading_store(self):
-        """The store that began to lead last, by the logs."""
-        best, term = None, -1
-        for store in self.fleet.of_role("store"):
-            log = (self.folder / f"{store.name}.log").read_text(errors="replace")
-            for found in re.findall(r"event=executor_started term=(\d+)", log):
-                if int(found) > term:
-                    best, term = store, int(found)
-        return best
-
     async def put_routes(self, *extra):
         self.version += 1
 
@@ -111,7 +99,7 @@
     async def lose_half(self, started):
         """Half of the machines that count is out of reach, and the leading store of the other half is killed."""
         controls = self.random.sample(self.fleet.of_role("control"), 3)
-        leader = self.leading_store()
+        leader = self.fleet.leading_store()
         other = self.random.choice([store for store in self.fleet.of_role("store") if store is not leader])
         print(f"{time.monotonic() - started:6.2f} s  {[p.name for p in controls]} and {other.name} stand still, "
               f"{leader.name} is killed", flush=True)
