--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -7,7 +7,7 @@
 stopping gateway passed on to an engine, or held, has to get a whole answer, unless its own time was over.
 
     python3 tests/soak/planned_stops.py --scenario offsets|late|turns|pairs|overlapping|waiting|unframed|everything
-        [--seed 1] [--seconds 40]   # also releases, releases-unframed, releases-broken
+        [--seed 1] [--seconds 40]   # also releases, releases-unframed, releases-broken, releases-closing
 
 offsets: a kept connection sends at each tenth of a second after the signal. late: the same, with plain requests that take
 seconds at their engine, repeatable or not, and submissions of jobs, whose results are read afterwards. turns: one gateway after the other. pairs: two
@@ -16,7 +16,7 @@
 stopped, SIGHUP and configurations beside it. releases: one or two at once, while engines give way one by one to new ones of a
 newer version and configurations change timeouts and add routes; callers take up broken resumable streams at another gateway.
 releases-unframed: the same, and a share of the answers has no length. releases-broken: engines that leave end with streams in
-their middle.
+their middle. releases-closing: answers without a length, of engines that listen no more once they have served on long enough.
 """
 import asyncio
 import base64
@@ -76,6 +76,7 @@
     stops_others: bool = False  # stores and control processes, with SIGHUP and configurations
     unframed_share: float = 0.0  # of the engines' answers: without a length, ended by a close
     has_releases: bool = False  # engines are replaced, configurations change, callers take up broken streams
+    closes_first: bool = False  # engines that leave listen no more while they end their streams
     breaks_off: bool = False  # engines that leave end whatever still runs
     kinds: tuple = ("talk", "speech", "safe", "once")  # of requests, other than those at offsets
 
@@ -98,6 +99,7 @@
 
 RELEASES = SCENARIOS["releases"]
 SCENARIOS["releases-unframed"] = replace(RELEASES, unframed_share=0.2)
+SCENARIOS["releases-closing"] = replace(RELEASES, unframed_share=0.2, closes_first=True, event_delays=(0.1, 0.3, 0.5))
 SCENARIOS["releases-broken"] = replace(RELEASES, breaks_off=True, event_delays=(0.1, 0.3, 0.5))
 
 
@@ -198,7 +200,7 @@
         await super().answer(writer, status, extra + "Connection: close\r\n", body)
         return False
 
-    async def leave(self, check, breaks_off):
+    async def leave(self, check, scenario):
         """A planned end: says that it leaves, serves on, ends its streams or breaks them off, signs off and ends."""
         self.state = "draining"
         self.leaves_from = time.monotonic()
@@ -206,7 +208,9 @@
             await asyncio.sleep(0.1)
         self.left_at = time.monotonic()
         await asyncio.sleep(self.random.uniform(*LEAVING_S))
-        while not breaks_off and (self.at_work or time.monotonic() < self.last_begun + REST_S):
+        if scenario.closes_first:
+            self.server.close()
+        while not scenario.breaks_off and (self.at_work or time.monotonic() < self.last_begun + REST_S):
             if time.monotonic() > self.left_at + MOST_TO_END_S:
                 check.that(False, f"{self.id} still gets requests {MOST_TO_END_S} s after it was acknowledged that it leaves")
                 break
@@ -217,7 +221,7 @@
             status, _, _ = await call(self.random.choice(self.controls), "DELETE", f"/v1/instances/{self.id}", timeout=2)
             return status == 200
         await eventually(check, f"{self.id} is signed off", is_signed_off, seconds=10)
-        check.that(breaks_off or not self.at_work, f"{self.id} ends while it is at work on {self.at_work}")
+        check.that(scenario.breaks_off or not self.at_work, f"{self.id} ends while it is at work on {self.at_work}")
         self.broken = dict.fromkeys(self.at_work, time.monotonic())
         await self.stop()
 
@@ -490,7 +494,7 @@
             await eventually(self.check, f"{new.id} is registered", new.beat)
             old = self.serving.pop(0)
             self.serving.append(new)
-            leaving.append(asyncio.create_task(old.leave(self.check, self.scenario.breaks_off)))
+            leaving.append(asyncio.create_task(old.leave(self.check, self.scenario)))
             await asyncio.sleep(REPLACE_INTERVAL_S)
         await asyncio.gather(*leaving)
 
