An item's answer that is closed before its last event, or without any event, is broken and counts as its engine's failure

Job owners would see: an item that runs again and again without a pause at an engine that closes each answer before an event, and, where an engine repeats events and closes early, a text that one more close makes whole. Change: what proves nothing is a break with the verdict that it had on. Evidence: item_runner_answers_test, "closed without an event, or before its last event": both cases reported closed and good before, broken and failed now. Ruled out: telling the leader more in the frame (old leaders read it as well).

--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -314,10 +314,10 @@
   if (!is_framed && engine_state == EngineReachability::kEnded) return;
   const request::TextEnd end =
       run.position.judgeEnd(is_framed ? request::AnswerEnd::kFramed : request::AnswerEnd::kClosed);
-  const bool is_whole = end == request::TextEnd::kWhole;
+  news.cause = end == request::TextEnd::kWhole ? "whole" : "stream: closed without its length";
+  if (end == request::TextEnd::kBroken) return;
   news.verdict = EngineVerdict::kGood;
-  news.end = is_whole ? RunEnd::kWhole : RunEnd::kClosed;
-  news.cause = is_whole ? "whole" : "stream: closed without its length";
+  news.end = end == request::TextEnd::kWhole ? RunEnd::kWhole : RunEnd::kClosed;
 }
 
 bool ItemRunner::takeEvent(Run& run, const connection::StreamEvent& event) {
--- a/tests/process/store/item_runner_answers_test.cpp
+++ b/tests/process/store/item_runner_answers_test.cpp
@@ -132,6 +132,23 @@
   REQUIRE(news.verdict == request::EngineVerdict::kGood);
 }
 
+// Guards against an item that is run without end, and against a text that another run's break makes whole.
+TEST_CASE("an item's answer that is closed without an event, or before its last event, is broken", "[store][runner]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: item\r\nConnection: close\r\n\r\n";
+  const bool repeats = GENERATE(false, true);
+  connection::asio::io_context context;
+  connection::ScriptedEngine engine(context, repeats ? head + "id: 1\ndata: one\n\n" : head,
+                                    connection::AfterAnswer::kCloses);
+  RunOrder order;
+  order.last_event = repeats ? 2 : 0;
+  order.after_close = repeats;
+  SingleRun run(context);
+  run.play(engine.port(), {}, isDone, std::move(order));
+  REQUIRE(run.ended().size() == 1);
+  REQUIRE(run.ended().front().end == fleet::RunEnd::kBroken);
+  REQUIRE(run.ended().front().verdict == request::EngineVerdict::kFailed);
+}
+
 // Guards against texts that grow for as long as an engine goes on.
 TEST_CASE("a text without an end is dropped", "[store][runner][endless]") {
   connection::asio::io_context context;
