The end of an answer that closes its connection is not lost to a request behind it

Cause: the server closed its socket right after it had handed the answer to the kernel. If bytes of the caller are unread then, or arrive later (its next request crosses the close), the kernel resets the connection and drops what the caller's machine has not acknowledged. Evidence: http_test "an answer that closes its connection is not lost to a request behind it", a caller that reads 2 MB late and has sent its next request: before, a reset after 12,288 bytes; now all and a proper end. Change: a connection whose sending side was shut down is closed once the caller's machine has acknowledged the end, after 5 s at the latest. Where the kernel does not tell its state, as before. Ruled out: reading what arrives (a request that was read would have to be answered). Same class elsewhere: servers for operators, engines and metrics are the same class; frame connections carry no request whose answer ends them (read).

--- a/src/connection/asio.hpp
+++ b/src/connection/asio.hpp
@@ -49,6 +49,11 @@
 /// for about `timeout`.
 void detectSilentPeer(tcp::socket& socket, Duration timeout);
 
+/// Waits until the peer's machine has acknowledged all bytes of a socket whose sending side was shut down, and for no
+/// longer than `timeout`. A socket that is closed while the peer's bytes are unread resets the connection, which drops
+/// what was not acknowledged. Must be called on the socket's executor.
+Awaitable<void> awaitDelivery(tcp::socket& socket, Duration timeout);
+
 /// Waits on the calling coroutine's executor.
 Awaitable<void> sleepFor(Duration duration);
 
--- a/src/connection/asio_impl.cpp
+++ b/src/connection/asio_impl.cpp
@@ -6,9 +6,25 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 #include "connection/asio.hpp"
 
 namespace hatchfork::connection {
+namespace {
+
+constexpr Duration kFirstDeliveryPoll = fromMillis(2);
+constexpr Duration kMaxDeliveryPoll = fromMillis(50);
+
+/// True if the peer has not yet acknowledged the end of the sending side. Where the kernel does not tell, false.
+bool hasUnacknowledgedEnd(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
+  return info.tcpi_state == TCP_FIN_WAIT1 || info.tcpi_state == TCP_CLOSING || info.tcpi_state == TCP_LAST_ACK;
+}
+
+}  // namespace
 
 void detectSilentPeer(tcp::socket& socket, Duration timeout) {
   const int descriptor = socket.native_handle();
@@ -23,6 +39,15 @@
   ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
 }
 
+Awaitable<void> awaitDelivery(tcp::socket& socket, Duration timeout) {
+  const Instant give_up = monotonicNow() + timeout;
+  Duration poll = kFirstDeliveryPoll;
+  while (hasUnacknowledgedEnd(socket) && monotonicNow() < give_up) {
+    co_await sleepFor(poll);
+    poll = std::min(poll * 2, kMaxDeliveryPoll);
+  }
+}
+
 Awaitable<void> sleepFor(Duration duration) {
   Timer timer(co_await asio::this_coro::executor);
   timer.expires_after(duration);
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kAcceptRetryDelay = fromMillis(50);
 /// When a caller whose long body found no room comes back: peers that take nothing are let go within that.
 constexpr Duration kComeBackAfter = std::chrono::seconds(2);
+/// Time for a caller to take the end of its last answer.
+constexpr Duration kDeliveryTimeout = std::chrono::seconds(5);
 /// What the kernel buffers for a caller: more would hide from the process that the caller reads slowly.
 constexpr int kSendBufferBytes = 128 << 10;
 /// Bodies up to this size are read whatever else is held.
@@ -109,6 +111,7 @@
     while (more) more = co_await serveOne();
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    co_await awaitDelivery(stream_.socket(), kDeliveryTimeout);
   }
 
   /// Ends the connection if no request is being received or handled. Any thread.
