--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -173,6 +173,12 @@
         return True
 
 
+async def read_head(reader):
+    """The status of an answer and its header fields, by name in small letters."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    return int(head[0].split(" ")[1]), {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+
+
 async def call(address, method, target, body=b"", headers=None, timeout=8, source=None):
     """One request on a connection of its own, from the loopback address `source`. Gives status, headers and the whole body."""
     if isinstance(body, str):
@@ -190,9 +196,7 @@
             lines.append(f"Host: {HOST}")
         lines += [f"{name}: {value}" for name, value in headers.items()]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        status = int(head[0].split(" ")[1])
-        fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        status, fields = await read_head(reader)
         if fields.get("transfer-encoding") == "chunked":
             content = b""
             while True:
--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -34,7 +34,7 @@
 from fleet import Fleet  # noqa: E402
 from paced_engine import EVENTS, PacedEngine  # noqa: E402
 from scenarios import run_scenario  # noqa: E402
-from stand_in import HOST, Check, call, document, eventually, new_id  # noqa: E402
+from stand_in import HOST, Check, call, document, eventually, new_id, read_head  # noqa: E402
 from stop_judge import GRACE_S, Stop, StopJudge, Text, Try  # noqa: E402
 from stop_scenarios import ROUTE_TIMEOUT_S, SCENARIOS  # noqa: E402
 from versioned_engine import SEPARATOR, versions_in  # noqa: E402
@@ -234,9 +234,7 @@
         return f"/{prefixes[0] if len(prefixes) == 1 else self.random.choice(prefixes)}/a"
 
     async def read_answer(self, one, reader):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        one.status = int(head[0].split(" ")[1])
-        fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        one.status, fields = await read_head(reader)
         one.seal = fields.get("x-response-seal", "")
         if fields.get("transfer-encoding") == "chunked":
             while True:
--- a/tests/soak/resuming_caller.py
+++ b/tests/soak/resuming_caller.py
@@ -2,7 +2,7 @@
 import asyncio
 import time
 
-from stand_in import HOST
+from stand_in import HOST, read_head
 
 READ_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
 
@@ -31,10 +31,8 @@
             lines = [f"POST {target} HTTP/1.1", f"Host: {HOST}", "Connection: close", f"Content-Length: {len(body)}"]
             lines += [f"{name}: {value}" for name, value in headers.items()]
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-            self.status = int(head[0].split(" ")[1])
+            self.status, fields = await read_head(reader)
             self.head_after = time.monotonic() - began
-            fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
             if fields.get("transfer-encoding") != "chunked":
                 self.body = await reader.readexactly(int(fields.get("content-length", 0)))
                 self.is_whole = True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 import faults  # noqa: E402
 from ending_engine import MARK, EndingEngine  # noqa: E402
 from fleet import SUSPENDED_CLOCK, Fleet  # noqa: E402
+from job_results import JobResults  # noqa: E402
 from resuming_caller import StreamReader  # noqa: E402
 from stand_in import Check, call, document, eventually, new_id, request_headers  # noqa: E402
 
@@ -60,7 +61,7 @@
             for process in self.fleet.processes.values():
                 process.environment = {"LD_PRELOAD": str(SUSPENDED_CLOCK)}
         self.jobs = {}  # job -> {item: body}; accepted ones only
-        self.seen = {}  # job -> results as they were read first
+        self.results = JobResults(self.check)
         self.refused_jobs = {}  # every answer to the submission promised that it is not run
         self.online = {"served": 0, "refused": 0, "failed": 0}
         self.version = 5
@@ -230,19 +231,10 @@
     async def read_job(self, job):
         gateway = self.random.choice(self.fleet.gateways)
         try:
-            status, _, body = await call(gateway, "GET", f"/v1/lots/{job}?SinceRev=0", timeout=3)
+            await self.results.read(job, gateway)
         except CALL_ERRORS:
             return False
-        if status != 200:
-            self.check.that(status not in (404, 410), f"job {job} was accepted and is answered {status}")
-            return False
-        results = json.loads(body)["Results"]
-        known = self.seen.setdefault(job, [])
-        both = min(len(known), len(results))
-        self.check.that(results[:both] == known[:both], f"job {job}: results that were read once have changed")
-        if len(results) > len(known):
-            self.seen[job] = results
-        return len(self.seen[job]) == len(self.jobs[job])
+        return len(self.results.of(job)) == len(self.jobs[job])
 
     async def read_configuration(self):
         while self.loading:
@@ -275,7 +267,7 @@
             self.check_results(job, items)
 
     def check_results(self, job, items):
-        results = self.seen.get(job, [])
+        results = self.results.of(job)
         listed = [result["Id"] for result in results]
         self.check.that(len(set(listed)) == len(listed) and set(listed) <= set(items), f"job {job}: each item once")
         for result in results:
--- a/tests/soak/unframed_items.py
+++ b/tests/soak/unframed_items.py
@@ -24,7 +24,6 @@
 import asyncio
 import base64
 import collections
-import json
 import random
 import signal
 import sys
@@ -35,6 +34,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from breaking_engine import EVENTS, BreakingEngine  # noqa: E402
 from fleet import Fleet  # noqa: E402
+from job_results import JobResults  # noqa: E402
 from scenarios import run_scenario  # noqa: E402
 from stand_in import Check, call, eventually, new_id  # noqa: E402
 
@@ -81,7 +81,7 @@
         for number, engine in enumerate(self.engines):
             engine.random.seed(options.seed * ENGINES + number)
         self.jobs = {}  # job -> its items
-        self.seen = {}  # job -> the most results that were read of it
+        self.results = JobResults(self.check)
         self.loading = True
 
     async def submit(self):
@@ -98,38 +98,24 @@
             await asyncio.sleep(JOB_EVERY_S)
         await asyncio.gather(*tasks)
 
-    async def read_job(self, job, gateway):
-        """What was read once stays at its position; gives how many results are listed."""
-        status, _, body = await call(gateway, "GET", f"/v1/lots/{job}?SinceRev=0", timeout=3)
-        self.check.that(status not in (404, 410), f"job {job} was accepted and is answered {status}")
-        if status != 200:
-            return 0
-        results = json.loads(body)["Results"]
-        known = self.seen.setdefault(job, [])
-        both = min(len(known), len(results))
-        self.check.that(results[:both] == known[:both], f"job {job}: results that were read once have changed")
-        if len(results) > len(known):
-            self.seen[job] = results
-        return len(results)
-
     async def read_jobs(self):
         while self.loading:
             await asyncio.sleep(0.05)
             if not self.jobs:
                 continue
             try:
-                await self.read_job(self.random.choice(list(self.jobs)), self.random.choice(self.fleet.gateways))
+                await self.results.read(self.random.choice(list(self.jobs)), self.random.choice(self.fleet.gateways))
             except CALL_ERRORS:
                 continue
 
     async def finish_job(self, job, items, until):
         async def is_listed():
-            return await self.read_job(job, self.random.choice(self.fleet.gateways)) >= len(items)
+            return await self.results.read(job, self.random.choice(self.fleet.gateways)) >= len(items)
         await eventually(self.check, f"all {len(items)} items of job {job} are listed", is_listed,
                          seconds=until - time.monotonic())
 
     def check_job(self, job, items):
-        results = self.seen.get(job, [])
+        results = self.results.of(job)
         listed = collections.Counter(result["Id"] for result in results)
         for item in items:
             self.check.that(listed[item] == 1, f"item {item} of job {job} is listed {listed[item]} times")
@@ -184,7 +170,7 @@
         for gateway in self.fleet.gateways:
             for job in self.jobs:
                 async def is_read():
-                    return await self.read_job(job, gateway) == len(self.seen.get(job, []))
+                    return await self.results.read(job, gateway) == len(self.results.of(job))
                 await eventually(self.check, f"{gateway} lists job {job} as it was read before", is_read, seconds=5)
         for job, items in self.jobs.items():
             self.check_job(job, items)
--- a/tests/soak/young_gateways.py
+++ b/tests/soak/young_gateways.py
@@ -25,20 +25,19 @@
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from fleet import Fleet  # noqa: E402
+from gateway_lives import AGES, EVENTS, Life, SoundEngine, Try, age_name  # noqa: E402
 from scenarios import run_scenario  # noqa: E402
-from stand_in import HOST, Check, Engine, call, document, eventually, new_id  # noqa: E402
+from stand_in import HOST, Check, call, document, eventually, new_id, read_head  # noqa: E402
 
 SCENARIOS = ("young", "builds", "unframed", "half-close", "eager")
 UNFRAMED_SHARE = 0.5  # of the engines' streams
 ENGINES = 8
 SLOTS = 60
-EVENTS = 10  # of a stream
 EVENT_DELAYS = (0.0, 0.01, 0.05, 0.12)  # seconds, drawn for each stream
 PLAIN_DELAYS = (0.0, 0.0, 0.05, 0.5)
 CALLERS = 7  # at each gateway
@@ -46,7 +45,6 @@
 GATEWAYS_AT_ONCE = (2, 3)
 GATEWAYS_KEPT = (4, 5)
 LIVES_S = (1.5, 4.0, 10.5)  # from ready to the next signal, drawn for each life
-AGES = ((1.0, "0-1 s"), (3.0, "1-3 s"), (10.0, "3-10 s"), (float("inf"), "older"))
 KEPT_AGE_S = 20.0  # of the gateways that are never stopped, before what they serve is compared
 READY_WITHIN_S = 10.0
 LEAST_SENT = 300  # requests at each of the first three ages, and at gateways that are never stopped
@@ -56,96 +54,9 @@
 KEY_WITH_LIMIT = "key-of-a"
 KEY = "key-of-b"
 KINDS = ("talk", "talk", "speech", "safe", "once", "batch", "taken up", "taken up", "limited talk", "limited safe")
-REFUSALS = (408, 421, 429, 503)
 READ_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, IndexError)
 
 
-class SoundEngine(Engine):
-    """Never breaks; the request names the pause before its answer or between its events."""
-
-    def __init__(self, *arguments, version="v1", unframed_share=0.0, **named):
-        super().__init__(*arguments, **named)
-        self.version = version
-        self.unframed_share = unframed_share
-
-    def entry(self, **fields):
-        return super().entry(Version=self.version, **fields)
-
-    async def begin_run(self, request, target, body, writer):
-        if body.startswith(b"plain="):
-            await asyncio.sleep(float(body.decode().split("=")[1].split(" ")[0]))
-
-    async def stream(self, writer, request, body, after, extra):
-        self.event_delay = delay = float(body.decode().split("=")[1].split(" ")[0])
-        if self.random.random() >= self.unframed_share:
-            return await super().stream(writer, request, body, after, extra)
-        self.running += 1
-        try:
-            writer.write(f"HTTP/1.1 200 OK\r\n{extra}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n".encode())
-            for number in range(after + 1, EVENTS + 1):
-                await asyncio.sleep(delay)
-                writer.write(f"id: {number}\ndata: {request}-{number}\n\n".encode())
-                await writer.drain()
-        finally:
-            self.running -= 1
-        return False
-
-
-@dataclass
-class Life:
-    """One process of a gateway. A new one is `young`; those of the fleet's start are not counted before they are old."""
-
-    gateway: int
-    started_at: float
-    ready_at: float = 0.0
-    told_at: float = float("inf")
-    code: int = 0
-
-
-@dataclass
-class Try:
-    """One request: what it asked for, and what came of it."""
-
-    request: str
-    kind: str
-    life: Life
-    half_closes: bool
-    body: bytes
-    after: int = 0  # the event that the caller has
-    origin: str = ""  # the request that began the stream
-    first_gateway: int = -1
-    sent_at: float = 0.0
-    ended_at: float = 0.0
-    status: int = 0
-    whole: bool = False
-    error: str = ""
-    answer: str = ""
-    events: list = field(default_factory=list)
-    item: str = ""
-
-    @property
-    def path(self):
-        return {"taken up": "talk"}.get(self.kind, self.kind.split(" ")[-1])
-
-    @property
-    def age(self):
-        return self.sent_at - self.life.started_at
-
-    def outcome(self):
-        if not self.whole:
-            return "cut"
-        if self.status in REFUSALS:
-            return "refused"
-        if self.status >= 400:
-            return "failed"
-        is_stream = self.path in ("talk", "speech")
-        return "cut" if is_stream and self.events != list(range(self.after + 1, EVENTS + 1)) else "served"
-
-
-def age_name(age):
-    return next(name for most, name in AGES if age < most)
-
-
 class YoungGateways:
     """Callers, gateways that are started again, and checks of one run."""
 
@@ -302,9 +213,7 @@
         one.answer += f"; the same at gateway-{kept.gateway + 1} of {again.age:.1f} s as {again.request}: {again.outcome()}"
 
     async def read_answer(self, one, reader, leaves_after=None):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        one.status = int(head[0].split(" ")[1])
-        fields = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        one.status, fields = await read_head(reader)
         if fields.get("transfer-encoding") == "chunked":
             held = b""
             while True:
