Logs: what became of an end, how old a submission is, when a run begins and what a stop found

The hypotheses of docs/incidents/items-after-the-end-of-their-job.md could not be told apart: an end that found no job was logged like any other, a run had a line at the leader only, and a stop without its run none.

- job_ended and job_submitted have the group's outcome (an end of an unknown job is now 'no_job'), the latter the age of the submission; job_submitter_left at the gateway; item_run_begun and run_stop_without_run at the store that runs it.

--- a/src/process/exchange/gateway_program_requests.cpp
+++ b/src/process/exchange/gateway_program_requests.cpp
@@ -178,7 +178,13 @@
       co_return;
     }
     const TenantId submitter = tenant == nullptr ? TenantId() : tenant->id;
+    // A submission is finished for a caller that has left, too: its answer may have been lost on the way only.
+    writer.watchPeer([] {});
     HttpResponse response = co_await jobs_.submit(*route, routes->version(), submitter, request);
+    if (writer.peerGone()) {
+      logEvent(LogLevel::kInfo, "job_submitter_left",
+               {{"request", request.header(dialect_->headers().request_id)}, {"status", response.status}});
+    }
     co_await writer.send(std::move(response));
     co_return;
   }
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -58,6 +58,7 @@
       self_(std::move(self)),
       report_(std::move(report)),
       engines_(context),
+      last_tick_(monotonicNow()),
       report_timer_(context) {}
 
 ItemRunner::~ItemRunner() {
@@ -98,6 +99,14 @@
     return connection::isSameHeader(header.name, dialect_.headers().expected_weights);
   });
   runs_.emplace(run->order.number, run);
+  logEvent(LogLevel::kInfo, "item_run_begun",
+           {{"job", run->order.job.value},
+            {"request", run->order.item.id},
+            {"run", run->order.number},
+            {"engine", run->order.engine.value},
+            {"leader", leader_.value},
+            {"term", term_},
+            {"since_tick_ms", toMillis(monotonicNow() - last_tick_)}});
   connection::asio::co_spawn(context_, this->run(run), connection::asio::detached);
 }
 
@@ -113,7 +122,11 @@
 void ItemRunner::stop(std::uint64_t number) {
   withheld_ends_.erase(number);
   const auto found = runs_.find(number);
-  if (found == runs_.end()) return;
+  if (found == runs_.end()) {
+    // It has ended, or its order has not arrived.
+    logEvent(LogLevel::kInfo, "run_stop_without_run", {{"run", number}, {"leader", leader_.value}, {"term", term_}});
+    return;
+  }
   const RunPtr run = found->second;
   run->stopped = true;
   runs_.erase(found);
@@ -145,6 +158,7 @@
 }
 
 void ItemRunner::tick(Instant now) {
+  last_tick_ = now;
   dropOldEndedRuns(now);
   dropOldAnswers(now);
   if (!hasReport(now)) return;
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -136,6 +136,8 @@
   ReplicaId leader_;
   std::uint64_t term_ = 0;
   Instant last_leader_contact_{};
+  /// A long time since then shows that the process stood still.
+  Instant last_tick_{};
   Instant next_report_{};
   /// Until this time reports are sent even if they are empty.
   Instant reports_until_{};
--- a/src/process/store/job_commands.hpp
+++ b/src/process/store/job_commands.hpp
@@ -31,6 +31,8 @@
 inline constexpr std::string_view kApplyUnchanged = "unchanged";
 inline constexpr std::string_view kApplyOverLimit = "over_limit";
 inline constexpr std::string_view kApplyUnknown = "unknown_job";
+/// Of `EndJob`: there is no such job.
+inline constexpr std::string_view kApplyNoJob = "no_job";
 
 /// Result of one item of a job.
 struct JobResult {
@@ -83,7 +85,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ListResults, results)
 
-/// Ends a job: no further item of it is run. Returns `kApplyUnknown` for a job of another tenant.
+/// Ends a job: no further item of it is run. Returns `kApplyUnknown` for a job of another tenant, `kApplyNoJob` if
+/// there is none.
 struct EndJob {
   static constexpr std::string_view kKind = "end";
   JobId job;
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -211,7 +211,7 @@
 
 std::string_view JobState::applyOne(const EndJob& command) {
   const auto job = jobs_.find(command.job);
-  if (job == jobs_.end()) return kApplyUnchanged;
+  if (job == jobs_.end()) return kApplyNoJob;
   if (!job->second.isVisibleTo(command.tenant)) return kApplyUnknown;
   if (job->second.ended) return kApplyUnchanged;
   job->second.ended = true;
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -95,7 +95,6 @@
   void serve(EndJobRequest request, ReplyFunction reply);
   void serve(TrialRequest request, ReplyFunction reply);
   StoreReply overLimitReply(const WaitingLimit& limit, std::uint64_t job_tokens) const;
-  void propose(JobCommand command, ReplyFunction reply);
   /// Answers from the state once a quorum has confirmed that the state is as recent as this call.
   void answerFresh(std::function<StoreReply()> answer, ReplyFunction reply);
   /// Sends a frame with a run order or a run report to a store, which may be this process.
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -29,6 +29,12 @@
   return UnavailableReply{may_apply, may_apply ? "no quorum in time" : "no leader"};
 }
 
+/// What the group made of a proposal, for logs.
+std::string_view nameOf(const ProposalOutcome& outcome) {
+  if (outcome.result == ProposalResult::kApplied) return outcome.reply;
+  return outcome.result == ProposalResult::kUnknown ? "may_be_applied" : "not_applied";
+}
+
 }  // namespace
 
 void StoreProgram::onRequest(const fleet::StoreRequestFrame& frame, const ConnectionPtr& from) {
@@ -76,7 +82,9 @@
   std::string subject = fmt::format("job {}/{}", request.job.tenant.value, id.value);
   SubmitJob command{std::move(request.job), std::move(request.limit), request.attempt};
   if (submissions_[id]++ == 0) submission_bytes_ += body_bytes;
-  auto done = [this, id, items, limit, tokens, body_bytes, reply = std::move(reply)](const ProposalOutcome& outcome) {
+  const WallMillis received_at = command.job.submitted_at;
+  auto done = [this, id, items, limit, tokens, body_bytes, received_at,
+               reply = std::move(reply)](const ProposalOutcome& outcome) {
     const auto under_way = submissions_.find(id);
     if (--under_way->second == 0) {
       submissions_.erase(under_way);
@@ -90,7 +98,9 @@
               {"items", items},
               {"tokens", tokens},
               {"kept", applied && !over_limit},
-              {"over_limit", over_limit}});
+              {"over_limit", over_limit},
+              {"outcome", nameOf(outcome)},
+              {"age_ms", connection::wallNow() - received_at}});
     reply(over_limit ? overLimitReply(limit, tokens) : replyOf(outcome));
   };
   group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done), std::move(subject));
@@ -107,11 +117,13 @@
 
 void StoreProgram::serve(EndJobRequest request, ReplyFunction reply) {
   const JobId id = request.job;
-  auto logged = [id, reply = std::move(reply)](const StoreReply& outcome) {
-    logEvent(LogLevel::kInfo, "job_ended", {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(outcome)}});
-    reply(outcome);
+  auto done = [id, reply = std::move(reply)](const ProposalOutcome& outcome) {
+    const StoreReply answer = replyOf(outcome);
+    logEvent(LogLevel::kInfo, "job_ended",
+             {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(answer)}, {"outcome", nameOf(outcome)}});
+    reply(answer);
   };
-  propose(EndJob{id, request.tenant}, logged);
+  group_->propose(encodeTagged(JobCommand(EndJob{id, request.tenant})), kProposalTimeout, std::move(done));
 }
 
 /// Granted only once a quorum has confirmed the leadership, so that no two leaders grant a lease at the same time.
@@ -133,11 +145,6 @@
   answerFresh(answer, std::move(reply));
 }
 
-void StoreProgram::propose(JobCommand command, ReplyFunction reply) {
-  group_->propose(encodeTagged(command), kProposalTimeout,
-                  [reply = std::move(reply)](const ProposalOutcome& outcome) { reply(replyOf(outcome)); });
-}
-
 void StoreProgram::answerFresh(std::function<StoreReply()> answer, ReplyFunction reply) {
   group_->read([answer = std::move(answer), reply = std::move(reply)](bool fresh) {
     reply(fresh ? answer() : StoreReply(UnavailableReply{false, "no quorum has confirmed a fresh read"}));
