--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -401,3 +401,13 @@
   REQUIRE(fixture.summaries().empty());
   REQUIRE(fixture.offers().empty());
 }
+
+// Guards against a stop that leaves no trace because it overtakes its order on another connection.
+TEST_CASE("a run that was stopped before its order arrived is not begun", "[store][runner]") {
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.runner().take(RunLease{kLeader, 1, {7}, {}});
+  fixture.order(1, 7, /*last_event=*/2);
+  fixture.order(1, 8, /*last_event=*/2);
+  fixture.run(fromMillis(100));
+  REQUIRE(fixture.engine().requests().size() == 1);
+}
