Stores: the end of a job that is still under way is kept, so that its late submission is not accepted

What callers saw: a job whose end had been acknowledged ran all the same, all of its items, seconds later, and nobody ended it again.

Cause: an end that finds no job changed nothing in the group's state and was acknowledged. A submission of that job that was still under way (read late by a gateway that stood still, or kept alive by a gateway whose caller had left) was accepted afterwards. Ends and submissions did not commute. Class: a stop that overtakes what it stops leaves no trace.

The same for a job that is dropped ten minutes after its submission, however late it was ended. A tenant stops only jobs that it could have ended, and pushes out only its own ends.

Weighed: to accept the late submission as an ended job (202, nothing runs): its caller would wait for results that never come. 503: it would come back in vain. An expiry by wall clocks in the log: a clock that is ahead would remove ends.

Upgrades: release 4. The new fields of the commands are set only once all stores have told it (docs/design/upgrades.md); until then an end of an unknown job leaves no trace, as before. After an upgrade that is complete nobody goes back to a release before 4.

--- a/src/process/exchange/job_api.cpp
+++ b/src/process/exchange/job_api.cpp
@@ -117,8 +117,9 @@
     co_return overLimit(route, *over);
   }
   if (std::holds_alternative<store::UnknownReply>(reply)) {
-    co_return refusal(ErrorKind::kConflict, "another job already has this identifier", "choose another identifier",
-                      Executed::kNo);
+    co_return refusal(ErrorKind::kConflict,
+                      "another job has this identifier, or the job was ended before this submission of it",
+                      "choose another identifier", Executed::kNo);
   }
   const bool may_apply = unavailable == nullptr || unavailable->may_apply;
   if (may_apply) {
--- a/src/process/store/job_commands.hpp
+++ b/src/process/store/job_commands.hpp
@@ -7,15 +7,16 @@
 #include <vector>
 
 #include "common/ids.hpp"
+#include "process/consensus/state_machine.hpp"
 #include "process/store/stored_crashes.hpp"
 #include "version/batch_submission.hpp"
 
 /// Commands of a store group's replicated log.
 namespace hatchfork::store {
 
-/// Stores a job, unless it would exceed the limit of waiting work on its route. A second submission with the same
-/// identifier changes nothing. A refusal is final for all copies of the attempt, since it may have reached the
-/// submitter already.
+/// Stores a job, unless it was ended before, or would exceed the limit of waiting work on its route. A second
+/// submission with the same identifier changes nothing. A refusal is final for all copies of the attempt, since it may
+/// have reached the submitter already.
 struct SubmitJob {
   static constexpr std::string_view kKind = "submit";
   JobSubmission job;
@@ -33,6 +34,8 @@
 inline constexpr std::string_view kApplyUnknown = "unknown_job";
 /// Of `EndJob`: there is no such job.
 inline constexpr std::string_view kApplyNoJob = "no_job";
+/// Of `SubmitJob`: the job was ended before it was submitted, and is not stored.
+inline constexpr std::string_view kApplyEndedBefore = "ended_before";
 
 /// Result of one item of a job.
 struct JobResult {
@@ -92,16 +95,25 @@
   JobId job;
   /// Tenant of the caller; a job of another tenant is not ended.
   TenantId tenant;
+  /// The end of a job that the group does not have is kept, so that a later submission of it is not accepted. False
+  /// from older releases, and while stores of such releases apply the log.
+  bool keeps_unknown = false;
 };
-/// Logs of older versions have no tenants.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndJob, job, tenant)
+/// Logs of older versions have no tenants and keep no ends.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndJob, job, tenant, keeps_unknown)
 
-/// Removes jobs whose results may no longer be requested.
+/// Removes jobs whose results may no longer be requested, and kept ends that no submission can be under way for.
 struct DropJobs {
   static constexpr std::string_view kKind = "drop";
   std::vector<JobId> jobs;
+  /// The ends of the removed jobs are kept, as those of jobs that the group does not have. False from older releases,
+  /// and while stores of such releases apply the log.
+  bool keeps_ends = false;
+  /// Kept ends up to this entry of the log are removed.
+  consensus::LogIndex ends_through = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DropJobs, jobs)
+/// Logs of older versions keep no ends.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DropJobs, jobs, keeps_ends, ends_through)
 
 using JobCommand = std::variant<SubmitJob, ListResults, SaveProgress, EndJob, DropJobs, SaveCrashes>;
 
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -75,6 +75,7 @@
     for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
     run_table_.setRunners(std::move(runners));
     selector_.setEvacuated(now, view.evacuated.zones);
+    keeps_ends_ = fleet::leastReleaseOf(view.stores) >= kKeptEndRelease;
     mixed_services_ = view.mixed_services;
   }
   selector_.takeEngines(now, change.engines);
@@ -132,6 +133,7 @@
   proposing_failures_ = false;
   saving_ = false;
   text_requests_.clear();
+  kept_ends_seen_.clear();
   run_table_.clear();
   routes_.forgetAll();
 }
@@ -211,7 +213,7 @@
   next_cleanup_ = now + kCleanupInterval;
   giveUpExpired(now);
   giveUpFailed(now);
-  dropOldJobs();
+  dropOldJobs(now);
 }
 
 void JobExecutor::pumpSoon() {
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +33,7 @@
 #include "request/exchange/engine_selector.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
+#include "version/release.hpp"
 
 namespace hatchfork::store {
 
@@ -149,6 +151,11 @@
     ItemPtr run;
     std::uint64_t number = 0;
   };
+  /// The newest end that the group kept at a time.
+  struct NewestEnd {
+    Instant seen_at{};
+    consensus::LogIndex newest = 0;
+  };
   /// A result that is being proposed, and the item it came from.
   struct ProposedResult {
     JobResult result;
@@ -295,7 +302,9 @@
   std::string_view giveUpCause(Instant now, const StoredJob& job);
   /// Lists an item that does not run as errored.
   void giveUp(const ItemPtr& run, std::string_view cause);
-  void dropOldJobs();
+  void dropOldJobs(Instant now);
+  /// Returns the entry of the log up to which kept ends are old enough to be removed; zero if there are none.
+  consensus::LogIndex oldEnds(Instant now);
   /// Proposes results one proposal at a time, so that runs that end meanwhile share the next one; several at a time
   /// only while results for whole entries are waiting.
   void proposeResults();
@@ -324,6 +333,10 @@
   JobRoutes routes_;
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
+  /// All stores keep the ends of jobs that they do not have.
+  bool keeps_ends_ = false;
+  /// The newest kept end, at each time when it had changed; the oldest time first.
+  std::deque<NewestEnd> kept_ends_seen_;
   bool leading_ = false;
   std::uint64_t term_ = 0;
   std::map<JobId, std::map<std::string, ItemPtr>> items_;
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -11,7 +11,8 @@
 
 /// Maximum difference of wall clocks; an item is given up only this long after its retention has passed.
 constexpr Duration kClockMargin = fromMillis(2500);
-/// A finished job is dropped this long after its submission.
+/// A finished job is dropped this long after its submission, and an end of a job that the group does not have is kept
+/// for as long.
 constexpr Duration kFinishedJobRetention = std::chrono::minutes(10);
 
 }  // namespace
@@ -68,14 +69,29 @@
   finishItem(run, ItemOutcome::kErrored);
 }
 
-void JobExecutor::dropOldJobs() {
+void JobExecutor::dropOldJobs(Instant now) {
   const WallMillis wall = connection::wallNow();
   DropJobs drop;
+  drop.keeps_ends = keeps_ends_;
+  drop.ends_through = oldEnds(now);
   for (const auto& [id, job] : state_->jobs()) {
     const Duration age = fromMillis(wall - job.submission.submitted_at);
     if (job.isFinished() && age > kFinishedJobRetention) drop.jobs.push_back(id);
   }
-  if (!drop.jobs.empty()) propose_(std::move(drop), [](bool) {});
+  if (drop.jobs.empty() && drop.ends_through == 0) return;
+  propose_(std::move(drop), [](bool) {});
+}
+
+consensus::LogIndex JobExecutor::oldEnds(Instant now) {
+  const consensus::LogIndex newest = state_->keptEnds().newest();
+  const bool is_new = newest != 0 && (kept_ends_seen_.empty() || kept_ends_seen_.back().newest != newest);
+  if (is_new) kept_ends_seen_.push_back({now, newest});
+  consensus::LogIndex old = 0;
+  while (!kept_ends_seen_.empty() && now >= kept_ends_seen_.front().seen_at + kFinishedJobRetention) {
+    old = kept_ends_seen_.front().newest;
+    kept_ends_seen_.pop_front();
+  }
+  return old;
 }
 
 void JobExecutor::giveUpFailed(Instant now) {
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -14,9 +14,10 @@
   std::vector<JobSnapshot> jobs;
   std::vector<std::uint64_t> refused_attempts;
   std::vector<StoredCrash> crashes;
+  std::vector<KeptEnd> kept_ends;
 };
-/// Snapshots of older releases have no refused attempts and no crashes.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts, crashes)
+/// Snapshots of older releases have no refused attempts, no crashes and no kept ends.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts, crashes, kept_ends)
 
 /// Returns true if `entry` adds a failure that was not counted before.
 bool noteFailures(ItemRunProgress& progress, const ItemProgress& entry) {
@@ -44,7 +45,8 @@
 
 }  // namespace
 
-std::string JobState::apply(consensus::LogIndex, std::string_view command) {
+std::string JobState::apply(consensus::LogIndex index, std::string_view command) {
+  applying_ = index;
   Result<JobCommand> decoded = decodeTagged<JobCommand>(command);
   if (!isOk(decoded)) return "malformed";
   return std::string(std::visit([this](const auto& body) { return nameOf(applyOne(body)); }, valueOf(decoded)));
@@ -54,6 +56,7 @@
   if (const StoredJob* job = find(command.job.id)) {
     return job->isVisibleTo(command.job.tenant) ? kApplyUnchanged : kApplyUnknown;
   }
+  if (kept_ends_.contains(command.job.id, command.job.tenant)) return kApplyEndedBefore;
   if (exceedsLimit(command)) {
     rememberRefusal(command.attempt);
     return kApplyOverLimit;
@@ -131,7 +134,7 @@
 }
 
 std::uint64_t JobState::memoryBytes() const {
-  return held_bytes_ + open_items_ * kOpenItemBytes + listed_items_ * kListedItemBytes;
+  return held_bytes_ + open_items_ * kOpenItemBytes + listed_items_ * kListedItemBytes + kept_ends_.bytes();
 }
 
 std::uint64_t JobState::expectedBytes() const {
@@ -211,7 +214,10 @@
 
 std::string_view JobState::applyOne(const EndJob& command) {
   const auto job = jobs_.find(command.job);
-  if (job == jobs_.end()) return kApplyNoJob;
+  if (job == jobs_.end()) {
+    if (command.keeps_unknown) kept_ends_.add({command.job, command.tenant, applying_});
+    return kApplyNoJob;
+  }
   if (!job->second.isVisibleTo(command.tenant)) return kApplyUnknown;
   if (job->second.ended) return kApplyUnchanged;
   job->second.ended = true;
@@ -220,10 +226,11 @@
 }
 
 bool JobState::applyOne(const DropJobs& command) {
-  bool dropped = false;
+  bool dropped = kept_ends_.removeThrough(command.ends_through);
   for (const JobId& id : command.jobs) {
     const auto job = jobs_.find(id);
     if (job == jobs_.end()) continue;
+    if (command.keeps_ends && job->second.ended) kept_ends_.add({id, job->second.submission.tenant, applying_});
     held_bytes_ -= job->second.textBytes();
     open_items_ -= job->second.open_items.size();
     listed_items_ -= job->second.results.size();
@@ -260,7 +267,7 @@
 
 SnapshotTail JobState::tail() const {
   return SnapshotTail{std::vector<std::uint64_t>(refused_attempts_.begin(), refused_attempts_.end()),
-                      kept_crashes_.all()};
+                      kept_crashes_.all(), kept_ends_.all()};
 }
 
 std::string JobState::snapshot() const {
@@ -285,7 +292,7 @@
   if (!isOk(decoded)) return errorOf(decoded);
   StateSnapshot& whole = valueOf(decoded);
   clear();
-  restoreTail(SnapshotTail{std::move(whole.refused_attempts), std::move(whole.crashes)});
+  restoreTail(SnapshotTail{std::move(whole.refused_attempts), std::move(whole.crashes), std::move(whole.kept_ends)});
   for (JobSnapshot& entry : whole.jobs) restoreJob(std::move(entry));
   return okStatus();
 }
@@ -299,12 +306,15 @@
   listed_bytes_ = 0;
   refused_attempts_.clear();
   kept_crashes_ = {};
+  kept_ends_ = {};
 }
 
 void JobState::restoreTail(const SnapshotTail& tail) {
   refused_attempts_.assign(tail.refused_attempts.begin(), tail.refused_attempts.end());
   kept_crashes_ = {};
   kept_crashes_.add(tail.crashes);
+  kept_ends_ = {};
+  for (const KeptEnd& end : tail.kept_ends) kept_ends_.add(end);
 }
 
 void JobState::restoreJob(JobSnapshot entry) {
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -12,6 +12,7 @@
 #include "process/consensus/state_machine.hpp"
 #include "process/store/job_commands.hpp"
 #include "process/store/job_snapshot.hpp"
+#include "process/store/kept_ends.hpp"
 #include "process/store/store_messages.hpp"
 #include "process/store/stored_crashes.hpp"
 #include "process/store/stored_job.hpp"
@@ -49,6 +50,8 @@
   std::uint64_t waitingTokens() const;
   /// Tokens of all items that this replica has listed so far; never decreases.
   std::uint64_t listedTokens() const { return listed_tokens_; }
+  /// Ends of jobs that the group does not have.
+  const KeptEnds& keptEnds() const { return kept_ends_; }
   /// Engine crashes that the group keeps, with the content of the request that ran.
   const StoredCrashes& keptCrashes() const { return kept_crashes_; }
   /// Bytes of item bodies, results and progress in memory.
@@ -82,6 +85,9 @@
   /// Attempts that were refused, the newest last.
   std::deque<std::uint64_t> refused_attempts_;
   StoredCrashes kept_crashes_;
+  KeptEnds kept_ends_;
+  /// Entry of the log that is being applied.
+  consensus::LogIndex applying_ = 0;
   std::uint64_t held_bytes_ = 0;
   std::uint64_t listed_tokens_ = 0;
   /// Number of open and of listed items in all stored jobs, and the bytes of the listed results.
--- a/src/process/store/store_messages.hpp
+++ b/src/process/store/store_messages.hpp
@@ -86,7 +86,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemReply, body)
 
-/// There certainly is no such job or item, or the job belongs to another tenant.
+/// There certainly is no such job or item, or the job belongs to another tenant. To a submission: another tenant's job
+/// has this identifier, or the job was ended before.
 struct UnknownReply {
   static constexpr std::string_view kKind = "unknown";
 };
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -4,6 +4,7 @@
 
 #include "common/log.hpp"
 #include "process/store/store_program.hpp"
+#include "version/release.hpp"
 
 // Requests of gateways, and the replies.
 namespace hatchfork::store {
@@ -20,7 +21,8 @@
 constexpr std::size_t kLargeRequestBytes = 64 * 1024;
 
 StoreReply replyOf(const ProposalOutcome& outcome) {
-  if (outcome.result == ProposalResult::kApplied && outcome.reply == kApplyUnknown) return UnknownReply{};
+  const bool is_unknown = outcome.reply == kApplyUnknown || outcome.reply == kApplyEndedBefore;
+  if (outcome.result == ProposalResult::kApplied && is_unknown) return UnknownReply{};
   if (outcome.result == ProposalResult::kApplied) return DoneReply{};
   if (outcome.result == ProposalResult::kNotRun && outcome.reply == fleet::kLogFull) {
     return UnavailableReply{false, "the leader's log is full", /*is_final=*/true};
@@ -62,6 +64,16 @@
     reply(is_own ? StoreReply(DoneReply{}) : StoreReply(UnknownReply{}));
     return;
   }
+  if (state_->keptEnds().contains(id, request.job.tenant)) {
+    logEvent(LogLevel::kInfo, "job_submitted",
+             {{"job", id.value},
+              {"items", items},
+              {"kept", false},
+              {"outcome", kApplyEndedBefore},
+              {"age_ms", connection::wallNow() - request.job.submitted_at}});
+    reply(UnknownReply{});
+    return;
+  }
   const std::size_t body_bytes = bodyBytesOf(request.job);
   const bool is_under_way = submissions_.contains(id);
   const std::string_view refusal_cause = is_under_way ? std::string_view() : memoryRefusalCause(body_bytes);
@@ -97,7 +109,7 @@
              {{"job", id.value},
               {"items", items},
               {"tokens", tokens},
-              {"kept", applied && !over_limit},
+              {"kept", applied && !over_limit && outcome.reply != kApplyEndedBefore},
               {"over_limit", over_limit},
               {"outcome", nameOf(outcome)},
               {"age_ms", connection::wallNow() - received_at}});
@@ -123,7 +135,9 @@
              {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(answer)}, {"outcome", nameOf(outcome)}});
     reply(answer);
   };
-  group_->propose(encodeTagged(JobCommand(EndJob{id, request.tenant})), kProposalTimeout, std::move(done));
+  const bool keeps_unknown = fleet::leastReleaseOf(feed_->view().stores) >= kKeptEndRelease;
+  EndJob command{id, request.tenant, keeps_unknown};
+  group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
 }
 
 /// Granted only once a quorum has confirmed the leadership, so that no two leaders grant a lease at the same time.
--- a/src/version/release.hpp
+++ b/src/version/release.hpp
@@ -19,9 +19,11 @@
 /// Release of a process that reports none: a release older than release numbers, or a peer that has not reported yet.
 inline constexpr ReleaseNumber kUnknownRelease = 0;
 /// Release of this program.
-inline constexpr ReleaseNumber kThisRelease = 3;
+inline constexpr ReleaseNumber kThisRelease = 4;
 /// First release whose control processes keep the builds of engines, and whose stores keep records of streams.
 inline constexpr ReleaseNumber kEngineBuildRelease = 2;
+/// First release whose stores keep the ends of jobs that they do not have.
+inline constexpr ReleaseNumber kKeptEndRelease = 4;
 
 /// Last reported releases of a set of peers. No I/O, no clock.
 class PeerReleases {
--- a/tests/process/store/executor_fixture.hpp
+++ b/tests/process/store/executor_fixture.hpp
@@ -184,6 +184,20 @@
     proposal.done(applied);
   }
   std::size_t proposals() const { return proposals_.size(); }
+  /// Returns the removals that were proposed, and ends these proposals as applied.
+  std::vector<DropJobs> takeProposedDrops() {
+    std::vector<DropJobs> drops;
+    for (Proposal& proposal : proposals_) {
+      const auto* drop = std::get_if<DropJobs>(&proposal.command);
+      if (drop == nullptr) continue;
+      drops.push_back(*drop);
+      apply(proposal.command);
+      proposal.done(true);
+    }
+    std::erase_if(proposals_,
+                  [](const Proposal& proposal) { return std::holds_alternative<DropJobs>(proposal.command); });
+    return drops;
+  }
   /// Returns the progress in the oldest proposal.
   std::vector<ItemProgress> proposedProgress() const {
     return std::get<SaveProgress>(proposals_.front().command).items;
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -429,3 +429,20 @@
   fixture.executor().noteChange(JobId("j"));
   REQUIRE(scheduled == 2);
 }
+
+TEST_CASE("a leader removes kept ends that no submission can be under way for", "[store][executor]") {
+  ExecutorFixture fixture;
+  fixture.apply(EndJob{JobId("unknown"), TenantId(), /*keeps_unknown=*/true});
+  const Instant start = connection::monotonicNow();
+  fixture.executor().setLeading(true, 1);
+  fixture.executor().tick(start);
+  fixture.executor().tick(start + std::chrono::minutes(9));
+  REQUIRE(fixture.takeProposedDrops().empty());
+  fixture.executor().tick(start + std::chrono::minutes(10));
+  const std::vector<DropJobs> drops = fixture.takeProposedDrops();
+  REQUIRE(drops.size() == 1);
+  REQUIRE(drops.front().ends_through == 1);
+  REQUIRE(drops.front().jobs.empty());
+  fixture.executor().tick(start + std::chrono::minutes(20));
+  REQUIRE(fixture.takeProposedDrops().empty());
+}
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -45,6 +45,45 @@
   REQUIRE(state.find(JobId("j"))->submission.items.size() == 2);
 }
 
+TEST_CASE("a submission that arrives after the end of its job is not accepted", "[store]") {
+  JobState state;
+  REQUIRE(state.apply(1, encodeTagged(JobCommand(EndJob{JobId("j"), TenantId(), true}))) == kApplyNoJob);
+  REQUIRE(state.apply(2, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyEndedBefore);
+  REQUIRE(state.find(JobId("j")) == nullptr);
+  // The same after a snapshot, whole or in pieces.
+  JobState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(restored.apply(3, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyEndedBefore);
+  JobState pieced;
+  state.beginSnapshot();
+  pieced.beginRestore();
+  while (std::optional<std::string> piece = state.nextSnapshotPiece()) REQUIRE(isOk(pieced.restorePiece(*piece)));
+  REQUIRE(isOk(pieced.endRestore()));
+  REQUIRE(pieced.apply(3, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyEndedBefore);
+  // Once no submission can be under way, the end is removed.
+  DropJobs drop;
+  drop.ends_through = 1;
+  REQUIRE(state.apply(4, encodeTagged(JobCommand(drop))) == kApplyChanged);
+  REQUIRE(state.apply(5, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyChanged);
+}
+
+TEST_CASE("the end of a job that the group does not have is kept only if the command says so", "[store][upgrade]") {
+  JobState state;
+  REQUIRE(apply(state, EndJob{JobId("j")}) == kApplyNoJob);
+  REQUIRE(apply(state, SubmitJob{job("j", 2)}) == kApplyChanged);
+}
+
+TEST_CASE("a job that was ended and dropped is not accepted again", "[store]") {
+  JobState state;
+  apply(state, SubmitJob{job("j", 2)});
+  apply(state, SubmitJob{job("finished", 1)});
+  apply(state, result("finished", 0, "text"));
+  apply(state, EndJob{JobId("j")});
+  REQUIRE(apply(state, DropJobs{{JobId("j"), JobId("finished")}, /*keeps_ends=*/true}) == kApplyChanged);
+  REQUIRE(apply(state, SubmitJob{job("j", 2)}) == kApplyEndedBefore);
+  REQUIRE(apply(state, SubmitJob{job("finished", 1)}) == kApplyChanged);
+}
+
 TEST_CASE("an item is listed once, at a position that stays", "[store]") {
   JobState state;
   apply(state, SubmitJob{job("j", 3)});
