Item runner: a stop that is read before its order holds for that order

A stop of a run that the store does not have left no trace: an order that was read after it (two connections, the older one read last) was carried out, and so was one that was stopped in the turn that took it, since its coroutine did not look before it opened the exchange. The run went on until the store's next report told the leader of it.

Now the store remembers the stops that found no run (2,000), and a run looks once more when it begins.

--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -32,6 +32,8 @@
 /// Runs are aborted after this long without a heartbeat of a leader, since no leader may still need them. Longer than
 /// most changes of leader take, shorter than the time within which the runs of an ended job must stop.
 constexpr Duration kLeaseDuration = fromMillis(2500);
+/// Maximum number of stops that are remembered for orders that have not arrived.
+constexpr std::size_t kMaxEarlyStops = 2000;
 /// Maximum number of answers in one report; the others follow once these are confirmed.
 constexpr std::size_t kMaxAnswersPerReport = 200;
 constexpr Duration kReportInterval = fromMillis(200);
@@ -79,6 +81,8 @@
   if (order.term < term_) return;
   setLeader(order.from, order.term, order.reads_summaries);
   if (runs_.contains(order.number)) return;
+  const auto stopped = std::find(early_stops_.begin(), early_stops_.end(), order.number);
+  if (stopped != early_stops_.end()) return;
   // Leaders of older releases name the stored progress even if they have dropped the text that begins with it.
   if (!order.has_text) {
     order.saved_event = 0;
@@ -124,6 +128,8 @@
   const auto found = runs_.find(number);
   if (found == runs_.end()) {
     // It has ended, or its order has not arrived.
+    early_stops_.push_back(number);
+    if (early_stops_.size() > kMaxEarlyStops) early_stops_.pop_front();
     logEvent(LogLevel::kInfo, "run_stop_without_run", {{"run", number}, {"leader", leader_.value}, {"term", term_}});
     return;
   }
@@ -230,6 +236,7 @@
 
 Awaitable<void> ItemRunner::run(RunPtr run) {
   const std::shared_ptr<bool> alive = alive_;
+  if (run->stopped) co_return;
   run->control = std::make_shared<connection::ExchangeControl>();
   connection::EngineRequest sent = engineRequest(*run);
   ExchangeStart started = co_await engines_.open(std::move(sent), monotonicNow() + kFirstEventTimeout, run->control);
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -34,7 +34,7 @@
   ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report);
   ~ItemRunner();
 
-  /// Starts a run, unless the order is of an older term or a repetition.
+  /// Starts a run, unless the order is of an older term, a repetition, or stopped already.
   void take(fleet::RunOrder order);
   /// Renews the lease of the runs here, stops those that the leader no longer needs, and drops confirmed answers.
   void take(const fleet::RunLease& lease);
@@ -127,6 +127,8 @@
   ReportFunction report_;
   connection::EngineClient engines_;
   std::map<std::uint64_t, RunPtr> runs_;
+  /// Runs that were stopped before their orders arrived, the newest last.
+  std::deque<std::uint64_t> early_stops_;
   /// Ended runs that have not been reported.
   std::vector<fleet::RunNews> unreported_ends_;
   std::deque<EndedRun> ended_runs_;
