Item runner: an order that may be older than the lease is not carried out

Cause: a store carried out each order of the newest term, however long it had waited: while the store stood still, in a link, in the leader's outbox. The leader had counted such runs as lost after 0.7 to 1 s and told the store once to stop them; that stop lies behind the order, and a request on a kept connection is sent before it is read. Class: work that waited is begun without asking whether it is still wanted.

Change: a lease on each order, measured by the store's clock alone. A report carries a stamp, the leader copies the newest one into its orders, and the store carries out none whose stamp is older than the lease of its runs (2.5 s, shorter than the time within which the runs of an ended job must stop). It looks again right before the request is sent (ExchangeControl::may_send), and tells the leader at once, so that the item is ordered again. A store without runs reports on the leader's heartbeat, once a second.

Ruled out: the time since the store's last tick (only the first of many orders is read before the tick); wall clocks; an epoch that the store raises after a pause (says nothing of links and outboxes).

Tests changed: item_answers_test dropped every report from a leader's first moment on, and wanted an item to be run all the same; a store now carries out no order of a leader that has had no report of it in its term. They drop the reports after the first ones, before any order is sent: what they guard (an answer whose report is lost) is asked as before.

Upgrades: fields only; an order without a stamp (older leader) is carried out as before.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -60,8 +60,8 @@
 
 class PooledExchange final : public EngineExchange, public std::enable_shared_from_this<PooledExchange> {
  public:
-  PooledExchange(std::shared_ptr<EngineClient::Pool> pool, EngineRequest request)
-      : pool_(std::move(pool)), request_(std::move(request)), timer_(pool_->context) {}
+  PooledExchange(std::shared_ptr<EngineClient::Pool> pool, EngineRequest request, std::function<bool()> may_send)
+      : pool_(std::move(pool)), request_(std::move(request)), may_send_(std::move(may_send)), timer_(pool_->context) {}
 
   ~PooledExchange() override { close(); }
 
@@ -73,6 +73,7 @@
       std::optional<ExchangeFailure> failed = co_await connect(deadline);
       if (failed) co_return failed;
     }
+    if (may_send_ && !may_send_()) co_return withhold();
     reused_ = connection_->served > 0;
     ++connection_->served;
     write();
@@ -145,6 +146,17 @@
     co_return std::nullopt;
   }
 
+  /// Keeps the connection for another request.
+  ExchangeFailure withhold() {
+    pool_->giveBack(request_.engine, std::move(connection_));
+    connection_.reset();
+    ExchangeFailure failure;
+    failure.may_have_run = false;
+    failure.was_withheld = true;
+    failure.cause = "withheld";
+    return failure;
+  }
+
   /// Counts the request until the engine has read it.
   std::shared_ptr<HeldBytes> offerBytes(std::size_t bytes) {
     if (!pool_->slow_readers) return nullptr;
@@ -330,6 +342,7 @@
 
   std::shared_ptr<EngineClient::Pool> pool_;
   EngineRequest request_;
+  std::function<bool()> may_send_;
   Timer timer_;
   EngineConnectionPtr connection_;
   std::optional<Parser> parser_;
@@ -364,7 +377,8 @@
 
 Awaitable<ExchangeStart> EngineClient::open(EngineRequest request, Instant deadline,
                                             std::shared_ptr<ExchangeControl> control) {
-  auto exchange = std::make_shared<PooledExchange>(pool_, std::move(request));
+  std::function<bool()> may_send = control ? control->may_send : nullptr;
+  auto exchange = std::make_shared<PooledExchange>(pool_, std::move(request), std::move(may_send));
   if (control) {
     control->cancel = [weak = std::weak_ptr<PooledExchange>(exchange)] {
       if (const auto running = weak.lock()) running->cancel();
--- a/src/connection/engine_exchange.hpp
+++ b/src/connection/engine_exchange.hpp
@@ -36,6 +36,8 @@
   std::string cause;
   /// True if the far side ended the connection after it may have taken the request.
   bool closed_by_engine = false;
+  /// True if `ExchangeControl::may_send` withheld the request; tells nothing of the engine.
+  bool was_withheld = false;
 };
 
 /// What a new connection to an engine's address shows.
@@ -77,6 +79,8 @@
 /// Ends a request that is still connecting or waiting for its answer.
 struct ExchangeControl {
   std::function<void()> cancel;
+  /// Asked, if set, right before the request is sent, perhaps long after it was opened; false withholds the request.
+  std::function<bool()> may_send;
 };
 
 using ExchangeStart = std::variant<std::unique_ptr<EngineExchange>, ExchangeFailure>;
--- a/src/process/fleet/run_messages.hpp
+++ b/src/process/fleet/run_messages.hpp
@@ -18,7 +18,7 @@
 ///
 /// An order is bound to the term of its leader: a store takes no order of an older term than it has seen. Its runs do
 /// not end with the term: it offers them to the next leader, which takes them up or stops them. A store breaks off what
-/// it runs once no leader has been heard for the time of the lease.
+/// it runs once no leader has been heard for the time of the lease, and begins no run of an order that may be older.
 ///
 /// What an engine answered to an item outlives runs, leaders and lost frames: the store that heard it tells it with
 /// each report until a leader says that the group keeps it.
@@ -59,6 +59,9 @@
                                       {RunEnd::kStopped, 6},
                                       {RunEnd::kClosed, 7}})
 
+/// Of an order by a leader that knows no stamps.
+inline constexpr std::int64_t kUnstamped = -1;
+
 /// Run this item at this engine.
 struct RunOrder {
   static constexpr std::string_view kKind = "ro";
@@ -93,11 +96,14 @@
   std::uint64_t saved_chain = 0;
   /// See `RunLease::reads_summaries`.
   bool reads_summaries = false;
+  /// Stamp of the newest report that the leader had from the store when it ordered this, zero for none in its term. By
+  /// it the store sees, by its own clock alone, for how long at most the order has been under way.
+  std::int64_t report_stamp = kUnstamped;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunOrder, from, term, number, job, item, host, tenant, engine,
                                                 engine_address, last_event, has_text, text, chain, saved_event,
                                                 saved_chain, after_close, engine_born, engine_build, service,
-                                                reads_summaries)
+                                                reads_summaries, report_stamp)
 
 /// A leader's request for the text of a run that a store has summarised.
 struct TextRequest {
@@ -197,8 +203,10 @@
   std::vector<std::uint64_t> running;
   /// Answers of which no leader has said yet that they are kept.
   std::vector<ItemAnswer> answers;
+  /// When the store sent it, in milliseconds of a clock of the store's own; zero from older releases.
+  std::int64_t stamp = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, from, term, news, running, answers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, from, term, news, running, answers, stamp)
 
 /// A run that was ordered by an earlier leader, as far as it has got.
 struct OfferedRun {
--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -32,6 +32,8 @@
 /// Runs are aborted after this long without a heartbeat of a leader, since no leader may still need them. Longer than
 /// most changes of leader take, shorter than the time within which the runs of an ended job must stop.
 constexpr Duration kLeaseDuration = fromMillis(2500);
+/// A store without runs reports this often, on the heartbeats of its leader, so that orders name a recent report.
+constexpr Duration kIdleReportInterval = fromMillis(900);
 /// Maximum number of stops that are remembered for orders that have not arrived.
 constexpr std::size_t kMaxEarlyStops = 2000;
 /// Maximum number of answers in one report; the others follow once these are confirmed.
@@ -47,6 +49,11 @@
 constexpr unsigned kServerError = 500;
 constexpr unsigned kMisdirected = 421;
 
+/// Time of the boot clock, which also counts the time for which the machine was suspended.
+std::int64_t stampNow() {
+  return toMillis(monotonicNow().time_since_epoch());
+}
+
 connection::Endpoint endpointOf(const fleet::RunOrder& order) {
   return connection::parseEndpoint(order.engine_address).value_or(connection::Endpoint{});
 }
@@ -83,6 +90,10 @@
   if (runs_.contains(order.number)) return;
   const auto stopped = std::find(early_stops_.begin(), early_stops_.end(), order.number);
   if (stopped != early_stops_.end()) return;
+  if (isOutdated(order)) {
+    refuseOutdated(order);
+    return;
+  }
   // Leaders of older releases name the stored progress even if they have dropped the text that begins with it.
   if (!order.has_text) {
     order.saved_event = 0;
@@ -114,9 +125,35 @@
   connection::asio::co_spawn(context_, this->run(run), connection::asio::detached);
 }
 
+bool ItemRunner::isOutdated(const fleet::RunOrder& order) {
+  if (order.report_stamp == fleet::kUnstamped) return false;
+  const std::int64_t age_ms = stampNow() - order.report_stamp;
+  // A stamp of the future is that of a machine that has been started again since.
+  return age_ms < 0 || age_ms > toMillis(kLeaseDuration);
+}
+
+void ItemRunner::refuseOutdated(const fleet::RunOrder& order) {
+  logEvent(LogLevel::kWarning, "run_order_outdated",
+           {{"job", order.job.value},
+            {"request", order.item.id},
+            {"run", order.number},
+            {"leader", leader_.value},
+            {"term", term_},
+            {"age_ms", order.report_stamp == 0 ? -1 : stampNow() - order.report_stamp}});
+  fleet::RunNews news;
+  news.number = order.number;
+  news.sequence = 1;
+  news.ended = true;
+  news.end = RunEnd::kDeclined;
+  news.cause = "the order may be older than the lease";
+  unreported_ends_.push_back(std::move(news));
+  reportSoon();
+}
+
 void ItemRunner::take(const fleet::RunLease& lease) {
   if (lease.term < term_) return;
   setLeader(lease.from, lease.term, lease.reads_summaries);
+  if (monotonicNow() >= last_report_at_ + kIdleReportInterval) report_due_ = true;
   for (const std::uint64_t number : lease.stopped) stop(number);
   removeConfirmedAnswers(lease.kept_answers);
   dropListedRuns(lease.listed);
@@ -188,14 +225,16 @@
 }
 
 bool ItemRunner::hasReport(Instant now) const {
-  return !runs_.empty() || !unreported_ends_.empty() || !withheld_ends_.empty() || !answers_.empty() ||
+  return !runs_.empty() || !unreported_ends_.empty() || !withheld_ends_.empty() || !answers_.empty() || report_due_ ||
          now < reports_until_;
 }
 
 void ItemRunner::report() {
   if (!hasReport(monotonicNow())) return;
-  next_report_ = monotonicNow() + kReportInterval;
-  fleet::RunReport report{self_, term_, std::exchange(unreported_ends_, {}), {}, {}};
+  last_report_at_ = monotonicNow();
+  next_report_ = last_report_at_ + kReportInterval;
+  report_due_ = false;
+  fleet::RunReport report{self_, term_, std::exchange(unreported_ends_, {}), {}, {}, stampNow()};
   for (const UnconfirmedAnswer& entry : answers_) {
     if (report.answers.size() >= kMaxAnswersPerReport) break;
     report.answers.push_back(entry.answer);
@@ -238,6 +277,10 @@
   const std::shared_ptr<bool> alive = alive_;
   if (run->stopped) co_return;
   run->control = std::make_shared<connection::ExchangeControl>();
+  run->control->may_send = [weak = std::weak_ptr<Run>(run)] {
+    const RunPtr sent = weak.lock();
+    return sent && !sent->stopped && !isOutdated(sent->order);
+  };
   connection::EngineRequest sent = engineRequest(*run);
   ExchangeStart started = co_await engines_.open(std::move(sent), monotonicNow() + kFirstEventTimeout, run->control);
   if (!*alive) co_return;
@@ -245,7 +288,7 @@
   if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
     if (!failure->may_have_run) run->news.end = RunEnd::kDeclined;
     run->news.cause = failure->cause;
-    run->news.verdict = EngineVerdict::kFailed;
+    run->news.verdict = failure->was_withheld ? EngineVerdict::kNeutral : EngineVerdict::kFailed;
   } else {
     auto exchange = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
     noteLoad(*run, *exchange);
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -24,8 +24,9 @@
 /// leader is offered the runs in flight and those that ended recently, which no other process may have on record. Not
 /// thread-safe.
 ///
-/// Invariant: orders of an older term than the newest that was received are ignored, and no run continues for longer
-/// than the lease after the last heartbeat of a leader.
+/// Invariant: orders of an older term than the newest that was received are ignored, no request is sent to an engine
+/// for an order that may be older than the lease, and no run continues for longer than the lease after the last
+/// heartbeat of a leader.
 class ItemRunner {
  public:
   /// Sends a report or an offer to a leader.
@@ -34,7 +35,7 @@
   ItemRunner(connection::asio::io_context& context, const Dialect& dialect, ReplicaId self, ReportFunction report);
   ~ItemRunner();
 
-  /// Starts a run, unless the order is of an older term, a repetition, or stopped already.
+  /// Starts a run, unless the order is of an older term, a repetition, stopped already, or too old.
   void take(fleet::RunOrder order);
   /// Renews the lease of the runs here, stops those that the leader no longer needs, and drops confirmed answers.
   void take(const fleet::RunLease& lease);
@@ -83,6 +84,10 @@
   void setLeader(const ReplicaId& leader, std::uint64_t term, bool reads_summaries);
   void stop(std::uint64_t number);
   void stopAll();
+  /// True if the order may have been under way for longer than the lease, so that it may have been withdrawn since.
+  static bool isOutdated(const fleet::RunOrder& order);
+  /// Reports at once that the run was not begun, so that the leader can order it again.
+  void refuseOutdated(const fleet::RunOrder& order);
   connection::Awaitable<void> run(RunPtr run);
   connection::Awaitable<void> readAnswer(Run& run, connection::EngineExchange& exchange);
   connection::EngineRequest engineRequest(Run& run) const;
@@ -141,6 +146,9 @@
   /// A long time since then shows that the process stood still.
   Instant last_tick_{};
   Instant next_report_{};
+  Instant last_report_at_{};
+  /// A leader waits for a report, which is sent even if it is empty.
+  bool report_due_ = false;
   /// Until this time reports are sent even if they are empty.
   Instant reports_until_{};
   connection::Timer report_timer_;
--- a/src/process/store/job_executor_runs.cpp
+++ b/src/process/store/job_executor_runs.cpp
@@ -96,6 +96,7 @@
   order.saved_event = stored.event;
   order.saved_chain = stored.chain;
   order.reads_summaries = true;
+  order.report_stamp = run_table_.reportStampOf(runner);
   logEvent(LogLevel::kInfo, "item_sent",
            {{"job", run->job.value},
             {"request", run->item},
--- a/src/process/store/run_table.cpp
+++ b/src/process/store/run_table.cpp
@@ -85,8 +85,14 @@
   avoided_until_[runner] = now + limits_.avoidance_time;
 }
 
+std::int64_t RunTable::reportStampOf(const ReplicaId& runner) const {
+  const auto stamp = report_stamps_.find(runner);
+  return stamp == report_stamps_.end() ? 0 : stamp->second;
+}
+
 CheckedReport RunTable::check(Instant now, const fleet::RunReport& report) {
   CheckedReport checked;
+  report_stamps_[report.from] = report.stamp;
   for (const std::uint64_t number : report.running) {
     const auto run = runs_.find(number);
     if (run == runs_.end() || run->second.runner != report.from) refuse(report.from, number);
@@ -172,6 +178,7 @@
   stores_.clear();
   next_leases_.clear();
   listed_.clear();
+  report_stamps_.clear();
 }
 
 }  // namespace hatchfork::store
--- a/src/process/store/run_table.hpp
+++ b/src/process/store/run_table.hpp
@@ -96,6 +96,8 @@
   void noteListed(const ReplicaId& runner, std::uint64_t number) { listed_[runner].push_back(number); }
   /// Sets the number of the last news of a run, whose text was received apart from reports.
   void setSequence(std::uint64_t number, std::uint64_t sequence);
+  /// Stamp of the newest report of the store in this term; zero without any.
+  std::int64_t reportStampOf(const ReplicaId& runner) const;
   /// Removes a run that has ended.
   void remove(std::uint64_t number) { forget(number); }
   /// Excludes an unreachable store from new runs for a while.
@@ -139,6 +141,7 @@
   /// Runs by store; a store without runs has no entry.
   std::map<ReplicaId, Runner> stores_;
   std::map<ReplicaId, Instant> avoided_until_;
+  std::map<ReplicaId, std::int64_t> report_stamps_;
   /// Contents of the next leases.
   std::map<ReplicaId, LeaseContent> next_leases_;
   /// Ended runs with listed results, for the next periodic leases.
--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -126,6 +126,28 @@
   REQUIRE(outcome.failure.may_have_run);
 }
 
+TEST_CASE("a request that is withheld right before it is sent does not reach its engine, and costs no connection",
+          "[exchange]") {
+  asio::io_context context;
+  ScriptedEngine engine(context, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody");
+  EngineClient client(context);
+  for (const bool may_send : {false, true}) {
+    auto control = std::make_shared<ExchangeControl>();
+    control->may_send = [may_send] { return may_send; };
+    Outcome outcome;
+    asio::co_spawn(context, exchange(client, requestTo(engine.port()), control, std::chrono::seconds(5), outcome),
+                   [&context](const std::exception_ptr&) { context.stop(); });
+    context.restart();
+    context.run();
+    REQUIRE(outcome.whole == may_send);
+    REQUIRE(outcome.failure.was_withheld == !may_send);
+    REQUIRE(outcome.failure.may_have_run == may_send);
+    const auto& requests = engine.requests();
+    REQUIRE((requests.empty() || requests.front()->empty()) == !may_send);
+  }
+  REQUIRE(client.connectionsMade() == 1);
+}
+
 TEST_CASE("an exchange can be cancelled while it waits for its answer", "[exchange]") {
   const Outcome outcome = play("", fromMillis(20), 20);
   REQUIRE_FALSE(outcome.answered);
--- a/tests/process/store/item_answers_test.cpp
+++ b/tests/process/store/item_answers_test.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t kMaxAttempts = 3;
+/// Shorter than the time for which a new leader orders nothing.
+constexpr Duration kBeforeFirstOrder = fromMillis(50);
 
 std::string answerOf(unsigned status) {
   return fmt::format("HTTP/1.1 {} Failed\r\nX-Attempt-Id: i\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status);
@@ -38,6 +40,11 @@
 
   /// Makes the leader preempt the run at the engine, as for an online request.
   void preempt() { leader().preemptAt(EngineId("e")); }
+  /// Lets the leader have a report of each store, without which they carry out no order, and drops all later ones.
+  void dropLaterReports() {
+    runFor(kBeforeFirstOrder);
+    setDropReports(true);
+  }
   /// True if the engine has answered the given number of runs and none is in flight.
   bool isAnswered(std::size_t run) const { return runsAtEngine() >= run && runsInFlight() == 0; }
   std::size_t runsAtEngine() const { return engine_.requests().size(); }
@@ -67,7 +74,7 @@
 TEST_CASE("an answer is counted even if its report is lost", "[store][answers]") {
   AnsweredStores stores(422);
   stores.changeLeader();
-  stores.setDropReports(true);
+  stores.dropLaterReports();
   REQUIRE(stores.runUntil([&] { return stores.isAnswered(1); }));
   const Instant later = monotonicNow() + fromMillis(60);
   stores.runUntil([&] { return monotonicNow() > later; });
@@ -89,7 +96,7 @@
           "[store][answers]") {
   AnsweredStores stores(422);
   stores.changeLeader();
-  stores.setDropReports(true);
+  stores.dropLaterReports();
   REQUIRE(stores.runUntil([&] { return stores.isAnswered(1); }));
   stores.changeLeader();
   // Longer than the start delay of a new leader.
--- a/tests/process/store/item_runner_test.cpp
+++ b/tests/process/store/item_runner_test.cpp
@@ -45,7 +45,8 @@
           if (const auto* sent = std::get_if<fleet::RunTexts>(&message)) texts_.push_back(*sent);
         }) {}
 
-  void order(std::uint64_t term, std::uint64_t number, std::uint64_t last_event, std::uint64_t saved_event = 0) {
+  void order(std::uint64_t term, std::uint64_t number, std::uint64_t last_event, std::uint64_t saved_event = 0,
+             std::int64_t report_stamp = fleet::kUnstamped) {
     RunOrder made;
     made.from = kLeader;
     made.term = term;
@@ -61,6 +62,7 @@
     made.chain = 5;
     made.saved_event = saved_event;
     made.saved_chain = saved_event > 0 ? 4 : 0;
+    made.report_stamp = report_stamp;
     runner_.take(std::move(made));
   }
   ItemRunner& runner() { return runner_; }
@@ -411,3 +413,57 @@
   fixture.run(fromMillis(100));
   REQUIRE(fixture.engine().requests().size() == 1);
 }
+
+namespace {
+
+std::int64_t stampOf(Duration age) {
+  return toMillis((monotonicNow() - age).time_since_epoch());
+}
+
+/// Number of requests that the engine got within a while.
+std::size_t requestsSoon(RunnerFixture& fixture) {
+  fixture.run(fromMillis(100));
+  return fixture.engine().requests().size();
+}
+
+}  // namespace
+
+TEST_CASE("an order that may have been withdrawn while it waited is not carried out, and reported at once",
+          "[store][runner]") {
+  // Older than the lease; without any report before; of a machine that was started again since.
+  const std::int64_t stamp = GENERATE(stampOf(fromMillis(2600)), std::int64_t{0}, stampOf(-std::chrono::seconds(5)));
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.order(1, 7, /*last_event=*/2, /*saved_event=*/0, stamp);
+  REQUIRE(fixture.runner().running() == 0);
+  REQUIRE(requestsSoon(fixture) == 0);
+  REQUIRE(fixture.news().size() == 1);
+  const RunNews news = fixture.news().front();
+  REQUIRE(news.ended);
+  REQUIRE(news.end == RunEnd::kDeclined);
+  REQUIRE(news.verdict == request::EngineVerdict::kNeutral);
+  REQUIRE(news.sequence == 1);
+}
+
+TEST_CASE("an order on a recent report, or of a leader that knows no stamps, is carried out", "[store][runner]") {
+  const std::int64_t stamp = GENERATE(stampOf(fromMillis(1500)), fleet::kUnstamped);
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.order(1, 7, /*last_event=*/2, /*saved_event=*/0, stamp);
+  REQUIRE(requestsSoon(fixture) == 1);
+}
+
+TEST_CASE("a store without runs reports on its leader's heartbeats, so that orders can name its last report",
+          "[store][runner]") {
+  RunnerFixture fixture(eventStream(/*whole=*/true));
+  fixture.runner().take(RunLease{kLeader, 1, {}, {}});
+  REQUIRE(fixture.reports().size() == 1);
+  const std::int64_t first = fixture.reports().back().stamp;
+  REQUIRE(first > 0);
+  // A new leader gets reports without asking for them, for a while.
+  fixture.run(fromMillis(1600));
+  fixture.runner().tick(monotonicNow());
+  REQUIRE(fixture.reports().size() == 1);
+  fixture.runner().take(RunLease{kLeader, 1, {}, {}});
+  fixture.runner().tick(monotonicNow());
+  REQUIRE(fixture.reports().size() == 2);
+  REQUIRE(fixture.reports().back().stamp > first);
+}
--- a/tests/process/store/run_table_test.cpp
+++ b/tests/process/store/run_table_test.cpp
@@ -94,6 +94,21 @@
   REQUIRE(runs.check(at(900), RunReport{kThere, 1, {}, {}}).lost == std::vector<std::uint64_t>{number});
 }
 
+TEST_CASE("the newest report of a store is known by its stamp until the term ends", "[store][runs]") {
+  RunTable runs = runTable(0, 4);
+  runs.startTerm(at(0), 1);
+  REQUIRE(runs.reportStampOf(kThere) == 0);
+  for (const std::int64_t stamp : {50, 70, 20}) {
+    RunReport report{kThere, 1, {}, {}};
+    report.stamp = stamp;
+    runs.check(at(100), report);
+    REQUIRE(runs.reportStampOf(kThere) == stamp);
+  }
+  REQUIRE(runs.reportStampOf(kElsewhere) == 0);
+  runs.startTerm(at(200), 2);
+  REQUIRE(runs.reportStampOf(kThere) == 0);
+}
+
 TEST_CASE("the runs of a store that falls silent are lost", "[store][runs]") {
   RunTable runs = runTable(1, 4);
   runs.begin(at(0), kHere);
--- a/tests/recorded/frame_samples.hpp
+++ b/tests/recorded/frame_samples.hpp
@@ -222,6 +222,7 @@
   order.chain = 10;
   order.saved_event = 2;
   order.saved_chain = 9;
+  order.report_stamp = 123456;
   samples.add(order);
   fleet::RunLease lease;
   lease.from = ReplicaId("10.0.0.1");
@@ -254,6 +255,7 @@
   report.news = {news};
   report.running = {11};
   report.answers = {answer};
+  report.stamp = 123456;
   samples.add(report);
   fleet::OfferedRun offered;
   offered.number = 11;
