Tests, failing: clients that fill a process's memory

Crowd and bounds are fixed here, on the code as it stands, before any change: a gateway and a control process of 96 MB in the test's settings, 12 clients at one port with at most 40 MB each (400 for the headers). The process must live, its peak stay below its memory, its descriptors below 150 once they have left, and it must answer an ordinary request then. No times, no shares.

--- /dev/null
+++ b/tests/soak/endless_requests.py
@@ -0,0 +1,175 @@
+#!/usr/bin/env python3
+"""Clients ended a process: what they sent without end was held until it could be understood, and counted by no limit.
+
+Real processes on loopback, with the memory of a small machine in their settings. A crowd of clients sends to one port.
+
+    python3 tests/soak/endless_requests.py --scenario trailers|extensions|heads|nested|numbers|fields
+
+trailers: behind a body in chunks; extensions: of one chunk; heads: of the header. nested, numbers: jobs whose bodies are
+within the limits, of arrays in arrays, of small numbers. fields: headers within the limits, of the shortest fields, whose
+bodies do not come.
+
+For each port of a gateway and of a control process (trailers, extensions, heads), or for the port that takes such bodies:
+the process lives on, its memory and its open descriptors stay within bounds, and it answers an ordinary request afterwards.
+"""
+import asyncio
+import os
+import re
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from fleet import Fleet  # noqa: E402
+from scenarios import run_scenario  # noqa: E402
+from stand_in import HOST, Check, Engine, call, document, eventually, new_id, request_headers  # noqa: E402
+
+CROWD = 12  # clients at one port
+SENT_BY_EACH = 40 << 20  # bytes at most
+PIECE = 64 << 10
+MEMORY_MB = 96  # of a gateway, and of a control process
+MOST_DESCRIPTORS = 150  # once the crowd has left
+BODY = 4 << 20  # of a job: the largest body of the settings
+MOST_WAIT_S = 90  # for the crowd to be let go, or to have sent all
+CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
+
+
+@dataclass
+class Attack:
+    """What each client of a crowd sends."""
+
+    head: bytes = b""
+    endless: bytes = b""  # sent again and again
+    once: bytes = b""
+    crowd: int = CROWD
+
+
+def post(target, *fields):
+    return "\r\n".join([f"POST {target} HTTP/1.1", f"Host: {HOST}", *fields, "", ""]).encode()
+
+
+CHUNKED = post("/safe/a", f"X-Attempt-Id: {new_id()}", "Transfer-Encoding: chunked")
+PADDING = b"x" * 1000
+
+
+def job_body(filling):
+    """A job whose document is as long as allowed."""
+    start, end = b'{"Requests":', b"}"
+    return start + filling(BODY - len(start) - len(end)) + end
+
+
+def nested(size):
+    return b"[" * (size // 2) + b"]" * (size // 2)
+
+
+def numbers(size):
+    return b"[" + b"1," * ((size - 3) // 2) + b"1]"
+
+
+def job_of(filling):
+    body = job_body(filling)
+    return post("/batch/new", f"X-Attempt-Id: {new_id()}", f"Content-Length: {len(body)}") + body
+
+
+SHORT_FIELDS = [f"{name}:" for name in ("a", "b", "c", "d")] * 900  # within 16,384 bytes
+
+SCENARIOS = {
+    "trailers": Attack(head=CHUNKED + b"4\r\nbody\r\n0\r\n", endless=b"a: " + PADDING + b"\r\n"),
+    "extensions": Attack(head=CHUNKED + b"4;a=", endless=PADDING),
+    "heads": Attack(head=b"POST /safe/a HTTP/1.1\r\n", endless=b"a: " + PADDING + b"\r\n"),
+    "nested": Attack(once=job_of(nested)),
+    "numbers": Attack(once=job_of(numbers)),
+    "fields": Attack(once=post("/safe/a", "Content-Length: 100", *SHORT_FIELDS), crowd=400),
+}
+AT_ALL_PORTS = ("trailers", "extensions", "heads")
+
+
+class EndlessRequests:
+    def __init__(self, options, folder):
+        self.options = options
+        self.attack = SCENARIOS[options.scenario]
+        self.check = Check()
+        self.fleet = Fleet(folder, controls=3, stores=3, gateways=1, network=options.network)
+        for process in self.fleet.of_role("gateway") + self.fleet.of_role("control"):
+            process.file.write_text(process.file.read_text() + f'memory_mb = {MEMORY_MB}\nmetrics = "9464/metrics"\n')
+        self.engines = [Engine(0, options.engine_port, self.fleet.controls, slots=50)]
+
+    def ports(self):
+        """Process, address and an ordinary request with its status, for each port under attack."""
+        gateway, control = self.fleet.processes["gateway-1"], self.fleet.processes["control-1"]
+        host = self.fleet.gateways[0].split(":")[0]
+        ports = [(gateway, self.fleet.gateways[0], ("POST", "/safe/a"))]
+        if self.options.scenario in AT_ALL_PORTS:
+            ports += [(gateway, f"{host}:7002", ("GET", "/v1/readyz")), (gateway, f"{host}:9464", ("GET", "/metrics")),
+                      (control, self.fleet.controls[0], ("GET", "/v1/config"))]
+        return ports
+
+    async def send(self, address):
+        """One client: sends until all is sent, or until it is let go."""
+        host, port = address.split(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return 0
+        sent = 0
+        try:
+            writer.write(self.attack.head + self.attack.once)
+            piece = self.attack.endless * (PIECE // max(1, len(self.attack.endless)))
+            while piece and sent < SENT_BY_EACH:
+                writer.write(piece)
+                await asyncio.wait_for(writer.drain(), MOST_WAIT_S)
+                sent += len(piece)
+            if not piece:
+                await asyncio.wait_for(writer.drain(), MOST_WAIT_S)
+                await asyncio.sleep(2)  # the process understands what it got, or waits for the rest
+        except CALL_ERRORS:
+            pass
+        finally:
+            writer.transport.abort()
+        return sent
+
+    def peak_mb(self, process):
+        status = Path(f"/proc/{process.child.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+)", status).group(1)) / 1024
+
+    async def attack_port(self, process, address, ordinary):
+        sent = await asyncio.gather(*(self.send(address) for _ in range(self.attack.crowd)))
+        if not process.is_running():
+            self.check.that(False, f"{process.name} ended under clients at {address}")
+            return
+        peak = self.peak_mb(process)
+        self.check.that(peak < MEMORY_MB, f"{process.name} grew to {peak:.0f} MB under clients at {address}")
+
+        async def has_closed():
+            return len(os.listdir(f"/proc/{process.child.pid}/fd")) <= MOST_DESCRIPTORS
+        await eventually(self.check, f"{process.name} closes the descriptors of clients at {address}", has_closed, seconds=60)
+        method, target = ordinary
+
+        async def answers():
+            body, headers = (b"x", request_headers()) if method == "POST" else (b"", {})
+            status, _, _ = await call(address, method, target, body, headers, timeout=8)
+            return status == 200
+        await eventually(self.check, f"{process.name} answers at {address} afterwards", answers, seconds=60)
+        print(f"{address}: clients={self.attack.crowd} sent_mb={sum(sent) >> 20} peak_mb={peak:.0f}", flush=True)
+
+    async def run(self):
+        await self.fleet.form(self.check, self.engines)
+        text = document(6).replace('"MaxBodyBytes": 1048576', f'"MaxBodyBytes": {BODY}')
+
+        async def taken():
+            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", text, timeout=2)
+            return status == 200
+        await eventually(self.check, "the configuration with long bodies is taken", taken, seconds=30)
+
+        async def takes_long_bodies():
+            status, _, _ = await call(self.fleet.gateways[0], "POST", "/safe/a", PADDING * 2000, request_headers(), timeout=8)
+            return status == 200
+        await eventually(self.check, "the gateway takes long bodies", takes_long_bodies, seconds=30)
+        for process, address, ordinary in self.ports():
+            await self.attack_port(process, address, ordinary)
+
+
+if __name__ == "__main__":
+    run_scenario(EndlessRequests, SCENARIOS, __doc__, prefix="endless-requests-", seconds=0, network="127.0.37",
+                 engine_port=9540)
