HTTP: what a connection holds before it is parsed is bounded

What was seen: clients ended a process, which ran out of memory, by trailers without end behind a chunked body.

Cause: a connection's buffer had no largest size. The parser wants the header, the head of a chunk and the trailers whole before it looks at them, and the limits of header and body count only what it has understood; so a connection held what its client sent within the request's time, and each look began anew. Class: bytes that a peer sends count only once they are understood.

Change: the buffer holds the header's limit and 4 KB; beyond that the request is answered 431 (too_large) and the connection ends. This holds at each port: callers, readiness, metrics, operators. A header within its limit fits by definition, and trailers and chunk heads of that size do.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMostIdlePerEndpoint = 256;
 constexpr std::size_t kPieceBytes = 16384;
 constexpr Duration kConnectTimeout = std::chrono::seconds(2);
+/// Largest header, trailer or head of a chunk of an answer; a larger one breaks the connection.
+constexpr std::size_t kMaxUnparsedBytes = 64u << 10;
 
 Error notSent(const Endpoint& endpoint, const std::string& cause) {
   return Error{ErrorKind::kUnavailable,
@@ -36,7 +38,7 @@
 struct Connection {
   explicit Connection(asio::io_context& context) : stream(context) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
 };
 
 /// False if the far side has closed or sent unasked bytes while the connection was idle.
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -26,6 +28,8 @@
 constexpr int kSendBufferBytes = 128 << 10;
 /// Bodies up to this size are read whatever else is held.
 constexpr std::uint64_t kSmallBody = 64u << 10;
+/// Bytes that may be read beyond what a header may take.
+constexpr std::size_t kReadAheadBytes = 4096;
 
 Error requestError(ErrorKind kind, std::string message, std::string remedy) {
   return Error{kind, std::move(message), std::move(remedy), Executed::kNo, {}};
@@ -182,6 +186,13 @@
   static constexpr std::size_t kStreamHeadBytes = 512;
   static constexpr std::size_t kStreamEndBytes = 5;
 
+  /// Bounds what is held before it is understood: the header, the head of a chunk and the trailers are parsed only once
+  /// they are whole, and count against no other limit until then.
+  void boundBuffer() {
+    const std::size_t most = shared_->options.largest_header + kReadAheadBytes;
+    buffer_.max_size(std::max(most, buffer_.size()));
+  }
+
   /// Who reads too slowly is let go by the process's budget where there is one, else after the time of one write.
   void boundWrite() {
     if (shared_->options.slow_readers) {
@@ -260,7 +271,7 @@
     if (shared_->closing_idle && !hasUnreadBytes()) co_return false;
     beast::error_code error;
     stream_.expires_after(shared_->options.idle_timeout);
-    const auto space = buffer_.prepare(4096);
+    const auto space = buffer_.prepare(kReadAheadBytes);
     const std::size_t received =
         co_await stream_.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     idle_ = false;
@@ -280,6 +291,7 @@
   }
 
   Awaitable<bool> receiveAndHandle() {
+    boundBuffer();
     Parser parser;
     parser.body_limit(shared_->options.largest_body);
     parser.header_limit(shared_->options.largest_header);
@@ -348,7 +360,7 @@
     }
     Error cause = requestError(ErrorKind::kInvalidArgument, "malformed HTTP request: " + error.message(),
                                "send a well-formed HTTP/1.1 request");
-    const bool header_too_large = error == http::error::header_limit;
+    const bool header_too_large = error == http::error::header_limit || error == http::error::buffer_overflow;
     if (error == http::error::body_limit || header_too_large) {
       cause = requestError(ErrorKind::kTooLarge, "the request is larger than this server takes",
                            "split it; large batches go in numbered parts");
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -50,7 +50,7 @@
   /// Time for the caller to take one write; a caller that never reads is cut off after it.
   Duration write_timeout = std::chrono::seconds(30);
   std::uint32_t most_connections = 10000;
-  /// Largest header; larger ones are answered with 431.
+  /// Largest header, trailer or head of a chunk; larger ones are answered with 431, and the connection is closed.
   std::uint32_t largest_header = 32u << 10;
   /// Counts what is held for callers that read slowly, and ends the connections of the slowest; then `write_timeout`
   /// bounds nothing. Long requests wait to be read while it has no room. Only with one thread of connections.
--- a/tests/connection/http_test.cpp
+++ b/tests/connection/http_test.cpp
@@ -189,6 +189,51 @@
   });
 }
 
+// Guards against clients that end a process with what is parsed only once it is whole.
+TEST_CASE("trailers and heads of chunks without end are refused, and what is held of them is bounded", "[http]") {
+  const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string trailers = head + "4\r\nbody\r\n0\r\n";
+  const auto [begin, piece] =
+      GENERATE_COPY(std::pair(trailers, std::string("a: b\r\n")), std::pair(head + "4;a=", std::string("x")));
+  std::string endless = begin;
+  while (endless.size() < kLargeAnswer) endless += piece;
+  HttpFixture fixture;
+  fixture.run([&]() -> Awaitable<void> {
+    tcp::socket caller(fixture.context, tcp::v4());
+    co_await caller.async_connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), kPort), asio::use_awaitable);
+    boost::system::error_code ignored;
+    asio::async_write(caller, asio::buffer(endless), [](boost::system::error_code, std::size_t) {});
+    std::string answer(12, ' ');
+    co_await asio::async_read(caller, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, ignored));
+    CHECK(answer == "HTTP/1.1 431");
+    CHECK(fixture.handled == 0);
+    caller.close(ignored);
+    const Result<HttpResponse> next = co_await fixture.fetch("/next");
+    CHECK(isOk(next));
+  });
+}
+
+TEST_CASE("trailers of an ordinary size are passed over", "[http]") {
+  HttpFixture fixture;
+  fixture.run([&]() -> Awaitable<void> {
+    tcp::socket caller(fixture.context, tcp::v4());
+    co_await caller.async_connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), kPort), asio::use_awaitable);
+    const std::string request =
+        "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4;a=b\r\nbody\r\n0\r\nX-Late: yes\r\n\r\n";
+    boost::system::error_code error;
+    asio::write(caller, asio::buffer(request), error);
+    std::string answer;
+    while (!error) {
+      std::array<char, 1000> bytes;
+      const std::size_t received =
+          co_await caller.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      answer.append(bytes.data(), received);
+    }
+    CHECK(answer.find("POST/xbody") != std::string::npos);
+  });
+}
+
 TEST_CASE("endpoints are IP numbers with a port", "[http]") {
   CHECK(parseEndpoint("127.0.0.1:80") == Endpoint{"127.0.0.1", 80});
   for (const char* text : {"", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:70000", "localhost:80", "1.2.3.4:8x"}) {
