JSON from outside: the number of values and their depth are bounded before a tree is built

What was seen: one job of 4 MB, within all limits, took 183 MB of a gateway (arrays in arrays), or 113 MB (small numbers), where machines have 120 to 160 MB. In the older fleet such a body is also written again, by a recursion as deep as its arrays (read, not run).

Cause: the limits count the bytes of a body, its tree takes up to fifty times as much. Change: parseJsonText looks at the text first, without building anything, and refuses more than 400,000 values or a depth of 100. Lines of the older fleet's batches go the same way.

--- a/src/common/codec.cpp
+++ b/src/common/codec.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "common/json_bounds.hpp"
+
 namespace hatchfork {
 
 Error protocolError(std::string message) {
@@ -25,6 +27,13 @@
 }
 
 Result<nlohmann::json> parseJsonText(std::string_view text) {
+  if (!isWithinJsonBounds(text)) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "the body has too many JSON values, or too many in one another",
+                 "split it, or send fewer values",
+                 Executed::kNo,
+                 {}};
+  }
   nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, /*allow_exceptions=*/false);
   if (json.is_discarded()) {
     return Error{ErrorKind::kInvalidArgument,
--- a/src/process/gateway/batch_api.cpp
+++ b/src/process/gateway/batch_api.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "common/codec.hpp"
 #include "process/batch/job.hpp"
@@ -120,7 +121,8 @@
     const std::string_view line = text.substr(0, end);
     text.remove_prefix(std::min(end + 1, text.size()));
     if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
-    const nlohmann::json json = nlohmann::json::parse(line.begin(), line.end(), nullptr, false);
+    Result<nlohmann::json> parsed = parseJsonText(line);
+    const nlohmann::json json = isOk(parsed) ? std::move(valueOf(parsed)) : nlohmann::json();
     const bool well_formed = json.is_object() && json.contains("custom_id") && json.at("custom_id").is_string() &&
                              json.contains("body") && json.at("body").is_object();
     const std::string where = fmt::format("line {}", line_number);
--- a/tests/common/codec_test.cpp
+++ b/tests/common/codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/json_bounds.hpp"
 #include "process/control/control_messages.hpp"
 
 namespace hatchfork {
@@ -32,6 +33,30 @@
   }
 }
 
+// Guards against bodies within all limits of length whose trees take more memory than the process has.
+TEST_CASE("JSON text of too many values, or of too many in one another, is refused without building its tree",
+          "[codec]") {
+  const std::string deep = std::string(2u << 20, '[') + std::string(2u << 20, ']');
+  std::string long_list = "[1";
+  while (long_list.size() < (4u << 20)) long_list += ",1";
+  long_list += "]";
+  for (const std::string& text : {deep, long_list, deep.substr(0, 3u << 20)}) {
+    const Result<nlohmann::json> parsed = parseJsonText(text);
+    REQUIRE_FALSE(isOk(parsed));
+    CHECK(errorOf(parsed).kind == ErrorKind::kInvalidArgument);
+  }
+}
+
+TEST_CASE("JSON text with brackets and quotes in its strings, and of an ordinary depth, is parsed", "[codec]") {
+  const std::string text = R"({"a\\":"[[[\"[{,,","b":[)" + std::string(90, '[') + std::string(90, ']') + R"(,"\\"]})";
+  const Result<nlohmann::json> parsed = parseJsonText(text);
+  REQUIRE(isOk(parsed));
+  CHECK(valueOf(parsed).at("b").at(1) == "\\");
+  std::string brackets = "\"";
+  for (std::size_t i = 0; i < 2 * kMaxJsonValues; ++i) brackets += "[,";
+  REQUIRE(isOk(parseJsonText(brackets + "\"")));
+}
+
 TEST_CASE("an error survives encoding with its promise and its retry time", "[codec]") {
   const Error error{ErrorKind::kOverloaded, "full", "retry", Executed::kNo, fromMillis(250)};
   const Error back = nlohmann::json(error).get<Error>();
