HTTP: a header of many fields counts as held bytes

What was seen: 400 clients that each send a header of 16 KB of the shortest fields, within the limits, and no body, made a gateway of 96 MB grow to 130 MB.

Cause: the tables of such a header take some 300 KB for the time of the request, and counted nowhere. Change: a header of more than 100 fields counts in the gateway's budget of held bytes until its request has ended; where there is no room it is refused as not run (503 with a time to return), and its tables are freed before that is answered. A single such request is served.

A connection that is refused gives its buffer back before it answers. Open: the readiness, metrics and operators' ports have no such budget.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -28,6 +28,10 @@
 constexpr int kSendBufferBytes = 128 << 10;
 /// Bodies up to this size are read whatever else is held.
 constexpr std::uint64_t kSmallBody = 64u << 10;
+/// A header with more fields counts as held: its tables weigh many times its bytes.
+constexpr std::size_t kOrdinaryFields = 100;
+/// Estimated memory of a field in all tables, besides its bytes.
+constexpr std::size_t kFieldBytes = 200;
 /// Bytes that may be read beyond what a header may take.
 constexpr std::size_t kReadAheadBytes = 4096;
 
@@ -208,6 +212,15 @@
     return shared_->options.slow_readers->hold(PeerSide::kCaller, peer_, bytes, nullptr);
   }
 
+  /// Counts a header of many fields until the request has ended. False if there is no room for it.
+  bool holdHeader(const Parser& parser) {
+    const auto fields = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
+    if (!shared_->options.slow_readers || fields <= kOrdinaryFields) return true;
+    if (!shared_->options.slow_readers->hasRoom()) return false;
+    header_ = holdBody(fields * kFieldBytes);
+    return true;
+  }
+
   /// Counts bytes that wait for the caller, until what is returned is destroyed.
   std::unique_ptr<HeldBytes> offerBytes(std::size_t bytes) {
     if (!shared_->options.slow_readers) return nullptr;
@@ -286,6 +299,7 @@
     ++shared_->active_requests;
     const bool keep = co_await receiveAndHandle();
     body_.reset();
+    header_.reset();
     --shared_->active_requests;
     co_return keep;
   }
@@ -308,6 +322,12 @@
       self->stream_.socket().cancel(ignored);
     });
     co_await http::async_read_header(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !holdHeader(parser)) {
+      lacks_room_ = true;
+      error = beast::error::timeout;
+      // The answer may take seconds.
+      parser.release();
+    }
     if (!error && !parser.is_done()) co_await receiveBody(parser, error);
     timer.cancel();
     if (error && *timed_out) error = beast::error::timeout;
@@ -350,6 +370,9 @@
 
   Awaitable<void> answerBadRequest(const beast::error_code& error) {
     keep_alive_ = false;
+    // Nothing more is parsed on this connection, and its end may take seconds.
+    buffer_.clear();
+    buffer_.shrink_to_fit();
     if (error == http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset ||
         error == asio::error::operation_aborted) {
       co_return;
@@ -377,15 +400,14 @@
     co_await discardInput();
   }
 
-  /// The body was not read: others that read slowly hold what there is.
+  /// The request was not read to its end: others hold what there is.
   Awaitable<void> answerLackOfRoom() {
     logEvent(LogLevel::kWarning, "request_refused",
              {{"peer", peer_},
-              {"cause", "no room for its body"},
+              {"cause", "no room for its header or its body"},
               {"held", shared_->options.slow_readers->bytes()},
               {"most", shared_->options.slow_readers->mostBytes()}});
-    Error cause =
-        requestError(ErrorKind::kOverloaded, "no room for the request's body now", "come back at the given time");
+    Error cause = requestError(ErrorKind::kOverloaded, "no room for the request now", "come back at the given time");
     cause.retry_after = kComeBackAfter;
     HttpResponse response = errorResponse(cause);
     co_await send(std::move(response));
@@ -416,9 +438,10 @@
   bool finished_ = false;
   bool peer_gone_ = false;
   bool watching_ = false;
-  /// The body of the request at hand, as it counts in the process's budget.
+  /// The header and the body of the request at hand, as they count in the process's budget.
+  std::unique_ptr<HeldBytes> header_;
   std::unique_ptr<HeldBytes> body_;
-  /// A long body was not read for lack of room.
+  /// A long body was not read, or a long header not kept, for lack of room.
   bool lacks_room_ = false;
   std::function<void()> on_gone_;
 };
