Tests: a client that sends once waits for its answer, and one answer shows that it was understood

Now each waits for its answer or the end of its connection, only refusals may come, and at least one must show that the process has taken the request in (400 for the jobs, 408 for the headers). The time for a header is 6 s in the test's settings. Crowd and bounds are unchanged.

--- a/tests/soak/endless_requests.py
+++ b/tests/soak/endless_requests.py
@@ -23,7 +23,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 from fleet import Fleet  # noqa: E402
 from scenarios import run_scenario  # noqa: E402
-from stand_in import HOST, Check, Engine, call, document, eventually, new_id, request_headers  # noqa: E402
+from stand_in import HOST, Check, Engine, call, document, eventually, new_id, read_head, request_headers  # noqa: E402
 
 CROWD = 12  # clients at one port
 SENT_BY_EACH = 40 << 20  # bytes at most
@@ -43,6 +43,7 @@
     endless: bytes = b""  # sent again and again
     once: bytes = b""
     crowd: int = CROWD
+    understood: int = 0  # status that shows that the process has taken in what is sent once
 
 
 def post(target, *fields):
@@ -78,10 +79,11 @@
     "trailers": Attack(head=CHUNKED + b"4\r\nbody\r\n0\r\n", endless=b"a: " + PADDING + b"\r\n"),
     "extensions": Attack(head=CHUNKED + b"4;a=", endless=PADDING),
     "heads": Attack(head=b"POST /safe/a HTTP/1.1\r\n", endless=b"a: " + PADDING + b"\r\n"),
-    "nested": Attack(once=job_of(nested)),
-    "numbers": Attack(once=job_of(numbers)),
-    "fields": Attack(once=post("/safe/a", "Content-Length: 100", *SHORT_FIELDS), crowd=400),
+    "nested": Attack(once=job_of(nested), understood=400),
+    "numbers": Attack(once=job_of(numbers), understood=400),
+    "fields": Attack(once=post("/safe/a", "Content-Length: 100", *SHORT_FIELDS), crowd=400, understood=408),
 }
+REFUSALS = (400, 408, 431, 503)
 AT_ALL_PORTS = ("trailers", "extensions", "heads")
 
 
@@ -93,6 +95,7 @@
         self.fleet = Fleet(folder, controls=3, stores=3, gateways=1, network=options.network)
         for process in self.fleet.of_role("gateway") + self.fleet.of_role("control"):
             process.file.write_text(process.file.read_text() + f'memory_mb = {MEMORY_MB}\nmetrics = "9464/metrics"\n')
+        self.answers = {}  # status -> how many clients got it
         self.engines = [Engine(0, options.engine_port, self.fleet.controls, slots=50)]
 
     def ports(self):
@@ -106,10 +109,10 @@
         return ports
 
     async def send(self, address):
-        """One client: sends until all is sent, or until it is let go."""
+        """One client: sends until all is sent, or until it is let go. What is sent once is waited for until it is answered."""
         host, port = address.split(":")
         try:
-            _, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, int(port))
         except OSError:
             return 0
         sent = 0
@@ -121,8 +124,8 @@
                 await asyncio.wait_for(writer.drain(), MOST_WAIT_S)
                 sent += len(piece)
             if not piece:
-                await asyncio.wait_for(writer.drain(), MOST_WAIT_S)
-                await asyncio.sleep(2)  # the process understands what it got, or waits for the rest
+                status, _ = await asyncio.wait_for(read_head(reader), MOST_WAIT_S)
+                self.answers[status] = self.answers.get(status, 0) + 1
         except CALL_ERRORS:
             pass
         finally:
@@ -144,6 +147,9 @@
         async def has_closed():
             return len(os.listdir(f"/proc/{process.child.pid}/fd")) <= MOST_DESCRIPTORS
         await eventually(self.check, f"{process.name} closes the descriptors of clients at {address}", has_closed, seconds=60)
+        if self.attack.understood:
+            self.check.that(self.attack.understood in self.answers and set(self.answers) <= set(REFUSALS),
+                            f"clients at {address} were answered {self.answers}, {self.attack.understood} is wanted")
         method, target = ordinary
 
         async def answers():
@@ -151,11 +157,11 @@
             status, _, _ = await call(address, method, target, body, headers, timeout=8)
             return status == 200
         await eventually(self.check, f"{process.name} answers at {address} afterwards", answers, seconds=60)
-        print(f"{address}: clients={self.attack.crowd} sent_mb={sum(sent) >> 20} peak_mb={peak:.0f}", flush=True)
+        print(f"{address}: clients={self.attack.crowd} sent_mb={sum(sent) >> 20} peak_mb={peak:.0f} answers={self.answers}", flush=True)
 
     async def run(self):
         await self.fleet.form(self.check, self.engines)
-        text = document(6).replace('"MaxBodyBytes": 1048576', f'"MaxBodyBytes": {BODY}')
+        text = document(6).replace('"MaxBodyBytes": 1048576', f'"MaxBodyBytes": {BODY}').replace('"HeaderTimeoutMs": 1500', '"HeaderTimeoutMs": 6000')
 
         async def taken():
             status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", text, timeout=2)
