Stores: the group begins to keep ends by an entry of its log, once all its members do so

A member of the older release that had been silent for seven seconds counted as none, so that replicas could differ; a store that was not heard of after a restart of control counted as old, so that an end was acknowledged and not kept, as before the change, and the log did not tell.

--- a/src/process/store/job_commands.hpp
+++ b/src/process/store/job_commands.hpp
@@ -32,7 +32,8 @@
 inline constexpr std::string_view kApplyUnchanged = "unchanged";
 inline constexpr std::string_view kApplyOverLimit = "over_limit";
 inline constexpr std::string_view kApplyUnknown = "unknown_job";
-/// Of `EndJob`: there is no such job.
+/// Of `EndJob`: there is no such job, and its end is kept, or not.
+inline constexpr std::string_view kApplyEndKept = "end_kept";
 inline constexpr std::string_view kApplyNoJob = "no_job";
 /// Of `SubmitJob`: the job was ended before it was submitted, and is not stored.
 inline constexpr std::string_view kApplyEndedBefore = "ended_before";
@@ -88,32 +89,29 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ListResults, results)
 
-/// Ends a job: no further item of it is run. Returns `kApplyUnknown` for a job of another tenant, `kApplyNoJob` if
-/// there is none.
+/// Ends a job: no further item of it is run. Returns `kApplyUnknown` for a job of another tenant. The end of a job that
+/// the group does not have is kept, if all members do so, so that a later submission of it is not accepted.
 struct EndJob {
   static constexpr std::string_view kKind = "end";
   JobId job;
   /// Tenant of the caller; a job of another tenant is not ended.
   TenantId tenant;
-  /// The end of a job that the group does not have is kept, so that a later submission of it is not accepted. False
-  /// from older releases, and while stores of such releases apply the log.
-  bool keeps_unknown = false;
 };
-/// Logs of older versions have no tenants and keep no ends.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndJob, job, tenant, keeps_unknown)
+/// Logs of older versions have no tenants.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndJob, job, tenant)
 
 /// Removes jobs whose results may no longer be requested, and kept ends that no submission can be under way for.
 struct DropJobs {
   static constexpr std::string_view kKind = "drop";
   std::vector<JobId> jobs;
-  /// The ends of the removed jobs are kept, as those of jobs that the group does not have. False from older releases,
-  /// and while stores of such releases apply the log.
-  bool keeps_ends = false;
+  /// From this entry on, the group keeps the ends of jobs that it does not have, and of ended jobs that it removes. Set
+  /// once all members of the group are of a release that does so; never by older releases.
+  bool begins_to_keep_ends = false;
   /// Kept ends up to this entry of the log are removed.
   consensus::LogIndex ends_through = 0;
 };
 /// Logs of older versions keep no ends.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DropJobs, jobs, keeps_ends, ends_through)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(DropJobs, jobs, begins_to_keep_ends, ends_through)
 
 using JobCommand = std::variant<SubmitJob, ListResults, SaveProgress, EndJob, DropJobs, SaveCrashes>;
 
--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -75,7 +75,6 @@
     for (const ReplicaId& retiring : view.retiring) runners.erase(retiring);
     run_table_.setRunners(std::move(runners));
     selector_.setEvacuated(now, view.evacuated.zones);
-    keeps_ends_ = fleet::leastReleaseOf(view.stores) >= kKeptEndRelease;
     mixed_services_ = view.mixed_services;
   }
   selector_.takeEngines(now, change.engines);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -33,7 +33,6 @@
 #include "request/exchange/engine_selector.hpp"
 #include "request/exchange/weighted_split.hpp"
 #include "version/dialect.hpp"
-#include "version/release.hpp"
 
 namespace hatchfork::store {
 
@@ -88,6 +87,8 @@
   void setState(const JobState& state) { state_ = &state; }
   /// Takes the view of the fleet; call it for each proof that the view is the newest, also where nothing has changed.
   void takeView(Instant now, const fleet::FleetView& view, const fleet::FleetChange& change);
+  /// Tells that each member of the group is of a release that keeps the ends of jobs that the group does not have.
+  void noteMembersKeepEnds(bool keep) { members_keep_ends_ = keep; }
   /// Starts or stops running items, with the term of the leadership.
   void setLeading(bool leading, std::uint64_t term);
   /// Notifies the executor that a job was submitted, changed or ended.
@@ -333,8 +334,7 @@
   JobRoutes routes_;
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
-  /// All stores keep the ends of jobs that they do not have.
-  bool keeps_ends_ = false;
+  bool members_keep_ends_ = false;
   /// The newest kept end, at each time when it had changed; the oldest time first.
   std::deque<NewestEnd> kept_ends_seen_;
   bool leading_ = false;
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -72,13 +72,13 @@
 void JobExecutor::dropOldJobs(Instant now) {
   const WallMillis wall = connection::wallNow();
   DropJobs drop;
-  drop.keeps_ends = keeps_ends_;
+  drop.begins_to_keep_ends = members_keep_ends_ && !state_->keepsEnds();
   drop.ends_through = oldEnds(now);
   for (const auto& [id, job] : state_->jobs()) {
     const Duration age = fromMillis(wall - job.submission.submitted_at);
     if (job.isFinished() && age > kFinishedJobRetention) drop.jobs.push_back(id);
   }
-  if (drop.jobs.empty() && drop.ends_through == 0) return;
+  if (drop.jobs.empty() && drop.ends_through == 0 && !drop.begins_to_keep_ends) return;
   propose_(std::move(drop), [](bool) {});
 }
 
--- a/src/process/store/job_snapshot.hpp
+++ b/src/process/store/job_snapshot.hpp
@@ -14,9 +14,9 @@
 #include "process/store/kept_ends.hpp"
 #include "process/store/stored_job.hpp"
 
-/// Snapshot of a store group: one CBOR map with the fields `jobs`, `refused_attempts`, `crashes` and `kept_ends`. The
-/// map and the list of jobs have indefinite length, so that the map can be split into pieces: the head, any number of
-/// pieces with whole jobs, and the tail.
+/// Snapshot of a store group: one CBOR map with the fields `jobs`, `refused_attempts`, `crashes`, `keeps_ends` and
+/// `kept_ends`. The map and the list of jobs have indefinite length, so that the map can be split into pieces: the
+/// head, any number of pieces with whole jobs, and the tail.
 namespace hatchfork::store {
 
 /// A job as encoded in snapshots.
@@ -32,10 +32,11 @@
 struct SnapshotTail {
   std::vector<std::uint64_t> refused_attempts;
   std::vector<StoredCrash> crashes;
+  bool keeps_ends = false;
   std::vector<KeptEnd> kept_ends;
 };
 /// Snapshots of older releases have no refused attempts, no crashes and no kept ends.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SnapshotTail, refused_attempts, crashes, kept_ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SnapshotTail, refused_attempts, crashes, keeps_ends, kept_ends)
 
 /// The first piece of each split snapshot.
 std::string_view snapshotHead();
--- a/src/process/store/job_state.cpp
+++ b/src/process/store/job_state.cpp
@@ -14,10 +14,11 @@
   std::vector<JobSnapshot> jobs;
   std::vector<std::uint64_t> refused_attempts;
   std::vector<StoredCrash> crashes;
+  bool keeps_ends = false;
   std::vector<KeptEnd> kept_ends;
 };
 /// Snapshots of older releases have no refused attempts, no crashes and no kept ends.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts, crashes, kept_ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateSnapshot, jobs, refused_attempts, crashes, keeps_ends, kept_ends)
 
 /// Returns true if `entry` adds a failure that was not counted before.
 bool noteFailures(ItemRunProgress& progress, const ItemProgress& entry) {
@@ -215,8 +216,9 @@
 std::string_view JobState::applyOne(const EndJob& command) {
   const auto job = jobs_.find(command.job);
   if (job == jobs_.end()) {
-    if (command.keeps_unknown) kept_ends_.add({command.job, command.tenant, applying_});
-    return kApplyNoJob;
+    if (!keeps_ends_) return kApplyNoJob;
+    kept_ends_.add({command.job, command.tenant, applying_});
+    return kApplyEndKept;
   }
   if (!job->second.isVisibleTo(command.tenant)) return kApplyUnknown;
   if (job->second.ended) return kApplyUnchanged;
@@ -226,11 +228,13 @@
 }
 
 bool JobState::applyOne(const DropJobs& command) {
-  bool dropped = kept_ends_.removeThrough(command.ends_through);
+  const bool has_begun = command.begins_to_keep_ends && !std::exchange(keeps_ends_, true);
+  const bool has_removed = kept_ends_.removeThrough(command.ends_through);
+  bool dropped = has_begun || has_removed;
   for (const JobId& id : command.jobs) {
     const auto job = jobs_.find(id);
     if (job == jobs_.end()) continue;
-    if (command.keeps_ends && job->second.ended) kept_ends_.add({id, job->second.submission.tenant, applying_});
+    if (keeps_ends_ && job->second.ended) kept_ends_.add({id, job->second.submission.tenant, applying_});
     held_bytes_ -= job->second.textBytes();
     open_items_ -= job->second.open_items.size();
     listed_items_ -= job->second.results.size();
@@ -267,7 +271,7 @@
 
 SnapshotTail JobState::tail() const {
   return SnapshotTail{std::vector<std::uint64_t>(refused_attempts_.begin(), refused_attempts_.end()),
-                      kept_crashes_.all(), kept_ends_.all()};
+                      kept_crashes_.all(), keeps_ends_, kept_ends_.all()};
 }
 
 std::string JobState::snapshot() const {
@@ -292,7 +296,8 @@
   if (!isOk(decoded)) return errorOf(decoded);
   StateSnapshot& whole = valueOf(decoded);
   clear();
-  restoreTail(SnapshotTail{std::move(whole.refused_attempts), std::move(whole.crashes), std::move(whole.kept_ends)});
+  restoreTail(SnapshotTail{std::move(whole.refused_attempts), std::move(whole.crashes), whole.keeps_ends,
+                           std::move(whole.kept_ends)});
   for (JobSnapshot& entry : whole.jobs) restoreJob(std::move(entry));
   return okStatus();
 }
@@ -306,6 +311,7 @@
   listed_bytes_ = 0;
   refused_attempts_.clear();
   kept_crashes_ = {};
+  keeps_ends_ = false;
   kept_ends_ = {};
 }
 
@@ -313,6 +319,7 @@
   refused_attempts_.assign(tail.refused_attempts.begin(), tail.refused_attempts.end());
   kept_crashes_ = {};
   kept_crashes_.add(tail.crashes);
+  keeps_ends_ = tail.keeps_ends;
   kept_ends_ = {};
   for (const KeptEnd& end : tail.kept_ends) kept_ends_.add(end);
 }
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -50,7 +50,8 @@
   std::uint64_t waitingTokens() const;
   /// Tokens of all items that this replica has listed so far; never decreases.
   std::uint64_t listedTokens() const { return listed_tokens_; }
-  /// Ends of jobs that the group does not have.
+  /// True once all members keep the ends of jobs that the group does not have; then it stays so.
+  bool keepsEnds() const { return keeps_ends_; }
   const KeptEnds& keptEnds() const { return kept_ends_; }
   /// Engine crashes that the group keeps, with the content of the request that ran.
   const StoredCrashes& keptCrashes() const { return kept_crashes_; }
@@ -85,6 +86,7 @@
   /// Attempts that were refused, the newest last.
   std::deque<std::uint64_t> refused_attempts_;
   StoredCrashes kept_crashes_;
+  bool keeps_ends_ = false;
   KeptEnds kept_ends_;
   /// Entry of the log that is being applied.
   consensus::LogIndex applying_ = 0;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -286,6 +286,15 @@
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
 }
 
+/// A member that is not in the view may be of any release.
+ReleaseNumber StoreProgram::leastMemberRelease() const {
+  PeerReleases releases = fleet::releasesOf(feed_->view().stores);
+  releases.note(settings_.self(), kThisRelease);
+  std::vector<ReplicaId> members;
+  for (const consensus::Member& member : group_->status().membership.members) members.push_back(member.id);
+  return releases.lowestOf(members);
+}
+
 void StoreProgram::scheduleStart() {
   start_timer_.expires_after(kStartDelay);
   start_timer_.async_wait([this](boost::system::error_code error) {
@@ -339,6 +348,7 @@
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
+  executor_->noteMembersKeepEnds(leastMemberRelease() >= kKeptEndRelease);
   handlers_.logPeriod(now);
   measureMemory();
   rate_limits_.expire(now);
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -100,6 +100,8 @@
   /// Sends a frame with a run order or a run report to a store, which may be this process.
   bool sendToStore(const ReplicaId& to, const fleet::FleetMessage& message);
   void updateLeadership();
+  /// Lowest release of all members of the group; `kUnknownRelease` if one of them has told none.
+  ReleaseNumber leastMemberRelease() const;
   void noteChange(const JobId& job);
   /// Has the executor start waiting items after a moment, in which further reports may arrive.
   void scheduleStart();
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -4,7 +4,6 @@
 
 #include "common/log.hpp"
 #include "process/store/store_program.hpp"
-#include "version/release.hpp"
 
 // Requests of gateways, and the replies.
 namespace hatchfork::store {
@@ -135,8 +134,7 @@
              {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(answer)}, {"outcome", nameOf(outcome)}});
     reply(answer);
   };
-  const bool keeps_unknown = fleet::leastReleaseOf(feed_->view().stores) >= kKeptEndRelease;
-  EndJob command{id, request.tenant, keeps_unknown};
+  EndJob command{id, request.tenant};
   group_->propose(encodeTagged(JobCommand(std::move(command))), kProposalTimeout, std::move(done));
 }
 
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -432,7 +432,8 @@
 
 TEST_CASE("a leader removes kept ends that no submission can be under way for", "[store][executor]") {
   ExecutorFixture fixture;
-  fixture.apply(EndJob{JobId("unknown"), TenantId(), /*keeps_unknown=*/true});
+  fixture.apply(DropJobs{{}, /*begins_to_keep_ends=*/true});
+  fixture.apply(EndJob{JobId("unknown")});
   const Instant start = connection::monotonicNow();
   fixture.executor().setLeading(true, 1);
   fixture.executor().tick(start);
@@ -446,3 +447,24 @@
   fixture.executor().tick(start + std::chrono::minutes(20));
   REQUIRE(fixture.takeProposedDrops().empty());
 }
+
+TEST_CASE("the group begins to keep ends once all its members are of a release that does so",
+          "[store][executor][upgrade]") {
+  ExecutorFixture fixture;
+  Instant now = connection::monotonicNow();
+  const auto nextDrops = [&] {
+    now += std::chrono::seconds(1);
+    fixture.executor().tick(now);
+    return fixture.takeProposedDrops();
+  };
+  fixture.executor().setLeading(true, 1);
+  REQUIRE(nextDrops().empty());
+  fixture.executor().noteMembersKeepEnds(true);
+  const std::vector<DropJobs> drops = nextDrops();
+  REQUIRE(drops.size() == 1);
+  REQUIRE(drops.front().begins_to_keep_ends);
+  REQUIRE(nextDrops().empty());
+  // It stays so, whatever is heard of a member later.
+  fixture.executor().noteMembersKeepEnds(false);
+  REQUIRE(nextDrops().empty());
+}
--- a/tests/process/store/job_snapshot_test.cpp
+++ b/tests/process/store/job_snapshot_test.cpp
@@ -46,9 +46,9 @@
       case 5:
         return ListResults{{JobResult{id, {item, ItemOutcome::kCompleted, text()}, 0, 0}}};
       case 6:
-        return EndJob{id, TenantId(), chance(50)};
+        return EndJob{id, TenantId()};
       default:
-        return DropJobs{{id}, chance(50)};
+        return DropJobs{{id}, chance(10)};
     }
   }
 
--- a/tests/process/store/job_state_test.cpp
+++ b/tests/process/store/job_state_test.cpp
@@ -36,6 +36,10 @@
                                     kChain, text, 0}}};
 }
 
+void beginToKeepEnds(JobState& state) {
+  REQUIRE(apply(state, DropJobs{{}, /*begins_to_keep_ends=*/true}) == kApplyChanged);
+}
+
 }  // namespace
 
 TEST_CASE("a job is kept once", "[store]") {
@@ -47,7 +51,8 @@
 
 TEST_CASE("a submission that arrives after the end of its job is not accepted", "[store]") {
   JobState state;
-  REQUIRE(state.apply(1, encodeTagged(JobCommand(EndJob{JobId("j"), TenantId(), true}))) == kApplyNoJob);
+  beginToKeepEnds(state);
+  REQUIRE(state.apply(1, encodeTagged(JobCommand(EndJob{JobId("j")}))) == kApplyEndKept);
   REQUIRE(state.apply(2, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyEndedBefore);
   REQUIRE(state.find(JobId("j")) == nullptr);
   // The same after a snapshot, whole or in pieces.
@@ -67,10 +72,17 @@
   REQUIRE(state.apply(5, encodeTagged(JobCommand(SubmitJob{job("j", 2)}))) == kApplyChanged);
 }
 
-TEST_CASE("the end of a job that the group does not have is kept only if the command says so", "[store][upgrade]") {
+TEST_CASE("ends of jobs that the group does not have are kept from the entry on that says so", "[store][upgrade]") {
   JobState state;
-  REQUIRE(apply(state, EndJob{JobId("j")}) == kApplyNoJob);
-  REQUIRE(apply(state, SubmitJob{job("j", 2)}) == kApplyChanged);
+  REQUIRE(apply(state, EndJob{JobId("before")}) == kApplyNoJob);
+  REQUIRE(apply(state, SubmitJob{job("before", 2)}) == kApplyChanged);
+  beginToKeepEnds(state);
+  REQUIRE(apply(state, DropJobs{{}, /*begins_to_keep_ends=*/true}) == kApplyUnchanged);
+  // Entries that do not say so end nothing, and a snapshot holds it.
+  REQUIRE(apply(state, DropJobs{}) == kApplyUnchanged);
+  JobState restored;
+  REQUIRE(isOk(restored.restore(state.snapshot())));
+  REQUIRE(apply(restored, EndJob{JobId("after")}) == kApplyEndKept);
 }
 
 TEST_CASE("a job that was ended and dropped is not accepted again", "[store]") {
@@ -79,7 +91,8 @@
   apply(state, SubmitJob{job("finished", 1)});
   apply(state, result("finished", 0, "text"));
   apply(state, EndJob{JobId("j")});
-  REQUIRE(apply(state, DropJobs{{JobId("j"), JobId("finished")}, /*keeps_ends=*/true}) == kApplyChanged);
+  beginToKeepEnds(state);
+  REQUIRE(apply(state, DropJobs{{JobId("j"), JobId("finished")}}) == kApplyChanged);
   REQUIRE(apply(state, SubmitJob{job("j", 2)}) == kApplyEndedBefore);
   REQUIRE(apply(state, SubmitJob{job("finished", 1)}) == kApplyChanged);
 }
--- a/tests/recorded/state_samples.hpp
+++ b/tests/recorded/state_samples.hpp
@@ -140,15 +140,14 @@
   store::SaveCrashes crashes;
   crashes.crashes = {crash};
   crashes.cleared = {request::RequestFingerprint("cleared-content")};
+  store::DropJobs begin_to_keep;
+  begin_to_keep.jobs = {JobId("job-5")};
+  begin_to_keep.begins_to_keep_ends = true;
+  begin_to_keep.ends_through = 3;
   store::EndJob end_before;
   end_before.job = JobId("job-4");
   end_before.tenant = TenantId("crew");
-  end_before.keeps_unknown = true;
-  store::DropJobs drop_ends;
-  drop_ends.jobs = {JobId("job-5")};
-  drop_ends.keeps_ends = true;
-  drop_ends.ends_through = 3;
-  return {submit, dropped_later, refused, save, list, end, drop, crashes, end_before, drop_ends};
+  return {submit, dropped_later, refused, save, list, end, drop, crashes, begin_to_keep, end_before};
 }
 
 template <class Machine, class Command>
