Job executor: a leader that no quorum has confirmed for a while orders nothing

A leader that stood still for seconds could order items of jobs that its successor had ended, until it noticed that it had lost its quorum.

Change: items are ordered for 2 s after a quorum has confirmed the leadership, longer than a busy leader goes without and shorter than the time within which the runs of an ended job must stop. Its runs go on, as before.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -20,6 +20,9 @@
 /// new leader would otherwise send an already answered item again. It waits no longer than this for stores that are
 /// down.
 constexpr Duration kStoreReportTimeout = std::chrono::seconds(1);
+/// Items are ordered for this long after a quorum has confirmed the leadership: longer than a busy leader is without
+/// confirmation, shorter than the time within which the runs of an ended job must stop.
+constexpr Duration kConfirmationLease = std::chrono::seconds(2);
 /// Duration of the slow start.
 constexpr Duration kSlowStart = std::chrono::seconds(3);
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
@@ -232,6 +235,7 @@
   if (!leading_ || routes_.table() == nullptr) return;
   const Instant now = monotonicNow();
   if (now < starts_from_) return;
+  if (confirmed_at_ && now > *confirmed_at_ + kConfirmationLease) return;
   orderQueue(now);
   planTrough(now);
   std::uint64_t attempts_planned = counters_.attempts;
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -117,6 +117,10 @@
   /// Ends the lease of a run that was never sent to an engine.
   void endUnusedTrial(const request::RequestFingerprint& content, const std::string& holder);
 
+  /// Tells that a quorum has confirmed the leadership at `now`. A leader that is not confirmed orders nothing after a
+  /// while, since another one may have ended jobs.
+  void noteConfirmed(Instant now) { confirmed_at_ = now; }
+
   bool isLeading() const { return leading_; }
   /// Returns the term of the last call of `setLeading`.
   std::uint64_t term() const { return term_; }
@@ -335,6 +339,8 @@
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
   bool members_keep_ends_ = false;
+  /// When a quorum last confirmed a leadership; unset where nobody tells.
+  std::optional<Instant> confirmed_at_;
   /// The newest kept end, at each time when it had changed; the oldest time first.
   std::deque<NewestEnd> kept_ends_seen_;
   bool leading_ = false;
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -281,6 +281,7 @@
 void StoreProgram::updateLeadership() {
   const Instant now = monotonicNow();
   if (group_->isConfirmedLeader()) confirmed_at_ = now;
+  executor_->noteConfirmed(confirmed_at_);
   // A leader that is briefly not confirmed by a quorum continues; the group ends its leadership if that lasts.
   const bool same_leadership = executor_->isLeading() && group_->isLeader() && group_->term() == executor_->term();
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -468,3 +468,16 @@
   fixture.executor().noteMembersKeepEnds(false);
   REQUIRE(nextDrops().empty());
 }
+
+// Guards against a leader that stood still and orders items of jobs that its successor has ended.
+TEST_CASE("a leader that no quorum has confirmed for a while orders nothing", "[store][executor]") {
+  ExecutorFixture fixture;
+  const Instant now = connection::monotonicNow();
+  fixture.executor().noteConfirmed(now - std::chrono::seconds(3));
+  fixture.executor().setLeading(true, 1);
+  fixture.executor().tick(now);
+  REQUIRE(fixture.orders() == 0);
+  fixture.executor().noteConfirmed(now);
+  fixture.executor().tick(now);
+  REQUIRE(fixture.orders() == 1);
+}
