--- a/src/process/store/item_runner.cpp
+++ b/src/process/store/item_runner.cpp
@@ -144,7 +144,8 @@
   news.number = order.number;
   news.sequence = 1;
   news.ended = true;
-  news.end = RunEnd::kDeclined;
+  // Not declined: that would count as a decline of an engine for what the item asks for.
+  news.end = RunEnd::kBroken;
   news.cause = "the order may be older than the lease";
   unreported_ends_.push_back(std::move(news));
   reportSoon();
@@ -286,7 +287,7 @@
   if (!*alive) co_return;
   run->news.end = RunEnd::kBroken;
   if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
-    if (!failure->may_have_run) run->news.end = RunEnd::kDeclined;
+    if (!failure->may_have_run && !failure->was_withheld) run->news.end = RunEnd::kDeclined;
     run->news.cause = failure->cause;
     run->news.verdict = failure->was_withheld ? EngineVerdict::kNeutral : EngineVerdict::kFailed;
   } else {
--- a/tests/process/store/item_answers_test.cpp
+++ b/tests/process/store/item_answers_test.cpp
@@ -102,7 +102,9 @@
   // Longer than the start delay of a new leader.
   const Instant later = monotonicNow() + fromMillis(400);
   stores.runUntil([&] { return monotonicNow() > later; });
+  REQUIRE(stores.ordersSent() == 1);
   stores.setDropReports(false);
   REQUIRE(stores.runUntil([&] { return stores.isListed(); }));
   REQUIRE(stores.runsAtEngine() == 1);
+  REQUIRE(stores.ordersSent() == 1);
 }
--- a/tests/process/store/store_pair.hpp
+++ b/tests/process/store/store_pair.hpp
@@ -70,6 +70,8 @@
     const Instant later = connection::monotonicNow() + time;
     runUntil([later] { return connection::monotonicNow() > later; });
   }
+  /// Number of orders that leaders have sent.
+  std::size_t ordersSent() const { return orders_sent_; }
   /// Drops the reports of stores, or delivers them again.
   void setDropReports(bool lost) { drops_reports_ = lost; }
   JobExecutor& leader() { return *stores_[leader_].executor; }
@@ -118,6 +120,7 @@
   }
 
   void deliver(const ReplicaId& to, const fleet::FleetMessage& message) {
+    if (std::holds_alternative<fleet::RunOrder>(message)) ++orders_sent_;
     const bool is_report = std::holds_alternative<fleet::RunReport>(message);
     if (is_report && drops_reports_) return;
     connection::asio::post(context_, [this, to, frame = encodeTagged(message)] {
@@ -147,6 +150,7 @@
   std::uint64_t term_ = 0;
   Instant next_tick_{};
   bool drops_reports_ = false;
+  std::size_t orders_sent_ = 0;
 };
 
 }  // namespace hatchfork::store
--- a/tests/soak/ended_jobs.py
+++ b/tests/soak/ended_jobs.py
@@ -241,6 +241,9 @@
         ended = sum(1 for job in self.jobs if job.ended_at)
         accepted = sum(1 for job in self.jobs if job.accepted_at)
         self.check.that(ended > 0 and (accepted > 0 or self.scenario.ends_first), "no job was ended or accepted")
+        if self.scenario.ends_first:
+            answers = [status for job in self.jobs for _, _, status in job.tries]
+            self.check.that(answers and set(answers) == {409}, f"submissions of ended jobs were answered {answers}")
         print(f"jobs={len(self.jobs)} accepted={accepted} ended={ended} late_jobs={late} runs={len(self.begun)}")
 
 
