HTTP: ports whose requests need no body take none of length

What was seen: 12 clients that each sent 16 MB of a body and not its end to the readiness port, or to the metrics port, made a gateway of 96 MB grow to 205 MB, for up to 30 s. Cause: these ports had the largest body of a server that takes jobs, and no budget. Now 4 KB, then 413.

--- a/src/process/exchange/gateway_program.cpp
+++ b/src/process/exchange/gateway_program.cpp
@@ -115,6 +115,7 @@
 
   connection::HttpServerOptions ready_options;
   ready_options.listen = settings_.readiness;
+  ready_options.largest_body = fleet::kMaxProbeBody;
   auto serve_readiness = [this](const connection::HttpRequest& request, connection::ResponseWriter& writer) {
     return handleReadiness(request, writer);
   };
--- a/src/process/fleet/metrics_server.cpp
+++ b/src/process/fleet/metrics_server.cpp
@@ -11,6 +11,7 @@
   if (!settings.metrics) return;
   path_ = settings.metrics->path;
   connection::HttpServerOptions options;
+  options.largest_body = kMaxProbeBody;
   options.listen = connection::Endpoint{settings.address, settings.metrics->port};
   auto serve = [this](const connection::HttpRequest& request, connection::ResponseWriter& writer) {
     return handle(request, writer);
--- a/src/process/fleet/metrics_server.hpp
+++ b/src/process/fleet/metrics_server.hpp
@@ -12,6 +12,9 @@
 
 namespace hatchfork::fleet {
 
+/// Largest body at ports for probes and metrics, whose requests need none.
+inline constexpr std::uint64_t kMaxProbeBody = 4096;
+
 /// Serves a process's metrics at the address of its settings; does nothing where they name none. Belongs to one thread.
 class MetricsServer {
  public:
--- a/tests/soak/endless_requests.py
+++ b/tests/soak/endless_requests.py
@@ -3,11 +3,11 @@
 
 Real processes on loopback, with the memory of a small machine in their settings. A crowd of clients sends to one port.
 
-    python3 tests/soak/endless_requests.py --scenario trailers|extensions|heads|nested|numbers|fields
+    python3 tests/soak/endless_requests.py --scenario trailers|extensions|heads|nested|numbers|fields|bodies
 
 trailers: behind a body in chunks; extensions: of one chunk; heads: of the header. nested, numbers: jobs whose bodies are
 within the limits, of arrays in arrays, of small numbers. fields: headers within the limits, of the shortest fields, whose
-bodies do not come.
+bodies do not come. bodies: long ones that do not end, at the ports of a gateway whose requests need none.
 
 For each port of a gateway and of a control process (trailers, extensions, heads), or for the port that takes such bodies:
 the process lives on, its memory and its open descriptors stay within bounds, and it answers an ordinary request afterwards.
@@ -30,6 +30,7 @@
 PIECE = 64 << 10
 MEMORY_MB = 96  # of a gateway, and of a control process
 MOST_DESCRIPTORS = 150  # once the crowd has left
+LONG_BODY = 16 << 20
 BODY = 4 << 20  # of a job: the largest body of the settings
 MOST_WAIT_S = 90  # for the crowd to be let go, or to have sent all
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
@@ -43,6 +44,7 @@
     endless: bytes = b""  # sent again and again
     once: bytes = b""
     crowd: int = CROWD
+    most: int = SENT_BY_EACH
     understood: int = 0  # status that shows that the process has taken in what is sent once
 
 
@@ -81,9 +83,10 @@
     "heads": Attack(head=b"POST /safe/a HTTP/1.1\r\n", endless=b"a: " + PADDING + b"\r\n"),
     "nested": Attack(once=job_of(nested), understood=400),
     "numbers": Attack(once=job_of(numbers), understood=400),
+    "bodies": Attack(head=post("/", f"Content-Length: {LONG_BODY}"), endless=PADDING, most=LONG_BODY, understood=413),
     "fields": Attack(once=post("/safe/a", "Content-Length: 100", *SHORT_FIELDS), crowd=400, understood=408),
 }
-REFUSALS = (400, 408, 431, 503)
+REFUSALS = (400, 408, 413, 431, 503)
 AT_ALL_PORTS = ("trailers", "extensions", "heads")
 
 
@@ -103,6 +106,8 @@
         gateway, control = self.fleet.processes["gateway-1"], self.fleet.processes["control-1"]
         host = self.fleet.gateways[0].split(":")[0]
         ports = [(gateway, self.fleet.gateways[0], ("POST", "/safe/a"))]
+        if self.options.scenario == "bodies":
+            return [(gateway, f"{host}:7002", ("GET", "/v1/readyz")), (gateway, f"{host}:9464", ("GET", "/metrics"))]
         if self.options.scenario in AT_ALL_PORTS:
             ports += [(gateway, f"{host}:7002", ("GET", "/v1/readyz")), (gateway, f"{host}:9464", ("GET", "/metrics")),
                       (control, self.fleet.controls[0], ("GET", "/v1/config"))]
@@ -119,11 +124,11 @@
         try:
             writer.write(self.attack.head + self.attack.once)
             piece = self.attack.endless * (PIECE // max(1, len(self.attack.endless)))
-            while piece and sent < SENT_BY_EACH:
+            while piece and sent + len(piece) <= self.attack.most:
                 writer.write(piece)
                 await asyncio.wait_for(writer.drain(), MOST_WAIT_S)
                 sent += len(piece)
-            if not piece:
+            if self.attack.understood:
                 status, _ = await asyncio.wait_for(read_head(reader), MOST_WAIT_S)
                 self.answers[status] = self.answers.get(status, 0) + 1
         except CALL_ERRORS:
