Stores: a new leader begins to keep ends before it serves

The leader proposes it now when it begins to lead, and in each tick until it is applied.

Unit tests of the executor as before.

--- a/src/process/store/job_executor.cpp
+++ b/src/process/store/job_executor.cpp
@@ -110,6 +110,7 @@
             {"waiting", queue_.size()},
             {"items_with_failures", failing},
             {"version", routes_.version()}});
+  beginToKeepEnds();
   sendLeases(now);
   pump();
 }
@@ -136,6 +137,7 @@
   saving_ = false;
   text_requests_.clear();
   kept_ends_seen_.clear();
+  beginning_to_keep_ends_ = false;
   run_table_.clear();
   routes_.forgetAll();
 }
@@ -204,6 +206,7 @@
 
 void JobExecutor::tick(Instant now) {
   if (!leading_) return;
+  beginToKeepEnds();
   breakRuns(run_table_.takeLost(now));
   breakRuns(text_requests_.overdue(now));
   preemptExcessRuns(now);
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -308,6 +308,8 @@
   /// Lists an item that does not run as errored.
   void giveUp(const ItemPtr& run, std::string_view cause);
   void dropOldJobs(Instant now);
+  /// Has the group keep the ends of jobs that it does not have, once all its members do so.
+  void beginToKeepEnds();
   /// Returns the entry of the log up to which kept ends are old enough to be removed; zero if there are none.
   consensus::LogIndex oldEnds(Instant now);
   /// Proposes results one proposal at a time, so that runs that end meanwhile share the next one; several at a time
@@ -339,6 +341,8 @@
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
   bool members_keep_ends_ = false;
+  /// The entry that begins it is being proposed.
+  bool beginning_to_keep_ends_ = false;
   /// When a quorum last confirmed a leadership; unset where nobody tells.
   std::optional<Instant> confirmed_at_;
   /// The newest kept end, at each time when it had changed; the oldest time first.
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -72,16 +72,24 @@
 void JobExecutor::dropOldJobs(Instant now) {
   const WallMillis wall = connection::wallNow();
   DropJobs drop;
-  drop.begins_to_keep_ends = members_keep_ends_ && !state_->keepsEnds();
   drop.ends_through = oldEnds(now);
   for (const auto& [id, job] : state_->jobs()) {
     const Duration age = fromMillis(wall - job.submission.submitted_at);
     if (job.isFinished() && age > kFinishedJobRetention) drop.jobs.push_back(id);
   }
-  if (drop.jobs.empty() && drop.ends_through == 0 && !drop.begins_to_keep_ends) return;
+  if (drop.jobs.empty() && drop.ends_through == 0) return;
   propose_(std::move(drop), [](bool) {});
 }
 
+void JobExecutor::beginToKeepEnds() {
+  if (!members_keep_ends_ || state_->keepsEnds() || std::exchange(beginning_to_keep_ends_, true)) return;
+  DropJobs begin;
+  begin.begins_to_keep_ends = true;
+  propose_(std::move(begin), [this, alive = alive_](bool) {
+    if (*alive) beginning_to_keep_ends_ = false;
+  });
+}
+
 consensus::LogIndex JobExecutor::oldEnds(Instant now) {
   const consensus::LogIndex newest = state_->keptEnds().newest();
   const bool is_new = newest != 0 && (kept_ends_seen_.empty() || kept_ends_seen_.back().newest != newest);
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -280,6 +280,9 @@
 
 void StoreProgram::updateLeadership() {
   const Instant now = monotonicNow();
+  if (group_->isLeader() && !state_->keepsEnds()) {
+    executor_->noteMembersKeepEnds(leastMemberRelease() >= kKeptEndRelease);
+  }
   if (group_->isConfirmedLeader()) confirmed_at_ = now;
   executor_->noteConfirmed(confirmed_at_);
   // A leader that is briefly not confirmed by a quorum continues; the group ends its leadership if that lasts.
@@ -349,7 +352,6 @@
   links_.dropUnused(now);
   if (now < next_trim_) return;
   next_trim_ = now + kTrimInterval;
-  executor_->noteMembersKeepEnds(leastMemberRelease() >= kKeptEndRelease);
   handlers_.logPeriod(now);
   measureMemory();
   rate_limits_.expire(now);
