--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kMostIdlePerEndpoint = 256;
 constexpr std::size_t kPieceBytes = 16384;
 constexpr Duration kConnectTimeout = std::chrono::seconds(2);
-/// Largest header, trailer or head of a chunk of an answer; a larger one breaks the connection.
+/// What is held of an answer before it is parsed: its header, trailers, heads of chunks. More breaks the connection.
 constexpr std::size_t kMaxUnparsedBytes = 64u << 10;
 
 Error notSent(const Endpoint& endpoint, const std::string& cause) {
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -206,8 +206,8 @@
     }
   }
 
-  /// Counts a request's body until the request has ended: it is kept to be sent again.
-  std::unique_ptr<HeldBytes> holdBody(std::size_t bytes) {
+  /// Counts bytes of a request until it has ended: its body is kept to be sent again.
+  std::unique_ptr<HeldBytes> holdRequestBytes(std::size_t bytes) {
     if (!shared_->options.slow_readers || bytes == 0) return nullptr;
     return shared_->options.slow_readers->hold(PeerSide::kCaller, peer_, bytes, nullptr);
   }
@@ -217,7 +217,7 @@
     const auto fields = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
     if (!shared_->options.slow_readers || fields <= kOrdinaryFields) return true;
     if (!shared_->options.slow_readers->hasRoom()) return false;
-    header_ = holdBody(fields * kFieldBytes);
+    header_ = holdRequestBytes(fields * kFieldBytes);
     return true;
   }
 
@@ -247,7 +247,7 @@
         co_return;
       }
     }
-    body_ = holdBody(std::min(length, shared_->options.largest_body));
+    body_ = holdRequestBytes(std::min(length, shared_->options.largest_body));
     co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
   }
 
@@ -325,7 +325,7 @@
     if (!error && !holdHeader(parser)) {
       lacks_room_ = true;
       error = beast::error::timeout;
-      // The answer may take seconds.
+      // Frees the tables of the header now: the answer may take seconds.
       parser.release();
     }
     if (!error && !parser.is_done()) co_await receiveBody(parser, error);
--- a/src/process/exchange/gateway_program_requests.cpp
+++ b/src/process/exchange/gateway_program_requests.cpp
@@ -178,7 +178,7 @@
       co_return;
     }
     const TenantId submitter = tenant == nullptr ? TenantId() : tenant->id;
-    // A submission is finished for a caller that has left, too: its answer may have been lost on the way only.
+    // Has `peerGone` tell whether the caller has left; its submission is finished all the same.
     writer.watchPeer([] {});
     HttpResponse response = co_await jobs_.submit(*route, routes->version(), submitter, request);
     if (writer.peerGone()) {
--- a/src/process/store/item_runner.hpp
+++ b/src/process/store/item_runner.hpp
@@ -132,7 +132,7 @@
   ReportFunction report_;
   connection::EngineClient engines_;
   std::map<std::uint64_t, RunPtr> runs_;
-  /// Runs that were stopped before their orders arrived, the newest last.
+  /// Stops of runs that were not here, since they had ended or their orders had not arrived; the newest last.
   std::deque<std::uint64_t> early_stops_;
   /// Ended runs that have not been reported.
   std::vector<fleet::RunNews> unreported_ends_;
