--- a/tests/soak/mixed_releases.py
+++ b/tests/soak/mixed_releases.py
@@ -15,7 +15,8 @@
 import time
 from pathlib import Path
 
-import soak as soaks
+import soak as soaks  # makes the others known
+import job_results
 from stand_in import call, document, eventually, new_id, request_headers
 
 RATE = 10  # requests a second of the limited tenant
@@ -45,6 +46,7 @@
 # The soak's own callers are the tenant without a limit.
 soaks.request_headers = headers_of_free
 soaks.call = call_as_free
+job_results.call = call_as_free
 
 TENANTS = [tenant("limited", LIMITED_KEY, RATE, BURST), tenant("free", FREE_KEY)]
 
