Frames: a frame takes memory as it arrives, not as it is announced

What was seen: eight peers that each announce a frame of 32 MB by four bytes, and send five more, made a process hold 268 MB. Clients do not reach these ports; a peer with a fault does. Cause: the whole frame was allocated and written when its length had come. Now its memory grows with what has arrived, by doubling, never beyond its length.

Evidence: unit test 'a frame takes memory as it arrives, not as it is announced', 268 MB before (failed), below 4 MB now; it also receives a frame of the largest length. Tests [connection] pass.

--- a/src/connection/frame_connection.cpp
+++ b/src/connection/frame_connection.cpp
@@ -11,6 +11,8 @@
 namespace hatchfork::connection {
 namespace {
 
+/// Memory that a frame takes before more than that of it has come.
+constexpr std::size_t kFirstPieceBytes = 64u << 10;
 constexpr std::size_t kMostQueuedBytes = 64u << 20;
 /// Processes that start together refuse each other for some milliseconds; one that is away for long is tried seldom.
 constexpr Duration kFirstPause = fromMillis(5);
@@ -44,6 +46,17 @@
   std::size_t bytes_;
 };
 
+/// Receives the next piece of a frame's body. Its memory grows with what has come, since a peer may announce more than
+/// it sends.
+Awaitable<void> readMore(tcp::socket& socket, std::string& body, std::size_t length, boost::system::error_code& error) {
+  const std::size_t received = body.size();
+  const std::size_t next = std::min(length, std::max(kFirstPieceBytes, 2 * received));
+  body.reserve(next);
+  body.resize(next);
+  const auto piece = asio::buffer(body.data() + received, next - received);
+  co_await asio::async_read(socket, piece, asio::redirect_error(asio::use_awaitable, error));
+}
+
 std::array<unsigned char, 4> encodeLength(std::uint32_t length) {
   return {static_cast<unsigned char>(length >> 24), static_cast<unsigned char>(length >> 16),
           static_cast<unsigned char>(length >> 8), static_cast<unsigned char>(length)};
@@ -146,8 +159,8 @@
       break;
     }
     const IncomingFrame counted(length);
-    std::string body(length, '\0');
-    co_await asio::async_read(socket_, asio::buffer(body), asio::redirect_error(asio::use_awaitable, error));
+    std::string body;
+    while (!error && body.size() < length) co_await readMore(socket_, body, length, error);
     if (error) break;
     bytes_received_ += header.size() + body.size();
     if (open_ && on_frame_) on_frame_(std::move(body));
--- a/tests/connection/frame_connection_test.cpp
+++ b/tests/connection/frame_connection_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "connection/frame_server.hpp"
+#include "tests/common/heap_meter.hpp"
 
 using namespace hatchfork;
 using namespace hatchfork::connection;
@@ -70,3 +71,34 @@
   for (const auto& connection : accepted) connection->close();
   context.run_for(std::chrono::milliseconds(50));
 }
+
+// Guards against peers that fill a process by announcing frames.
+TEST_CASE("a frame takes memory as it arrives, not as it is announced", "[connection][memory]") {
+  constexpr int kPeers = 8;
+  constexpr std::uint32_t kAnnounced = 32u << 20;
+  asio::io_context context;
+  std::size_t received = 0;
+  FrameServer server(
+      context, Endpoint{"127.0.0.1", kPort},
+      [&](const std::string& body, const FrameServer::ConnectionPtr&) { received += body.size(); }, nullptr);
+  REQUIRE(isOk(server.start()));
+  std::vector<tcp::socket> peers;
+  const std::size_t before = HeapMeter::held();
+  HeapMeter::resetPeak();
+  for (int i = 0; i < kPeers; ++i) {
+    peers.push_back(connectTo(context));
+    asio::write(peers.back(), asio::buffer(std::string("\x02\0\0\0begin", 9)));
+  }
+  const Instant give_up = monotonicNow() + std::chrono::seconds(20);
+  while (FrameConnection::incomingBytesOfProcess() < std::size_t{kPeers} * kAnnounced && monotonicNow() < give_up) {
+    context.run_for(fromMillis(10));
+  }
+  REQUIRE(FrameConnection::incomingBytesOfProcess() == std::size_t{kPeers} * kAnnounced);
+  context.run_for(fromMillis(50));
+  CHECK(HeapMeter::peak() - before < (4u << 20));
+  // A frame of the largest length arrives whole all the same.
+  std::string rest(kAnnounced - 5, 'x');
+  asio::async_write(peers.front(), asio::buffer(rest), [](boost::system::error_code, std::size_t) {});
+  while (received == 0 && monotonicNow() < give_up) context.run_for(fromMillis(10));
+  CHECK(received == kAnnounced);
+}
