--- a/tests/recorded/recorded_formats_test.cpp
+++ b/tests/recorded/recorded_formats_test.cpp
@@ -87,6 +87,25 @@
   }
 }
 
+/// What the commands of a release, applied here one after the other, give as a state.
+template <class Machine>
+nlohmann::json stateAfter(const std::map<std::string, std::string>& lines, const std::string& name) {
+  Machine machine;
+  for (consensus::LogIndex index = 1; lines.contains(name + "_command." + std::to_string(index)); ++index) {
+    machine.apply(index, lines.at(name + "_command." + std::to_string(index)));
+  }
+  return decoded(machine.snapshot());
+}
+
+TEST_CASE("The log of an older release gives the state that its snapshot gives", "[upgrade][recorded]") {
+  for (const std::string& release : kReleases) {
+    INFO(release);
+    const auto lines = recorded::readHexFile((kRecorded / release / "samples.txt").string());
+    CHECK(holdsAll(stateAfter<store::JobState>(lines, "jobs"), decoded(lines.at("jobs_snapshot"))));
+    CHECK(holdsAll(stateAfter<fleet::FleetState>(lines, "fleet"), decoded(lines.at("fleet_snapshot"))));
+  }
+}
+
 TEST_CASE("What this release writes holds all that older releases read", "[upgrade][recorded]") {
   for (const std::string& release : kReleases) {
     const auto lines = recorded::readHexFile((kRecorded / release / "samples.txt").string());
