Tests: requests at the limits of the configuration are served

The first form submitted the job before the stores had a leader and was answered 503 'no leader'; it waits for a small job now.

--- a/tests/soak/endless_requests.py
+++ b/tests/soak/endless_requests.py
@@ -3,17 +3,20 @@
 
 Real processes on loopback, with the memory of a small machine in their settings. A crowd of clients sends to one port.
 
-    python3 tests/soak/endless_requests.py --scenario trailers|extensions|heads|nested|numbers|fields|bodies
+    python3 tests/soak/endless_requests.py --scenario trailers|extensions|heads|nested|numbers|fields|bodies|allowed
 
 trailers: behind a body in chunks; extensions: of one chunk; heads: of the header. nested, numbers: jobs whose bodies are
 within the limits, of arrays in arrays, of small numbers. fields: headers within the limits, of the shortest fields, whose
 bodies do not come. bodies: long ones that do not end, at the ports of a gateway whose requests need none.
+allowed: requests at the limits, one at a time: each is served.
 
 For each port of a gateway and of a control process (trailers, extensions, heads), or for the port that takes such bodies:
 the process lives on, its memory and its open descriptors stay within bounds, and it answers an ordinary request afterwards.
 """
 import asyncio
+import json
 import os
+import random
 import re
 import sys
 from dataclasses import dataclass
@@ -84,9 +87,25 @@
     "nested": Attack(once=job_of(nested), understood=400),
     "numbers": Attack(once=job_of(numbers), understood=400),
     "bodies": Attack(head=post("/", f"Content-Length: {LONG_BODY}"), endless=PADDING, most=LONG_BODY, understood=413),
+    "allowed": Attack(),
     "fields": Attack(once=post("/safe/a", "Content-Length: 100", *SHORT_FIELDS), crowd=400, understood=408),
 }
 REFUSALS = (400, 408, 413, 431, 503)
+def at_limits():
+    """Requests at the limits of the settings, with the status of each."""
+    many_fields = post("/safe/a", f"X-Attempt-Id: {new_id()}", "X-Time-Remaining-Ms: 4000", "Content-Length: 1", *SHORT_FIELDS)
+    long_body = post("/safe/a", f"X-Attempt-Id: {new_id()}", "X-Time-Remaining-Ms: 4000", f"Content-Length: {BODY}")
+    chunks = (b"%x;name=value\r\n" % PIECE + b"x" * PIECE + b"\r\n") * (BODY // PIECE)
+    trailers = b"0\r\n" + (b"X-Late: " + PADDING + b"\r\n") * 12 + b"\r\n"
+    chunked = post("/safe/a", f"X-Attempt-Id: {new_id()}", "X-Time-Remaining-Ms: 4000", "Transfer-Encoding: chunked")
+    items = [{"Id": new_id(), "Path": "/batch/a", "Headers": {"X-Model": "m", "X-Token-Usage": "10,10"},
+              "Body": "c3RyZWFt" * 2500, "TokenCount": 20} for _ in range(200)]
+    job = json.dumps({"Requests": items}).encode()
+    submission = post("/batch/new", f"X-Attempt-Id: {new_id()}", f"Content-Length: {len(job)}")
+    return [("a header of many fields", many_fields + b"x", 200), ("a long body", long_body + b"x" * BODY, 200),
+            ("a long body in chunks with trailers", chunked + chunks + trailers, 200), ("a long job", submission + job, 202)]
+
+
 AT_ALL_PORTS = ("trailers", "extensions", "heads")
 
 
@@ -137,6 +156,20 @@
             writer.transport.abort()
         return sent
 
+    async def serve_allowed(self):
+        process, address, _ = self.ports()[0]
+        host, port = address.split(":")
+        small = [{"Id": new_id(), "Path": "/batch/a", "Headers": {}, "Body": "c3RyZWFt", "TokenCount": 20}]
+        await self.fleet.submit_job(self.check, small, random)  # the stores have a leader
+        for name, request, wanted in at_limits():
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request)
+            status, _ = await asyncio.wait_for(read_head(reader), MOST_WAIT_S)
+            writer.transport.abort()
+            self.check.that(status == wanted, f"{name} of {len(request)} bytes is answered {status}")
+            print(f"{name}: bytes={len(request)} status={status} peak_mb={self.peak_mb(process):.0f}", flush=True)
+        self.check.that(self.peak_mb(process) < MEMORY_MB, f"{process.name} grew to {self.peak_mb(process):.0f} MB")
+
     def peak_mb(self, process):
         status = Path(f"/proc/{process.child.pid}/status").read_text()
         return int(re.search(r"VmHWM:\s+(\d+)", status).group(1)) / 1024
@@ -177,6 +210,8 @@
             status, _, _ = await call(self.fleet.gateways[0], "POST", "/safe/a", PADDING * 2000, request_headers(), timeout=8)
             return status == 200
         await eventually(self.check, "the gateway takes long bodies", takes_long_bodies, seconds=30)
+        if self.options.scenario == "allowed":
+            return await self.serve_allowed()
         for process, address, ordinary in self.ports():
             await self.attack_port(process, address, ordinary)
 
