Tests: a tenant's ends hold for its own jobs only, and withstand another's by the thousand

Its first play failed once, traced: the first end was sent 0.08 s before its gateway had the configuration with the tenants in force, so it was an anonymous caller's, which holds for no tenant's job. It waits for that now.

--- a/tests/soak/ended_jobs.py
+++ b/tests/soak/ended_jobs.py
@@ -5,10 +5,11 @@
 Real processes on loopback. Clients submit jobs, give some submissions up and send them again elsewhere, end most of the
 jobs at any gateway, and resend some ends and submissions. Meanwhile processes stand still or are killed.
 
-    python3 tests/soak/ended_jobs.py --scenario early|gateways|leaders|kills|stores [--seed 1] [--seconds 30]
+    python3 tests/soak/ended_jobs.py --scenario early|gateways|leaders|kills|stores|tenants [--seed 1] [--seconds 30]
 
 early: clients end jobs that they submit afterwards. gateways, leaders, stores: gateways, the leading store, another store
-stand still in turn for seconds. kills: the leading store is killed and starts again.
+stand still in turn for seconds. kills: the leading store is killed and starts again. tenants: one tenant ends jobs that it
+has not submitted by the thousand; another's ends hold, and its jobs of the same identifiers run.
 
 No item may reach an engine later than CANCEL_S after the end of its job was acknowledged, from whatever process. What is
 not ended is completed, and what was accepted stays known.
@@ -17,6 +18,7 @@
 import base64
 import json
 import random
+import re
 import signal
 import sys
 import time
@@ -28,7 +30,7 @@
 from fleet import Fleet  # noqa: E402
 from job_results import JobResults  # noqa: E402
 from scenarios import run_scenario  # noqa: E402
-from stand_in import Check, Engine, call, new_id  # noqa: E402
+from stand_in import Check, Engine, call, document, eventually, new_id  # noqa: E402
 
 CANCEL_S = 3.0  # after the acknowledged end of a job, from which on none of its items may reach an engine
 ITEMS = 10  # of a job
@@ -38,6 +40,9 @@
 SETTLE_S = 9.0  # after the last call, for items that come late
 DONE_WITHIN_S = 60
 LONGEST_TRY_S = 3.6
+FLOOD = 6000  # ends of unknown jobs, twice as many as are kept of a tenant
+FLOOD_CLIENTS = 24
+MOST_GROWTH_MB = 32  # of a store by them; at most 4 MB of ends are kept, in the state and in the log
 NEVER_ENDED_SHARE = 0.1
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
 
@@ -60,6 +65,7 @@
     "leaders": Scenario(clients=40, faults="leaders", out_s=(3.2, 6.0)),
     "kills": Scenario(clients=40, faults="kills", out_s=(0.5, 2.0)),
     "stores": Scenario(clients=40, faults="stores", out_s=(3.2, 6.0)),
+    "tenants": Scenario(clients=0),
 }
 
 
@@ -104,13 +110,17 @@
         self.jobs.append(job)
         return job
 
-    async def submit_once(self, job, timeout):
+    @staticmethod
+    def document_of(job):
         requests = [{"Id": item, "Path": f"/batch/{item}", "Headers": {"X-Model": "m", "X-Token-Usage": "10,10"},
                      "Body": base64.b64encode(b"stream").decode(), "TokenCount": 20} for item in job.items]
+        return json.dumps({"Requests": requests})
+
+    async def submit_once(self, job, timeout):
         gateway = self.random.choice(self.fleet.gateways)
         sent_at = time.monotonic()
         try:
-            status, _, _ = await call(gateway, "POST", "/batch/new", json.dumps({"Requests": requests}),
+            status, _, _ = await call(gateway, "POST", "/batch/new", self.document_of(job),
                                       {"X-Attempt-Id": job.id, "Content-Type": "application/json"}, timeout=timeout)
         except CALL_ERRORS:
             status = 0
@@ -226,8 +236,60 @@
         except CALL_ERRORS:
             await asyncio.sleep(0.1)
 
+    async def as_tenant(self, name, method, target, body=b"", job=""):
+        headers = {"Authorization": f"Bearer key-{name}", "X-Attempt-Id": job, "Content-Type": "application/json"}
+        status, _, _ = await call(self.random.choice(self.fleet.gateways), method, target, body, headers, timeout=5)
+        return status
+
+    async def until_status(self, wanted, name, method, target, body=b"", job=""):
+        async def has_status():
+            return await self.as_tenant(name, method, target, body, job) == wanted
+        return await eventually(self.check, f"{method} {target} of {name} is answered {wanted}", has_status, seconds=30)
+
+    async def flood(self, count):
+        for _ in range(count):
+            await self.until_status(200, "loud", "DELETE", f"/v1/lots/{new_id()}")
+
+    def resident_mb(self):
+        sizes = []
+        for store in self.fleet.of_role("store"):
+            status = Path(f"/proc/{store.child.pid}/status").read_text()
+            sizes.append(int(re.search(r"VmRSS:\s+(\d+)", status).group(1)) / 1024)
+        return max(sizes)
+
+    async def play_tenants(self):
+        tenants = [{"Name": name, "ApiKeys": [f"key-{name}"], "Priority": 0, "RatePerS": 0, "Burst": 0}
+                   for name in ("loud", "quiet")]
+
+        async def taken():
+            status, _, _ = await call(self.fleet.controls[0], "PUT", "/v1/config", document(6, tenants=tenants), timeout=2)
+            return status == 200
+        await eventually(self.check, "the configuration with tenants is taken", taken, seconds=30)
+        for gateway in self.fleet.gateways:
+            async def knows_tenants():
+                status, _, _ = await call(gateway, "DELETE", f"/v1/lots/{new_id()}", timeout=5)
+                return status == 401
+            await eventually(self.check, f"{gateway} asks for keys", knows_tenants, seconds=30)
+        ended, shared = self.new_job(), self.new_job()
+        await self.until_status(200, "quiet", "DELETE", f"/v1/lots/{ended.id}")
+        await self.until_status(200, "loud", "DELETE", f"/v1/lots/{shared.id}")
+        before_mb = self.resident_mb()
+        await asyncio.gather(*(self.flood(FLOOD // FLOOD_CLIENTS) for _ in range(FLOOD_CLIENTS)))
+        grown_mb = self.resident_mb() - before_mb
+        await self.until_status(409, "quiet", "POST", "/batch/new", self.document_of(ended), ended.id)
+        await self.until_status(202, "quiet", "POST", "/batch/new", self.document_of(shared), shared.id)
+
+        async def has_run():
+            return {item for _, item, _ in self.begun} >= set(shared.items)
+        await eventually(self.check, "a job runs whose identifier another tenant has ended", has_run, seconds=30)
+        self.check.that(not set(ended.items) & {item for _, item, _ in self.begun}, "items of an ended job ran")
+        self.check.that(grown_mb < MOST_GROWTH_MB, f"a store grew by {grown_mb:.0f} MB")
+        print(f"ends={FLOOD} grown_mb={grown_mb:.0f}")
+
     async def run(self):
         await self.fleet.form(self.check, self.engines)
+        if self.options.scenario == "tenants":
+            return await self.play_tenants()
         started = time.monotonic()
         clients = [asyncio.create_task(self.client()) for _ in range(self.scenario.clients)]
         faults = asyncio.create_task(self.disturb(started))
