--- a/tests/soak/ended_jobs.py
+++ b/tests/soak/ended_jobs.py
@@ -5,11 +5,12 @@
 Real processes on loopback. Clients submit jobs, give some submissions up and send them again elsewhere, end most of the
 jobs at any gateway, and resend some ends and submissions. Meanwhile processes stand still or are killed.
 
-    python3 tests/soak/ended_jobs.py --scenario early|gateways|leaders|kills|stores|tenants [--seed 1] [--seconds 30]
+    python3 tests/soak/ended_jobs.py --scenario early [--seed 1] [--seconds 30]
 
-early: clients end jobs that they submit afterwards. gateways, leaders, stores: gateways, the leading store, another store
-stand still in turn for seconds. kills: the leading store is killed and starts again. tenants: one tenant ends jobs that it
-has not submitted by the thousand; another's ends hold, and its jobs of the same identifiers run.
+early: clients end jobs that they submit afterwards. founding: many do so, from before the stores have formed their group.
+gateways, leaders, stores: gateways, the leading store, another store stand still in turn for seconds. kills: the leading
+store is killed and starts again. tenants: one tenant ends jobs that it has not submitted by the thousand; another's ends
+hold, and its jobs of the same identifiers run.
 
 No item may reach an engine later than CANCEL_S after the end of its job was acknowledged, from whatever process. What is
 not ended is completed, and what was accepted stays known.
@@ -56,11 +57,13 @@
     out_s: tuple = (0.0, 0.0)
     pause_s: tuple = (1.0, 2.5)
     ends_first: bool = False
+    from_start: bool = False  # clients begin before the stores have formed their group
     given_up: float = 0.4  # share of the submissions that may be given up before they are answered
 
 
 SCENARIOS = {
     "early": Scenario(clients=8, ends_first=True),
+    "founding": Scenario(clients=60, ends_first=True, from_start=True),
     "gateways": Scenario(clients=40, faults="gateways", out_s=(3.2, 6.0), given_up=0.8),
     "leaders": Scenario(clients=40, faults="leaders", out_s=(3.2, 6.0)),
     "kills": Scenario(clients=40, faults="kills", out_s=(0.5, 2.0)),
@@ -286,12 +289,17 @@
         self.check.that(grown_mb < MOST_GROWTH_MB, f"a store grew by {grown_mb:.0f} MB")
         print(f"ends={FLOOD} grown_mb={grown_mb:.0f}")
 
+    def start_clients(self):
+        return [asyncio.create_task(self.client()) for _ in range(self.scenario.clients)]
+
     async def run(self):
-        await self.fleet.form(self.check, self.engines)
         if self.options.scenario == "tenants":
+            await self.fleet.form(self.check, self.engines)
             return await self.play_tenants()
+        clients = self.start_clients() if self.scenario.from_start else []
+        await self.fleet.form(self.check, self.engines)
+        clients = clients or self.start_clients()
         started = time.monotonic()
-        clients = [asyncio.create_task(self.client()) for _ in range(self.scenario.clients)]
         faults = asyncio.create_task(self.disturb(started))
         await asyncio.sleep(self.options.seconds)
         self.going = False
