Stores: an end that a group forgets is acknowledged only while an older member keeps it from being kept

Proposing earlier would only narrow the window: ends are also forwarded by other stores, and the leader may not know the releases of all members yet. Change: the store that served the end answers unavailable, and the gateway asks again within its own limit, as it does when there is no leader. While a member, or a control process in between, is known to be of an older release, ends are forgotten and acknowledged as in that release. A member that has told no release at all does not count as older. Ruled out: a begin that was proposed and lost (all later ends of the same groups were kept), a leader that changed (one leadership_won in each trace).

--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -299,6 +299,14 @@
   return releases.lowestOf(members);
 }
 
+bool StoreProgram::hasMemberThatForgetsEnds() const {
+  const PeerReleases releases = fleet::releasesOf(feed_->view().stores);
+  const std::vector<consensus::Member> members = group_->status().membership.members;
+  return std::any_of(members.begin(), members.end(), [&](const consensus::Member& member) {
+    return releases.hasReported(member.id) && releases.of(member.id) < kKeptEndRelease;
+  });
+}
+
 void StoreProgram::scheduleStart() {
   start_timer_.expires_after(kStartDelay);
   start_timer_.async_wait([this](boost::system::error_code error) {
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -102,6 +102,9 @@
   void updateLeadership();
   /// Lowest release of all members of the group; `kUnknownRelease` if one of them has told none.
   ReleaseNumber leastMemberRelease() const;
+  /// True if a member of the group is known to be of a release that forgets the ends of jobs that the group does not
+  /// have. A member that has told no release is none of these.
+  bool hasMemberThatForgetsEnds() const;
   void noteChange(const JobId& job);
   /// Has the executor start waiting items after a moment, in which further reports may arrive.
   void scheduleStart();
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -128,8 +128,12 @@
 
 void StoreProgram::serve(EndJobRequest request, ReplyFunction reply) {
   const JobId id = request.job;
-  auto done = [id, reply = std::move(reply)](const ProposalOutcome& outcome) {
-    const StoreReply answer = replyOf(outcome);
+  auto done = [this, id, reply = std::move(reply)](const ProposalOutcome& outcome) {
+    const bool is_forgotten = outcome.result == ProposalResult::kApplied && outcome.reply == kApplyNoJob;
+    const bool can_be_kept = !hasMemberThatForgetsEnds();
+    const StoreReply answer = is_forgotten && can_be_kept
+                                  ? StoreReply(UnavailableReply{false, "the group does not keep ends yet"})
+                                  : replyOf(outcome);
     logEvent(LogLevel::kInfo, "job_ended",
              {{"job", id.value}, {"kept", std::holds_alternative<DoneReply>(answer)}, {"outcome", nameOf(outcome)}});
     reply(answer);
