Stores: ends are kept once all stores do so, not only the group's members; an untold release is not an older one

(1) The group began to keep ends when its members did. Any other store may become a member later: one of release 3 then passes over kept ends, its state differs from that of the others, and as a leader it takes late submissions. In an upgrade of more stores than a group has members this is the usual order. docs/design/upgrades.md, rule 4, asks for all processes of the role. (2) A control process that has just started lists the stores that it recalls without a release; took these for older ones, and their ends were forgotten and acknowledged. Change: both decisions are functions of the stores in the view, in group_releases; all of them must have told release 4, and each member must be one of them; older is only what has told an older release.

--- a/src/process/store/job_commands.hpp
+++ b/src/process/store/job_commands.hpp
@@ -90,7 +90,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ListResults, results)
 
 /// Ends a job: no further item of it is run. Returns `kApplyUnknown` for a job of another tenant. The end of a job that
-/// the group does not have is kept, if all members do so, so that a later submission of it is not accepted.
+/// the group does not have is kept, if all stores do so, so that a later submission of it is not accepted.
 struct EndJob {
   static constexpr std::string_view kKind = "end";
   JobId job;
@@ -105,7 +105,7 @@
   static constexpr std::string_view kKind = "drop";
   std::vector<JobId> jobs;
   /// From this entry on, the group keeps the ends of jobs that it does not have, and of ended jobs that it removes. Set
-  /// once all members of the group are of a release that does so; never by older releases.
+  /// once all stores are of a release that does so; never by older releases.
   bool begins_to_keep_ends = false;
   /// Kept ends up to this entry of the log are removed.
   consensus::LogIndex ends_through = 0;
--- a/src/process/store/job_executor.hpp
+++ b/src/process/store/job_executor.hpp
@@ -87,8 +87,8 @@
   void setState(const JobState& state) { state_ = &state; }
   /// Takes the view of the fleet; call it for each proof that the view is the newest, also where nothing has changed.
   void takeView(Instant now, const fleet::FleetView& view, const fleet::FleetChange& change);
-  /// Tells that each member of the group is of a release that keeps the ends of jobs that the group does not have.
-  void noteMembersKeepEnds(bool keep) { members_keep_ends_ = keep; }
+  /// Tells that each store is of a release that keeps the ends of jobs that the group does not have.
+  void noteStoresKeepEnds(bool keep) { stores_keep_ends_ = keep; }
   /// Starts or stops running items, with the term of the leadership.
   void setLeading(bool leading, std::uint64_t term);
   /// Notifies the executor that a job was submitted, changed or ended.
@@ -308,7 +308,7 @@
   /// Lists an item that does not run as errored.
   void giveUp(const ItemPtr& run, std::string_view cause);
   void dropOldJobs(Instant now);
-  /// Has the group keep the ends of jobs that it does not have, once all its members do so.
+  /// Has the group keep the ends of jobs that it does not have, once all stores do so.
   void beginToKeepEnds();
   /// Returns the entry of the log up to which kept ends are old enough to be removed; zero if there are none.
   consensus::LogIndex oldEnds(Instant now);
@@ -340,7 +340,7 @@
   JobRoutes routes_;
   /// Services of several builds; see `FleetView::mixed_services`.
   std::set<ServiceId> mixed_services_;
-  bool members_keep_ends_ = false;
+  bool stores_keep_ends_ = false;
   /// The entry that begins it is being proposed.
   bool beginning_to_keep_ends_ = false;
   /// When a quorum last confirmed a leadership; unset where nobody tells.
--- a/src/process/store/job_executor_giving_up.cpp
+++ b/src/process/store/job_executor_giving_up.cpp
@@ -82,7 +82,7 @@
 }
 
 void JobExecutor::beginToKeepEnds() {
-  if (!members_keep_ends_ || state_->keepsEnds() || std::exchange(beginning_to_keep_ends_, true)) return;
+  if (!stores_keep_ends_ || state_->keepsEnds() || std::exchange(beginning_to_keep_ends_, true)) return;
   DropJobs begin;
   begin.begins_to_keep_ends = true;
   propose_(std::move(begin), [this, alive = alive_](bool) {
--- a/src/process/store/job_state.hpp
+++ b/src/process/store/job_state.hpp
@@ -50,7 +50,7 @@
   std::uint64_t waitingTokens() const;
   /// Tokens of all items that this replica has listed so far; never decreases.
   std::uint64_t listedTokens() const { return listed_tokens_; }
-  /// True once all members keep the ends of jobs that the group does not have; then it stays so.
+  /// True once all stores keep the ends of jobs that the group does not have; then it stays so.
   bool keepsEnds() const { return keeps_ends_; }
   const KeptEnds& keptEnds() const { return kept_ends_; }
   /// Engine crashes that the group keeps, with the content of the request that ran.
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -11,6 +11,7 @@
 #include "connection/stop_signal.hpp"
 #include "process/memory/process_memory.hpp"
 #include "process/store/group_contacts.hpp"
+#include "process/store/group_releases.hpp"
 
 namespace hatchfork::store {
 
@@ -281,7 +282,7 @@
 void StoreProgram::updateLeadership() {
   const Instant now = monotonicNow();
   if (group_->isLeader() && !state_->keepsEnds()) {
-    executor_->noteMembersKeepEnds(leastMemberRelease() >= kKeptEndRelease);
+    executor_->noteStoresKeepEnds(canKeepEnds());
   }
   if (group_->isConfirmedLeader()) confirmed_at_ = now;
   executor_->noteConfirmed(confirmed_at_);
@@ -290,21 +291,12 @@
   executor_->setLeading(!stopping_ && (confirmed_at_ == now || same_leadership), group_->term());
 }
 
-/// A member that is not in the view may be of any release.
-ReleaseNumber StoreProgram::leastMemberRelease() const {
-  PeerReleases releases = fleet::releasesOf(feed_->view().stores);
-  releases.note(settings_.self(), kThisRelease);
+bool StoreProgram::canKeepEnds() const {
   std::vector<ReplicaId> members;
-  for (const consensus::Member& member : group_->status().membership.members) members.push_back(member.id);
-  return releases.lowestOf(members);
-}
-
-bool StoreProgram::hasMemberThatForgetsEnds() const {
-  const PeerReleases releases = fleet::releasesOf(feed_->view().stores);
-  const std::vector<consensus::Member> members = group_->status().membership.members;
-  return std::any_of(members.begin(), members.end(), [&](const consensus::Member& member) {
-    return releases.hasReported(member.id) && releases.of(member.id) < kKeptEndRelease;
-  });
+  for (const consensus::Member& member : group_->status().membership.members) {
+    if (member.id != settings_.self()) members.push_back(member.id);
+  }
+  return allKeepEnds(feed_->view().stores, members);
 }
 
 void StoreProgram::scheduleStart() {
--- a/src/process/store/store_program.hpp
+++ b/src/process/store/store_program.hpp
@@ -100,11 +100,8 @@
   /// Sends a frame with a run order or a run report to a store, which may be this process.
   bool sendToStore(const ReplicaId& to, const fleet::FleetMessage& message);
   void updateLeadership();
-  /// Lowest release of all members of the group; `kUnknownRelease` if one of them has told none.
-  ReleaseNumber leastMemberRelease() const;
-  /// True if a member of the group is known to be of a release that forgets the ends of jobs that the group does not
-  /// have. A member that has told no release is none of these.
-  bool hasMemberThatForgetsEnds() const;
+  /// True once no store is left that would forget the ends of jobs that the group does not have.
+  bool canKeepEnds() const;
   void noteChange(const JobId& job);
   /// Has the executor start waiting items after a moment, in which further reports may arrive.
   void scheduleStart();
--- a/src/process/store/store_program_requests.cpp
+++ b/src/process/store/store_program_requests.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "process/store/group_releases.hpp"
 #include "process/store/store_program.hpp"
 
 // Requests of gateways, and the replies.
@@ -130,7 +131,7 @@
   const JobId id = request.job;
   auto done = [this, id, reply = std::move(reply)](const ProposalOutcome& outcome) {
     const bool is_forgotten = outcome.result == ProposalResult::kApplied && outcome.reply == kApplyNoJob;
-    const bool can_be_kept = !hasMemberThatForgetsEnds();
+    const bool can_be_kept = !anyForgetsEnds(feed_->view().stores);
     const StoreReply answer = is_forgotten && can_be_kept
                                   ? StoreReply(UnavailableReply{false, "the group does not keep ends yet"})
                                   : replyOf(outcome);
--- a/src/version/release.hpp
+++ b/src/version/release.hpp
@@ -33,8 +33,6 @@
   void note(const ReplicaId& peer, ReleaseNumber release) { releases_[peer] = release; }
   void forget(const ReplicaId& peer) { releases_.erase(peer); }
 
-  /// True for a peer that was noted, of whatever release.
-  bool hasReported(const ReplicaId& peer) const { return releases_.contains(peer); }
   /// Returns `kUnknownRelease` for a peer that has not reported.
   ReleaseNumber of(const ReplicaId& peer) const {
     const auto found = releases_.find(peer);
--- a/tests/process/store/job_executor_test.cpp
+++ b/tests/process/store/job_executor_test.cpp
@@ -459,13 +459,13 @@
   };
   fixture.executor().setLeading(true, 1);
   REQUIRE(nextDrops().empty());
-  fixture.executor().noteMembersKeepEnds(true);
+  fixture.executor().noteStoresKeepEnds(true);
   const std::vector<DropJobs> drops = nextDrops();
   REQUIRE(drops.size() == 1);
   REQUIRE(drops.front().begins_to_keep_ends);
   REQUIRE(nextDrops().empty());
   // It stays so, whatever is heard of a member later.
-  fixture.executor().noteMembersKeepEnds(false);
+  fixture.executor().noteStoresKeepEnds(false);
   REQUIRE(nextDrops().empty());
 }
 
