Stores: a leader whose group keeps ends adds no replica of a release that can't

Change: announcements of replicas tell the sender's release (optional field, left out by releases before 4 and passed over by them); the plan of the membership adds no candidate below a least release, which the stores set once their state keeps ends. The view was ruled out as a source: it may be seconds old when the announcement comes. candidate_too_old is logged once for each replica.

--- a/src/process/consensus/membership_plan.cpp
+++ b/src/process/consensus/membership_plan.cpp
@@ -40,6 +40,8 @@
   bool isLostVoter(const ReplicaId& id) const { return id != input_.self && silence(id) >= limits_.voter_lost_after; }
   bool isRetiring(const ReplicaId& id) const { return input_.retiring.contains(id); }
 
+  bool isTooOld(const Candidate& candidate) const { return candidate.release < input_.least_release; }
+
   std::size_t voters() const {
     return static_cast<std::size_t>(std::count_if(input_.current.members.begin(), input_.current.members.end(),
                                                   [](const Member& member) { return member.voter; }));
@@ -63,7 +65,7 @@
   std::optional<Membership> replaceEmptied() const {
     for (const Candidate& candidate : input_.candidates) {
       const Member* member = findMember(input_.current, candidate.id);
-      if (member == nullptr || member->incarnation == candidate.incarnation) continue;
+      if (member == nullptr || member->incarnation == candidate.incarnation || isTooOld(candidate)) continue;
       // An announcement of the former incarnation may still be in flight while the new incarnation answers.
       if (silence(candidate.id) < kFormerSelfSilentFor) continue;
       Membership target = without(candidate.id);
@@ -143,7 +145,8 @@
     const bool replacing = hasVoterToReplace();
     if (learners >= input_.spare_learners + missing + (replacing ? 1 : 0)) return std::nullopt;
     for (const Candidate& candidate : input_.candidates) {
-      if (findMember(input_.current, candidate.id) != nullptr || isRetiring(candidate.id)) continue;
+      const bool is_member = findMember(input_.current, candidate.id) != nullptr;
+      if (is_member || isRetiring(candidate.id) || isTooOld(candidate)) continue;
       Membership target = input_.current;
       target.members.push_back(Member{candidate.id, candidate.incarnation, false});
       return target;
--- a/src/process/consensus/membership_plan.hpp
+++ b/src/process/consensus/membership_plan.hpp
@@ -19,6 +19,8 @@
   std::vector<Candidate> candidates;
   /// Members that an operator is draining; each is replaced before it is removed.
   std::set<ReplicaId> retiring;
+  /// No replica of an older release is added: it could not apply all commands of the group.
+  ReleaseNumber least_release = kUnknownRelease;
   /// Target number of voters; odd.
   std::size_t target_voters = 3;
   /// Learners kept beside the voters, to replace a lost voter.
--- a/src/process/consensus/messages.hpp
+++ b/src/process/consensus/messages.hpp
@@ -10,6 +10,7 @@
 #include "common/codec.hpp"
 #include "process/consensus/log_entry.hpp"
 #include "process/consensus/replicated_group.hpp"
+#include "version/release.hpp"
 
 /// Messages between the replicas of one group. Each travels in an `Envelope` that names both incarnations.
 namespace hatchfork::consensus {
@@ -25,8 +26,10 @@
   /// cluster yet.
   Membership pinned;
   bool answer_wanted = false;
+  /// Of the sender. Releases before 4 leave it out.
+  ReleaseNumber release = kUnknownRelease;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Hello, formed, pinned, answer_wanted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Hello, formed, pinned, answer_wanted, release)
 
 struct VoteRequest {
   static constexpr std::string_view kKind = "vote_request";
--- a/src/process/consensus/replica.hpp
+++ b/src/process/consensus/replica.hpp
@@ -65,6 +65,7 @@
     bool formed = false;
     Membership pinned;
     Instant received_at{};
+    ReleaseNumber release = kUnknownRelease;
   };
   struct HeartbeatRound {
     std::uint64_t number = 0;
--- a/src/process/consensus/replica_membership.cpp
+++ b/src/process/consensus/replica_membership.cpp
@@ -73,7 +73,7 @@
         std::max(kCandidateTimeouts * options_.timing.election_timeout, kHellosOfCandidate * helloInterval());
     const bool recent = now < heard.received_at + lifetime;
     const bool is_member = findMember(membership(), Identity{id, heard.incarnation}) != nullptr;
-    if (recent && !is_member) candidates.push_back(Candidate{id, heard.incarnation, heard.formed});
+    if (recent && !is_member) candidates.push_back(Candidate{id, heard.incarnation, heard.formed, heard.release});
   }
   return candidates;
 }
@@ -91,11 +91,11 @@
 }
 
 void Replica::announce(const ReplicaId& to, bool answer_wanted) {
-  send(Identity{to, 0}, Hello{record_.joined, record_.pinned, answer_wanted});
+  send(Identity{to, 0}, Hello{record_.joined, record_.pinned, answer_wanted, kThisRelease});
 }
 
 void Replica::handle(const Identity& from, const Envelope&, const Hello& hello) {
-  announcements_[from.id] = Announcement{from.incarnation, hello.formed, hello.pinned, now_};
+  announcements_[from.id] = Announcement{from.incarnation, hello.formed, hello.pinned, now_, hello.release};
   if (hello.answer_wanted) announce(from.id, /*answer_wanted=*/false);
   if (record_.joined) return;
   discardObsoleteAgreement(hello);
--- a/src/process/consensus/replicated_group.hpp
+++ b/src/process/consensus/replicated_group.hpp
@@ -15,6 +15,7 @@
 #include "common/time.hpp"
 #include "process/consensus/state_machine.hpp"
 #include "process/storage/disk.hpp"
+#include "version/release.hpp"
 
 namespace hatchfork::consensus {
 
@@ -105,6 +106,7 @@
   Incarnation incarnation = 0;
   /// True if it belonged to the cluster before, for example one that was removed while it was away.
   bool formed = false;
+  ReleaseNumber release = kUnknownRelease;
 };
 
 /// A leader's view of another member.
--- a/src/process/fleet/group_host.cpp
+++ b/src/process/fleet/group_host.cpp
@@ -189,6 +189,8 @@
   input.peers = replica_->peerHealth(now);
   input.candidates = replica_->candidates(now);
   input.retiring = retiring_;
+  input.least_release = least_release_;
+  logTooOld(input.candidates);
   input.target_voters = consensus::wantedVoters(status.membership.members.size(), options_.most_voters);
   const std::optional<consensus::Membership> target = consensus::planMembershipChange(input);
   if (!target) return;
@@ -204,6 +206,17 @@
   replica_->changeMembership(now, number, *target);
 }
 
+void GroupHost::logTooOld(const std::vector<consensus::Candidate>& candidates) {
+  for (const consensus::Candidate& candidate : candidates) {
+    if (candidate.release >= least_release_ || !too_old_.insert(candidate.id).second) continue;
+    logEvent(LogLevel::kWarning, "candidate_too_old",
+             {{"group", options_.group},
+              {"replica", candidate.id.value},
+              {"release", candidate.release},
+              {"least_release", least_release_}});
+  }
+}
+
 void GroupHost::receive(const GroupFrame& frame) {
   if (!replica_) return;
   replica_->receive(monotonicNow(), consensus::PeerMessage{frame.group, frame.from, frame.to, frame.body});
--- a/src/process/fleet/group_host.hpp
+++ b/src/process/fleet/group_host.hpp
@@ -81,6 +81,8 @@
   }
 
   void setContacts(std::vector<ReplicaId> contacts, std::size_t announcers);
+  /// The leader adds no replica of an older release to the group.
+  void setLeastRelease(ReleaseNumber release) { least_release_ = release; }
   void setRetiring(std::set<ReplicaId> retiring) { retiring_ = std::move(retiring); }
   void formWith(const consensus::Membership& initial);
   /// Hands leadership to another voter; for planned stops.
@@ -129,6 +131,7 @@
   void expire(Instant now);
   void reopenAfterFault(Instant now);
   void planMembership(Instant now);
+  void logTooOld(const std::vector<consensus::Candidate>& candidates);
   void logRoleChange();
   /// Passes a proposal on to the leader, unless one with its subject is under way there.
   void forward(const ReplicaId& leader, std::string command, Proposer proposer, std::string subject);
@@ -150,6 +153,9 @@
   std::vector<ReplicaId> contacts_;
   std::size_t announcers_ = 0;
   std::set<ReplicaId> retiring_;
+  ReleaseNumber least_release_ = kUnknownRelease;
+  /// Replicas that were not added for their release, each logged once.
+  std::set<ReplicaId> too_old_;
   consensus::Membership initial_;
   std::map<consensus::RequestNumber, Pending> pending_;
   /// Numbers of the pending proposals with a subject.
--- a/src/process/store/store_program.cpp
+++ b/src/process/store/store_program.cpp
@@ -284,6 +284,7 @@
   if (group_->isLeader() && !state_->keepsEnds()) {
     executor_->noteStoresKeepEnds(canKeepEnds());
   }
+  group_->setLeastRelease(state_->keepsEnds() ? kKeptEndRelease : kUnknownRelease);
   if (group_->isConfirmedLeader()) confirmed_at_ = now;
   executor_->noteConfirmed(confirmed_at_);
   // A leader that is briefly not confirmed by a quorum continues; the group ends its leadership if that lasts.
--- a/tests/process/consensus/membership_plan_test.cpp
+++ b/tests/process/consensus/membership_plan_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "process/consensus/membership.hpp"
+#include "process/consensus/messages.hpp"
 #include "tests/process/consensus/test_cluster.hpp"
 
 using namespace hatchfork;
@@ -85,6 +86,35 @@
   REQUIRE_FALSE(planMembershipChange(input));
 }
 
+TEST_CASE("a replica of a release that can't apply all commands is not added", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.least_release = 4;
+  input.peers = {healthy("b"), silent("c", 3000)};
+  input.candidates = {Candidate{ReplicaId("d"), 7, true, 3}};
+  REQUIRE_FALSE(planMembershipChange(input));
+  input.candidates.push_back(Candidate{ReplicaId("e"), 7, false, 4});
+  const auto target = planMembershipChange(input);
+  REQUIRE(find(target, "e"));
+  REQUIRE_FALSE(find(target, "d"));
+}
+
+TEST_CASE("an emptied voter does not come back with an older release", "[plan]") {
+  MembershipPlanInput input = threeVoters();
+  input.least_release = 4;
+  input.peers = {healthy("b"), silent("c", 500)};
+  input.candidates = {Candidate{ReplicaId("c"), 9, false, kUnknownRelease}};
+  REQUIRE_FALSE(planMembershipChange(input));
+  input.candidates = {Candidate{ReplicaId("c"), 9, false, 4}};
+  REQUIRE(find(planMembershipChange(input), "c")->incarnation == 9);
+}
+
+TEST_CASE("an announcement of an older release tells none", "[plan]") {
+  nlohmann::json sent = Hello{true, {}, false, 4};
+  REQUIRE(sent.get<Hello>().release == 4);
+  sent.erase("release");
+  REQUIRE(sent.get<Hello>().release == kUnknownRelease);
+}
+
 TEST_CASE("an emptied voter is not replaced where that would leave no quorum", "[plan]") {
   MembershipPlanInput input = threeVoters();
   input.peers = {silent("b", 2000), silent("c", 2000)};
