Engines: an answer without a length is whole only if its connection took the whole request

What callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written; the caller got that part as a complete answer. The same with 201, 400 and 413, with event streams, and with a batch item whose run before had ended by a close at the same event: its text was taken for whole.

Cause: the upload is written beside the wait for the answer, and the end of the write kept no error. A connection has one error to tell, and it goes to the operation that runs first: the write gets "connection reset", and the read after it sees a proper end, which is the end of an answer without a length. The silence limit of the connection (ETIMEDOUT) is told the same way. Ruled out: the parser (an answer with a length or chunks was never taken for whole); a reset with no write under way, which the read itself sees (tests of before).

Change: RequestWrite keeps how the write ended. The end of an answer without a length waits for the end of the write, and is a break where that failed. An engine that ends its own direction and goes on to read the upload has its answer taken as before; an answer with its length stays one whatever becomes of the upload. Weighed: "the write is not done" as a break at once would also lose whole answers of engines that close in two steps and drain the upload; "the write has failed by now" would miss a reset that follows the end of the answer.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "connection/engine_connection.hpp"
+#include "connection/request_write.hpp"
 
 namespace hatchfork::connection {
 namespace {
@@ -176,13 +177,13 @@
   void write() {
     auto bytes = std::make_shared<std::string>(encodeRequest(request_));
     request_.body.clear();
-    auto written = std::make_shared<bool>(false);
-    written_ = written;
+    auto write = std::make_shared<RequestWrite>(pool_->context);
+    write_ = write;
     const std::shared_ptr<HeldBytes> held = offerBytes(bytes->size());
     const NoteProgress progress{held.get()};
     asio::async_write(connection_->socket, asio::buffer(*bytes), progress,
-                      [bytes, written, held, connection = connection_](boost::system::error_code error, std::size_t) {
-                        *written = !error;
+                      [bytes, write, held, connection = connection_](boost::system::error_code error, std::size_t) {
+                        write->noteEnd(error);
                       });
   }
 
@@ -289,6 +290,10 @@
     if (error == asio::error::eof && parser_->got_some() && !cancelled_ && !timed_out_) {
       error = {};
       parser_->put_eof(error);
+      // Such an answer is whole only if the connection did not break. Its one error may have gone to the write, after
+      // which a read shows a proper end.
+      const std::shared_ptr<RequestWrite> write = write_;
+      if (!error) error = co_await write->awaitEnd();
     }
     if (error || cancelled_ || timed_out_) co_return failureOf(error);
     co_return std::nullopt;
@@ -330,7 +335,8 @@
   /// The answer is whole: the connection is kept if nothing is left on it either way.
   void finish() {
     if (!connection_) return;
-    const bool whole = parser_->is_done() && parser_->keep_alive() && *written_ && connection_->buffer.size() == 0;
+    const bool whole =
+        parser_->is_done() && parser_->keep_alive() && write_->isDone() && connection_->buffer.size() == 0;
     if (!whole) {
       close();
       return;
@@ -346,7 +352,8 @@
   Timer timer_;
   EngineConnectionPtr connection_;
   std::optional<Parser> parser_;
-  std::shared_ptr<bool> written_ = std::make_shared<bool>(false);
+  /// Null until the request is sent.
+  std::shared_ptr<RequestWrite> write_;
   bool reused_ = false;
   bool timed_out_ = false;
   bool cancelled_ = false;
--- /dev/null
+++ b/tests/connection/broken_answers_test.cpp
@@ -0,0 +1,74 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "connection/engine_exchange.hpp"
+#include "tests/connection/early_engine.hpp"
+#include "tests/connection/exchange_outcome.hpp"
+#include "tests/connection/scripted_engine.hpp"
+
+// Answers of engines in trouble, which no caller may take for an answer.
+using namespace hatchfork;
+using namespace hatchfork::connection;
+
+namespace {
+
+constexpr std::size_t kLongUpload = 12u << 20;
+constexpr Duration kTime = std::chrono::seconds(5);
+const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n";
+
+/// Sends one request with a body to `engine` and reads the answer.
+Outcome upload(asio::io_context& context, std::uint16_t port, std::size_t bytes) {
+  EngineClient client(context);
+  EngineRequest request = requestTo(port);
+  request.method = "POST";
+  request.body = std::string(bytes, 'u');
+  Outcome outcome;
+  asio::co_spawn(context, exchange(client, std::move(request), nullptr, kTime, outcome),
+                 [&context](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  return outcome;
+}
+
+Outcome uploadToEarlyEngine(const std::string& answer, EarlyEnd end) {
+  asio::io_context context;
+  EarlyEngine engine(context, answer, end);
+  return upload(context, engine.port(), kLongUpload);
+}
+
+}  // namespace
+
+// Guards against callers that get a part of an answer as the whole of it: the connection has one error to tell, and it
+// goes to the upload that is still being written.
+TEST_CASE("an answer without a length is not whole if its connection breaks while the upload is being sent",
+          "[exchange][broken]") {
+  const std::string status = GENERATE("200 OK", "201 Created", "400 Bad Request", "413 Too Large");
+  const EarlyEnd end = GENERATE(EarlyEnd::kResets, EarlyEnd::kCloses, EarlyEnd::kEndsAndResets);
+  const Outcome outcome = uploadToEarlyEngine("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n\r\npart of the body", end);
+  CAPTURE(outcome.body, outcome.failure.cause);
+  REQUIRE_FALSE(outcome.whole);
+  REQUIRE(outcome.failure.may_have_run);
+  REQUIRE(outcome.failure.closed_by_engine);
+  REQUIRE_FALSE(outcome.failure.timed_out);
+}
+
+TEST_CASE("an early answer without a length is whole if its engine then reads the rest of the upload",
+          "[exchange][broken]") {
+  const Outcome outcome = uploadToEarlyEngine(kHead + "\r\nbody", EarlyEnd::kEndsAndReads);
+  CAPTURE(outcome.failure.cause);
+  REQUIRE(outcome.whole);
+  REQUIRE_FALSE(outcome.framed);
+  REQUIRE(outcome.body == "body");
+}
+
+// An early refusal, for one, comes from an engine that reads no more of the upload.
+TEST_CASE("an early answer that has its length is whole whatever becomes of the upload", "[exchange][broken]") {
+  const EarlyEnd end = GENERATE(EarlyEnd::kResets, EarlyEnd::kEndsAndResets, EarlyEnd::kStaysSilent);
+  const std::string status = GENERATE("200 OK", "413 Too Large");
+  const Outcome outcome =
+      uploadToEarlyEngine("HTTP/1.1 " + status + "\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody", end);
+  REQUIRE(outcome.whole);
+  REQUIRE(outcome.framed);
+  REQUIRE(outcome.body == "body");
+}
--- a/tests/connection/engine_exchange_test.cpp
+++ b/tests/connection/engine_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "tests/connection/endless_engine.hpp"
+#include "tests/connection/exchange_outcome.hpp"
 #include "tests/connection/scripted_engine.hpp"
 
 using namespace hatchfork;
@@ -10,51 +11,6 @@
 
 namespace {
 
-EngineRequest requestTo(std::uint16_t port) {
-  EngineRequest request;
-  request.engine = EngineId("e");
-  request.endpoint = Endpoint{"127.0.0.1", port};
-  request.method = "GET";
-  request.target = "/";
-  request.echo_name = "X-Id";
-  request.echo_value = "r1";
-  return request;
-}
-
-/// What became of one request, its body included.
-struct Outcome {
-  bool answered = false;
-  bool whole = false;
-  bool framed = false;
-  std::string body;
-  ExchangeFailure failure;
-};
-
-Awaitable<void> exchange(EngineClient& client, EngineRequest request, std::shared_ptr<ExchangeControl> control,
-                         Duration time, Outcome& outcome) {
-  const Instant deadline = monotonicNow() + time;
-  ExchangeStart started = co_await client.open(std::move(request), deadline, control);
-  if (auto* failure = std::get_if<ExchangeFailure>(&started)) {
-    outcome.failure = *failure;
-    co_return;
-  }
-  auto running = std::move(std::get<std::unique_ptr<EngineExchange>>(started));
-  outcome.answered = true;
-  while (true) {
-    AnswerPiece piece = co_await running->read(deadline);
-    if (auto* failure = std::get_if<ExchangeFailure>(&piece)) {
-      outcome.failure = *failure;
-      co_return;
-    }
-    if (auto* end = std::get_if<EndOfAnswer>(&piece)) {
-      outcome.whole = true;
-      outcome.framed = end->framed;
-      co_return;
-    }
-    outcome.body += std::get<std::string>(piece);
-  }
-}
-
 Outcome play(const std::string& answer, Duration cancel_after, int times = 1,
              AfterAnswer after = AfterAnswer::kStaysSilent) {
   asio::io_context context;
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -102,6 +102,8 @@
         lines = head.decode().split("\r\n")
         method, target, _ = lines[0].split(" ")
         headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines[1:] if line)}
+        if await self.answers_early(target, headers, writer):
+            return False
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         request = headers.get("x-attempt-id", "")
         if self.mute:
@@ -164,6 +166,10 @@
             self.running -= 1
         return True
 
+    async def answers_early(self, target, headers, writer):
+        """True if the engine has answered before it read the body, and does not go on with this connection."""
+        return False
+
     async def begin_run(self, request, target, body, writer):
         """Called when a run begins; engines of special kinds do what they do there."""
 
--- a/tests/process/store/item_runner_answers_test.cpp
+++ b/tests/process/store/item_runner_answers_test.cpp
@@ -9,6 +9,7 @@
 
 #include "platform/platform_dialect.hpp"
 #include "process/store/item_runner.hpp"
+#include "tests/connection/early_engine.hpp"
 #include "tests/connection/endless_engine.hpp"
 #include "tests/connection/scripted_engine.hpp"
 
@@ -50,7 +51,8 @@
     order.from = kLeader;
     order.term = 1;
     order.number = 7;
-    order.item = OpaqueItem{"item", "/x/1", std::move(headers), "body", 10};
+    std::string body = order.item.body.empty() ? "body" : std::move(order.item.body);
+    order.item = OpaqueItem{"item", "/x/1", std::move(headers), std::move(body), 10};
     order.host = "a.example";
     order.engine = EngineId("e");
     order.engine_address = fmt::format("127.0.0.1:{}", port);
@@ -107,6 +109,26 @@
   }
 }
 
+// Guards against items with a part of their text: the connection breaks while the item's body is being sent.
+TEST_CASE("a run whose answer without a length breaks while the item is being sent is broken",
+          "[store][runner][broken]") {
+  const connection::EarlyEnd early_end =
+      GENERATE(connection::EarlyEnd::kResets, connection::EarlyEnd::kCloses, connection::EarlyEnd::kEndsAndResets);
+  const bool is_second_run = GENERATE(false, true);
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: item\r\n\r\n";
+  connection::asio::io_context context;
+  connection::EarlyEngine engine(context, is_second_run ? head : head + "id: 1\ndata: one\n\n", early_end);
+  RunOrder order;
+  order.last_event = is_second_run ? 1 : 0;
+  order.after_close = is_second_run;
+  order.item.body = std::string(12u << 20, 'u');
+  SingleRun run(context);
+  run.play(engine.port(), {}, isDone, order);
+  REQUIRE(run.ended().size() == 1);
+  REQUIRE(run.ended().front().end == fleet::RunEnd::kBroken);
+  REQUIRE(run.ended().front().verdict == request::EngineVerdict::kFailed);
+}
+
 // Guards against items that run again and again, or are taken for whole too early, at engines whose answers have no
 // length.
 TEST_CASE("an item's text that two runs end by a close at the same event is whole", "[store][runner]") {
