Engines: a head whose status is none is no answer

What callers saw: an engine in trouble sent a head with the status 000, 001 or 099, whose body looks like the head of a 200: the caller got what stood there as its answer. A status from 600 to 999 was passed on as it is, with its body.

Cause: the parser takes any three digits; whatever was below 200 counted as an interim answer, so its body was read as the next head, and whatever was above 599 as a final one (from 400 on also without the request's identifier). Ruled out: status lines of another form, which the parser refuses.

Change: a status below 100 or above 599 ends the attempt as broken: a request that may be repeated goes to another engine, another one is answered 502. Online requests, streams, resumes, items and surplus answers are read at this one place.

Evidence: unit test, 15 of its 30 cases failed before, none after.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -194,7 +194,8 @@
       parser_->header_limit(kLargestHead);
       std::optional<ExchangeFailure> failed = co_await readOneHead(deadline);
       if (failed) co_return failAnd(std::move(*failed));
-      const bool interim = parser_->get().result_int() < 200;
+      if (!isStatus(status())) co_return failAnd(ExchangeFailure{true, false, "a head whose status is none"});
+      const bool interim = isInterimStatus(status());
       if (!interim && isOwnAnswer()) co_return std::nullopt;
       if (interim) continue;
       failed = co_await skipAnswer(deadline);
--- a/src/connection/http_types.cpp
+++ b/src/connection/http_types.cpp
@@ -70,6 +70,14 @@
   return response;
 }
 
+bool isStatus(unsigned number) {
+  return number >= 100 && number <= 599;
+}
+
+bool isInterimStatus(unsigned status) {
+  return status / 100 == 1;
+}
+
 unsigned httpStatusOf(ErrorKind kind) {
   switch (kind) {
     case ErrorKind::kInvalidArgument:
--- a/tests/connection/broken_answers_test.cpp
+++ b/tests/connection/broken_answers_test.cpp
@@ -37,6 +37,13 @@
   return upload(context, engine.port(), kLongUpload);
 }
 
+/// What becomes of a request whose engine sends these bytes and closes the connection.
+Outcome answerOf(const std::string& bytes) {
+  asio::io_context context;
+  ScriptedEngine engine(context, bytes, AfterAnswer::kCloses);
+  return upload(context, engine.port(), 4);
+}
+
 }  // namespace
 
 // Guards against callers that get a part of an answer as the whole of it: the connection has one error to tell, and it
@@ -72,3 +79,16 @@
   REQUIRE(outcome.framed);
   REQUIRE(outcome.body == "body");
 }
+
+// Guards against a status that is none and reaches callers, and against the body behind it that is taken for an answer.
+TEST_CASE("a head whose status is none is no answer", "[exchange][broken]") {
+  const std::string status = GENERATE("000", "001", "099", "600", "700", "999");
+  const std::string rest = GENERATE("X-Id: r1\r\nContent-Length: 5\r\n\r\nother", "X-Id: r1\r\n\r\nother",
+                                    "Content-Length: 5\r\n\r\nother", "X-Id: r0\r\nContent-Length: 0\r\n\r\n",
+                                    "X-Id: r1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nother");
+  const Outcome outcome = answerOf("HTTP/1.1 " + status + " Odd\r\n" + rest);
+  CAPTURE(status, rest, outcome.body);
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+  REQUIRE_FALSE(outcome.failure.timed_out);
+}
