Engines: a change of the protocol that no request asked for is no answer

What callers saw: an engine answered with the status 101, and what looked like the head of a 200 behind it reached the caller as its answer, with the body there.

Cause: 101 was read past like an interim answer. No request asks for another protocol (the field that asks is not passed on), and what follows a 101 is not of this one. Ruled out: other interim answers (100, 102, 103, 199), whose answer follows; a test keeps that.

Change: a 101 ends the attempt as broken.

Evidence: a unit test that failed before.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -26,6 +26,7 @@
 /// the connection carries no answers.
 constexpr int kMostOtherAnswers = 8;
 constexpr std::size_t kMostSurplusBytes = 1u << 20;
+constexpr unsigned kSwitchingProtocols = 101;
 
 }  // namespace
 
@@ -195,6 +196,8 @@
       std::optional<ExchangeFailure> failed = co_await readOneHead(deadline);
       if (failed) co_return failAnd(std::move(*failed));
       if (!isStatus(status())) co_return failAnd(ExchangeFailure{true, false, "a head whose status is none"});
+      // No request asks for another protocol, and what follows is none of this one.
+      if (status() == kSwitchingProtocols) co_return failAnd(ExchangeFailure{true, false, "a change of the protocol"});
       const bool interim = isInterimStatus(status());
       if (!interim && isOwnAnswer()) co_return std::nullopt;
       if (interim) continue;
--- a/tests/connection/broken_answers_test.cpp
+++ b/tests/connection/broken_answers_test.cpp
@@ -92,3 +92,22 @@
   REQUIRE(outcome.failure.may_have_run);
   REQUIRE_FALSE(outcome.failure.timed_out);
 }
+
+// What follows such a head is of that other protocol, whatever it looks like.
+TEST_CASE("an engine that changes the protocol unasked has sent no answer", "[exchange][broken]") {
+  const Outcome outcome = answerOf(
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: "
+      "5\r\n\r\nother");
+  CAPTURE(outcome.body);
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+  REQUIRE_FALSE(outcome.failure.timed_out);
+}
+
+TEST_CASE("interim answers come before the answer", "[exchange][broken]") {
+  const std::string status = GENERATE("100 Continue", "102 Processing", "103 Early Hints", "199 Odd");
+  const Outcome outcome =
+      answerOf("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n\r\n" + kHead + "Content-Length: 4\r\n\r\nbody");
+  REQUIRE(outcome.whole);
+  REQUIRE(outcome.body == "body");
+}
