Engines: a head with a line that begins with a blank is no answer

What callers saw: an engine in trouble sent a head in which the name of a field began with a blank (" X-Broken: v", " Content-Length: 3"). The caller got it as an answer with that line passed on, joined to the field before it ("X-Response-Seal: seal-1 X-Broken: v"), or with a body of another length than the engine's. Behind the request's identifier it made the answer look like another request's, and the caller waited for its deadline.

Cause: that line is also the old form of a folded field, which the parser joins; nobody can tell which of the two was meant. The standard lets a gateway refuse it.

Change: a head with such a line ends the attempt as broken, for all answers that engines send.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -214,7 +214,12 @@
     while (true) {
       beast::error_code error;
       if (connection_->buffer.size() > 0) {
-        connection_->buffer.consume(parser_->put(connection_->buffer.data(), error));
+        const auto bytes = connection_->buffer.data();
+        // The parser takes a head at once, when all of it is there.
+        const std::size_t used = parser_->put(bytes, error);
+        const bool is_folded = hasFoldedLine(std::string_view(static_cast<const char*>(bytes.data()), used));
+        connection_->buffer.consume(used);
+        if (is_folded) co_return ExchangeFailure{true, false, "a head with a line that begins with a blank"};
         if (parser_->is_header_done()) break;
         if (error && error != http::error::need_more) co_return failureOf(error);
         if (!std::exchange(has_begun, true)) arm(std::min(deadline, monotonicNow() + kHeadTimeout));
--- a/src/connection/http_types.hpp
+++ b/src/connection/http_types.hpp
@@ -68,6 +68,9 @@
 bool isStatus(unsigned number);
 /// True for the status of an interim answer, which another one follows.
 bool isInterimStatus(unsigned status);
+/// True if a line of a head begins with a blank: it may belong to the field before it or be a field of its own, so
+/// nobody can tell what the head says.
+bool hasFoldedLine(std::string_view head);
 /// The HTTP status of an error kind.
 unsigned httpStatusOf(ErrorKind kind);
 /// Inverse of `errorResponse`: the typed error in a received error body; a body of another shape gives
--- a/tests/connection/broken_answers_test.cpp
+++ b/tests/connection/broken_answers_test.cpp
@@ -111,3 +111,18 @@
   REQUIRE(outcome.whole);
   REQUIRE(outcome.body == "body");
 }
+
+// Guards against fields that reach callers with a line that an engine did not mean for them, and against bodies of
+// another length than the engine's.
+TEST_CASE("a head with a line that begins with a blank is no answer", "[exchange][broken]") {
+  const std::string blank = GENERATE(" ", "\t");
+  const std::string line = GENERATE("X-Broken: v", "Content-Length: 3", "r1", "");
+  const std::string before = GENERATE("", "X-Id: r1\r\n", "X-Id: r1\r\nX-Seal: 1\r\n", "X-Id:\r\n");
+  const std::string framing = GENERATE("Content-Length: 5\r\n", "");
+  const Outcome outcome =
+      answerOf("HTTP/1.1 200 OK\r\n" + before + blank + line + "\r\n" + "X-Id: r1\r\n" + framing + "\r\nother");
+  CAPTURE(blank + line, before, framing, outcome.body);
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+  REQUIRE_FALSE(outcome.failure.timed_out);
+}
