HTTP client: an interim answer is not the answer

Cause: the client took the first head for the answer's; the engines' reader reads on. Change: it reads past at most eight interim heads; with more, the connection carries no answer.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kConnectTimeout = std::chrono::seconds(2);
 /// What is held of an answer before it is parsed: its header, trailers, heads of chunks. More breaks the connection.
 constexpr std::size_t kMaxUnparsedBytes = 64u << 10;
+/// Interim answers that may come before the answer; with more, the connection carries none.
+constexpr int kMaxInterimAnswers = 8;
 
 Error notSent(const Endpoint& endpoint, const std::string& cause) {
   return Error{ErrorKind::kUnavailable,
@@ -98,10 +100,14 @@
     connection_->stream.expires_after(timeout);
     co_await http::async_write(connection_->stream, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return afterSend(error);
-    const Status head = co_await readHead();
-    if (!isOk(head)) co_return head;
-    giveBackIfDone();
-    co_return okStatus();
+    for (int heads = 0; heads <= kMaxInterimAnswers; ++heads) {
+      const Status head = co_await readHead();
+      if (!isOk(head)) co_return head;
+      if (isInterimStatus(status())) continue;
+      giveBackIfDone();
+      co_return okStatus();
+    }
+    co_return afterSend(http::error::bad_status);
   }
 
   unsigned status() const override { return parser_->get().result_int(); }
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -55,6 +55,26 @@
   REQUIRE(errorOf(response).executed == Executed::kUnknown);
 }
 
+// Guards against the answer to a request that the next request on its connection gets.
+TEST_CASE("a client reads past interim answers to its answer", "[http][broken]") {
+  const std::string status = GENERATE("100 Continue", "102 Processing", "103 Early Hints");
+  asio::io_context context;
+  ScriptedEngine server(context, "HTTP/1.1 " + status + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  HttpClient client(context);
+  const Result<HttpResponse> response = fetch(context, client, server.port());
+  REQUIRE(isOk(response));
+  REQUIRE(valueOf(response).status == 200);
+  REQUIRE(valueOf(response).body == "body");
+}
+
+TEST_CASE("a client gets no answer from interim answers without end", "[http][broken]") {
+  std::string bytes;
+  for (int i = 0; i < 100; ++i) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+  const Result<HttpResponse> response = answerOf(bytes + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  REQUIRE_FALSE(isOk(response));
+  REQUIRE(errorOf(response).executed == Executed::kUnknown);
+}
+
 TEST_CASE("a client takes no part of an answer without a length for the whole", "[http][broken]") {
   const EarlyEnd end = GENERATE(EarlyEnd::kResets, EarlyEnd::kCloses, EarlyEnd::kEndsAndResets);
   asio::io_context context;
