Engine attempts: a refusal that breaks off says nothing

A part that held a whole error object with "executed": "no" was believed: its caller got it as an answer, or the request went to another engine as one that had not run.

Cause: the loop that reads a refusal ended alike at the end of the body and at an error. Change: an error ends the attempt as one whose outcome is unknown; the load tool returns the error.

The load tool's reader has no test of its own.

--- a/bench/load/gateway_caller.cpp
+++ b/bench/load/gateway_caller.cpp
@@ -79,7 +79,8 @@
   std::string body;
   while (true) {
     const Result<std::string> piece = co_await exchange.readSome(kAttemptTimeout);
-    if (!isOk(piece) || valueOf(piece).empty()) break;
+    if (!isOk(piece)) co_return errorOf(piece);
+    if (valueOf(piece).empty()) break;
     body += valueOf(piece);
   }
   co_return connection::errorFromResponse(exchange.status(), body);
--- a/src/connection/engine_attempt.cpp
+++ b/src/connection/engine_attempt.cpp
@@ -79,7 +79,8 @@
   std::string body;
   while (body.size() <= kLargestRefusal) {
     Result<std::string> piece = co_await exchange_->readSome(patience());
-    if (!isOk(piece) || valueOf(piece).empty()) break;
+    if (!isOk(piece)) co_return failure(FailurePoint::kNoAnswer, errorOf(piece));
+    if (valueOf(piece).empty()) break;
     body += valueOf(piece);
   }
   const unsigned status = exchange_->status();
