Engines: the wait for the engine's machine ends without an error of its own

The linter found that it returned the error it had just found to be none. No change of behaviour; tests [broken], [exchange] and [http] hold.

--- a/src/connection/engine_exchange.cpp
+++ b/src/connection/engine_exchange.cpp
@@ -305,8 +305,8 @@
     while (!cancelled_ && !timed_out_ && hasUnacknowledgedBytes(connection->socket)) {
       co_await sleepFor(kAcknowledgementPoll);
     }
-    if (isBroken(connection->socket)) co_return boost::system::error_code(asio::error::connection_reset);
-    co_return error;
+    if (isBroken(connection->socket)) co_return asio::error::make_error_code(asio::error::connection_reset);
+    co_return boost::system::error_code();
   }
 
   void arm(Instant deadline) {
