--- a/tests/connection/broken_answers_test.cpp
+++ b/tests/connection/broken_answers_test.cpp
@@ -52,7 +52,8 @@
           "[exchange][broken]") {
   const std::string status = GENERATE("200 OK", "201 Created", "400 Bad Request", "413 Too Large");
   const EarlyEnd end = GENERATE(EarlyEnd::kResets, EarlyEnd::kCloses, EarlyEnd::kEndsAndResets);
-  const Outcome outcome = uploadToEarlyEngine("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n\r\npart of the body", end);
+  const std::string part = GENERATE("", "part of the body");
+  const Outcome outcome = uploadToEarlyEngine("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n\r\n" + part, end);
   CAPTURE(outcome.body, outcome.failure.cause);
   REQUIRE_FALSE(outcome.whole);
   REQUIRE(outcome.failure.may_have_run);
@@ -167,8 +168,18 @@
   REQUIRE_FALSE(outcome.failure.timed_out);
 }
 
+TEST_CASE("an interim answer has no body: what follows its head is the next head", "[exchange][broken]") {
+  const std::string status = GENERATE("100 Continue", "102 Processing", "199 Odd");
+  const std::string identifier = GENERATE("", "X-Id: r1\r\n");
+  const Outcome outcome = answerOf("HTTP/1.1 " + status + "\r\n" + identifier + "Content-Length: 5\r\n\r\nother");
+  REQUIRE_FALSE(outcome.answered);
+  REQUIRE(outcome.failure.may_have_run);
+}
+
 TEST_CASE("an answer whose trailer has a field whose name is none is not whole", "[exchange][broken]") {
   const std::string line = GENERATE("X Broken: v", "X-Bro\x01ken: v", "X-Broken", ": v");
-  const Outcome outcome = answerOf(kHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n");
+  const bool is_first = GENERATE(true, false);
+  const std::string trailer = is_first ? line + "\r\nX-Sound: 1\r\n" : "X-Sound: 1\r\n" + line + "\r\n";
+  const Outcome outcome = answerOf(kHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n");
   REQUIRE_FALSE(outcome.whole);
 }
